--- /dev/null
+++ b/cmd/hkdev/main.go
@@ -0,0 +1,114 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Command hkdev runs a small heathkeel fleet in one process on loopback, for
+// trying it and for developing: stand-ins of the platform and of all declared
+// endpoints, and several hosts.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io/fs"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/go-logr/logr"
+
+	"github.com/heathkeel/heathkeel/examples"
+	"github.com/heathkeel/heathkeel/internal/dev"
+	"github.com/heathkeel/heathkeel/internal/logs"
+	"github.com/heathkeel/heathkeel/internal/version"
+	"github.com/heathkeel/heathkeel/settings"
+)
+
+// args are the process settings.
+type args struct {
+	Dir   string        `arg:"--dir,env:HEATHKEEL_DIR" help:"directory of declarations; empty means the embedded example"`
+	Hosts int           `arg:"--hosts,env:HEATHKEEL_HOSTS" default:"3" help:"number of hosts"`
+	Step  time.Duration `arg:"--step,env:HEATHKEEL_STEP" default:"3ms" help:"time of an engine's step"`
+	Check bool          `arg:"--check" help:"run one request of each tier and kind, print a line each and exit"`
+	Logs  bool          `arg:"--logs" help:"write the hosts' logs to standard error"`
+}
+
+// Version gives the line that --version prints.
+func (args) Version() string { return "hkdev " + version.Version }
+
+// Description gives the first line of --help.
+func (args) Description() string {
+	return "hkdev runs a small heathkeel fleet in one process on loopback. With --check it exits 0 only if every request was answered whole."
+}
+
+// startTime bounds the start of all parts.
+const startTime = 15 * time.Second
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	if a.Hosts < 1 || a.Hosts > 32 {
+		p.Fail("--hosts must be 1 to 32")
+	}
+	code, err := run(a)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "hkdev:", err)
+	}
+	os.Exit(code)
+}
+
+// run starts the fleet and keeps it until a signal, or checks it.
+func run(a args) (int, error) {
+	var dir fs.FS = examples.Fjordkanal()
+	if a.Dir != "" {
+		dir = os.DirFS(a.Dir)
+	}
+	files, err := settings.ReadDir(dir)
+	if err != nil {
+		return 1, err
+	}
+	parsed := settings.Parse(files)
+	if len(parsed.Faults) > 0 {
+		return 1, parsed.Faults
+	}
+	log := logr.Discard()
+	if a.Logs {
+		if log, err = logs.New("hkdev", version.Version); err != nil {
+			return 1, err
+		}
+	}
+	c := &dev.Cluster{Declaration: parsed.Declaration, Hosts: a.Hosts, StepTime: a.Step, Log: log}
+	if err := c.Start(); err != nil {
+		return 1, err
+	}
+	defer c.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), startTime)
+	defer cancel()
+	if err := c.WaitReady(ctx); err != nil {
+		return 1, err
+	}
+	if a.Check {
+		return check(c), nil
+	}
+	show(c)
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-term.Done()
+	return 0, nil
+}
+
+// show prints the addresses and a line to try.
+func show(c *dev.Cluster) {
+	fmt.Println("platform  http://" + c.PlatformAddress)
+	for _, n := range c.Nodes {
+		fmt.Println("host      http://" + n.Address)
+	}
+	fmt.Printf("endpoints %d engines, %d plain services\n\ntry:\n", len(c.Engines), len(c.Services))
+	if q, ok := firstCompletion(c); ok {
+		fmt.Printf("  curl -N http://%s/v1/completions -H 'Heathkeel-Workspace: %s' -H 'Heathkeel-Service: %s' -d '{\"model\":\"%s\",\"prompt\":\"Hello\",\"max_tokens\":8,\"stream\":true}'\n",
+			c.Nodes[0].Address, q.Workspace, q.Service, q.model)
+	}
+	fmt.Printf("  HEATHKEEL_PLATFORM=http://%s go run ./cmd/hkctl status\n", c.PlatformAddress)
+}
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,29 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Package examples embeds the example declarations of the two users.
+package examples
+
+import (
+	"embed"
+	"io/fs"
+)
+
+//go:embed fjordkanal litoral
+var files embed.FS
+
+// Fjordkanal returns the declaration of Fjordkanal Felles.
+func Fjordkanal() fs.FS { return sub("fjordkanal") }
+
+// Litoral returns the declaration of Litoral Collections.
+func Litoral() fs.FS { return sub("litoral") }
+
+// sub returns a directory that is known to be embedded.
+func sub(name string) fs.FS {
+	dir, err := fs.Sub(files, name)
+	if err != nil {
+		panic(err)
+	}
+	return dir
+}
--- /dev/null
+++ b/internal/fake/engine.go
@@ -0,0 +1,472 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/heathkeel/heathkeel/endpoint"
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// EngineFaults are the faults of an engine; the zero value has none.
+type EngineFaults struct {
+	// SlowBy multiplies the time of a step; 0 means 1.
+	SlowBy float64
+	// Dead breaks every connection.
+	Dead bool
+	// StopReports makes reports fail.
+	StopReports bool
+	// DropEvents is the number of cache events lost of each ten.
+	DropEvents int
+	// CutAfter breaks a stream after that many pieces, once for each stream; 0 never.
+	CutAfter int
+	// CrossAt gives the piece of that number another request's ID, RepeatAt sends
+	// it twice and SkipAt leaves it out; 0 never.
+	CrossAt, RepeatAt, SkipAt int
+	// ServerErrors makes new requests fail with a server error.
+	ServerErrors bool
+}
+
+// Engine is a stand-in model engine, served over HTTP.
+type Engine struct {
+	// Core is the batching engine; set its sizes before use.
+	Core EngineCore
+	// StepTime is the time of one step.
+	StepTime time.Duration
+	// Lag is the age of reports.
+	Lag time.Duration
+	// Output gives the number of tokens of an answer; nil means as many as asked.
+	Output func(prompt string, maxTokens int) int
+	// Store is where weights come from; nil means that loading takes no time.
+	Store *WeightStore
+	// Unfenced makes the engine obey any order.
+	Unfenced bool
+
+	mu      sync.Mutex
+	faults  EngineFaults
+	streams map[string]*engineStream
+	past    []agedReport
+	holding *endpoint.Holding
+	loading *endpoint.Holding
+	role    string
+	token   uint64
+	runs    map[string]int
+	orders  int
+	wake    chan struct{}
+}
+
+// engineStream keeps what was generated, so that it can be resumed.
+type engineStream struct {
+	job    *Job
+	pieces []endpoint.Piece
+	more   chan struct{}
+	cut    bool
+}
+
+// agedReport is a report and when it was taken.
+type agedReport struct {
+	at time.Time
+	endpoint.Report
+}
+
+// maxPast bounds the reports kept for lagging readers.
+const maxPast = 256
+
+// Hold sets what the engine holds at the start.
+func (e *Engine) Hold(h endpoint.Holding) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holding = &h
+}
+
+// SetFaults replaces the faults in force.
+func (e *Engine) SetFaults(f EngineFaults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = f
+}
+
+// Runs returns how often a request was run under an ID.
+func (e *Engine) Runs(id string) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[id]
+}
+
+// TotalRuns returns the number of IDs run and the largest count of one.
+func (e *Engine) TotalRuns() (ids, most int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, n := range e.runs {
+		most = max(most, n)
+	}
+	return len(e.runs), most
+}
+
+// Orders returns the number of orders obeyed that changed something.
+func (e *Engine) Orders() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.orders
+}
+
+// Active returns the number of requests in the engine.
+func (e *Engine) Active() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.Core.Jobs())
+}
+
+// Restart drops all requests, streams and cache, as a new process would.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Core.Clear()
+	e.loading = nil
+	for _, s := range e.streams {
+		close(s.more)
+		s.more = nil
+	}
+	e.streams = nil
+}
+
+// Run steps the engine until ctx ends.
+func (e *Engine) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		e.mu.Lock()
+		d := e.StepTime
+		if e.faults.SlowBy > 0 {
+			d = time.Duration(float64(d) * e.faults.SlowBy)
+		}
+		idle := e.Core.Idle()
+		if e.wake == nil {
+			e.wake = make(chan struct{}, 1)
+		}
+		wake := e.wake
+		e.mu.Unlock()
+		if idle {
+			select {
+			case <-ctx.Done():
+				return
+			case <-wake:
+			case <-time.After(max(e.Lag/4, 10*time.Millisecond)):
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(d):
+		}
+		e.step()
+	}
+}
+
+// step runs one step and hands its tokens to the streams.
+func (e *Engine) step() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, em := range e.Core.Step() {
+		s := e.streams[em.Job.ID]
+		if s == nil {
+			continue
+		}
+		n := len(s.pieces)
+		p := endpoint.Piece{ID: em.Job.ID, Seq: n, Text: "t" + strconv.Itoa(n) + " "}
+		if em.Last {
+			p.Finish = "stop"
+		}
+		s.pieces = append(s.pieces, p)
+		close(s.more)
+		s.more = make(chan struct{})
+	}
+	e.past = append(e.past, agedReport{time.Now(), e.report()})
+	if len(e.past) > maxPast {
+		e.past = slices.Delete(e.past, 0, len(e.past)-maxPast/2)
+	}
+}
+
+// report returns the account now; mu must be held.
+func (e *Engine) report() endpoint.Report {
+	r := e.Core.Report()
+	r.StepUS = e.StepTime.Microseconds()
+	r.Holding, r.Loading, r.Role, r.Token = e.holding, e.loading, e.role, e.token
+	if r.Role == "" {
+		r.Role = "both"
+	}
+	return r
+}
+
+// Handler returns the engine's HTTP handler.
+func (e *Engine) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.Use(e.breakIfDead)
+	r.Path(endpoint.PathCompletions).Methods(http.MethodPost).HandlerFunc(e.generate)
+	r.Path(endpoint.PathStreams + "{id}").Methods(http.MethodGet).HandlerFunc(e.resume)
+	r.Path(endpoint.PathStreams + "{id}").Methods(http.MethodDelete).HandlerFunc(e.cancel)
+	r.Path(endpoint.PathLoad).HandlerFunc(e.load)
+	r.Path(endpoint.PathOrders).Methods(http.MethodPost).HandlerFunc(e.order)
+	r.Path(endpoint.PathCache).HandlerFunc(e.cacheTransfer)
+	return r
+}
+
+// breakIfDead breaks connections while the engine is dead.
+func (e *Engine) breakIfDead(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.mu.Lock()
+		dead := e.faults.Dead
+		e.mu.Unlock()
+		if dead {
+			panic(http.ErrAbortHandler)
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// generate takes a request and streams its answer.
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var body endpoint.CompletionBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	id := r.Header.Get(endpoint.HeaderRequestID)
+	e.mu.Lock()
+	switch {
+	case e.faults.ServerErrors:
+		e.Core.failed++
+		e.mu.Unlock()
+		http.Error(w, "fault", http.StatusInternalServerError)
+		return
+	case e.holding == nil || e.holding.Model != body.Model:
+		e.mu.Unlock()
+		http.Error(w, "model not held", http.StatusBadRequest)
+		return
+	}
+	e.admit(id, body)
+	e.mu.Unlock()
+	e.send(w, r, id, 0)
+}
+
+// admit adds a request to the core; mu must be held.
+func (e *Engine) admit(id string, body endpoint.CompletionBody) {
+	if e.runs == nil {
+		e.runs = make(map[string]int)
+	}
+	if e.streams == nil {
+		e.streams = make(map[string]*engineStream)
+	}
+	e.runs[id]++
+	out := max(body.MaxTokens, 1)
+	if e.Output != nil {
+		out = e.Output(body.Prompt, out)
+	}
+	j := &Job{
+		ID: id, Blocks: sched.Blocks(body.Prompt), PromptTokens: sched.Tokens(len(body.Prompt)),
+		OutputTokens: out, Priority: body.Priority,
+	}
+	e.streams[id] = &engineStream{job: j, more: make(chan struct{})}
+	e.Core.Add(j)
+	if e.wake != nil {
+		select {
+		case e.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// resume continues a stream after the piece that the caller names.
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	last, err := strconv.Atoi(r.Header.Get(endpoint.HeaderResume))
+	if err != nil {
+		last = -1
+	}
+	id := mux.Vars(r)["id"]
+	e.mu.Lock()
+	s := e.streams[id]
+	e.mu.Unlock()
+	if s == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	e.send(w, r, id, last+1)
+}
+
+// send streams the pieces of a request from number n on, with the faults of the table.
+func (e *Engine) send(w http.ResponseWriter, r *http.Request, id string, n int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	fl := http.NewResponseController(w)
+	for {
+		e.mu.Lock()
+		s, f := e.streams[id], e.faults
+		if s == nil || s.more == nil {
+			e.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		pieces, more := s.pieces, s.more
+		cut := f.CutAfter > 0 && len(pieces) >= f.CutAfter && n < f.CutAfter && !s.cut
+		if cut {
+			s.cut = true
+			pieces = pieces[:f.CutAfter]
+		}
+		e.mu.Unlock()
+		if f.Dead {
+			panic(http.ErrAbortHandler)
+		}
+		for ; n < len(pieces); n++ {
+			_, _ = w.Write(faulty(pieces[n], f))
+			if pieces[n].Finish != "" {
+				fmt.Fprintf(w, "data: %s\n\n", endpoint.DoneData)
+				_ = fl.Flush()
+				return
+			}
+		}
+		_ = fl.Flush()
+		if cut {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-more:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// faulty writes one piece with the faults that concern its number.
+func faulty(p endpoint.Piece, f EngineFaults) []byte {
+	var b []byte
+	switch {
+	case p.Seq > 0 && p.Seq == f.SkipAt:
+		return nil
+	case p.Seq > 0 && p.Seq == f.CrossAt:
+		p.ID = "another"
+	case p.Seq > 0 && p.Seq == f.RepeatAt:
+		b = endpoint.AppendEvent(b, p, "")
+	}
+	return endpoint.AppendEvent(b, p, "")
+}
+
+// cancel drops a request.
+func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := mux.Vars(r)["id"]
+	e.Core.Cancel(id)
+	if s := e.streams[id]; s != nil && s.more != nil {
+		close(s.more)
+		s.more = nil
+	}
+	delete(e.streams, id)
+}
+
+// load gives the report that is Lag old.
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.StopReports {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	rep := agedReport{time.Now(), e.report()}
+	for _, p := range slices.Backward(e.past) {
+		if e.Lag == 0 {
+			break
+		}
+		rep = p
+		if time.Since(p.at) >= e.Lag {
+			break
+		}
+	}
+	rep.AgeMS = time.Since(rep.at).Milliseconds()
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	for _, ev := range e.Core.Events(after) {
+		if int(ev.Seq%10) >= e.faults.DropEvents {
+			rep.Events = append(rep.Events, ev)
+		}
+	}
+	_ = json.NewEncoder(w).Encode(rep.Report)
+}
+
+// order takes an order unless it comes from an older lease holder.
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o endpoint.Order
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Token < e.token && !e.Unfenced {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	e.token = max(e.token, o.Token)
+	e.role = o.Role
+	if sameHolding(o.Want, e.holding) || (e.loading != nil && sameHolding(o.Want, e.loading)) {
+		return
+	}
+	e.orders++
+	e.holding = nil
+	if o.Want == nil {
+		return
+	}
+	e.loading = o.Want
+	go e.fetch(o)
+}
+
+// fetch loads weights and holds them if nothing else was ordered meanwhile.
+func (e *Engine) fetch(o endpoint.Order) {
+	var digest string
+	var err error
+	if e.Store != nil {
+		digest, err = e.Store.Load(context.Background(), o.Want.Model, o.Want.Version)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !sameHolding(e.loading, o.Want) {
+		return
+	}
+	e.loading = nil
+	if err != nil || (o.Digest != "" && digest != o.Digest) {
+		e.Core.failed++
+		return
+	}
+	e.holding = o.Want
+}
+
+// sameHolding compares two holdings.
+func sameHolding(a, b *endpoint.Holding) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// cacheTransfer exports and imports KV cache.
+func (e *Engine) cacheTransfer(w http.ResponseWriter, r *http.Request) {
+	var blocks []uint64
+	if err := json.NewDecoder(r.Body).Decode(&blocks); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Method == http.MethodPut {
+		e.Core.remember(blocks)
+		return
+	}
+	_ = json.NewEncoder(w).Encode(blocks[:e.Core.Cached(blocks)])
+}
--- /dev/null
+++ b/internal/fake/platform.go
@@ -0,0 +1,107 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package fake
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// Platform serves the stand-ins of the platform over HTTP.
+type Platform struct {
+	// KV, Hosts and Weights are the parts served.
+	KV      *KV
+	Hosts   *HostList
+	Weights *WeightStore
+}
+
+// Handler returns the HTTP handler of all parts.
+func (p *Platform) Handler() http.Handler {
+	r := mux.NewRouter().UseEncodedPath()
+	item := r.Path(platform.PathKV + "{key}").Subrouter()
+	item.Methods(http.MethodGet).HandlerFunc(p.get)
+	item.Methods(http.MethodPut).HandlerFunc(p.swap)
+	item.Methods(http.MethodDelete).HandlerFunc(p.remove)
+	r.Path(platform.PathKeys).HandlerFunc(p.keys)
+	r.Path(platform.PathLease).HandlerFunc(p.lease)
+	r.Path(platform.PathHosts).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		out, err := p.Hosts.List(r.Context())
+		reply(w, out, err)
+	})
+	r.Path(platform.PathWeights).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		q := r.URL.Query()
+		out, err := p.Weights.Describe(r.Context(), q.Get("model"), q.Get("version"))
+		reply(w, out, err)
+	})
+	return r
+}
+
+// reply sends v, or the status of err.
+func reply(w http.ResponseWriter, v any, err error) {
+	if err != nil {
+		w.WriteHeader(platform.StatusOf(err))
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// key returns the unescaped key of a request.
+func key(r *http.Request) string {
+	const root = len(platform.PathKV)
+	return r.URL.Path[root:]
+}
+
+func (p *Platform) get(w http.ResponseWriter, r *http.Request) {
+	after := r.URL.Query().Get("after")
+	if after == "" {
+		it, err := p.KV.Get(r.Context(), key(r))
+		reply(w, it, err)
+		return
+	}
+	n, _ := strconv.ParseUint(after, 10, 64)
+	it, err := p.KV.Watch(r.Context(), key(r), n)
+	reply(w, it, err)
+}
+
+func (p *Platform) swap(w http.ResponseWriter, r *http.Request) {
+	var body platform.SwapBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	v, err := p.KV.Swap(r.Context(), key(r), body.Version, body.Value, body.Lease)
+	reply(w, platform.Item{Version: v}, err)
+}
+
+func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
+	n, _ := strconv.ParseUint(r.URL.Query().Get("version"), 10, 64)
+	reply(w, struct{}{}, p.KV.Delete(r.Context(), key(r), n))
+}
+
+func (p *Platform) keys(w http.ResponseWriter, r *http.Request) {
+	keys, err := p.KV.Keys(r.Context(), r.URL.Query().Get("prefix"))
+	reply(w, keys, err)
+}
+
+func (p *Platform) lease(w http.ResponseWriter, r *http.Request) {
+	var body platform.LeaseBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if r.Method == http.MethodPut {
+		reply(w, struct{}{}, p.KV.Renew(r.Context(), body.Lease))
+		return
+	}
+	id, err := p.KV.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
+	reply(w, platform.LeaseBody{Lease: id}, err)
+}
--- /dev/null
+++ b/internal/version/version.go
@@ -0,0 +1,8 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package version
+
+// Version is the version of all programs, set at the release.
+const Version = "0.1.0-dev"
--- /dev/null
+++ b/sched/blocks.go
@@ -0,0 +1,42 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Sizes of prompts as the scheduler estimates them.
+const (
+	// BlockTokens is the number of prompt tokens in a cache block.
+	BlockTokens = 64
+	// TokenBytes is the number of bytes taken for a token.
+	TokenBytes = 4
+	// MaxBlocks bounds the leading blocks of a prompt that are looked at.
+	MaxBlocks = 256
+)
+
+// Tokens estimates the number of tokens of a prompt of n bytes, rounded up.
+func Tokens(n int) int { return (n + TokenBytes - 1) / TokenBytes }
+
+// Blocks returns the chained hashes of a prompt's leading whole blocks, at most
+// MaxBlocks: two prompts share block i only if they are equal up to its end.
+func Blocks(prompt string) []uint64 {
+	const size = BlockTokens * TokenBytes
+	n := min(len(prompt)/size, MaxBlocks)
+	if n == 0 {
+		return nil
+	}
+	out := make([]uint64, n)
+	var link [16]byte
+	for i := range out {
+		binary.LittleEndian.PutUint64(link[8:], xxhash.Sum64String(prompt[i*size:(i+1)*size]))
+		out[i] = xxhash.Sum64(link[:])
+		binary.LittleEndian.PutUint64(link[:8], out[i])
+	}
+	return out
+}
--- /dev/null
+++ b/sched/choose.go
@@ -0,0 +1,127 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import "time"
+
+// candidate is an endpoint considered for a request.
+type candidate struct {
+	e      *endpointState
+	cached int // prompt tokens held
+	first  time.Duration
+	whole  time.Duration
+}
+
+// maxCandidates bounds the candidates kept for explanations.
+const maxCandidates = 8
+
+// limitFor is the number of requests up to which a tier may fill an endpoint.
+func (s *Scheduler) limitFor(rank int, e *endpointState) float64 {
+	n := float64(e.slots())
+	if s.cfg.Off.Late {
+		return 1e9
+	}
+	if rank == 0 {
+		return n * (1 + s.cfg.Overcommit)
+	}
+	if s.cfg.Off.Reserve {
+		return n
+	}
+	return max(1, n-max(1, n*s.cfg.Reserve*float64(rank)))
+}
+
+// admits reports whether an endpoint has room for a request.
+func (s *Scheduler) admits(now time.Duration, r *Request, e *endpointState, load float64) bool {
+	if !e.usable(now) || load >= s.limitFor(r.rank(), e) {
+		return false
+	}
+	if e.eased && (e.own > 0 || r.rank() == 0) {
+		return false
+	}
+	if r.long && !s.cfg.Off.LongCap && !s.cfg.Off.Late {
+		return float64(e.ownLong) < max(1, s.cfg.LongShare*float64(e.slots()))
+	}
+	return true
+}
+
+// choose returns the endpoint with the least predicted time to the end of the
+// answer, at random among near-equal ones so that hosts with the same stale
+// reports do not all choose one; nil if none has room.
+func (s *Scheduler) choose(now time.Duration, r *Request) *candidate {
+	s.matchPrefix(r)
+	s.cands = s.cands[:0]
+	best := time.Duration(1<<63 - 1)
+	for _, e := range r.pool.members {
+		load := s.load(now, e)
+		if e == r.avoid || !s.admits(now, r, e, load) {
+			continue
+		}
+		c := candidate{e: e, cached: s.cachedAt(e)}
+		c.first = s.predict(now, r, e, load, c.cached)
+		c.whole = s.completion(now, r, e, c.first)
+		best = min(best, c.whole)
+		s.cands = append(s.cands, c)
+	}
+	return s.among(best)
+}
+
+// among draws one of the candidates near the best.
+func (s *Scheduler) among(best time.Duration) *candidate {
+	near := best + time.Duration(s.cfg.Near*float64(best))
+	if s.cfg.Off.Near {
+		near = best
+	}
+	var got *candidate
+	n := 0
+	for i := range s.cands {
+		if s.cands[i].whole > near {
+			continue
+		}
+		n++
+		if n == 1 || s.Rand.IntN(n) == 0 {
+			got = &s.cands[i]
+		}
+	}
+	return got
+}
+
+// matchPrefix finds which endpoints hold leading blocks of a request's prompt.
+func (s *Scheduler) matchPrefix(r *Request) {
+	s.matched = 0
+	if !s.cfg.Off.Affinity && r.Settings.Affinity && len(r.Blocks) > 0 {
+		s.matched = s.prefixes.lookup(r.Blocks, &s.matches)
+	}
+}
+
+// cachedAt returns the prompt tokens that an endpoint holds by the last matchPrefix.
+func (s *Scheduler) cachedAt(e *endpointState) int {
+	for _, m := range s.matches[:s.matched] {
+		if int(m.index) == e.index+1 {
+			return m.blocks * BlockTokens
+		}
+	}
+	return 0
+}
+
+// importFrom returns an endpoint whose cache is worth moving to the chosen one,
+// because moving it takes less time than computing it again.
+func (s *Scheduler) importFrom(now time.Duration, c *candidate) string {
+	if s.cfg.Off.Transfer {
+		return ""
+	}
+	best, from := c.cached/BlockTokens, ""
+	for _, m := range s.matches[:s.matched] {
+		h := s.endpoints[m.index-1]
+		if h == c.e || m.blocks <= best || !h.present || now < h.downUntil || h.report.Model != c.e.report.Model {
+			continue
+		}
+		saved := c.e.prefillTime((m.blocks - c.cached/BlockTokens) * BlockTokens)
+		cost := s.cfg.TransferFixed + time.Duration(m.blocks)*s.cfg.TransferBlock
+		if saved > cost {
+			best, from = m.blocks, h.Name
+		}
+	}
+	return from
+}
--- /dev/null
+++ b/sched/endpoint.go
@@ -0,0 +1,193 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"time"
+)
+
+// Report is what the scheduler takes from an endpoint's account.
+type Report struct {
+	// At is when the figures were taken, since the scheduler's start.
+	At time.Duration
+	// Running and Waiting count requests; PrefillTokens is prompt work not yet done.
+	Running, Waiting, PrefillTokens int
+	// Slots is the number of requests that run at once; 0 keeps the declared one.
+	Slots int
+	// Step is the time of a step and PrefillPerStep the prompt tokens in one.
+	Step           time.Duration
+	PrefillPerStep int
+	// Model is the model held, or empty.
+	Model string
+	// Fresh says that prompts may begin here: the role is not "decode".
+	Fresh bool
+}
+
+// Endpoint is a declared endpoint as the scheduler needs it.
+type Endpoint struct {
+	// Name identifies it.
+	Name string
+	// Engine is true for a model engine.
+	Engine bool
+	// Slots is the number of requests that run at once.
+	Slots int
+	// Leaving says that it gets no new work.
+	Leaving bool
+}
+
+// sample is the own load at a time.
+type sample struct {
+	at                   time.Duration
+	outstanding, prefill int
+}
+
+// sampleCount is the number of own-load samples kept for comparing with lagged reports.
+const sampleCount = 64
+
+// endpointState is what this host knows of an endpoint.
+type endpointState struct {
+	Endpoint
+	index   int
+	present bool
+
+	report    Report
+	hasReport bool
+	downUntil time.Duration
+
+	own        int           // own requests there
+	ownLong    int           // long ones of them
+	ownPrefill [maxRanks]int // own prompt tokens sent and without first token
+	sent       uint64        // own dispatches ever
+	samples    [sampleCount]sample
+	nextSample int
+	atReport   sample // own load when the report was taken
+	inflight   []*Request
+
+	others        int // requests of others, from the last report
+	othersPrefill int
+
+	slow     float64 // observed time over the endpoint's own claim
+	slowAt   time.Duration
+	observed int // number of observations
+	eased    bool
+	service  time.Duration // mean time of a request there
+}
+
+// Fallbacks for endpoints that have not reported their speed.
+const (
+	defaultStep    = 10 * time.Millisecond
+	defaultPrefill = 512
+	defaultSlots   = 8
+)
+
+// step is the time of a decoding step by the endpoint's own claim.
+func (e *endpointState) step() time.Duration {
+	if e.report.Step > 0 {
+		return e.report.Step
+	}
+	return defaultStep
+}
+
+// prefillTime is the time to compute n prompt tokens by the endpoint's own claim.
+func (e *endpointState) prefillTime(n int) time.Duration {
+	per := e.report.PrefillPerStep
+	if per <= 0 {
+		per = defaultPrefill
+	}
+	return time.Duration(float64(e.step()) * float64(n) / float64(per))
+}
+
+// slots is the number of requests that run at once.
+func (e *endpointState) slots() int {
+	switch {
+	case e.report.Slots > 0:
+		return e.report.Slots
+	case e.Slots > 0:
+		return e.Slots
+	}
+	return defaultSlots
+}
+
+// note keeps a sample of the own load.
+func (e *endpointState) note(now time.Duration) {
+	pre := 0
+	for _, p := range e.ownPrefill {
+		pre += p
+	}
+	e.samples[e.nextSample%sampleCount] = sample{now, e.own, pre}
+	e.nextSample++
+}
+
+// ownAt returns the own load at an earlier time, as far back as samples go.
+func (e *endpointState) ownAt(at time.Duration) sample {
+	n := min(e.nextSample, sampleCount)
+	for i := 1; i <= n; i++ {
+		s := e.samples[(e.nextSample-i)%sampleCount]
+		if s.at <= at {
+			return s
+		}
+	}
+	if n == sampleCount {
+		return e.samples[e.nextSample%sampleCount]
+	}
+	return sample{}
+}
+
+// take accepts a report and works out what others have there.
+func (e *endpointState) take(now time.Duration, rep Report) {
+	if e.hasReport && rep.At < e.report.At {
+		return
+	}
+	e.report, e.hasReport = rep, true
+	e.atReport = e.ownAt(rep.At)
+	e.others = max(0, rep.Running+rep.Waiting-e.atReport.outstanding)
+	e.othersPrefill = max(0, rep.PrefillTokens-e.atReport.prefill)
+	e.downUntil = min(e.downUntil, now)
+}
+
+// start counts a dispatch.
+func (e *endpointState) start(now time.Duration, r *Request) {
+	e.own++
+	e.sent++
+	if r.long {
+		e.ownLong++
+	}
+	e.ownPrefill[r.rank()] += r.PromptTokens
+	e.inflight = append(e.inflight, r)
+	e.note(now)
+}
+
+// prefilled counts the end of a request's prompt work.
+func (e *endpointState) prefilled(now time.Duration, r *Request) {
+	e.ownPrefill[r.rank()] -= r.PromptTokens
+	e.note(now)
+}
+
+// end counts the end of a request.
+func (e *endpointState) end(now time.Duration, r *Request) {
+	e.own--
+	if r.long {
+		e.ownLong--
+	}
+	if r.firstAt == 0 {
+		e.ownPrefill[r.rank()] -= r.PromptTokens
+	}
+	for i, q := range e.inflight {
+		if q == r {
+			last := len(e.inflight) - 1
+			e.inflight[i] = e.inflight[last]
+			e.inflight[last] = nil
+			e.inflight = e.inflight[:last]
+			break
+		}
+	}
+	e.note(now)
+}
+
+// Reported reports whether an endpoint has ever given an account of itself.
+func (s *Scheduler) Reported(name string) bool {
+	e := s.byName[name]
+	return e != nil && e.hasReport
+}
--- /dev/null
+++ b/sched/floor.go
@@ -0,0 +1,71 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import "time"
+
+// floor is the lowest tier that is taken in a pool after a higher one was
+// refused for lack of capacity.
+type floor struct {
+	rank  int
+	until time.Duration
+}
+
+// holds reports whether the floor keeps a tier out.
+func (f *floor) holds(now time.Duration, rank int) bool {
+	return now < f.until && rank > f.rank
+}
+
+// lower sets the floor at a tier that was refused now or at an earlier time.
+func (f *floor) lower(now time.Duration, rank int, until time.Duration) {
+	if now >= f.until || rank < f.rank {
+		f.rank, f.until = rank, until
+		return
+	}
+	if rank == f.rank {
+		f.until = max(f.until, until)
+	}
+}
+
+// FloorState is a floor as hosts tell each other.
+type FloorState struct {
+	// Pool is the pool's key and Rank the lowest tier taken.
+	Pool uint64
+	Rank int
+	// Age is the time since the refusal that set it.
+	Age time.Duration
+}
+
+// maxFloors bounds the floors told.
+const maxFloors = 8
+
+// Floors returns the floors in force, at most maxFloors.
+func (s *Scheduler) Floors(now time.Duration) []FloorState {
+	var out []FloorState
+	for _, p := range s.pools {
+		if now < p.floor.until && len(out) < maxFloors {
+			age := s.cfg.FloorHold - (p.floor.until - now)
+			out = append(out, FloorState{p.key, p.floor.rank, max(0, age)})
+		}
+	}
+	return out
+}
+
+// SetFloor takes a floor of another host.
+func (s *Scheduler) SetFloor(now time.Duration, f FloorState) {
+	p := s.pools[f.Pool]
+	until := now + s.cfg.FloorHold - f.Age
+	if p == nil || s.cfg.Off.Floor || until <= now || f.Rank < 0 {
+		return
+	}
+	p.floor.lower(now, f.Rank, until)
+}
+
+// refusedFor lowers the floor of a pool after a refusal for lack of capacity.
+func (s *Scheduler) refusedFor(now time.Duration, p *pool, rank int) {
+	if !s.cfg.Off.Floor {
+		p.floor.lower(now, rank, now+s.cfg.FloorHold)
+	}
+}
--- /dev/null
+++ b/sched/length.go
@@ -0,0 +1,52 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import "math"
+
+// defaultOutput is the answer's length in tokens that is assumed before any was seen.
+const defaultOutput = 64
+
+// lengthGain is the weight of a new length.
+const lengthGain = 0.1
+
+// length estimates the answers of one service: mean and mean deviation, as in
+// the estimate of round-trip times [Jacobson, "Congestion avoidance and
+// control", 1988].
+type length struct{ mean, dev float64 }
+
+// lengthKey names a service.
+type lengthKey struct{ workspace, service string }
+
+// lengths holds the estimates of all services.
+type lengths map[lengthKey]*length
+
+// maxLengths bounds the services remembered.
+const maxLengths = 1 << 15
+
+// guess returns the expected number of tokens of an answer: mean plus deviation,
+// at most limit.
+func (l lengths) guess(k lengthKey, limit int) int {
+	x := l[k]
+	if x == nil {
+		return min(limit, defaultOutput)
+	}
+	return max(1, min(limit, int(x.mean+x.dev)))
+}
+
+// learn takes the length of a whole answer.
+func (l lengths) learn(k lengthKey, tokens int) {
+	x := l[k]
+	if x == nil {
+		if len(l) >= maxLengths {
+			clear(l)
+		}
+		l[k] = &length{mean: float64(tokens), dev: float64(tokens) / 4}
+		return
+	}
+	diff := float64(tokens) - x.mean
+	x.mean += lengthGain * diff
+	x.dev += lengthGain * (math.Abs(diff) - x.dev)
+}
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,200 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"container/heap"
+	"container/list"
+)
+
+// flow is the waiting requests of one workspace in one tier of one pool. Inside
+// it, services take turns by their own virtual time, so that a workspace's long
+// contracts do not stand before its one-line lookups.
+type flow struct {
+	workspace string
+	weight    float64
+	virtual   float64
+	services  []*serviceQueue
+	waiting   int
+	heapAt    int
+}
+
+// serviceQueue is the waiting requests of one service, in order of arrival.
+type serviceQueue struct {
+	name    string
+	virtual float64
+	queue   list.List
+}
+
+// tierQueue orders the flows of one tier by start-time fair queueing [Goyal,
+// Vin and Cheng, "Start-time fair queueing", 1996]: the flow with the least
+// virtual time goes first, and pays cost/weight.
+type tierQueue struct {
+	flows   map[string]*flow
+	active  flowHeap
+	virtual float64
+	waiting int
+	// arrival holds all waiting requests in order of arrival.
+	arrival list.List
+	where   map[*Request]place
+	fifo    bool
+}
+
+// place is where a request stands in its lists.
+type place struct {
+	arrival, service *list.Element
+	in               *serviceQueue
+}
+
+// flowHeap is a heap of flows that have waiting requests.
+type flowHeap []*flow
+
+func (h flowHeap) Len() int           { return len(h) }
+func (h flowHeap) Less(i, j int) bool { return h[i].virtual < h[j].virtual }
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapAt, h[j].heapAt = i, j
+}
+
+// Push implements heap.Interface.
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.heapAt = len(*h)
+	*h = append(*h, f)
+}
+
+// Pop implements heap.Interface.
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return f
+}
+
+// maxIdleFlows bounds the flows remembered while nothing of theirs waits.
+const maxIdleFlows = 10000
+
+// push adds a waiting request.
+func (q *tierQueue) push(r *Request) {
+	if q.flows == nil {
+		q.flows = make(map[string]*flow)
+		q.where = make(map[*Request]place)
+	}
+	f := q.flows[r.Settings.Workspace]
+	if f == nil {
+		if len(q.flows) >= maxIdleFlows {
+			q.dropIdle()
+		}
+		f = &flow{workspace: r.Settings.Workspace}
+		q.flows[r.Settings.Workspace] = f
+	}
+	f.weight = r.Settings.Weight
+	if f.waiting == 0 {
+		f.virtual = max(f.virtual, q.virtual)
+		heap.Push(&q.active, f)
+	}
+	sq := f.service(r.Settings.Service)
+	q.where[r] = place{q.arrival.PushBack(r), sq.queue.PushBack(r), sq}
+	f.waiting++
+	q.waiting++
+	r.flow = f
+}
+
+// dropIdle forgets flows with nothing waiting.
+func (q *tierQueue) dropIdle() {
+	for name, f := range q.flows {
+		if f.waiting == 0 {
+			delete(q.flows, name)
+		}
+	}
+}
+
+// service returns the queue of a service, which starts level with the others.
+func (f *flow) service(name string) *serviceQueue {
+	least := 0.0
+	for i, sq := range f.services {
+		if sq.name == name {
+			if sq.queue.Len() == 0 {
+				sq.virtual = max(sq.virtual, f.leastVirtual())
+			}
+			return sq
+		}
+		if i == 0 || sq.virtual < least {
+			least = sq.virtual
+		}
+	}
+	sq := &serviceQueue{name: name, virtual: least}
+	f.services = append(f.services, sq)
+	return sq
+}
+
+// leastVirtual is the least virtual time among services with something waiting.
+func (f *flow) leastVirtual() float64 {
+	least, found := 0.0, false
+	for _, sq := range f.services {
+		if sq.queue.Len() > 0 && (!found || sq.virtual < least) {
+			least, found = sq.virtual, true
+		}
+	}
+	return least
+}
+
+// first returns the flow's next request.
+func (f *flow) first() *Request {
+	var best *serviceQueue
+	for _, sq := range f.services {
+		if sq.queue.Len() > 0 && (best == nil || sq.virtual < best.virtual) {
+			best = sq
+		}
+	}
+	return best.queue.Front().Value.(*Request)
+}
+
+// head returns the next request of the tier, or nil.
+func (q *tierQueue) head() *Request {
+	switch {
+	case q.waiting == 0:
+		return nil
+	case q.fifo:
+		return q.arrival.Front().Value.(*Request)
+	}
+	return q.active[0].first()
+}
+
+// newest returns the request that arrived last, or nil.
+func (q *tierQueue) newest() *Request {
+	if q.waiting == 0 {
+		return nil
+	}
+	return q.arrival.Back().Value.(*Request)
+}
+
+// remove takes a request out without charging its flow.
+func (q *tierQueue) remove(r *Request) {
+	at := q.where[r]
+	delete(q.where, r)
+	q.arrival.Remove(at.arrival)
+	at.in.queue.Remove(at.service)
+	f := r.flow
+	f.waiting--
+	q.waiting--
+	if f.waiting == 0 {
+		heap.Remove(&q.active, f.heapAt)
+	}
+}
+
+// charge makes a flow and a service pay for a request that was dispatched.
+func (q *tierQueue) charge(r *Request) {
+	f := r.flow
+	if f == nil {
+		return
+	}
+	q.virtual = max(q.virtual, f.virtual)
+	f.virtual += r.cost / f.weight
+	f.service(r.Settings.Service).virtual += r.cost
+	if f.waiting > 0 {
+		heap.Fix(&q.active, f.heapAt)
+	}
+}
--- /dev/null
+++ b/sched/scheduler.go
@@ -0,0 +1,270 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Scheduler holds the state of one host's decisions. Set the exported fields,
+// then call Init. It is not safe for concurrent use.
+type Scheduler struct {
+	// Config holds the policy's figures.
+	Config Config
+	// Rand is the source of chance.
+	Rand *rand.Rand
+	// Peers is the number of hosts that share the endpoints, this one included.
+	Peers int
+	// Hosts gives the number of hosts that serve a workspace; nil means 1.
+	Hosts func(workspace string) int
+
+	cfg       Config
+	endpoints []*endpointState
+	byName    map[string]*endpointState
+	pools     map[uint64]*pool
+	poolRefs  map[poolRef]*pool
+	prefixes  prefixIndex
+	limits    limits
+	lengths   lengths
+	deadlines deadlineHeap
+	waitingOf map[string]int
+	waiting   int
+	seq       uint64
+	pending   []Decision
+
+	cands   []candidate
+	matches [maxMatches]match
+	matched int
+	log     [logSize]entry
+	logNext int
+}
+
+// Init makes the scheduler ready.
+func (s *Scheduler) Init() {
+	s.cfg = s.Config.withDefaults()
+	s.byName = make(map[string]*endpointState)
+	s.pools = make(map[uint64]*pool)
+	s.poolRefs = make(map[poolRef]*pool)
+	s.lengths = make(lengths)
+	s.waitingOf = make(map[string]int)
+}
+
+// SetEndpoints replaces the declared endpoints; those no longer named get no new work.
+func (s *Scheduler) SetEndpoints(list []Endpoint) {
+	for _, e := range s.endpoints {
+		e.present = false
+	}
+	for _, d := range list {
+		e := s.byName[d.Name]
+		if e == nil {
+			e = &endpointState{index: len(s.endpoints)}
+			s.endpoints = append(s.endpoints, e)
+			s.byName[d.Name] = e
+		}
+		e.Endpoint = d
+		e.present = true
+	}
+	clear(s.poolRefs)
+	s.refill()
+}
+
+// SetLeaving marks an endpoint as leaving or not.
+func (s *Scheduler) SetLeaving(name string, leaving bool) {
+	if e := s.byName[name]; e != nil && e.Leaving != leaving {
+		e.Leaving = leaving
+		s.wake(e)
+	}
+}
+
+// TakeReport takes an endpoint's account.
+func (s *Scheduler) TakeReport(now time.Duration, name string, rep Report) {
+	e := s.byName[name]
+	if e == nil {
+		return
+	}
+	before := e.report
+	e.take(now, rep)
+	if before.Model != e.report.Model || before.Fresh != e.report.Fresh {
+		s.refill()
+	}
+	s.wake(e)
+}
+
+// TakeCached notes that an endpoint holds a prompt block or evicted it.
+func (s *Scheduler) TakeCached(name string, block uint64, gone bool) {
+	e := s.byName[name]
+	switch {
+	case e == nil:
+	case gone:
+		s.prefixes.remove(block, e.index)
+	default:
+		s.prefixes.add(block, e.index)
+	}
+}
+
+// wake marks the pools of an endpoint for a look at what waits.
+func (s *Scheduler) wake(e *endpointState) {
+	for _, p := range s.pools {
+		if p.waiting > 0 && !p.dirty && slices.Contains(p.members, e) {
+			p.dirty = true
+		}
+	}
+}
+
+// FirstToken notes that the first token came.
+func (s *Scheduler) FirstToken(now time.Duration, r *Request) {
+	if r.at == nil || r.firstAt != 0 {
+		return
+	}
+	r.at.prefilled(now, r)
+	r.firstAt = max(now, 1)
+	s.observeFirst(now, r)
+	for _, b := range r.Blocks {
+		s.prefixes.add(b, r.at.index)
+	}
+}
+
+// progressTokens is the number of tokens after which speed is looked at.
+const progressTokens = 8
+
+// Progress notes that n tokens came in all; it may be called for every token.
+func (s *Scheduler) Progress(now time.Duration, r *Request, n int) {
+	if r.at == nil || r.firstAt == 0 || n-r.tokens < progressTokens {
+		return
+	}
+	if r.tokens > 0 {
+		s.observeTokens(now, r.at, n-r.tokens, now-r.firstAt)
+	}
+	r.tokens = n
+	r.firstAt = now
+}
+
+// Result says how a dispatched request ended.
+type Result uint8
+
+// The results.
+const (
+	// Whole means that the whole answer came.
+	Whole Result = iota
+	// Broken means that the endpoint failed it.
+	Broken
+	// Dropped means that the caller went away.
+	Dropped
+)
+
+// Done notes the end of a dispatched request with the tokens that came.
+func (s *Scheduler) Done(now time.Duration, r *Request, res Result, tokens int) {
+	e := r.at
+	if e == nil {
+		return
+	}
+	e.end(now, r)
+	s.limits.leave(r.Settings)
+	r.at = nil
+	switch res {
+	case Whole:
+		s.lengths.learn(lengthKey{r.Settings.Workspace, r.Settings.Service}, tokens)
+		took := now - r.sentAt
+		if e.service == 0 {
+			e.service = took
+		}
+		e.service += time.Duration(lengthGain * float64(took-e.service))
+	case Broken:
+		e.downUntil = now + s.cfg.DownHold
+	}
+	s.wake(e)
+}
+
+// Unsent notes that a dispatch failed before any byte was sent and decides
+// again, without that endpoint.
+func (s *Scheduler) Unsent(now time.Duration, r *Request) Decision {
+	e := r.at
+	e.end(now, r)
+	s.limits.leave(r.Settings)
+	e.downUntil = now + s.cfg.DownHold
+	r.at = nil
+	r.firstAt = 0
+	r.avoid = e
+	return s.place(now, r)
+}
+
+// Tick looks at what time alone changes; call it every 50 ms or so.
+func (s *Scheduler) Tick(now time.Duration) {
+	for _, e := range s.endpoints {
+		s.checkStuck(now, e)
+	}
+	for _, p := range s.pools {
+		s.ease(now, p)
+		p.dirty = p.dirty || p.waiting > 0
+	}
+}
+
+// Withdraw takes a waiting request out, because its caller went away; it
+// reports whether the request was waiting.
+func (s *Scheduler) Withdraw(r *Request) bool {
+	if !r.waiting {
+		return false
+	}
+	s.unqueue(r)
+	return true
+}
+
+// Waiting returns the number of requests that wait.
+func (s *Scheduler) Waiting() int { return s.waiting }
+
+// enqueue adds a request to what waits.
+func (s *Scheduler) enqueue(r *Request) {
+	s.seq++
+	r.seq = s.seq
+	r.waiting = true
+	q := &r.pool.tiers[r.rank()]
+	q.fifo = s.cfg.Off.Fair
+	q.push(r)
+	r.pool.waiting++
+	s.waiting++
+	s.waitingOf[r.Settings.Workspace]++
+	heap.Push(&s.deadlines, r)
+}
+
+// unqueue removes a request from what waits.
+func (s *Scheduler) unqueue(r *Request) {
+	r.waiting = false
+	r.pool.tiers[r.rank()].remove(r)
+	r.pool.waiting--
+	s.waiting--
+	if s.waitingOf[r.Settings.Workspace]--; s.waitingOf[r.Settings.Workspace] == 0 {
+		delete(s.waitingOf, r.Settings.Workspace)
+	}
+	heap.Remove(&s.deadlines, r.heapAt)
+}
+
+// deadlineHeap orders waiting requests by deadline.
+type deadlineHeap []*Request
+
+func (h deadlineHeap) Len() int           { return len(h) }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].Deadline < h[j].Deadline }
+func (h deadlineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].heapAt, h[j].heapAt = i, j
+}
+
+// Push implements heap.Interface.
+func (h *deadlineHeap) Push(x any) {
+	r := x.(*Request)
+	r.heapAt = len(*h)
+	*h = append(*h, r)
+}
+
+// Pop implements heap.Interface.
+func (h *deadlineHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	return r
+}
