router: fault table of calls that may not be repeated, over real HTTP

The heartbeat took the scheduler's lock while it held the agent's, and address sets took them the other way round: a deadlock of two hosts under load. Change: the agent asks for revision and floors before it takes its lock; stages of a request can be observed and held up (Router.Trace); 15 fault cases. Conclusion: callbacks of the agent run without its lock.

--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -294,8 +294,9 @@
 
 // exchange sends one heartbeat and takes the answer.
 func (a *Agent) exchange(ctx context.Context, to Host) {
+	own := a.local()
 	a.mu.Lock()
-	hb := a.message(to.Incarnation)
+	hb := a.message(to.Incarnation, own)
 	hb.Full = to.Incarnation == 0 || a.differ[to.Incarnation] >= digestRounds
 	a.sent.Sent++
 	a.mu.Unlock()
@@ -317,22 +318,37 @@
 	delete(a.missed, to.Incarnation)
 }
 
+// local is what a heartbeat tells beside the table.
+type local struct {
+	revision uint64
+	floors   []Floor
+}
+
+// local asks for it. It must be called without mu: what it calls may take locks
+// whose holders ask the agent.
+func (a *Agent) local() local {
+	var l local
+	if a.Revision != nil {
+		l.revision = a.Revision()
+	}
+	if a.Floors != nil {
+		l.floors = a.Floors()
+	}
+	return l
+}
+
 // message makes a heartbeat for a peer and clears its outbox; mu must be held.
-func (a *Agent) message(to once.Incarnation) *Heartbeat {
+func (a *Agent) message(to once.Incarnation, own local) *Heartbeat {
 	batch := cmp.Or(a.Batch, DefaultBatch)
 	box := a.outbox[to]
 	n := min(batch, len(box))
-	hb := &Heartbeat{From: a.table.Self, Hosts: box[:n:n], Digest: a.table.Digest()}
+	hb := &Heartbeat{
+		From: a.table.Self, Hosts: box[:n:n], Digest: a.table.Digest(), Revision: own.revision, Floors: own.floors,
+	}
 	a.outbox[to] = box[n:]
 	if n == len(box) {
 		delete(a.outbox, to)
 	}
-	if a.Revision != nil {
-		hb.Revision = a.Revision()
-	}
-	if a.Floors != nil {
-		hb.Floors = a.Floors()
-	}
 	return hb
 }
 
@@ -379,15 +395,11 @@
 	if news {
 		a.distribute()
 	}
-	own := uint64(0)
-	if a.Revision != nil {
-		own = a.Revision()
-	}
 	a.mu.Unlock()
 	if news {
 		a.Kick()
 	}
-	if a.Behind != nil && hb.Revision > own {
+	if a.Behind != nil && a.Revision != nil && hb.Revision > a.Revision() {
 		a.Behind(hb.Revision, hb.From.Address)
 	}
 	if a.SetFloors != nil && len(hb.Floors) > 0 {
@@ -445,9 +457,10 @@
 	a.inbound[hb.From.Incarnation] = a.now()
 	a.mu.Unlock()
 	a.take(hb)
+	own := a.local()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	ans := a.message(hb.From.Incarnation)
+	ans := a.message(hb.From.Incarnation, own)
 	if hb.Full || !known {
 		ans.Full = true
 		ans.Hosts = a.table.Hosts()
--- a/router/admit.go
+++ b/router/admit.go
@@ -174,6 +174,7 @@
 	if v == once.New {
 		j.rec = rec
 		r.running.Add(1)
+		r.trace(StageAccepted, id.String())
 		return nil
 	}
 	p := outcomeOf(rec, v)
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -32,6 +32,7 @@
 			err = send(t)
 		}
 		if err == nil {
+			r.trace(StageSent, j.id())
 			return t, nil
 		}
 		if !errors.Is(err, endpoint.ErrNotSent) {
@@ -51,17 +52,20 @@
 			r.finishSched(j, sched.Dropped, 0)
 			return r.refuse(j, problem.New(problem.WitnessLost, "resubmit under the prefix given", "the witness did not record the request"))
 		}
+		r.trace(StageRecorded, j.id())
 	}
 	r.onceMu.Lock()
-	defer r.onceMu.Unlock()
-	if err := r.owner.Dispatch(j.rec, d.Endpoint); err != nil {
+	err := r.owner.Dispatch(j.rec, d.Endpoint)
+	known := outcomeOf(j.rec, once.Known)
+	r.onceMu.Unlock()
+	if err != nil {
 		r.Log.Error(err, "dispatch refused")
 		r.finishSched(j, sched.Dropped, 0)
 		r.leave(j)
-		p := outcomeOf(j.rec, once.Known)
-		p.RequestID = j.id()
-		return p
+		known.RequestID = j.id()
+		return known
 	}
+	r.trace(StageDispatched, j.id())
 	return nil
 }
 
--- /dev/null
+++ b/router/faults_test.go
@@ -0,0 +1,214 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package router_test
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/internal/dev"
+	"github.com/heathkeel/heathkeel/internal/fake"
+	"github.com/heathkeel/heathkeel/problem"
+	"github.com/heathkeel/heathkeel/router"
+)
+
+// scene is one call with its owner, its witness and a third host.
+type scene struct {
+	*rig
+	t                     *testing.T
+	id                    string
+	owner, witness, third *dev.Node
+	ownerGate, witGate    *gate
+}
+
+// newScene picks an owner whose witness is another host than the one asked later.
+func newScene(t *testing.T, r *rig, unique string) *scene {
+	s := &scene{rig: r, t: t}
+	asked := r.Nodes[0]
+	for _, a := range r.address(t, asked).Addresses {
+		if a.Address == asked.Address || a.Witness == "" {
+			continue
+		}
+		s.id = a.Prefix + unique
+		s.owner, s.witness = r.node(a.Address), r.node(a.Witness)
+	}
+	must.NotNil(t, s.owner)
+	for _, n := range r.Nodes {
+		if n != s.owner && n != s.witness {
+			s.third = n
+		}
+	}
+	s.ownerGate, s.witGate = r.gateOf(s.owner), r.gateOf(s.witness)
+	return s
+}
+
+// start makes the call at the owner and returns a function that waits for its end.
+func (s *scene) start() func() reply {
+	done := make(chan reply, 1)
+	go func() { done <- push(s.owner.Address, s.id) }()
+	return func() reply { return <-done }
+}
+
+// want is what a case expects.
+type want struct {
+	outcome problem.Outcome
+	runs    int
+}
+
+// faultCases bring about what the protocol is made for. Each returns the last
+// word that the caller got.
+var faultCases = []struct {
+	name string
+	want want
+	run  func(*scene) reply
+}{
+	{"no fault", want{problem.Answered, 1}, func(s *scene) reply {
+		return push(s.owner.Address, s.id)
+	}},
+	{"owner killed while it waits", want{problem.NotRun, 0}, func(s *scene) reply {
+		reached, _ := s.ownerGate.at(router.StageAccepted)
+		wait := s.start()
+		<-reached
+		s.owner.Kill()
+		wait()
+		return outcome(s.third.Address, s.id)
+	}},
+	{"owner killed between record and dispatch", want{problem.Unknown, 0}, func(s *scene) reply {
+		reached, _ := s.ownerGate.at(router.StageRecorded)
+		wait := s.start()
+		<-reached
+		s.owner.Kill()
+		wait()
+		return outcome(s.third.Address, s.id)
+	}},
+	{"owner killed after dispatch", want{problem.Unknown, 1}, func(s *scene) reply {
+		reached, _ := s.ownerGate.at(router.StageSent)
+		wait := s.start()
+		<-reached
+		s.owner.Kill()
+		wait()
+		return outcome(s.third.Address, s.id)
+	}},
+	{"owner paused before the record, goes on after the caller was told", want{problem.NotRun, 0}, func(s *scene) reply {
+		reached, release := s.ownerGate.at(router.StageAccepted)
+		wait := s.start()
+		<-reached
+		told := s.closeAtWitness()
+		release()
+		must.Eq(s.t, problem.NotRun, wait().outcome)
+		return told
+	}},
+	{"owner paused after the record, goes on after the caller was told", want{problem.Unknown, 1}, func(s *scene) reply {
+		reached, release := s.ownerGate.at(router.StageRecorded)
+		wait := s.start()
+		<-reached
+		told := s.closeAtWitness()
+		release()
+		must.Eq(s.t, problem.Answered, wait().outcome)
+		return told
+	}},
+	{"witness dead", want{problem.NotRun, 0}, func(s *scene) reply {
+		s.witness.Kill()
+		return push(s.owner.Address, s.id)
+	}},
+	{"witness slower than the owner waits", want{problem.NotRun, 0}, func(s *scene) reply {
+		_, release := s.witGate.at(router.StageWitnessed)
+		r := push(s.owner.Address, s.id)
+		release()
+		return r
+	}},
+	{"acknowledgement lost with the witness", want{problem.NotRun, 0}, func(s *scene) reply {
+		reached, _ := s.witGate.at(router.StageWitnessed)
+		wait := s.start()
+		<-reached
+		s.witness.Kill()
+		return wait()
+	}},
+	{"caller retries at all hosts at once", want{problem.Answered, 1}, func(s *scene) reply {
+		var wg sync.WaitGroup
+		answers := make([]reply, 9)
+		for i := range answers {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				answers[i] = push(s.Nodes[i%3].Address, s.id)
+			}()
+		}
+		wg.Wait()
+		last := reply{}
+		for _, a := range answers {
+			must.NotEq(s.t, problem.NotRun, a.outcome)
+			if a.outcome == problem.Answered {
+				last = a
+			}
+		}
+		return last
+	}},
+	{"retry after the answer", want{problem.Unknown, 1}, func(s *scene) reply {
+		must.Eq(s.t, problem.Answered, push(s.owner.Address, s.id).outcome)
+		return push(s.third.Address, s.id)
+	}},
+	{"asked before the call arrives", want{problem.NotRun, 0}, func(s *scene) reply {
+		must.Eq(s.t, problem.NotRun, outcome(s.third.Address, s.id).outcome)
+		return push(s.owner.Address, s.id)
+	}},
+	{"host restarted at the same address", want{problem.Unknown, 1}, func(s *scene) reply {
+		must.Eq(s.t, problem.Answered, push(s.owner.Address, s.id).outcome)
+		s.owner.Kill()
+		n, err := s.AddHost(s.owner.Address)
+		must.NoError(s.t, err)
+		eventually(s.t, "restarted host ready", func() bool { return n.Router.Status().Ready })
+		return push(n.Address, s.id)
+	}},
+	{"endpoint runs the call and loses the answer", want{problem.Unknown, 1}, func(s *scene) reply {
+		for _, svc := range s.Services {
+			svc.SetFaults(fake.ServiceFaults{LoseAnswer: 1})
+		}
+		must.Eq(s.t, problem.Unknown, push(s.owner.Address, s.id).outcome)
+		return push(s.third.Address, s.id)
+	}},
+	{"owner and witness killed", want{problem.Unknown, 0}, func(s *scene) reply {
+		reached, _ := s.ownerGate.at(router.StageAccepted)
+		wait := s.start()
+		<-reached
+		s.owner.Kill()
+		s.witness.Kill()
+		wait()
+		return outcome(s.third.Address, s.id)
+	}},
+}
+
+// closeAtWitness asks the witness directly, as a host does that cannot reach the owner.
+func (s *scene) closeAtWitness() reply {
+	f, name := s.witness.Router.CloseHere(s.id)
+	r := reply{outcome: problem.Unknown, body: name}
+	if f {
+		r.outcome = problem.NotRun
+	}
+	return r
+}
+
+func TestFaultTable(t *testing.T) {
+	for _, c := range faultCases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := newScene(t, newRig(t, nil), "u1")
+			got := c.run(s)
+			must.Eq(t, c.want.outcome, got.outcome, must.Sprintf("%+v", got))
+			must.Eq(t, c.want.runs, s.runs(s.id))
+		})
+	}
+}
+
+func TestCallIsPassedWhole(t *testing.T) {
+	r := newRig(t, nil)
+	s := newScene(t, r, "u1")
+	got := push(s.owner.Address, s.id)
+	must.Eq(t, http.StatusCreated, got.status)
+	must.Eq(t, "body", got.body)
+}
--- a/router/router.go
+++ b/router/router.go
@@ -67,6 +67,9 @@
 	Watched        int
 	// OnDrain is called when an operator asks the host to leave; nil refuses that.
 	OnDrain func()
+	// Trace is told of each stage of each request, on the request's own
+	// goroutine, which it may hold up; nil means nobody.
+	Trace func(s Stage, id string)
 	// Log takes changes of state.
 	Log logr.Logger
 
--- a/router/witness.go
+++ b/router/witness.go
@@ -155,6 +155,9 @@
 		ans.Acks[i] = uint8(r.recordOne(text, body.Endpoints[i]))
 	}
 	r.onceMu.Unlock()
+	for _, text := range body.IDs {
+		r.trace(StageWitnessed, text)
+	}
 	writeJSON(w, ans)
 }
 
@@ -222,3 +225,15 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
 }
+
+// CloseHere closes an ID at this witness, as for a caller whose owner cannot be
+// reached; it reports whether the request was never dispatched, and otherwise
+// the endpoint recorded.
+func (r *Router) CloseHere(id string) (notRun bool, endpoint string) {
+	parsed, err := once.ParseID(id)
+	if err != nil {
+		return false, ""
+	}
+	f, endpoint := r.closeHere(parsed)
+	return f == once.FoundNone, endpoint
+}
