--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -381,6 +381,9 @@
 	before := a.describe(hb.From.Incarnation)
 	news := a.table.Heard(now, hb.From)
 	news = a.table.Merge(now, hb.Hosts) || news
+	for _, h := range a.table.Accused() {
+		a.outbox[h.Incarnation] = append(a.outbox[h.Incarnation], h)
+	}
 	if after := a.describe(hb.From.Incarnation); before != after {
 		a.Log.Info("host "+after, "host", hb.From.Name, "incarnation", hb.From.Incarnation.String())
 	}
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -42,6 +42,7 @@
 
 	members map[once.Incarnation]*member
 	changed []once.Incarnation
+	accused []Host
 	digest  uint64
 	version uint64
 }
@@ -112,6 +113,14 @@
 	return out
 }
 
+// Accused returns suspicions that this host did not believe, to be told to the
+// suspects themselves, and clears the note of them.
+func (t *Table) Accused() []Host {
+	out := t.accused
+	t.accused = nil
+	return out
+}
+
 // Merge takes records that another host passed on and reports whether any was news.
 func (t *Table) Merge(now time.Duration, hosts []Host) bool {
 	news := false
@@ -142,6 +151,8 @@
 		return false
 	}
 	if h.Suspect && h.Seq == m.Seq && m.heard > 0 && now-m.heard < t.fresh() {
+		// The member itself must hear of it, or nobody would ever refute it.
+		t.accused = append(t.accused, h)
 		return false
 	}
 	t.set(now, m, h)
--- /dev/null
+++ b/internal/mesh/mesh.go
@@ -0,0 +1,202 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/once"
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/revision"
+	"github.com/heathkeel/heathkeel/settings"
+)
+
+// Mesh is a set of hosts that reach each other by function calls. Set the
+// exported fields, then add hosts.
+type Mesh struct {
+	// Latency is the time of a message one way.
+	Latency time.Duration
+	// Interval is the time between heartbeats; 0 means fleet.DefaultInterval.
+	Interval time.Duration
+	// Zones are given to hosts in turn.
+	Zones []string
+	// List is the platform's list; it may be nil.
+	List platform.HostList
+
+	mu    sync.Mutex
+	nodes map[string]*Node
+	cut   func(a, b *Node) bool
+}
+
+// Node is one host of a mesh.
+type Node struct {
+	// Agent and Follower are the host's parts.
+	Agent    *fleet.Agent
+	Follower *revision.Follower
+	// Name and Zone identify it.
+	Name, Zone string
+	// Bytes counts the JSON content that it sent and received in heartbeats and settings.
+	Bytes atomic.Int64
+	// Messages counts the heartbeats that it sent or answered.
+	Messages atomic.Int64
+
+	mesh   *Mesh
+	cancel context.CancelFunc
+	dead   atomic.Bool
+}
+
+// Cut sets which pairs of hosts cannot reach each other; nil means none.
+func (m *Mesh) Cut(cut func(a, b *Node) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cut = cut
+}
+
+// Add starts a host with a key-value service of its own view. Of each zone the
+// first two hosts watch the head.
+func (m *Mesh) Add(ctx context.Context, kv platform.KV) *Node {
+	m.mu.Lock()
+	i := len(m.nodes)
+	n := &Node{Name: fmt.Sprintf("host-%04d", i), Zone: m.Zones[i%len(m.Zones)], mesh: m}
+	if m.nodes == nil {
+		m.nodes = make(map[string]*Node)
+	}
+	m.nodes[n.Name] = n
+	m.mu.Unlock()
+	ctx, n.cancel = context.WithCancel(ctx)
+	n.Follower = &revision.Follower{
+		KV: kv, Peers: n, Log: logr.Discard(),
+		Relay: func() bool { return i < 2*len(m.Zones) },
+		Fleet: m.size,
+	}
+	n.Agent = &fleet.Agent{
+		Self:  fleet.Host{Name: n.Name, Incarnation: once.Incarnation(i + 1), Address: n.Name, Zone: n.Zone},
+		Peers: n, List: m.List, Interval: m.Interval, Seed: uint64(i), Log: logr.Discard(),
+		Revision: n.Follower.Revision,
+	}
+	n.Agent.Behind = func(rev uint64, address string) {
+		go func() {
+			if n.Follower.Pull(ctx, rev, address) == nil {
+				n.Agent.Kick()
+			}
+		}()
+	}
+	n.Follower.Taken = func(*settings.Snapshot) { n.Agent.Kick() }
+	go n.Agent.Run(ctx)
+	go n.Follower.Run(ctx)
+	return n
+}
+
+// size is the number of hosts.
+func (m *Mesh) size() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.nodes)
+}
+
+// Kill ends a host without a word.
+func (n *Node) Kill() {
+	n.dead.Store(true)
+	n.cancel()
+}
+
+// errUnreachable means that a message got no answer.
+var errUnreachable = errors.New("mesh: no answer")
+
+// reach waits for the latency and returns the host at an address.
+func (n *Node) reach(ctx context.Context, address string) (*Node, error) {
+	m := n.mesh
+	m.mu.Lock()
+	to, cut := m.nodes[address], m.cut
+	m.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(2 * m.Latency):
+	}
+	if to == nil || to.dead.Load() || n.dead.Load() || (cut != nil && cut(n, to)) {
+		<-ctx.Done()
+		return nil, errUnreachable
+	}
+	return to, nil
+}
+
+// Heartbeat implements fleet.Caller; messages are coded as on the wire.
+func (n *Node) Heartbeat(ctx context.Context, address string, hb *fleet.Heartbeat) (*fleet.Heartbeat, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	var in, out fleet.Heartbeat
+	if err := n.code(to, hb, &in); err != nil {
+		return nil, err
+	}
+	n.Messages.Add(1)
+	to.Messages.Add(1)
+	return &out, n.code(to, to.Agent.Receive(&in), &out)
+}
+
+// code passes a message through JSON and counts its bytes at both ends.
+func (n *Node) code(to *Node, in, out any) error {
+	b, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	n.Bytes.Add(int64(len(b)))
+	to.Bytes.Add(int64(len(b)))
+	return json.Unmarshal(b, out)
+}
+
+// Head implements revision.Peer.
+func (n *Node) Head(ctx context.Context, address string) ([]byte, error) {
+	return n.content(ctx, address, func(to *Node) []byte { return to.Follower.Head() })
+}
+
+// Chunk implements revision.Peer.
+func (n *Node) Chunk(ctx context.Context, address, digest string) ([]byte, error) {
+	return n.content(ctx, address, func(to *Node) []byte { return to.Follower.Chunk(digest) })
+}
+
+// content reads something from another host and counts its bytes.
+func (n *Node) content(ctx context.Context, address string, get func(*Node) []byte) ([]byte, error) {
+	to, err := n.reach(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	b := get(to)
+	if b == nil {
+		return nil, errUnreachable
+	}
+	n.Bytes.Add(int64(len(b)))
+	to.Bytes.Add(int64(len(b)))
+	return b, nil
+}
+
+// Live returns the number of hosts that n would name, itself included.
+func (n *Node) Live() int {
+	live := 0
+	n.Agent.View(func(t *fleet.Table) { live = len(t.Live()) })
+	return live
+}
+
+// Names reports whether n would name another host.
+func (n *Node) Names(other *Node) bool {
+	named := false
+	id := other.Agent.Self.Incarnation
+	n.Agent.View(func(t *fleet.Table) {
+		h, ok := t.Find(id)
+		named = ok && h.Live()
+	})
+	return named
+}
