--- /dev/null
+++ b/cmd/hkbench/tables.go
@@ -0,0 +1,129 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/heathkeel/heathkeel/internal/trial"
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// over takes a figure of each result and returns its spread.
+func over(rs []*trial.Result, f func(*trial.Result) float64) spread {
+	var v []float64
+	for _, r := range rs {
+		v = append(v, f(r))
+	}
+	slices.Sort(v)
+	return spread{v[0], v[len(v)/2], v[len(v)-1]}
+}
+
+// first gives a percentile of the time to the first token, in milliseconds.
+func first(rank int, q float64) func(*trial.Result) float64 {
+	return func(r *trial.Result) float64 {
+		return float64(r.Tiers[rank].First.ValueAtQuantile(q)) / 1000
+	}
+}
+
+// good gives the goodput of a tier.
+func good(rank int) func(*trial.Result) float64 {
+	return func(r *trial.Result) float64 { return r.Tiers[rank].Goodput() }
+}
+
+// compare prints a table of cases and policies.
+func compare(w io.Writer, a args, cases []trial.Case) {
+	policies := []string{trial.Keel}
+	if a.Compare {
+		policies = append(policies, trial.RoundRobin, trial.LeastLoad, trial.RandomTwo)
+	}
+	var specs []trial.Spec
+	for _, c := range cases {
+		for _, p := range policies {
+			for s := range a.Seeds {
+				specs = append(specs, a.spec(c, p, s+1))
+			}
+		}
+	}
+	results := runAll(specs)
+	fmt.Fprintf(w, "%s, %d hosts, reports %v old, %v of arrivals, %d seeds: middle (least..largest)\n\n", a.Site, a.Hosts, a.Lag, a.Length, a.Seeds)
+	fmt.Fprintln(w, "| case | policy | goodput urgent | normal | patient | wasted prefill | worst due | first token p50/p95/p99 ms: urgent | normal | patient | longest ms | recovery s | inversions |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|---|---|---|---|")
+	for _, c := range cases {
+		for _, p := range policies {
+			row(w, c, p, results[:a.Seeds])
+			results = results[a.Seeds:]
+		}
+	}
+}
+
+// row prints one line of the table.
+func row(w io.Writer, c trial.Case, policy string, rs []*trial.Result) {
+	fmt.Fprintf(w, "| %s | %s | %v | %v | %v | %v | %v |", c.Name, policy, over(rs, good(0)), over(rs, good(1)), over(rs, good(2)),
+		over(rs, (*trial.Result).WastedPrefill), over(rs, (*trial.Result).Fairness))
+	for k := range 3 {
+		fmt.Fprintf(w, " %.0f/%.0f/%.0f |", over(rs, first(k, 50)).mid, over(rs, first(k, 95)).mid, over(rs, first(k, 99)).mid)
+	}
+	longest := over(rs, func(r *trial.Result) float64 { return float64(r.LongestWait.Milliseconds()) })
+	recovery := "-"
+	if c.To > 0 {
+		s := over(rs, func(r *trial.Result) float64 { return r.Recovery(c.From, c.To).Seconds() })
+		recovery = fmt.Sprintf("%.0f", s.high)
+		if s.low < 0 {
+			recovery = "not seen"
+		}
+	}
+	inv := over(rs, func(r *trial.Result) float64 { return float64(r.Inversions) })
+	fmt.Fprintf(w, " %.0f | %s | %.0f |\n", longest.high, recovery, inv.high)
+}
+
+// rules lists what can be switched off.
+var rules = []struct {
+	name string
+	off  func(*sched.Rules)
+}{
+	{"none (all on)", func(*sched.Rules) {}},
+	{"fair order", func(r *sched.Rules) { r.Fair = true }},
+	{"reserve", func(r *sched.Rules) { r.Reserve = true }},
+	{"cap on long", func(r *sched.Rules) { r.LongCap = true }},
+	{"affinity", func(r *sched.Rules) { r.Affinity = true }},
+	{"others' dispatches", func(r *sched.Rules) { r.Others = true }},
+	{"slow endpoints", func(r *sched.Rules) { r.Slow = true }},
+	{"early refusal", func(r *sched.Rules) { r.Early = true }},
+	{"floor", func(r *sched.Rules) { r.Floor = true }},
+	{"near-equal choice", func(r *sched.Rules) { r.Near = true }},
+	{"cache transfer", func(r *sched.Rules) { r.Transfer = true }},
+	{"late binding", func(r *sched.Rules) { r.Late = true }},
+}
+
+// ablate prints a table for each case with each rule off in turn.
+func ablate(w io.Writer, a args, cases []trial.Case) {
+	var specs []trial.Spec
+	for _, c := range cases {
+		for _, r := range rules {
+			for s := range a.Seeds {
+				sp := a.spec(c, trial.Keel, s+1)
+				r.off(&sp.Sched.Off)
+				specs = append(specs, sp)
+			}
+		}
+	}
+	results := runAll(specs)
+	fmt.Fprintf(w, "%s, %d hosts, reports %v old, %d seeds: middle (least..largest)\n\n", a.Site, a.Hosts, a.Lag, a.Seeds)
+	fmt.Fprintln(w, "| case | rule off | goodput urgent | normal | patient | wasted prefill | worst due | first token p95 ms urgent | inversions |")
+	fmt.Fprintln(w, "|---|---|---|---|---|---|---|---|---|")
+	for _, c := range cases {
+		for _, r := range rules {
+			rs := results[:a.Seeds]
+			results = results[a.Seeds:]
+			fmt.Fprintf(w, "| %s | %s | %v | %v | %v | %v | %v | %.0f | %.0f |\n", c.Name, r.name,
+				over(rs, good(0)), over(rs, good(1)), over(rs, good(2)), over(rs, (*trial.Result).WastedPrefill),
+				over(rs, (*trial.Result).Fairness), over(rs, first(0, 95)).mid,
+				over(rs, func(r *trial.Result) float64 { return float64(r.Inversions) }).high)
+		}
+	}
+}
--- a/internal/fake/enginecore.go
+++ b/internal/fake/enginecore.go
@@ -148,6 +148,19 @@
 	return len(blocks)
 }
 
+// Holds returns the number of leading blocks in the cache without using them.
+func (c *EngineCore) Holds(blocks []uint64) int {
+	for i, b := range blocks {
+		if _, ok := c.cache[b]; !ok {
+			return i
+		}
+	}
+	return len(blocks)
+}
+
+// Import puts blocks into the cache, as if computed here.
+func (c *EngineCore) Import(blocks []uint64) { c.remember(blocks) }
+
 // remember puts blocks into the cache and evicts the least recently used.
 func (c *EngineCore) remember(blocks []uint64) {
 	if c.cache == nil {
--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -183,4 +183,3 @@
 	_, ok = tab.Find(2)
 	must.False(t, ok)
 }
-
--- a/sched/config.go
+++ b/sched/config.go
@@ -28,7 +28,8 @@
 	BackAt float64
 	// MaxEased is the largest share of a pool eased out; default 0.34.
 	MaxEased float64
-	// FloorHold is how long a shedding floor stands after the last refusal; default 300 ms.
+	// FloorHold is how long a shedding floor stands after the last refusal; default 1.2 s,
+	// three heartbeats, so that other hosts hear of it while it stands.
 	FloorHold time.Duration
 	// DownHold is how long an endpoint that could not be reached is left alone; default 1 s.
 	DownHold time.Duration
@@ -81,7 +82,7 @@
 	def(&c.SlowAt, 3)
 	def(&c.BackAt, 1.5)
 	def(&c.MaxEased, 0.34)
-	def(&c.FloorHold, 300*time.Millisecond)
+	def(&c.FloorHold, 1200*time.Millisecond)
 	def(&c.DownHold, time.Second)
 	def(&c.ReportLife, 5*time.Second)
 	def(&c.OthersShare, 0.5)
