--- a/cmd/hkbench/tables.go
+++ b/cmd/hkbench/tables.go
@@ -97,6 +97,7 @@
 	{"floor", func(r *sched.Rules) { r.Floor = true }},
 	{"near-equal choice", func(r *sched.Rules) { r.Near = true }},
 	{"cache transfer", func(r *sched.Rules) { r.Transfer = true }},
+	{"own share", func(r *sched.Rules) { r.Share = true }},
 	{"late binding", func(r *sched.Rules) { r.Late = true }},
 }
 
--- a/internal/trial/trial.go
+++ b/internal/trial/trial.go
@@ -79,6 +79,8 @@
 	sampleEvery    = 50 * time.Millisecond
 	tickEvery      = 50 * time.Millisecond
 	drainTime      = 20 * time.Second
+	// warmUp is the time before the first request, in which hosts read reports.
+	warmUp = 5 * time.Second
 )
 
 // Run runs a trial; the same spec gives the same result.
@@ -213,6 +215,10 @@
 			if t.now > t.spec.Length {
 				return
 			}
+			if t.now < warmUp {
+				next()
+				return
+			}
 			want := 1.0
 			if t.boost != nil {
 				want = t.boost(s)
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -34,7 +34,8 @@
 
 // admits reports whether an endpoint has room for a request.
 func (s *Scheduler) admits(now time.Duration, r *Request, e *endpointState, load float64) bool {
-	if !e.usable(now) || load >= s.limitFor(r.rank(), e) {
+	limit := s.limitFor(r.rank(), e)
+	if !e.usable(now) || (load >= limit && !s.withinShare(e, limit)) {
 		return false
 	}
 	if e.eased && (e.own > 0 || r.rank() == 0) {
@@ -46,6 +47,13 @@
 	return true
 }
 
+// withinShare reports whether this host uses less than its own share of an
+// endpoint. The own share needs no report: completions free it at once, so that
+// an endpoint does not stand idle while hosts wait for a report to say so.
+func (s *Scheduler) withinShare(e *endpointState, limit float64) bool {
+	return !s.cfg.Off.Share && float64(e.own) < limit/float64(max(1, s.Peers))
+}
+
 // choose returns the endpoint with the least predicted time to the end of the
 // answer, at random among near-equal ones so that hosts with the same stale
 // reports do not all choose one; nil if none has room.
--- a/sched/config.go
+++ b/sched/config.go
@@ -67,6 +67,8 @@
 	Near bool
 	// Transfer is the moving of KV cache.
 	Transfer bool
+	// Share lets a host fill its own share of an endpoint whatever reports say.
+	Share bool
 	// Late is late binding; without it, all is dispatched at once.
 	Late bool
 }
--- a/sched/order.go
+++ b/sched/order.go
@@ -18,7 +18,7 @@
 	if !s.limits.takeRetry(r.Settings, r.Retry) {
 		return s.refuse(now, r, ReasonRetryBudget, time.Second)
 	}
-	if len(r.pool.members) == 0 {
+	if len(r.pool.members) == 0 && !s.unheard(r) {
 		return s.refuse(now, r, ReasonNoEndpoint, time.Second)
 	}
 	return s.place(now, r)
@@ -29,7 +29,7 @@
 	if r.pool.floor.holds(now, r.rank()) {
 		return s.refuse(now, r, ReasonFloor, r.pool.floor.until-now)
 	}
-	if !s.cfg.Off.Early && now+s.wait(now, r)+s.leastWhole(now, r) > r.Deadline {
+	if !s.cfg.Off.Early && len(r.pool.members) > 0 && now+s.wait(now, r)+s.leastWhole(now, r) > r.Deadline {
 		return s.refuse(now, r, ReasonDeadline, s.wait(now, r))
 	}
 	if !s.before(r) {
@@ -46,6 +46,20 @@
 	return d
 }
 
+// unheard reports whether an engine that might serve the request has not given
+// an account of itself yet, as after a start: then the request waits.
+func (s *Scheduler) unheard(r *Request) bool {
+	if r.Model == "" {
+		return false
+	}
+	for _, e := range s.endpoints {
+		if e.present && e.Engine && !e.hasReport {
+			return true
+		}
+	}
+	return false
+}
+
 // estimate sets cost and expected length of a request.
 func (s *Scheduler) estimate(r *Request) {
 	r.outGuess = s.lengths.guess(lengthKey{r.Settings.Workspace, r.Settings.Service}, max(1, r.MaxTokens))
