placer, engine tests: fenced placement, streams that outlive their owner, moves without loss

Change: placer with a pure plan, one lease a zone (not one a model and zone: two holders would fight over the zone's spare engines), guard for engines that do not check tokens; hkplacer; hkdev places too.

--- a/cmd/hkdev/main.go
+++ b/cmd/hkdev/main.go
@@ -79,7 +79,7 @@
 			return 1, err
 		}
 	}
-	c := &dev.Cluster{Declaration: parsed.Declaration, Hosts: a.Hosts, StepTime: a.Step, Log: log}
+	c := &dev.Cluster{Declaration: parsed.Declaration, Hosts: a.Hosts, StepTime: a.Step, Place: true, Log: log}
 	if err := c.Start(); err != nil {
 		return 1, err
 	}
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -17,6 +17,7 @@
 	"github.com/heathkeel/heathkeel/fleet"
 	"github.com/heathkeel/heathkeel/internal/fake"
 	"github.com/heathkeel/heathkeel/once"
+	"github.com/heathkeel/heathkeel/placer"
 	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/revision"
 	"github.com/heathkeel/heathkeel/router"
@@ -34,6 +35,8 @@
 	Zones []string
 	// StepTime is the time of an engine's step; 0 means 3 ms.
 	StepTime time.Duration
+	// Place runs a placer beside each host.
+	Place bool
 	// Tune changes a router before it runs; nil changes nothing.
 	Tune func(*router.Router)
 	// Log takes the hosts' changes of state.
@@ -51,6 +54,7 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	servers []*Server
+	started int // hosts ever started, for their names
 }
 
 // Node is one running host.
@@ -221,7 +225,8 @@
 
 // AddHost starts another host at an address.
 func (c *Cluster) AddHost(address string) (*Node, error) {
-	i := len(c.Nodes)
+	i := c.started
+	c.started++
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -244,10 +249,24 @@
 	c.Platform.Hosts.Put(platform.ListEntry{Name: r.Self.Name, Address: n.Address, Zone: zone})
 	go func() { _ = n.server.http.Serve(l) }()
 	go r.Run(ctx)
+	if c.Place {
+		go c.placer(r, pc).Run(ctx)
+	}
 	c.Nodes = append(c.Nodes, n)
 	return n, nil
 }
 
+// placer makes the placer beside a host.
+func (c *Cluster) placer(r *router.Router, pc *platform.Client) *placer.Manager {
+	return &placer.Manager{
+		Name: r.Self.Name + "/" + r.Self.Incarnation.String(), KV: pc, Weights: pc,
+		Settings: r.Snapshot, Candidate: r.PlacerCandidate, Log: r.Log,
+		Engine: func(e settings.Endpoint) endpoint.Engine {
+			return &endpoint.Client{Base: "http://" + e.Address}
+		},
+	}
+}
+
 // Kill ends a host at once, with all its connections.
 func (n *Node) Kill() {
 	n.cancel()
--- a/router/api.go
+++ b/router/api.go
@@ -46,6 +46,7 @@
 	pathRecord    = "/peer/record"
 	pathClose     = "/peer/close/"
 	pathQuery     = "/peer/query/"
+	pathLocal     = "/peer/local"
 	pathHandover  = "/peer/handover"
 	pathHead      = "/peer/settings/head"
 	pathChunk     = "/peer/settings/chunk/"
--- /dev/null
+++ b/router/engine_test.go
@@ -0,0 +1,249 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package router_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/client"
+	"github.com/heathkeel/heathkeel/endpoint"
+	"github.com/heathkeel/heathkeel/internal/fake"
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/problem"
+	"github.com/heathkeel/heathkeel/router"
+)
+
+// newClient makes a client of workspace w.
+func newClient(r *rig) *client.Client {
+	return &client.Client{Seeds: r.Addresses(), Workspace: "w"}
+}
+
+// setEngines gives all engines the same faults.
+func (r *rig) setEngines(f fake.EngineFaults) {
+	for _, e := range r.Engines {
+		e.SetFaults(f)
+	}
+}
+
+// mostRuns returns the largest number of runs of one ID at any engine.
+func (r *rig) mostRuns() int {
+	most := 0
+	for _, e := range r.Engines {
+		_, n := e.TotalRuns()
+		most = max(most, n)
+	}
+	return most
+}
+
+const tokens = 20
+
+// wholeText is the answer that the stand-in engines give.
+func wholeText() string {
+	var b strings.Builder
+	for i := range tokens {
+		fmt.Fprintf(&b, "t%d ", i)
+	}
+	return b.String()
+}
+
+func TestAnswersAreWhole(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults fake.EngineFaults
+		ok     bool
+	}{
+		{"no fault", fake.EngineFaults{}, true},
+		{"stream cut once and resumed", fake.EngineFaults{CutAfter: 7}, true},
+		{"crossed piece", fake.EngineFaults{CrossAt: 5}, false},
+		{"repeated piece", fake.EngineFaults{RepeatAt: 5}, false},
+		{"missing piece", fake.EngineFaults{SkipAt: 5}, false},
+		{"server error", fake.EngineFaults{ServerErrors: true}, false},
+		{"dead", fake.EngineFaults{Dead: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			r := newRig(t, nil)
+			r.setEngines(c.faults)
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+			defer cancel()
+			a, err := newClient(r).Complete(ctx, client.Completion{Service: "write", Model: "m", Prompt: "p", MaxTokens: tokens, NoRepeat: true})
+			if c.ok {
+				must.NoError(t, err)
+				must.Eq(t, wholeText(), a.Text)
+				must.Eq(t, tokens, a.Tokens)
+			} else {
+				must.Error(t, err)
+				must.Eq(t, problem.Unknown, problem.Of(err).Outcome)
+			}
+			must.LessEq(t, 1, r.mostRuns())
+		})
+	}
+}
+
+func TestStreamOutlivesItsOwner(t *testing.T) {
+	r := newRig(t, nil)
+	for _, e := range r.Engines {
+		e.StepTime = 20 * time.Millisecond
+	}
+	cl := newClient(r)
+	list, err := cl.Addresses(context.Background())
+	must.NoError(t, err)
+	owner := r.node(list[0].Address)
+	reached, release := r.gateOf(owner).at(router.StageSent)
+	go func() {
+		<-reached
+		release()
+		eventually(t, "a token is out", func() bool { return r.busyEngines() > 0 })
+		time.Sleep(100 * time.Millisecond)
+		owner.Kill()
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	a, err := cl.Complete(ctx, client.Completion{Service: "write", Model: "m", Prompt: "p", MaxTokens: tokens, NoRepeat: true})
+	must.NoError(t, err)
+	must.Eq(t, wholeText(), a.Text)
+	must.Positive(t, a.Resumed)
+	must.Eq(t, 1, r.mostRuns())
+}
+
+// busyEngines counts the engines with requests.
+func (r *rig) busyEngines() int {
+	n := 0
+	for _, e := range r.Engines {
+		if e.Active() > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func TestCallerThatLeavesCancelsItsStream(t *testing.T) {
+	r := newRig(t, func(x *router.Router) { x.CancelGrace = 50 * time.Millisecond })
+	for _, e := range r.Engines {
+		e.StepTime = 10 * time.Millisecond
+	}
+	a := r.address(t, r.Nodes[0]).Addresses[0]
+	for _, id := range []string{"", a.Prefix + "leaves"} {
+		ctx, cancel := context.WithCancel(context.Background())
+		resp, err := http.DefaultClient.Do(completion(ctx, a.Address, id, 100000))
+		must.NoError(t, err)
+		_, err = resp.Body.Read(make([]byte, 10))
+		must.NoError(t, err)
+		must.Positive(t, r.busyEngines())
+		cancel()
+		eventually(t, "engine idle", func() bool { return r.busyEngines() == 0 })
+		eventually(t, "host idle", func() bool { return r.node(a.Address).Router.Status().Active == 0 })
+	}
+}
+
+// completion makes a streaming request.
+func completion(ctx context.Context, host, id string, n int) *http.Request {
+	b, _ := json.Marshal(endpoint.CompletionBody{Model: "m", Prompt: "p", MaxTokens: n, Stream: true})
+	req, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+router.PathCompletions, bytes.NewReader(b))
+	req.Header.Set(router.HeaderWorkspace, "w")
+	req.Header.Set(router.HeaderService, "write")
+	if id != "" {
+		req.Header.Set(router.HeaderID, id)
+	}
+	return req
+}
+
+func TestSlowCallerHoldsBackOnlyItself(t *testing.T) {
+	r := newRig(t, nil)
+	host := r.Nodes[0].Address
+	slow, err := http.DefaultClient.Do(completion(context.Background(), host, "", 4096))
+	must.NoError(t, err)
+	defer slow.Body.Close()
+	for range 5 {
+		resp, err := http.DefaultClient.Do(completion(context.Background(), host, "", tokens))
+		must.NoError(t, err)
+		b, err := io.ReadAll(resp.Body)
+		must.NoError(t, err)
+		must.StrContains(t, string(b), endpoint.DoneData)
+		_ = resp.Body.Close()
+	}
+	b, err := io.ReadAll(slow.Body)
+	must.NoError(t, err)
+	must.Eq(t, 4096, strings.Count(string(b), "id: "))
+}
+
+func TestBadRequests(t *testing.T) {
+	r := newRig(t, nil)
+	host := r.Nodes[0].Address
+	good := r.address(t, r.Nodes[0]).Addresses[0]
+	cases := []struct {
+		name, path, ws, service, id, body string
+		kind                              problem.Kind
+		outcome                           problem.Outcome
+	}{
+		{"no such path", "/v2/x", "w", "", "", "", problem.BadRequest, problem.NotRun},
+		{"unknown workspace", router.PathCompletions, "x", "write", "", "{}", problem.UnknownWorkspace, problem.NotRun},
+		{"unknown service", router.PathCompletions, "w", "x", "", "{}", problem.UnknownWorkspace, problem.NotRun},
+		{"broken JSON", router.PathCompletions, "w", "write", "", "{", problem.BadRequest, problem.NotRun},
+		{"no prompt", router.PathCompletions, "w", "write", "", `{"model":"m"}`, problem.BadRequest, problem.NotRun},
+		{"unknown model", router.PathCompletions, "w", "write", "", `{"model":"x","prompt":"p"}`, problem.UnknownModel, problem.NotRun},
+		{"too large", router.PathCall + "look", "w", "", "", strings.Repeat("x", 101), problem.BodyTooLarge, problem.NotRun},
+		{"broken ID", router.PathCall + "look", "w", "", "x.y", "", problem.BadID, problem.NotRun},
+		{"may not be repeated and has no ID", router.PathCall + "push", "w", "", "", "", problem.MissingID, problem.NotRun},
+		{"future generation", router.PathCall + "look", "w", "", strings.Replace(good.Prefix, ".1.", ".9.", 1) + "u", "", problem.BadID, problem.Unknown},
+		{"unknown owner without witness", router.PathCall + "look", "w", "", "00000000000000ff.1.0000000000000000.0.u", "", problem.OwnerLost, problem.Unknown},
+	}
+	for _, c := range cases {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+host+c.path, strings.NewReader(c.body))
+		req.Header.Set(router.HeaderWorkspace, c.ws)
+		req.Header.Set(router.HeaderService, c.service)
+		if c.id != "" {
+			req.Header.Set(router.HeaderID, c.id)
+		}
+		got := send(req)
+		must.Eq(t, c.kind, got.problem.Kind, must.Sprintf("%s: %+v", c.name, got))
+		must.Eq(t, c.outcome, got.outcome, must.Sprint(c.name))
+		must.NotEq(t, "", got.problem.Remedy, must.Sprint(c.name))
+	}
+}
+
+func TestRefusedForTheBodyStaysRefused(t *testing.T) {
+	r := newRig(t, nil)
+	a := r.address(t, r.Nodes[0]).Addresses[0]
+	for i, body := range []string{strings.Repeat("x", 101), "small"} {
+		req, _ := http.NewRequest(http.MethodPost, "http://"+a.Address+router.PathCall+"look", strings.NewReader(body))
+		req.Header.Set(router.HeaderWorkspace, "w")
+		req.Header.Set(router.HeaderID, a.Prefix+"same")
+		req.Header.Set(fake.HeaderCall, "same")
+		got := send(req)
+		must.Eq(t, problem.NotRun, got.outcome, must.Sprint(i, got))
+	}
+	must.Zero(t, r.runs("same"))
+}
+
+func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	r := newRig(t, nil)
+	r.Platform.Hosts.Put(platform.ListEntry{Name: "s1", Zone: "z1", Endpoint: true, Leaving: true})
+	cl := newClient(r)
+	look := func() string {
+		a, err := cl.Do(context.Background(), client.Call{Service: "look", Method: http.MethodGet, Path: "/"})
+		must.NoError(t, err)
+		return a.Endpoint
+	}
+	eventually(t, "s1 is left alone", func() bool {
+		for range 20 {
+			if look() == "s1" {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/router/router.go
+++ b/router/router.go
@@ -245,24 +245,42 @@
 // fleetSize is the number of live hosts.
 func (r *Router) fleetSize() int { return max(1, len(r.hosts())) }
 
-// relaysPerZone is the number of hosts of a zone that watch the head.
-const relaysPerZone = 2
+// rolesPerZone is the number of hosts of a zone that watch the settings' head,
+// and of those that try to hold its placement.
+const rolesPerZone = 2
 
-// isRelay reports whether this host is one of its zone's relays: those that
-// come first by rendezvous hashing.
-func (r *Router) isRelay() bool {
-	var zone []fleet.Host
-	for _, h := range r.hosts() {
-		if h.Zone == r.Self.Zone {
-			zone = append(zone, h)
+// hasRole reports whether this host is one of those that do a zone's work of a
+// kind: the first by rendezvous hashing among the zone's hosts, or among all if
+// it has none.
+func (r *Router) hasRole(role, zone string) bool {
+	all := r.hosts()
+	var in []fleet.Host
+	for _, h := range all {
+		if h.Zone == zone {
+			in = append(in, h)
 		}
 	}
-	for _, h := range fleet.Set("relay", r.Self.Region, zone, relaysPerZone) {
+	if len(in) == 0 {
+		in = all
+	}
+	for _, h := range fleet.Set(role+zone, r.Self.Region, in, rolesPerZone) {
 		if h.Incarnation == r.Self.Incarnation {
 			return true
 		}
 	}
-	return len(zone) == 0
+	return len(in) == 0
+}
+
+// isRelay reports whether this host watches the settings' head for its zone.
+func (r *Router) isRelay() bool { return r.hasRole("relay", r.Self.Zone) }
+
+// PlacerCandidate reports whether this host should try to hold a zone's placement.
+func (r *Router) PlacerCandidate(zone string) bool { return r.hasRole("placer/", zone) }
+
+// Snapshot returns the settings in force, or nil.
+func (r *Router) Snapshot() *settings.Snapshot {
+	r.init()
+	return r.follower.Snapshot()
 }
 
 // sharing is the number of hosts that serve a workspace.
--- a/router/serve.go
+++ b/router/serve.go
@@ -36,6 +36,7 @@
 	m.Path(pathClose + "{id}").Methods(post).HandlerFunc(r.serveClose)
 	m.Path(pathQuery + "{id}").Methods(post).HandlerFunc(r.serveQuery)
 	m.Path(pathHandover).Methods(post).HandlerFunc(r.serveHandover)
+	m.Path(pathLocal).Methods(get).HandlerFunc(r.serveLocal)
 	m.Path(pathHead).Methods(get).HandlerFunc(r.serveHead)
 	m.Path(pathChunk + "{digest}").Methods(get).HandlerFunc(r.serveChunk)
 	m.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
--- a/router/targets.go
+++ b/router/targets.go
@@ -112,7 +112,7 @@
 		At:      now - time.Duration(rep.AgeMS)*time.Millisecond,
 		Running: rep.Running, Waiting: rep.Waiting, PrefillTokens: rep.PrefillTokens, Slots: rep.Slots,
 		Step: time.Duration(rep.StepUS) * time.Microsecond, PrefillPerStep: rep.PrefillPerStep,
-		Fresh: rep.Role != "decode",
+		Fresh: rep.Role != "decode" && rep.Role != "drain",
 	}
 	if rep.Holding != nil {
 		sr.Model = rep.Holding.Model
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -42,7 +42,7 @@
 		return false
 	}
 	if r.long && !s.cfg.Off.LongCap && !s.cfg.Off.Late {
-		return float64(e.ownLong) < max(1, s.cfg.LongShare*float64(e.slots()))
+		return float64(e.ownLong) < max(1, s.cfg.LongShare*float64(e.slots())/float64(max(1, s.Peers)))
 	}
 	return true
 }
