--- a/cmd/hkdev/main.go
+++ b/cmd/hkdev/main.go
@@ -29,7 +29,7 @@
 // args are the process settings.
 type args struct {
 	Dir   string        `arg:"--dir,env:HEATHKEEL_DIR" help:"directory of declarations; empty means the embedded example"`
-	Hosts int           `arg:"--hosts,env:HEATHKEEL_HOSTS" default:"3" help:"number of hosts"`
+	Hosts int           `arg:"--hosts,env:HEATHKEEL_HOSTS" default:"3" help:"number of hosts; 0 serves the stand-ins only"`
 	Step  time.Duration `arg:"--step,env:HEATHKEEL_STEP" default:"3ms" help:"time of an engine's step"`
 	Check bool          `arg:"--check" help:"run one request of each tier and kind, print a line each and exit"`
 	Logs  bool          `arg:"--logs" help:"write the hosts' logs to standard error"`
@@ -49,8 +49,8 @@
 func main() {
 	var a args
 	p := arg.MustParse(&a)
-	if a.Hosts < 1 || a.Hosts > 32 {
-		p.Fail("--hosts must be 1 to 32")
+	if a.Hosts < 0 || a.Hosts > 32 || (a.Check && a.Hosts == 0) {
+		p.Fail("--hosts must be 0 to 32, and above 0 with --check")
 	}
 	code, err := run(a)
 	if err != nil {
@@ -106,7 +106,7 @@
 		fmt.Println("host      http://" + n.Address)
 	}
 	fmt.Printf("endpoints %d engines, %d plain services\n\ntry:\n", len(c.Engines), len(c.Services))
-	if q, ok := firstCompletion(c); ok {
+	if q, ok := firstCompletion(c); ok && len(c.Nodes) > 0 {
 		fmt.Printf("  curl -N http://%s/v1/completions -H 'Heathkeel-Workspace: %s' -H 'Heathkeel-Service: %s' -d '{\"model\":\"%s\",\"prompt\":\"Hello\",\"max_tokens\":8,\"stream\":true}'\n",
 			c.Nodes[0].Address, q.Workspace, q.Service, q.model)
 	}
--- a/endpoint/checked.go
+++ b/endpoint/checked.go
@@ -39,5 +39,8 @@
 	return p, nil
 }
 
+// More reports whether another piece, or a part of one, is at hand.
+func (c *Checked) More() bool { return c.Stream.More() }
+
 // Close closes the source.
 func (c *Checked) Close() error { return c.Stream.Close() }
--- a/endpoint/engine.go
+++ b/endpoint/engine.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"github.com/rotisserie/eris"
 )
@@ -50,16 +51,33 @@
 	ID string
 	// Seq counts pieces from 0.
 	Seq int
-	// Text is the token's text.
+	// Text is the token's text, unless Data has it.
 	Text string
+	// Data is the piece as the engine sent it, in JSON, valid until the next
+	// piece is read; nil for a piece that came otherwise.
+	Data []byte
 	// Finish is the reason of the end on the last piece, otherwise empty.
 	Finish string
 }
 
+// Content returns the token's text, decoding Data if need be.
+func (p *Piece) Content() string {
+	if p.Data == nil {
+		return p.Text
+	}
+	var ch Chunk
+	if json.Unmarshal(p.Data, &ch) != nil || len(ch.Choices) != 1 {
+		return ""
+	}
+	return ch.Choices[0].Text
+}
+
 // Stream gives the pieces of one answer.
 type Stream interface {
 	// Next returns the next piece, or io.EOF after the last.
 	Next() (Piece, error)
+	// More reports whether another piece, or a part of one, is at hand.
+	More() bool
 	// Close ends the reading; it does not cancel the request.
 	Close() error
 }
--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -10,12 +10,10 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 )
 
 // The paths and fields below are the whole wire format of engines; the stand-in
@@ -117,7 +115,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(HeaderRequestID, call.ID)
-	return c.stream(req)
+	return c.stream(req, call.ID)
 }
 
 // Resume implements Engine.
@@ -127,20 +125,18 @@
 		return nil, err
 	}
 	req.Header.Set(HeaderResume, strconv.Itoa(from-1))
-	return c.stream(req)
+	return c.stream(req, id)
 }
 
 // stream sends a request whose answer is a stream.
-func (c *Client) stream(req *http.Request) (Stream, error) {
+func (c *Client) stream(req *http.Request, id string) (Stream, error) {
 	resp, err := c.do(req)
 	if err != nil {
 		return nil, err
 	}
 	switch {
 	case resp.StatusCode == http.StatusOK:
-		sc := bufio.NewScanner(resp.Body)
-		sc.Buffer(make([]byte, 0, 1024), maxLine)
-		return &eventStream{body: resp.Body, scan: sc}, nil
+		return newEventStream(resp.Body, id), nil
 	case resp.StatusCode == http.StatusNotFound && req.Method == http.MethodGet:
 		err = ErrNoStream
 	case resp.StatusCode < 500 || resp.StatusCode == http.StatusServiceUnavailable:
@@ -155,41 +151,97 @@
 // eventStream reads server-sent events.
 type eventStream struct {
 	body io.ReadCloser
-	scan *bufio.Scanner
+	buf  *bufio.Reader
+	id   string
+	head []byte // how the data of an ordinary piece begins
+	long []byte // a line that is longer than the buffer
 }
 
+// streamBuffer is the memory that a stream holds for reading, in bytes.
+const streamBuffer = 4 << 10
+
+// newEventStream returns the stream of a request.
+func newEventStream(body io.ReadCloser, id string) *eventStream {
+	quoted, _ := json.Marshal(id)
+	return &eventStream{
+		body: body, buf: bufio.NewReaderSize(body, streamBuffer), id: id,
+		head: append(append([]byte(`{"id":`), quoted...), ','),
+	}
+}
+
+// Parts of a stream's lines.
+var (
+	idField   = []byte("id: ")
+	dataField = []byte("data: ")
+	doneData  = []byte(DoneData)
+	unended   = []byte(`"finish_reason":null`)
+)
+
 // Next implements Stream.
 func (s *eventStream) Next() (Piece, error) {
 	seq := -1
-	for s.scan.Scan() {
-		line := s.scan.Text()
-		if id, ok := strings.CutPrefix(line, "id: "); ok {
-			n, err := strconv.Atoi(id)
+	for {
+		line, err := s.line()
+		if err != nil {
+			return Piece{}, ErrLost
+		}
+		if id, ok := bytes.CutPrefix(line, idField); ok {
+			n, err := strconv.Atoi(string(id))
 			if err != nil {
 				return Piece{}, ErrOrder
 			}
 			seq = n
 			continue
 		}
-		data, ok := strings.CutPrefix(line, "data: ")
+		data, ok := bytes.CutPrefix(line, dataField)
 		if !ok {
 			continue
 		}
-		if data == DoneData {
+		if bytes.Equal(data, doneData) {
 			return Piece{}, io.EOF
 		}
-		return parseChunk(seq, data)
+		return s.piece(seq, data)
+	}
+}
+
+// piece reads the data of one event. An ordinary piece, of this stream and not
+// the last, is known by its begin and its null finish reason and not decoded: a
+// quote inside a text is escaped, so that no text can look like that field.
+func (s *eventStream) piece(seq int, data []byte) (Piece, error) {
+	if bytes.HasPrefix(data, s.head) && bytes.Contains(data, unended) {
+		return Piece{ID: s.id, Seq: seq, Data: data}, nil
+	}
+	return parseChunk(seq, data)
+}
+
+// line reads a line of at most maxLine bytes, without its end, valid until the next.
+func (s *eventStream) line() ([]byte, error) {
+	line, err := s.buf.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		s.long = s.long[:0]
+		for errors.Is(err, bufio.ErrBufferFull) && len(s.long) <= maxLine {
+			s.long = append(s.long, line...)
+			line, err = s.buf.ReadSlice('\n')
+		}
+		s.long = append(s.long, line...)
+		line = s.long
 	}
-	return Piece{}, ErrLost
+	return bytes.TrimRight(line, "\r\n"), err
+}
+
+// More implements Stream. The empty line that ends an event does not count.
+func (s *eventStream) More() bool {
+	b, _ := s.buf.Peek(s.buf.Buffered())
+	return len(bytes.Trim(b, "\r\n")) > 0
 }
 
 // parseChunk reads the data of one event.
-func parseChunk(seq int, data string) (Piece, error) {
+func parseChunk(seq int, data []byte) (Piece, error) {
 	var ch Chunk
-	if err := json.Unmarshal([]byte(data), &ch); err != nil || len(ch.Choices) != 1 {
+	if err := json.Unmarshal(data, &ch); err != nil || len(ch.Choices) != 1 {
 		return Piece{}, ErrOrder
 	}
-	p := Piece{ID: ch.ID, Seq: seq, Text: ch.Choices[0].Text}
+	p := Piece{ID: ch.ID, Seq: seq, Data: data}
 	if f := ch.Choices[0].FinishReason; f != nil {
 		p.Finish = *f
 	}
@@ -199,14 +251,21 @@
 // Close implements Stream.
 func (s *eventStream) Close() error { return s.body.Close() }
 
-// AppendEvent appends p as a server-sent event to b.
+// AppendEvent appends p as a server-sent event to b, as the engine sent it if it
+// did.
 func AppendEvent(b []byte, p Piece, model string) []byte {
-	ch := Chunk{ID: p.ID, Object: "text_completion", Model: model, Choices: []Choice{{Text: p.Text}}}
-	if p.Finish != "" {
-		ch.Choices[0].FinishReason = &p.Finish
+	data := p.Data
+	if data == nil {
+		ch := Chunk{ID: p.ID, Object: "text_completion", Model: model, Choices: []Choice{{Text: p.Text}}}
+		if p.Finish != "" {
+			ch.Choices[0].FinishReason = &p.Finish
+		}
+		data, _ = json.Marshal(ch)
 	}
-	data, _ := json.Marshal(ch)
-	b = fmt.Appendf(b, "id: %d\ndata: ", p.Seq)
+	b = append(b, idField...)
+	b = strconv.AppendInt(b, int64(p.Seq), 10)
+	b = append(b, '\n')
+	b = append(b, dataField...)
 	b = append(b, data...)
 	return append(b, "\n\n"...)
 }
--- a/fleet/rendezvous.go
+++ b/fleet/rendezvous.go
@@ -18,38 +18,47 @@
 // has any, and in as many zones as there are. When one of n hosts leaves, a
 // workspace changes at most one member of its set, with probability k/n.
 func Set(workspace, region string, live []Host, k int) []Host {
-	in := make([]Host, 0, len(live))
-	for _, h := range live {
-		if h.Region == region {
-			in = append(in, h)
+	ranked := make([]scored, 0, len(live))
+	prefix := workspace + "\x00"
+	for i := range live {
+		if live[i].Region == region {
+			ranked = append(ranked, scored{xxhash.Sum64String(prefix + live[i].Name), &live[i]})
 		}
 	}
-	if len(in) == 0 {
-		in = slices.Clone(live)
+	if len(ranked) == 0 {
+		for i := range live {
+			ranked = append(ranked, scored{xxhash.Sum64String(prefix + live[i].Name), &live[i]})
+		}
 	}
-	score := func(h Host) uint64 { return xxhash.Sum64String(workspace + "\x00" + h.Name) }
-	slices.SortFunc(in, func(a, b Host) int {
-		return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(a.Incarnation, b.Incarnation))
+	slices.SortFunc(ranked, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.host.Incarnation, b.host.Incarnation))
 	})
-	return spreadZones(in, k)
+	return spreadZones(ranked, k)
+}
+
+// scored is a host with its rendezvous score for one workspace.
+type scored struct {
+	score uint64
+	host  *Host
 }
 
 // spreadZones takes k of the ranked hosts, each zone in turn before any zone twice.
-func spreadZones(ranked []Host, k int) []Host {
+func spreadZones(ranked []scored, k int) []Host {
+	k = min(k, len(ranked))
 	out := make([]Host, 0, k)
-	left := ranked
-	for len(out) < k && len(left) > 0 {
-		var rest []Host
+	used := make([]bool, len(ranked))
+	for len(out) < k {
 		var seen []string
-		for _, h := range left {
-			if len(out) == k || slices.Contains(seen, h.Zone) {
-				rest = append(rest, h)
-				continue
+		for i, s := range ranked {
+			if len(out) == k {
+				break
+			}
+			if !used[i] && !slices.Contains(seen, s.host.Zone) {
+				used[i] = true
+				seen = append(seen, s.host.Zone)
+				out = append(out, *s.host)
 			}
-			seen = append(seen, h.Zone)
-			out = append(out, h)
 		}
-		left = rest
 	}
 	return out
 }
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -193,13 +193,15 @@
 	if m := t.members[h.Incarnation]; m != nil {
 		m.heard = max(now, 1)
 	}
-	return t.replaceOthers(now, h) || news
+	if news {
+		t.replaceOthers(now, h)
+	}
+	return news
 }
 
 // replaceOthers marks earlier incarnations at the same address as gone: a port
 // has one process at a time.
-func (t *Table) replaceOthers(now time.Duration, h Host) bool {
-	news := false
+func (t *Table) replaceOthers(now time.Duration, h Host) {
 	for _, m := range t.members {
 		if m.Address != h.Address || m.Incarnation == h.Incarnation || m.Gone {
 			continue
@@ -209,9 +211,7 @@
 		old.Gone = true
 		old.Seq++
 		t.set(now, m, old)
-		news = true
 	}
-	return news
 }
 
 // Suspect notes that a member gave no answer and reports whether that is news.
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -37,6 +37,8 @@
 	StepTime time.Duration
 	// Place runs a placer beside each host.
 	Place bool
+	// Override gives the addresses of endpoints that are served elsewhere.
+	Override map[string]string
 	// Tune changes a router before it runs; nil changes nothing.
 	Tune func(*router.Router)
 	// Log takes the hosts' changes of state.
@@ -146,6 +148,10 @@
 	held := initial(fl)
 	zones := make(map[string]bool)
 	for i, e := range fl.Endpoints {
+		if a := c.Override[e.Name]; a != "" {
+			c.setAddress(e.Name, a)
+			continue
+		}
 		var h http.Handler
 		if e.Engine {
 			eng := c.newEngine(i, e)
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -32,6 +32,7 @@
 	item.Methods(http.MethodDelete).HandlerFunc(p.remove)
 	r.Path(platform.PathKeys).HandlerFunc(p.keys)
 	r.Path(platform.PathLease).HandlerFunc(p.lease)
+	r.Path(platform.PathHosts).Methods(http.MethodPut).HandlerFunc(p.register)
 	r.Path(platform.PathHosts).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out, err := p.Hosts.List(r.Context())
 		reply(w, out, err)
@@ -44,6 +45,16 @@
 	return r
 }
 
+// register adds an entry to the list; it stands in for whoever starts hosts.
+func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
+	var e platform.ListEntry
+	if err := json.NewDecoder(r.Body).Decode(&e); err != nil || e.Name == "" {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.Hosts.Put(e)
+}
+
 // reply sends v, or the status of err.
 func reply(w http.ResponseWriter, v any, err error) {
 	if err != nil {
--- a/router/completions.go
+++ b/router/completions.go
@@ -199,7 +199,7 @@
 	var buf []byte
 	n, err := r.relay(req.Context(), a, s, func(p endpoint.Piece) error {
 		buf = endpoint.AppendEvent(buf[:0], p, a.model)
-		if _, err := w.Write(buf); err != nil {
+		if _, err := w.Write(buf); err != nil || s.More() {
 			return err
 		}
 		return rc.Flush()
@@ -225,7 +225,7 @@
 	var text strings.Builder
 	var finish string
 	n, err := r.relay(req.Context(), a, s, func(p endpoint.Piece) error {
-		text.WriteString(p.Text)
+		text.WriteString(p.Content())
 		finish = p.Finish
 		return nil
 	})
