--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -256,11 +256,7 @@
 func AppendEvent(b []byte, p Piece, model string) []byte {
 	data := p.Data
 	if data == nil {
-		ch := Chunk{ID: p.ID, Object: "text_completion", Model: model, Choices: []Choice{{Text: p.Text}}}
-		if p.Finish != "" {
-			ch.Choices[0].FinishReason = &p.Finish
-		}
-		data, _ = json.Marshal(ch)
+		data = encodeChunk(p.ID, p.Text, p.Finish, model)
 	}
 	b = append(b, idField...)
 	b = strconv.AppendInt(b, int64(p.Seq), 10)
@@ -270,6 +266,16 @@
 	return append(b, "\n\n"...)
 }
 
+// encodeChunk gives the JSON of one piece.
+func encodeChunk(id, text, finish, model string) []byte {
+	ch := Chunk{ID: id, Object: "text_completion", Model: model, Choices: []Choice{{Text: text}}}
+	if finish != "" {
+		ch.Choices[0].FinishReason = &finish
+	}
+	data, _ := json.Marshal(ch)
+	return data
+}
+
 // Cancel implements Engine.
 func (c *Client) Cancel(ctx context.Context, id string) error {
 	return c.plain(ctx, http.MethodDelete, PathStreams+id, nil, nil)
