sched: waits estimated by cost and share; what cannot end in time is not run

Cause: at twice capacity the patient tier lost requests that ran late, and early refusal took a light workspace's wait for the whole queue's. Change: a waiting request is refused when the mean engine could not end it in time; the wait counts the own flow's cost by its share of the weights.

--- a/sched/order.go
+++ b/sched/order.go
@@ -126,43 +126,71 @@
 // minRetryAfter is the least time after which a caller is told to come back.
 const minRetryAfter = 100 * time.Millisecond
 
-// wait estimates how long a request waits for room: the cost of what stands
-// before it over the pool's speed.
+// wait estimates how long a request waits for room: the cost of what is served
+// before it, over this host's share of the pool's speed.
 func (s *Scheduler) wait(now time.Duration, r *Request) time.Duration {
-	ahead := 0
-	for k := 0; k <= r.rank(); k++ {
-		ahead += r.pool.tiers[k].waiting
+	ahead := 0.0
+	for k := 0; k < r.rank(); k++ {
+		ahead += r.pool.tiers[k].cost
 	}
+	ahead += r.pool.tiers[r.rank()].costBefore(r.Settings.Workspace, r.Settings.Weight)
 	if ahead == 0 {
 		return 0
 	}
-	perSecond := 0.0
+	steps := 0.0 // of all slots, a second
 	for _, e := range r.pool.members {
-		if !e.usable(now) {
-			continue
+		if e.usable(now) {
+			steps += float64(e.slots()) / (e.step().Seconds() * s.slowness(now, e))
 		}
-		own := float64(e.slots()) / float64(max(1, s.Peers))
-		perSecond += own / (s.serviceTime(e).Seconds() * s.slowness(now, e))
 	}
-	if perSecond == 0 {
+	if steps == 0 {
 		return s.cfg.DownHold
 	}
-	return time.Duration(float64(ahead) / perSecond * float64(time.Second))
+	share := steps / float64(max(1, s.Peers))
+	return time.Duration(ahead / share * float64(time.Second))
 }
 
 // leastWhole is the shortest time to a whole answer at any endpoint, were it idle.
 func (s *Scheduler) leastWhole(now time.Duration, r *Request) time.Duration {
 	least := time.Duration(1<<63 - 1)
 	for _, e := range r.pool.members {
-		t := e.step()
-		if e.Engine {
-			t = e.prefillTime(1) + time.Duration(float64(r.outGuess)*float64(e.step()))
-		}
-		least = min(least, t)
+		least = min(least, s.idleWhole(r, e))
 	}
 	return least
 }
 
+// tooLate reports whether a request that waited is not likely to end in time any
+// more; running it would only take room from others.
+func (s *Scheduler) tooLate(now time.Duration, r *Request) bool {
+	return !s.cfg.Off.Early && now+s.meanWhole(now, r) > r.Deadline
+}
+
+// meanWhole is the time to a whole answer at an endpoint of the pool taken at
+// random by its slots, were it idle.
+func (s *Scheduler) meanWhole(now time.Duration, r *Request) time.Duration {
+	sum, slots := 0.0, 0.0
+	for _, e := range r.pool.members {
+		if !e.usable(now) {
+			continue
+		}
+		n := float64(e.slots())
+		sum += n * float64(s.idleWhole(r, e))
+		slots += n
+	}
+	if slots == 0 {
+		return 0
+	}
+	return time.Duration(sum / slots)
+}
+
+// idleWhole is the time to a whole answer at an endpoint, were it idle.
+func (s *Scheduler) idleWhole(r *Request, e *endpointState) time.Duration {
+	if !e.Engine {
+		return e.step()
+	}
+	return e.prefillTime(r.PromptTokens) + time.Duration(r.outGuess)*e.step()
+}
+
 // makeRoom bounds what waits: the workspace's own bound first, then the host's,
 // dropping the newest request of the lowest tier below r's, or refusing r.
 func (s *Scheduler) makeRoom(now time.Duration, r *Request) (Decision, bool) {
@@ -227,6 +255,11 @@
 				return out
 			}
 			r := q.head()
+			if s.tooLate(now, r) {
+				s.unqueue(r)
+				out = append(out, s.refuse(now, r, ReasonDeadline, s.wait(now, r)))
+				continue
+			}
 			d, ok := s.start(now, r)
 			if !ok && r.long {
 				break
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -18,6 +18,7 @@
 	virtual   float64
 	services  []*serviceQueue
 	waiting   int
+	cost      float64 // of what waits
 	heapAt    int
 }
 
@@ -36,6 +37,8 @@
 	active  flowHeap
 	virtual float64
 	waiting int
+	cost    float64 // of what waits
+	weight  float64 // of the flows with something waiting
 	// arrival holds all waiting requests in order of arrival.
 	arrival list.List
 	where   map[*Request]place
@@ -90,8 +93,9 @@
 		f = &flow{workspace: r.Settings.Workspace}
 		q.flows[r.Settings.Workspace] = f
 	}
-	f.weight = r.Settings.Weight
 	if f.waiting == 0 {
+		f.weight = r.Settings.Weight
+		q.weight += f.weight
 		f.virtual = max(f.virtual, q.virtual)
 		heap.Push(&q.active, f)
 	}
@@ -99,6 +103,8 @@
 	q.where[r] = place{q.arrival.PushBack(r), sq.queue.PushBack(r), sq}
 	f.waiting++
 	q.waiting++
+	f.cost += r.cost
+	q.cost += r.cost
 	r.flow = f
 }
 
@@ -180,9 +186,31 @@
 	f := r.flow
 	f.waiting--
 	q.waiting--
+	f.cost -= r.cost
+	q.cost -= r.cost
 	if f.waiting == 0 {
+		f.cost = 0
+		q.weight -= f.weight
 		heap.Remove(&q.active, f.heapAt)
 	}
+	if q.waiting == 0 {
+		q.cost, q.weight = 0, 0 // no rounding is left behind
+	}
+}
+
+// costBefore estimates the cost that is served before a request of a workspace
+// that comes now: what waits of its own flow, with the other flows' share of the
+// time, and at most all that waits.
+func (q *tierQueue) costBefore(workspace string, weight float64) float64 {
+	f := q.flows[workspace]
+	if q.waiting == 0 || q.fifo {
+		return q.cost
+	}
+	own, others := 0.0, q.weight
+	if f != nil && f.waiting > 0 {
+		own, others = f.cost, q.weight-f.weight
+	}
+	return min(q.cost, own*(1+others/weight))
 }
 
 // charge makes a flow and a service pay for a request that was dispatched.
