fleet, router, placer: control within its bytes

Cause: real processes on loopback used 30 to 35 KB/s a host (limit 18): reports of 22 endpoints every 0.5 s made most, heartbeats to four peers the rest. Change: reports are bounded at 10 a second together (2.2 s for 22 endpoints), heartbeats go to two peers every 0.5 s, the platform's list is read by ETag. Since reports come later, an engine drains 6 s before it is reloaded.

--- a/cmd/hkrouter/main.go
+++ b/cmd/hkrouter/main.go
@@ -26,8 +26,9 @@
 	Region    string        `arg:"--region,env:HEATHKEEL_REGION" help:"region of the zone; hosts answer with hosts of their region"`
 	Platform  string        `arg:"--platform,env:HEATHKEEL_PLATFORM,required" help:"address of the platform, such as http://10.0.0.1:7000"`
 	MaxAge    time.Duration `arg:"--max-age,env:HEATHKEEL_MAX_AGE" default:"5s" help:"time for which callers keep an address answer"`
-	Heartbeat time.Duration `arg:"--heartbeat,env:HEATHKEEL_HEARTBEAT" default:"400ms" help:"time between heartbeats"`
-	Reports   time.Duration `arg:"--reports,env:HEATHKEEL_REPORTS" default:"500ms" help:"time between reads of an endpoint's report"`
+	Heartbeat time.Duration `arg:"--heartbeat,env:HEATHKEEL_HEARTBEAT" default:"500ms" help:"time between heartbeats"`
+	Reports   time.Duration `arg:"--reports,env:HEATHKEEL_REPORTS" default:"500ms" help:"least time between reads of an endpoint's report"`
+	Rate      float64       `arg:"--report-rate,env:HEATHKEEL_REPORT_RATE" default:"10" help:"most reports read in a second from all endpoints together"`
 	Memory    int64         `arg:"--memory,env:HEATHKEEL_MEMORY" default:"67108864" help:"bytes of request bodies held at once"`
 	Stop      time.Duration `arg:"--stop,env:HEATHKEEL_STOP" default:"30m" help:"longest time that a drain may take"`
 }
@@ -45,8 +46,8 @@
 	if _, err := netip.ParseAddrPort(a.Listen); err != nil {
 		return errors.New("--listen is no IP number and port; write it like 10.0.0.1:8000")
 	}
-	if a.MaxAge <= 0 || a.Heartbeat <= 0 || a.Reports <= 0 || a.Memory <= 0 || a.Stop <= 0 {
-		return errors.New("--max-age, --heartbeat, --reports, --memory and --stop must be above 0")
+	if a.MaxAge <= 0 || a.Heartbeat <= 0 || a.Reports <= 0 || a.Rate <= 0 || a.Memory <= 0 || a.Stop <= 0 {
+		return errors.New("--max-age, --heartbeat, --reports, --report-rate, --memory and --stop must be above 0")
 	}
 	return nil
 }
--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -53,7 +53,7 @@
 // Defaults of an Agent.
 const (
 	// DefaultInterval is the time between heartbeats.
-	DefaultInterval = 400 * time.Millisecond
+	DefaultInterval = 500 * time.Millisecond
 	// DefaultMisses is the number of heartbeats without answer that make a suspicion.
 	DefaultMisses = 3
 	// DefaultBatch is the largest number of changed records in a heartbeat.
--- a/fleet/neighbors.go
+++ b/fleet/neighbors.go
@@ -13,14 +13,15 @@
 	"github.com/heathkeel/heathkeel/once"
 )
 
-// DefaultFanout is the number of peers that a host sends heartbeats to.
-const DefaultFanout = 4
+// DefaultFanout is the number of peers that a host sends heartbeats to; as many
+// send to it on average, so that the graph has degree 4.
+const DefaultFanout = 2
 
 // Neighbors returns the peers that self sends heartbeats to, at most fanout of
-// them: two successors on a ring in hash order, so that everybody is watched
-// and the graph is connected, and the best by rendezvous hashing of the pair,
-// half of them in other zones, so that its diameter is logarithmic. Of hosts
-// with one address only the first is taken. The result does not alias hosts.
+// them: half are its successors on a ring in hash order, so that everybody is
+// watched and the graph is connected; the others are the best by rendezvous
+// hashing of the pair, in other zones if there are any, so that the diameter is
+// logarithmic. The result does not alias hosts.
 func Neighbors(self Host, hosts []Host, fanout int) []Host {
 	others := make([]Host, 0, len(hosts))
 	for _, h := range hosts {
@@ -37,7 +38,7 @@
 	slices.SortFunc(byPair, func(a, b Host) int {
 		return cmp.Compare(pairHash(self.Incarnation, b.Incarnation), pairHash(self.Incarnation, a.Incarnation))
 	})
-	out = appendFirst(out, byPair, fanout-1, func(h Host) bool { return h.Zone != self.Zone })
+	out = appendFirst(out, byPair, fanout, func(h Host) bool { return h.Zone != self.Zone })
 	return appendFirst(out, byPair, fanout, func(h Host) bool {
 		return !slices.ContainsFunc(out, func(o Host) bool { return o.Incarnation == h.Incarnation })
 	})
--- a/internal/dev/moves_test.go
+++ b/internal/dev/moves_test.go
@@ -61,7 +61,7 @@
 	f := &fleet{t: t, Cluster: &dev.Cluster{
 		Declaration: p.Declaration, Hosts: 3, Zones: []string{"z1", "z2", "z3"}, StepTime: time.Millisecond, Place: place,
 		Tune: func(r *router.Router) {
-			r.ReportEvery = 50 * time.Millisecond
+			r.ReportEvery, r.ReportRate = 50*time.Millisecond, 1000
 			r.Heartbeat = 50 * time.Millisecond
 			r.MaxAge = 300 * time.Millisecond
 		},
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"github.com/heathkeel/heathkeel/platform"
@@ -35,6 +36,13 @@
 	r.Path(platform.PathHosts).Methods(http.MethodPut).HandlerFunc(p.register)
 	r.Path(platform.PathHosts).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out, err := p.Hosts.List(r.Context())
+		b, _ := json.Marshal(out)
+		tag := strconv.FormatUint(xxhash.Sum64(b), 16)
+		if r.Header.Get("If-None-Match") == tag {
+			w.WriteHeader(http.StatusNotModified)
+			return
+		}
+		w.Header().Set("ETag", tag)
 		reply(w, out, err)
 	})
 	r.Path(platform.PathWeights).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -60,6 +60,7 @@
 	start   time.Time
 	failed  map[string]failure
 	loading map[string]*endpoint.Holding
+	drains  map[string]time.Time // when an engine was first seen to drain
 	counts  Counts
 }
 
@@ -100,6 +101,7 @@
 	p.start = time.Now()
 	p.failed = make(map[string]failure)
 	p.loading = make(map[string]*endpoint.Holding)
+	p.drains = make(map[string]time.Time)
 	p.lease = Lease{KV: p.KV, Key: KeyShard + p.Zone, Holder: p.Name, TTL: p.TTL}
 	if p.Sweep == 0 {
 		p.Sweep = DefaultSweep
@@ -254,9 +256,25 @@
 	st.Busy = rep.Running + rep.Waiting
 	st.Served, st.Errors = rep.Served, rep.Errors
 	p.noteLoad(e.Name, rep)
+	st.Drained = p.noteDrain(e.Name, rep.Role == RoleDrain)
 	return st
 }
 
+// noteDrain returns how long an engine has been seen to drain. A new holder
+// begins to count anew, which only delays a reload.
+func (p *Placer) noteDrain(name string, drains bool) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !drains {
+		delete(p.drains, name)
+		return 0
+	}
+	if p.drains[name].IsZero() {
+		p.drains[name] = time.Now()
+	}
+	return time.Since(p.drains[name])
+}
+
 // noteLoad compares a report with the load ordered before. A failed load holds
 // the version back at all engines for a time that doubles.
 func (p *Placer) noteLoad(name string, rep endpoint.Report) {
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -32,6 +32,8 @@
 	Busy int
 	// Served and Errors count requests since it started.
 	Served, Errors int64
+	// Drained is how long its reports have said that it drains.
+	Drained time.Duration
 }
 
 // Order is what an engine shall be.
@@ -56,6 +58,9 @@
 	// requests; default 0.05, and ErrorLeast is the least number; default 5.
 	ErrorShare float64
 	ErrorLeast int64
+	// Settle is how long an engine must have drained before it is reloaded: until
+	// every host has read a report that says so; default 6 s.
+	Settle time.Duration
 }
 
 // withDefaults fills in the fields that are zero.
@@ -64,6 +69,7 @@
 	l.Share = cmp.Or(l.Share, 0.25)
 	l.ErrorShare = cmp.Or(l.ErrorShare, 0.05)
 	l.ErrorLeast = cmp.Or(l.ErrorLeast, 5)
+	l.Settle = cmp.Or(l.Settle, 6*time.Second)
 	return l
 }
 
@@ -189,7 +195,7 @@
 // change drains an engine or, once it is idle, orders the load.
 func (p *planner) change(e Engine, w *Wish) {
 	p.loads++
-	if e.Holding != nil && (e.Busy > 0 || e.Role != RoleDrain) {
+	if e.Holding != nil && (e.Busy > 0 || e.Role != RoleDrain || e.Drained < p.limits.Settle) {
 		p.orders = append(p.orders, Order{Engine: e.Name, Want: e.Holding, Role: RoleDrain})
 		return
 	}
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -92,7 +92,7 @@
 // benchHost starts one host and instant engines.
 func benchHost(b *testing.B, tokens int) (host, engine string) {
 	r := &dev.Cluster{Declaration: parse(b), Hosts: 1}
-	r.Tune = func(x *router.Router) { x.ReportEvery = 20 * time.Millisecond }
+	r.Tune = func(x *router.Router) { x.ReportEvery, x.ReportRate = 20*time.Millisecond, 1000 }
 	s, err := dev.Serve("127.0.0.1:0", instant(tokens))
 	must.NoError(b, err)
 	b.Cleanup(s.Kill)
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -103,7 +103,7 @@
 			g := newGate()
 			r.gates[x.Self.Name] = g
 			x.Trace = g.trace
-			x.ReportEvery = 50 * time.Millisecond
+			x.ReportEvery, x.ReportRate = 50*time.Millisecond, 1000
 			x.Heartbeat = 50 * time.Millisecond
 			if tune != nil {
 				tune(x)
--- a/router/router.go
+++ b/router/router.go
@@ -26,8 +26,11 @@
 
 // Defaults of a Router.
 const (
-	// DefaultReportEvery is the time between reads of an endpoint's report.
+	// DefaultReportEvery is the least time between reads of an endpoint's report.
 	DefaultReportEvery = 500 * time.Millisecond
+	// DefaultReportRate bounds the reports read from all endpoints together, a
+	// second: about 0.75 KB each, so that they keep to 8 KB/s.
+	DefaultReportRate = 10
 	// DefaultGeneration is the time after which a new generation of IDs begins.
 	DefaultGeneration = 10 * time.Minute
 	// DefaultWitnessTimeout bounds the wait for a witness's acknowledgement.
@@ -57,9 +60,10 @@
 	MaxAge time.Duration
 	// Heartbeat is the time between heartbeats; 0 means fleet.DefaultInterval.
 	Heartbeat time.Duration
-	// ReportEvery, Generation, WitnessTimeout, CancelGrace, Memory and Watched
+	// ReportEvery, ReportRate, Generation, WitnessTimeout, CancelGrace, Memory and Watched
 	// default to the constants above.
 	ReportEvery    time.Duration
+	ReportRate     float64
 	Generation     time.Duration
 	WitnessTimeout time.Duration
 	CancelGrace    time.Duration
@@ -115,6 +119,7 @@
 		def(&r.MaxAge, fleet.DefaultMaxAge)
 		def(&r.Heartbeat, fleet.DefaultInterval)
 		def(&r.ReportEvery, DefaultReportEvery)
+		def(&r.ReportRate, DefaultReportRate)
 		def(&r.Generation, DefaultGeneration)
 		def(&r.WitnessTimeout, DefaultWitnessTimeout)
 		def(&r.CancelGrace, DefaultCancelGrace)
--- a/router/targets.go
+++ b/router/targets.go
@@ -89,7 +89,8 @@
 func (r *Router) watch(ctx context.Context, name string, e endpoint.Engine) {
 	after := uint64(0)
 	for ctx.Err() == nil {
-		rctx, cancel := context.WithTimeout(ctx, 2*r.ReportEvery)
+		every := r.reportPause()
+		rctx, cancel := context.WithTimeout(ctx, 2*every)
 		rep, err := e.Report(rctx, after)
 		cancel()
 		if err == nil {
@@ -98,11 +99,20 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(r.ReportEvery):
+		case <-time.After(every):
 		}
 	}
 }
 
+// reportPause is the time between reads of one endpoint's report, so that all
+// together keep to the rate.
+func (r *Router) reportPause() time.Duration {
+	r.mu.Lock()
+	n := len(r.endpoints)
+	r.mu.Unlock()
+	return max(r.ReportEvery, time.Duration(float64(n)/r.ReportRate*float64(time.Second)))
+}
+
 // takeReport hands a report to the scheduler.
 func (r *Router) takeReport(name string, rep endpoint.Report) {
 	r.mu.Lock()
