--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -225,7 +225,7 @@
 func (c *Cluster) declare() error {
 	st := revision.Store{KV: c.Platform.KV}
 	edits := settings.Diff(nil, c.Declaration)
-	_, err := st.Apply(c.ctx, revision.Change{ID: "first", Author: "hkdev"}, edits)
+	_, err := st.Apply(c.ctx, revision.Change{ID: "first", Author: "hkdev", AtMS: time.Now().UnixMilli()}, edits)
 	return err
 }
 
--- a/internal/dev/moves_test.go
+++ b/internal/dev/moves_test.go
@@ -38,6 +38,8 @@
   w:
     services:
       push: {set: {tier: urgent, repeatable: false, endpoints: [s1], deadline: 20s}}
+      push-alone: {set: {tier: urgent, repeatable: false, witness: false, endpoints: [s1], deadline: 20s}}
+      look: {set: {tier: urgent, endpoints: [s1], deadline: 20s}}
       write: {set: {tier: normal, models: [m], deadline: 60s}}
 `
 
@@ -52,6 +54,7 @@
 	unknown  atomic.Int64
 	other    atomic.Int64
 	ids      sync.Map // name of a call to its outcome
+	quiet    bool     // do not log each lost call
 }
 
 // start starts three hosts.
@@ -107,15 +110,22 @@
 	case errors.As(err, &p):
 		out = problem.Unknown
 		f.unknown.Add(1)
-		f.t.Logf("%s: %v", name, err)
+		f.say(name, err)
 	default:
 		out = problem.Unknown
 		f.other.Add(1)
-		f.t.Logf("%s: %v", name, err)
+		f.say(name, err)
 	}
 	f.ids.Store(name, out)
 }
 
+// say logs a lost call.
+func (f *fleet) say(name string, err error) {
+	if !f.quiet {
+		f.t.Logf("%s: %v", name, err)
+	}
+}
+
 // halt ends the callers.
 func (f *fleet) halt() {
 	f.stop.Store(true)
--- /dev/null
+++ b/revision/bench_test.go
@@ -0,0 +1,124 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package revision
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/internal/fake"
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/settings"
+)
+
+// treeOf returns a declaration of n workspaces with three services each.
+func treeOf(n int) settings.Declaration {
+	d := settings.Declaration{{Node: "", Key: settings.KeyTiers, Value: "urgent,normal,patient"}}
+	for i := range n {
+		ws := fmt.Sprintf("workspaces/ws-%05d", i)
+		d = append(d, settings.Entry{Node: ws}, settings.Entry{Node: ws, Key: settings.KeyWeight, Value: "2"})
+		for _, s := range []string{"a", "b", "c"} {
+			node := ws + "/services/" + s
+			d = append(d, settings.Entry{Node: node}, settings.Entry{Node: node, Key: settings.KeyDeadline, Value: "5s"})
+		}
+	}
+	return d.Sorted()
+}
+
+// counting counts bytes and calls to a key-value service.
+type counting struct {
+	platform.KV
+	calls, bytes int
+}
+
+func (c *counting) Get(ctx context.Context, key string) (platform.Item, error) {
+	it, err := c.KV.Get(ctx, key)
+	c.calls++
+	c.bytes += len(it.Value)
+	return it, err
+}
+
+func (c *counting) Swap(ctx context.Context, key string, v uint64, b []byte, l platform.Lease) (uint64, error) {
+	c.calls++
+	c.bytes += len(b)
+	return c.KV.Swap(ctx, key, v, b, l)
+}
+
+// BenchmarkChange gives what a one-key change costs a host that takes it from the
+// key-value service, and what it costs the operator who makes it.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{5, 500, 8300} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			ctx := context.Background()
+			kv := &fake.KV{}
+			writer := &counting{KV: kv}
+			st := Store{KV: writer}
+			_, err := st.Apply(ctx, Change{ID: "first"}, settings.Diff(nil, treeOf(n)))
+			must.NoError(b, err)
+			reader := &counting{KV: kv}
+			f := &Follower{KV: reader, Log: logr.Discard()}
+			_, err = f.read(ctx)
+			must.NoError(b, err)
+			loaded := reader.bytes
+			*reader, *writer = counting{KV: kv}, counting{KV: kv}
+			node, old, i := "workspaces/ws-00003", "2", 0
+			for b.Loop() {
+				b.StopTimer()
+				i++
+				val := fmt.Sprint(2 + i%7)
+				if val == old {
+					continue
+				}
+				_, err := st.Apply(ctx, Change{ID: fmt.Sprint(i)}, []settings.Edit{{Node: node, Key: settings.KeyWeight, Old: old, New: val}})
+				must.NoError(b, err)
+				old = val
+				b.StartTimer()
+				_, err = f.read(ctx)
+				must.NoError(b, err)
+			}
+			took := float64(f.Counts().FromKV - 1)
+			b.ReportMetric(float64(reader.bytes)/took, "B/change")
+			b.ReportMetric(float64(reader.calls)/took, "calls/change")
+			b.ReportMetric(float64(writer.calls)/took, "operator-calls/change")
+			b.ReportMetric(float64(loaded), "B/load")
+		})
+	}
+}
+
+// oldPeer is a peer that is behind.
+type oldPeer struct{ raw []byte }
+
+func (p oldPeer) Head(context.Context, string) ([]byte, error) { return p.raw, nil }
+func (p oldPeer) Chunk(context.Context, string, string) ([]byte, error) {
+	return nil, ErrIncomplete
+}
+
+func TestOlderPeerChangesNothing(t *testing.T) {
+	ctx := t.Context()
+	kv := &fake.KV{}
+	st := Store{KV: kv}
+	_, err := st.Apply(ctx, Change{ID: "1"}, settings.Diff(nil, treeOf(3)))
+	must.NoError(t, err)
+	it, err := kv.Get(ctx, KeyHead)
+	must.NoError(t, err)
+	_, err = st.Apply(ctx, Change{ID: "2"}, []settings.Edit{{Node: "workspaces/ws-00001", Key: settings.KeyWeight, Old: "2", New: "3"}})
+	must.NoError(t, err)
+	f := &Follower{KV: kv, Peers: oldPeer{it.Value}, Log: logr.Discard()}
+	_, err = f.read(ctx)
+	must.NoError(t, err)
+	// The peer promises revision 9 and gives revision 1.
+	must.NoError(t, f.Pull(ctx, 9, "peer"))
+	must.Eq(t, 2, f.Revision())
+	must.Eq(t, 9, f.Seen())
+	// Broken content is refused and what is in force stays.
+	f.Peers = oldPeer{[]byte("{")}
+	must.Error(t, f.Pull(ctx, 10, "peer"))
+	must.Eq(t, 2, f.Revision())
+	must.Positive(t, f.Counts().Refused)
+}
--- a/router/drain.go
+++ b/router/drain.go
@@ -91,7 +91,7 @@
 		err := r.peers.handover(tctx, to.Address, h)
 		cancel()
 		if err == nil {
-			r.Log.Info("witness records handed on", "host", to.Name, "records", len(h.Recorded))
+			r.Log.Info("witness records handed on", "peer", to.Name, "records", len(h.Recorded))
 			return
 		}
 	}
