--- a/cmd/hkctl/hosts.go
+++ b/cmd/hkctl/hosts.go
@@ -110,7 +110,7 @@
 	fmt.Fprintln(w, "HOST\tADDRESS\tZONE\tREVISION\tREADY\tWAITING\tACTIVE\tKNOWS")
 	for _, s := range all {
 		if s.Status == nil {
-			fmt.Fprintf(w, "%s\t%s\t-\t-\t%s\n", s.Name, s.Address, s.Problem)
+			fmt.Fprintf(w, "%s\t%s\t-\t-\tsilent: %s\t-\t-\t-\n", s.Name, s.Address, s.Problem)
 			continue
 		}
 		ready := "yes"
--- a/once/id.go
+++ b/once/id.go
@@ -16,7 +16,7 @@
 type Incarnation uint64
 
 // String gives the incarnation as 16 hexadecimal digits.
-func (i Incarnation) String() string { return fmt.Sprintf("%016x", uint64(i)) }
+func (i Incarnation) String() string { return string(i.appendTo(make([]byte, 0, 16))) }
 
 // ParseIncarnation reads what String wrote.
 func ParseIncarnation(s string) (Incarnation, error) {
@@ -52,8 +52,30 @@
 }
 
 // String gives the prefix as text, ending in a dot.
-func (p Prefix) String() string {
-	return fmt.Sprintf("%s.%x.%s.%x.", p.Owner, uint32(p.OwnerGeneration), p.Witness, uint32(p.WitnessGeneration))
+func (p Prefix) String() string { return string(p.appendTo(make([]byte, 0, maxPrefix))) }
+
+// maxPrefix is the longest prefix, in bytes.
+const maxPrefix = 2*(16+1) + 2*(8+1)
+
+// appendTo appends the prefix as text to b.
+func (p Prefix) appendTo(b []byte) []byte {
+	b = p.Owner.appendTo(b)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, uint64(p.OwnerGeneration), 16)
+	b = append(b, '.')
+	b = p.Witness.appendTo(b)
+	b = append(b, '.')
+	b = strconv.AppendUint(b, uint64(p.WitnessGeneration), 16)
+	return append(b, '.')
+}
+
+// appendTo appends the incarnation as 16 hexadecimal digits to b.
+func (i Incarnation) appendTo(b []byte) []byte {
+	const digits = "0123456789abcdef"
+	for shift := 60; shift >= 0; shift -= 4 {
+		b = append(b, digits[i>>shift&15])
+	}
+	return b
 }
 
 // ID is the whole ID of a request.
@@ -70,7 +92,10 @@
 const idParts = 5
 
 // String gives the ID as text.
-func (id ID) String() string { return id.Prefix.String() + id.Unique }
+func (id ID) String() string {
+	var buf [maxPrefix + MaxUnique]byte
+	return string(append(id.appendTo(buf[:0]), id.Unique...))
+}
 
 // ParseID reads an ID strictly: each ID has exactly one text.
 func ParseID(s string) (ID, error) {
--- a/router/admit.go
+++ b/router/admit.go
@@ -26,7 +26,8 @@
 	snap    *settings.Snapshot
 	eff     *settings.Effective
 	rec     *once.Record
-	ownID   bool // the caller brought the ID and can resume
+	text    string // the ID
+	ownID   bool   // the caller brought the ID and can resume
 	req     *sched.Request
 	grant   chan sched.Decision
 	arrived time.Time
@@ -40,7 +41,7 @@
 }
 
 // id gives the job's ID as text.
-func (j *job) id() string { return j.rec.ID.String() }
+func (j *job) id() string { return j.text }
 
 // uniqueCount numbers the IDs that this process makes for callers without one.
 var uniqueCount atomic.Uint64
@@ -172,9 +173,9 @@
 	rec, v := r.owner.Accept(id, witnessed)
 	r.onceMu.Unlock()
 	if v == once.New {
-		j.rec = rec
+		j.rec, j.text = rec, id.String()
 		r.running.Add(1)
-		r.trace(StageAccepted, id.String())
+		r.trace(StageAccepted, j.text)
 		return nil
 	}
 	p := outcomeOf(rec, v)
