revision: an apply reads the chunks that it edits, not the tree

Cause: a one-key change cost the operator's tool 262 calls at 8,300 workspaces. Change: unless the fleet's own entries change, only touched shards and the fleet's chunk are read and written.

--- a/once/machines_test.go
+++ b/once/machines_test.go
@@ -98,6 +98,25 @@
 	}
 }
 
+// BenchmarkOwnerMemory gives the bytes that one owned ID takes.
+func BenchmarkOwnerMemory(b *testing.B) {
+	for _, n := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("ids=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				o := NewOwner(1, 0, n+1)
+				for i := range n {
+					r, _ := o.Accept(testID(fmt.Sprintf("%026d", i)), false)
+					_ = o.Dispatch(r, "runner-01")
+					_ = o.Finish(r, true)
+				}
+				b.ReportMetric(float64(heap()-before)/float64(n), "B/id")
+				runtime.KeepAlive(o)
+			}
+		})
+	}
+}
+
 func heap() uint64 {
 	runtime.GC()
 	var m runtime.MemStats
--- a/revision/bench_test.go
+++ b/revision/bench_test.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -91,6 +92,31 @@
 	}
 }
 
+// BenchmarkMemory gives the memory that the settings in force take on a host.
+func BenchmarkMemory(b *testing.B) {
+	for _, n := range []int{5, 500, 8300} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			ctx := context.Background()
+			kv := &fake.KV{}
+			st := Store{KV: kv}
+			_, err := st.Apply(ctx, Change{ID: "first"}, settings.Diff(nil, treeOf(n)))
+			must.NoError(b, err)
+			for b.Loop() {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				f := &Follower{KV: kv, Log: logr.Discard()}
+				_, err := f.read(ctx)
+				must.NoError(b, err)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
+
 // oldPeer is a peer that is behind.
 type oldPeer struct{ raw []byte }
 
--- a/revision/store.go
+++ b/revision/store.go
@@ -53,10 +53,31 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	d, err := s.declaration(ctx, h)
+	d, err := s.declaration(ctx, h, everything)
 	return h, d, err
 }
 
+// part tells which shards are read or written.
+type part func(shard int) bool
+
+// everything is all shards.
+func everything(int) bool { return true }
+
+// touched is the part that edits need: the fleet's chunk and those of the
+// workspaces edited, or everything if the fleet's own entries change, since any
+// workspace may refer to them.
+func touched(edits []settings.Edit) part {
+	shards := map[int]bool{FleetShard: true}
+	for _, e := range edits {
+		s := shardOf(settings.Entry{Node: e.Node})
+		if s == FleetShard {
+			return everything
+		}
+		shards[s] = true
+	}
+	return func(shard int) bool { return shards[shard] }
+}
+
 // head reads the head record and its version.
 func (s *Store) head(ctx context.Context) (*Head, uint64, error) {
 	it, err := s.KV.Get(ctx, KeyHead)
@@ -70,10 +91,13 @@
 	return h, it.Version, err
 }
 
-// declaration reads all chunks of a head.
-func (s *Store) declaration(ctx context.Context, h *Head) (settings.Declaration, error) {
+// declaration reads the chunks of a part of a head.
+func (s *Store) declaration(ctx context.Context, h *Head, in part) (settings.Declaration, error) {
 	var d settings.Declaration
 	for _, ref := range h.Chunks {
+		if !in(ref.Shard) {
+			continue
+		}
 		it, err := s.KV.Get(ctx, KeyChunk+ref.Digest)
 		if err != nil {
 			return nil, err
@@ -125,7 +149,8 @@
 	if done, ok := h.Find(c.ID); ok {
 		return done, nil
 	}
-	d, err := s.declaration(ctx, h)
+	in := touched(edits)
+	d, err := s.declaration(ctx, h, in)
 	if err != nil {
 		return c, err
 	}
@@ -138,7 +163,7 @@
 	}
 	c.Revision = h.Revision + 1
 	c.Paths, c.More = pathsOf(edits)
-	return c, s.write(ctx, h, version, merged, c)
+	return c, s.write(ctx, h, version, merged, in, c)
 }
 
 // touching returns the remembered changes that touched any of the paths.
@@ -162,13 +187,19 @@
 	return paths, len(edits) - n
 }
 
-// write stores new chunks and then the head, and deletes chunks long retired.
-func (s *Store) write(ctx context.Context, h *Head, version uint64, d settings.Declaration, c Change) error {
+// write stores the new chunks of a part and then the head, and deletes chunks
+// long retired.
+func (s *Store) write(ctx context.Context, h *Head, version uint64, d settings.Declaration, in part, c Change) error {
 	chunks, err := Chunks(d)
 	if err != nil {
 		return err
 	}
 	next := &Head{Revision: c.Revision}
+	for _, ref := range h.Chunks {
+		if !in(ref.Shard) {
+			next.Chunks = append(next.Chunks, ref)
+		}
+	}
 	for _, ch := range chunks {
 		next.Chunks = append(next.Chunks, ch.ChunkRef)
 		if slices.Contains(h.Chunks, ch.ChunkRef) {
@@ -178,6 +209,7 @@
 			return err
 		}
 	}
+	slices.SortFunc(next.Chunks, func(a, b ChunkRef) int { return a.Shard - b.Shard })
 	next.Recent = append([]Change{c}, h.Recent[:min(len(h.Recent), maxRecent-1)]...)
 	dead := s.retire(ctx, h, next)
 	b, err := json.Marshal(next)
