router, fleet: a witness hands its records to two hosts, and all that hold them are asked

Cause: a fault case of a planned stop followed by a crash told "unknown" without an endpoint: the one host asked for the copy was the dead owner, not yet suspected, while the asking host held a copy itself. Change: copies are sealed, so two hosts take one each; a question goes to the own copy first and then to every host that may answer. A change of settings shares all workspaces of a shard whose entries did not change.

--- a/fleet/table.go
+++ b/fleet/table.go
@@ -252,18 +252,17 @@
 	return m.Host, true
 }
 
-// Witness returns the live host that answers for a witness incarnation, which
-// may be one that took its records over.
-func (t *Table) Witness(id once.Incarnation) (Host, bool) {
-	if h, ok := t.Find(id); ok && !h.Gone {
-		return h, true
-	}
+// Witnesses returns the hosts that may answer for a witness incarnation: itself
+// and those that took its records over, live ones first.
+func (t *Table) Witnesses(id once.Incarnation) []Host {
+	var out []Host
 	for _, h := range t.Hosts() {
-		if slices.Contains(h.Answers, id) && !h.Gone {
-			return h, true
+		if !h.Gone && (h.Incarnation == id || slices.Contains(h.Answers, id)) {
+			out = append(out, h)
 		}
 	}
-	return Host{}, false
+	slices.SortStableFunc(out, func(a, b Host) int { return btoi(a.Suspect) - btoi(b.Suspect) })
+	return out
 }
 
 // Hosts returns all records, this host's own included, sorted by incarnation.
--- a/router/admit.go
+++ b/router/admit.go
@@ -330,7 +330,7 @@
 	if !due {
 		return
 	}
-	if h, ok := r.witnessHost(j.rec.ID.Witness); ok && h.Leaving {
+	if h, ok := r.knownHost(j.rec.ID.Witness); ok && h.Leaving {
 		r.record(ctx, j.rec, "")
 	}
 }
--- a/router/drain.go
+++ b/router/drain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/once"
 	"github.com/heathkeel/heathkeel/problem"
 )
 
@@ -74,7 +75,8 @@
 	writeJSON(w, struct{}{})
 }
 
-// handOn gives the witness records to another host, in another zone if there is one.
+// handOn gives the witness records to other hosts. The copies are sealed, so that
+// several may answer, and the loss of one loses nothing.
 func (r *Router) handOn(ctx context.Context) {
 	r.onceMu.Lock()
 	h := r.witness.Leave()
@@ -82,21 +84,32 @@
 	if len(h.Recorded) == 0 {
 		return
 	}
-	live := r.hosts()
-	r.mu.Lock()
-	to, ok := fleet.PickWitness(fleet.Host{}, r.Self, live, r.rnd)
-	r.mu.Unlock()
-	for try := 0; ok && try < handTries && ctx.Err() == nil; try++ {
+	done := 0
+	for _, to := range fleet.Set("handover", r.Self.Region, r.hosts(), handCopies) {
+		if r.handTo(ctx, to, h) {
+			done++
+		}
+	}
+	r.Log.Info("witness records handed on", "records", len(h.Recorded), "copies", done)
+}
+
+// handTo gives the witness records to one host.
+func (r *Router) handTo(ctx context.Context, to fleet.Host, h once.Handover) bool {
+	for range handTries {
 		tctx, cancel := context.WithTimeout(ctx, askTimeout)
 		err := r.peers.handover(tctx, to.Address, h)
 		cancel()
 		if err == nil {
-			r.Log.Info("witness records handed on", "peer", to.Name, "records", len(h.Recorded))
-			return
+			return true
 		}
 	}
-	r.Log.Info("witness records not handed on; callers that ask for them are told that the outcome is unknown", "records", len(h.Recorded))
+	return false
 }
 
-// handTries bounds the tries to hand the witness records on.
-const handTries = 5
+// Bounds of handing the witness records on.
+const (
+	// handCopies is the number of hosts that get them.
+	handCopies = 2
+	// handTries bounds the tries at one host.
+	handTries = 3
+)
--- a/router/faults_test.go
+++ b/router/faults_test.go
@@ -172,6 +172,31 @@
 		must.Eq(s.t, problem.Unknown, push(s.owner.Address, s.id).outcome)
 		return push(s.third.Address, s.id)
 	}},
+	{"witness leaves and hands its records on, then the owner dies", want{problem.Unknown, 0}, func(s *scene) reply {
+		reached, _ := s.ownerGate.at(router.StageRecorded)
+		wait := s.start()
+		<-reached
+		must.NoError(s.t, s.witness.Router.Drain(s.t.Context()))
+		s.witness.Kill()
+		s.owner.Kill()
+		wait()
+		got := outcome(s.third.Address, s.id)
+		// The copy knows where the call was to go; without it nobody would.
+		must.NotEq(s.t, "", got.problem.Endpoint)
+		return got
+	}},
+	{"witness leaves with nothing recorded, then the owner dies", want{problem.NotRun, 0}, func(s *scene) reply {
+		other := s.id + "-recorded"
+		must.Eq(s.t, problem.Answered, push(s.owner.Address, other).outcome)
+		reached, _ := s.ownerGate.at(router.StageAccepted)
+		wait := s.start()
+		<-reached
+		must.NoError(s.t, s.witness.Router.Drain(s.t.Context()))
+		s.witness.Kill()
+		s.owner.Kill()
+		wait()
+		return outcome(s.third.Address, s.id)
+	}},
 	{"owner and witness killed", want{problem.Unknown, 0}, func(s *scene) reply {
 		reached, _ := s.ownerGate.at(router.StageAccepted)
 		wait := s.start()
--- a/router/forward.go
+++ b/router/forward.go
@@ -35,8 +35,8 @@
 
 // owningHost finds the host that owns an ID, if it is not known to be gone.
 func (r *Router) owningHost(id once.ID) (h fleet.Host, ok bool) {
-	r.agent.View(func(t *fleet.Table) { h, ok = t.Find(id.Owner) })
-	return h, ok && !h.Gone && !h.Suspect
+	h, ok = r.knownHost(id.Owner)
+	return h, ok && !h.Suspect
 }
 
 // passOn sends a request to another host and its answer back; false means that
@@ -170,19 +170,23 @@
 	return problem.Lost(problem.WitnessLost, "", "read its effect at the endpoints", "the ID's witness is gone")
 }
 
-// askFinding asks the witness of an ID, which may be this host.
-func (r *Router) askFinding(ctx context.Context, id once.ID) (once.Finding, string, error) {
-	h, ok := r.witnessHost(id.Witness)
-	if !ok {
-		return once.FoundWrong, "", nil
-	}
-	if h.Incarnation == r.Self.Incarnation {
-		f, name := r.closeHere(id)
+// askFinding asks whoever answers for the witness of an ID, this host first.
+func (r *Router) askFinding(ctx context.Context, id once.ID) (f once.Finding, name string, err error) {
+	if f, name = r.closeHere(id); f != once.FoundWrong {
 		return f, name, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	return r.peers.closeID(ctx, h.Address, id)
+	for _, h := range r.witnessHosts(id.Witness) {
+		if h.Incarnation == r.Self.Incarnation {
+			continue
+		}
+		actx, cancel := context.WithTimeout(ctx, askTimeout)
+		f, name, err = r.peers.closeID(actx, h.Address, id)
+		cancel()
+		if err == nil && f != once.FoundWrong {
+			return f, name, nil
+		}
+	}
+	return once.FoundWrong, "", err
 }
 
 // endForeign ends a stream of an owner that is gone.
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -105,6 +105,7 @@
 			x.Trace = g.trace
 			x.ReportEvery, x.ReportRate = 50*time.Millisecond, 1000
 			x.Heartbeat = 50 * time.Millisecond
+			x.MaxAge = 200 * time.Millisecond
 			if tune != nil {
 				tune(x)
 			}
--- a/router/witness.go
+++ b/router/witness.go
@@ -115,7 +115,8 @@
 		body.Endpoints = append(body.Endpoints, p.req.Endpoint)
 	}
 	var acks []uint8
-	if h, ok := r.witnessHost(id); ok {
+	// Only the witness itself records; copies that others hold are sealed.
+	if h, ok := r.knownHost(id); ok {
 		// An error leaves acks empty: the IDs are refused below.
 		acks, _ = r.peers.record(ctx, h.Address, body)
 	}
@@ -128,10 +129,16 @@
 	}
 }
 
-// witnessHost finds the host that answers for a witness.
-func (r *Router) witnessHost(id once.Incarnation) (h fleet.Host, ok bool) {
-	r.agent.View(func(t *fleet.Table) { h, ok = t.Witness(id) })
-	return h, ok
+// witnessHosts finds the hosts that may answer for a witness.
+func (r *Router) witnessHosts(id once.Incarnation) (out []fleet.Host) {
+	r.agent.View(func(t *fleet.Table) { out = t.Witnesses(id) })
+	return out
+}
+
+// knownHost finds an incarnation that has not ended.
+func (r *Router) knownHost(id once.Incarnation) (h fleet.Host, ok bool) {
+	r.agent.View(func(t *fleet.Table) { h, ok = t.Find(id) })
+	return h, ok && !h.Gone
 }
 
 // witnessFor returns the own witness machine of an incarnation, or nil; onceMu must be held.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -122,6 +122,33 @@
 	must.SliceContains(t, list, Explanation{KeyQueue, "1000", "default"})
 }
 
+func TestWithSharesWhatDidNotChange(t *testing.T) {
+	d := treeOf(2000)
+	s := NewSnapshot(1, d)
+	var part Declaration
+	for _, e := range d {
+		if e.Node != "" && ShardOf(Top(e.Node)) == ShardOf("workspaces/ws-00007") {
+			if e.Node == "workspaces/ws-00007" && e.Key == KeyWeight {
+				e.Value = "5"
+			}
+			part = append(part, e)
+		}
+	}
+	n := s.With(2, []ShardEntries{{ShardOf("workspaces/ws-00007"), part}})
+	changed := 0
+	for _, ws := range s.Workspaces() {
+		a, _ := s.Resolve(Ref{ws, "a", ""})
+		b, ok := n.Resolve(Ref{ws, "a", ""})
+		must.True(t, ok)
+		if a != b {
+			changed++
+			must.Eq(t, 5, b.Weight)
+			must.Eq(t, 2, a.Weight)
+		}
+	}
+	must.Eq(t, 1, changed)
+}
+
 func TestMerge(t *testing.T) {
 	old := Declaration{{"a", "", ""}, {"a", "x", "1"}, {"a", "y", "1"}}
 	cases := []struct {
--- a/settings/snapshot.go
+++ b/settings/snapshot.go
@@ -99,6 +99,7 @@
 
 // workspaceTree is one top-level workspace, resolved.
 type workspaceTree struct {
+	sum   uint64 // hash of the entries that it was made from
 	refs  map[Ref]*Effective
 	hosts map[string]int
 }
@@ -139,7 +140,7 @@
 	}
 	s := &Snapshot{Revision: revision, Fleet: newFleet(fleet)}
 	for i := range parts {
-		s.shards[i] = newShard(s.Fleet, parts[i])
+		s.shards[i] = newShard(s.Fleet, parts[i], nil)
 	}
 	return s
 }
@@ -150,7 +151,7 @@
 	n := *s
 	n.Revision = revision
 	for _, c := range changed {
-		n.shards[c.Shard] = newShard(n.Fleet, c.Entries)
+		n.shards[c.Shard] = newShard(n.Fleet, c.Entries, s.shards[c.Shard])
 	}
 	return &n
 }
@@ -282,8 +283,9 @@
 	return FindKey(key, level).Default
 }
 
-// newShard resolves the workspaces of one shard.
-func newShard(f *Fleet, entries Declaration) *shard {
+// newShard resolves the workspaces of one shard. Those whose entries are the same
+// in old, made under the same fleet, are shared with it; old may be nil.
+func newShard(f *Fleet, entries Declaration, old *shard) *shard {
 	sh := &shard{trees: make(map[string]*workspaceTree)}
 	for i := 0; i < len(entries); {
 		top := Top(entries[i].Node)
@@ -291,12 +293,33 @@
 		for j < len(entries) && Top(entries[j].Node) == top {
 			j++
 		}
-		sh.trees[lastName(top)] = newTree(f, entries[i:j])
+		name, sum := lastName(top), hashOf(entries[i:j])
+		if old != nil && old.trees[name] != nil && old.trees[name].sum == sum {
+			sh.trees[name] = old.trees[name]
+		} else {
+			sh.trees[name] = newTree(f, entries[i:j])
+			sh.trees[name].sum = sum
+		}
 		i = j
 	}
 	return sh
 }
 
+// hashOf hashes entries.
+func hashOf(entries Declaration) uint64 {
+	d := xxhash.New()
+	for _, e := range entries {
+		for _, part := range []string{e.Node, e.Key, e.Value} {
+			_, _ = d.WriteString(part)
+			_, _ = d.Write(separator)
+		}
+	}
+	return d.Sum64()
+}
+
+// separator stands between hashed parts.
+var separator = []byte{0}
+
 // newTree resolves all nodes of one top-level workspace.
 func newTree(f *Fleet, entries Declaration) *workspaceTree {
 	t := &workspaceTree{refs: make(map[Ref]*Effective), hosts: make(map[string]int)}
