--- a/placer/placer.go
+++ b/placer/placer.go
@@ -61,6 +61,7 @@
 	failed  map[string]failure
 	loading map[string]*endpoint.Holding
 	drains  map[string]time.Time // when an engine was first seen to drain
+	demand  demands
 	counts  Counts
 }
 
@@ -102,6 +103,7 @@
 	p.failed = make(map[string]failure)
 	p.loading = make(map[string]*endpoint.Holding)
 	p.drains = make(map[string]time.Time)
+	p.demand = make(demands)
 	p.lease = Lease{KV: p.KV, Key: KeyShard + p.Zone, Holder: p.Name, TTL: p.TTL}
 	if p.Sweep == 0 {
 		p.Sweep = DefaultSweep
@@ -171,7 +173,8 @@
 	states := p.read(ctx, specs)
 	wishes := Wishes(snap, p.Zone)
 	p.holdBack(wishes)
-	orders := Plan(time.Since(p.start), wishes, states, p.Limits)
+	p.demand.note(wishes, states)
+	orders := Plan(time.Since(p.start), append(wishes, p.demand.extras(wishes)...), states, p.Limits)
 	p.noteUnplaced(wishes, states)
 	for _, o := range orders {
 		i := slices.IndexFunc(specs, func(e settings.Endpoint) bool { return e.Name == o.Engine })
@@ -253,7 +256,7 @@
 		return st
 	}
 	st.Holding, st.Loading, st.Role = rep.Holding, rep.Loading, rep.Role
-	st.Busy = rep.Running + rep.Waiting
+	st.Busy, st.Slots = rep.Running+rep.Waiting, rep.Slots
 	st.Served, st.Errors = rep.Served, rep.Errors
 	p.noteLoad(e.Name, rep)
 	st.Drained = p.noteDrain(e.Name, rep.Role == RoleDrain)
--- a/placer/plan.go
+++ b/placer/plan.go
@@ -30,6 +30,8 @@
 	Role             string
 	// Busy is the number of requests running or waiting there.
 	Busy int
+	// Slots is the number of requests that it runs at once.
+	Slots int
 	// Served and Errors count requests since it started.
 	Served, Errors int64
 	// Drained is how long its reports have said that it drains.
--- a/router/admit.go
+++ b/router/admit.go
@@ -344,7 +344,6 @@
 		{sched.ReasonNoEndpoint, problem.NoEndpoint},
 		{sched.ReasonDeadline, problem.DeadlineTooNear},
 		{sched.ReasonRate, problem.RateLimited},
-		{sched.ReasonConcurrency, problem.RateLimited},
 		{sched.ReasonRetryBudget, problem.RetryBudget},
 	}
 	kind := problem.Overloaded
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -39,7 +39,7 @@
 // entry is a decision in the ring, of fixed size.
 type entry struct {
 	id     string
-	ref    poolRefNames
+	ref    refNames
 	at     time.Duration
 	d      Decision
 	n      int
@@ -47,8 +47,8 @@
 	filled bool
 }
 
-// poolRefNames are the names shown for a decision.
-type poolRefNames struct{ workspace, service, tier string }
+// refNames are the names shown for a decision.
+type refNames struct{ workspace, service, tier string }
 
 // logSize is the number of decisions remembered on a host.
 const logSize = 512
@@ -58,7 +58,7 @@
 	e := &s.log[s.logNext%logSize]
 	s.logNext++
 	st := d.Request.Settings
-	*e = entry{id: d.Request.ID, ref: poolRefNames{st.Workspace, st.Service, st.Tier}, at: now, d: d, filled: true}
+	*e = entry{id: d.Request.ID, ref: refNames{st.Workspace, st.Service, st.Tier}, at: now, d: d, filled: true}
 	e.d.Request = nil
 	e.n = copy(e.cands[:], cands)
 }
--- a/sched/limit.go
+++ b/sched/limit.go
@@ -29,6 +29,11 @@
 	budgets map[string]*budget
 }
 
+// newLimits returns limits under which nothing has run yet.
+func newLimits() limits {
+	return limits{scopes: make(map[string]*limit), budgets: make(map[string]*budget)}
+}
+
 // budget is a workspace's credit for retries.
 type budget struct{ credit float64 }
 
@@ -38,16 +43,12 @@
 	budgetBurst = 10
 	// rateBurst is the time whose requests a rate limit lets through at once.
 	rateBurst = 0.5
-	// maxScopes bounds the scopes and budgets remembered.
-	maxScopes = 1 << 15
+	// maxBudgets bounds the budgets remembered; scopes are as many as settings declare.
+	maxBudgets = 1 << 15
 )
 
 // scope returns the limit of a scope.
 func (l *limits) scope(name string) *limit {
-	if l.scopes == nil {
-		l.scopes = make(map[string]*limit)
-		l.budgets = make(map[string]*budget)
-	}
 	x := l.scopes[name]
 	if x == nil {
 		x = &limit{}
@@ -100,10 +101,9 @@
 // takeRetry earns credit with a first try and spends it with a retry; it
 // reports whether the request may go on.
 func (l *limits) takeRetry(e *settings.Effective, retry bool) bool {
-	l.scope("")
 	b := l.budgets[e.Workspace]
 	if b == nil {
-		if len(l.budgets) >= maxScopes {
+		if len(l.budgets) >= maxBudgets {
 			clear(l.budgets)
 		}
 		b = &budget{credit: budgetBurst}
--- a/sched/request.go
+++ b/sched/request.go
@@ -79,7 +79,6 @@
 	ReasonShed        Reason = "shed for a higher tier"
 	ReasonFloor       Reason = "tier is being shed"
 	ReasonRate        Reason = "rate limit"
-	ReasonConcurrency Reason = "concurrency limit"
 	ReasonRetryBudget Reason = "retry budget"
 )
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -51,6 +51,7 @@
 	s.pools = make(map[uint64]*pool)
 	s.poolRefs = make(map[poolRef]*pool)
 	s.lengths = make(lengths)
+	s.limits = newLimits()
 	s.waitingOf = make(map[string]int)
 }
 
