router, client: a request that ran whole is told as answered

Change: the owner that sent the whole answer says "answered" (kind already-run); the client resumes such an answer from the engine. Conclusion: outcomes say what the owner knows.

--- a/client/complete.go
+++ b/client/complete.go
@@ -182,7 +182,8 @@
 			return errBroken
 		}
 		err = a.read(resp)
-		if p := new(problem.Problem); errors.As(err, &p) && p.Outcome == problem.Pending {
+		// It runs, or it ran and the answer got lost on the way: the engine has it.
+		if p := new(problem.Problem); errors.As(err, &p) && (p.Outcome == problem.Pending || p.Kind == problem.AlreadyRun) {
 			a.ans.Endpoint = p.Endpoint
 			return errBroken
 		}
--- a/router/admit.go
+++ b/router/admit.go
@@ -201,7 +201,9 @@
 		p.Outcome = problem.Pending
 		return p
 	case once.Answered:
-		return problem.Lost(problem.AlreadyRun, rec.Endpoint, "read its effect at the endpoint", "the request ran and its answer was sent before")
+		p := problem.Lost(problem.AlreadyRun, rec.Endpoint, "read its effect at the endpoint", "the request ran once and its whole answer was sent")
+		p.Outcome = problem.Answered
+		return p
 	case once.Lost:
 		return problem.Lost(problem.EndpointLost, rec.Endpoint, "read its effect at the endpoint; resubmit under a new ID if running twice does no harm", "the request was dispatched and its answer lost")
 	}
--- a/router/faults_test.go
+++ b/router/faults_test.go
@@ -149,9 +149,12 @@
 		}
 		return last
 	}},
-	{"retry after the answer", want{problem.Unknown, 1}, func(s *scene) reply {
+	{"retry after the answer", want{problem.Answered, 1}, func(s *scene) reply {
 		must.Eq(s.t, problem.Answered, push(s.owner.Address, s.id).outcome)
-		return push(s.third.Address, s.id)
+		again := push(s.third.Address, s.id)
+		// The answer itself is not repeated; that it was sent is told.
+		must.Eq(s.t, problem.AlreadyRun, again.problem.Kind)
+		return again
 	}},
 	{"asked before the call arrives", want{problem.NotRun, 0}, func(s *scene) reply {
 		must.Eq(s.t, problem.NotRun, outcome(s.third.Address, s.id).outcome)
