--- a/sched/config.go
+++ b/sched/config.go
@@ -28,6 +28,9 @@
 	BackAt float64
 	// MaxEased is the largest share of a pool eased out; default 0.34.
 	MaxEased float64
+	// EarlyTrust is the part of the estimated wait that early refusal counts on;
+	// default 0.5, since what waits is dropped anyway once it is too late.
+	EarlyTrust float64
 	// FloorHold is how long a shedding floor stands after the last refusal; default 1.2 s,
 	// three heartbeats, so that other hosts hear of it while it stands.
 	FloorHold time.Duration
@@ -84,6 +87,7 @@
 	def(&c.SlowAt, 3)
 	def(&c.BackAt, 1.5)
 	def(&c.MaxEased, 0.34)
+	def(&c.EarlyTrust, 0.5)
 	def(&c.FloorHold, 1200*time.Millisecond)
 	def(&c.DownHold, time.Second)
 	def(&c.ReportLife, 5*time.Second)
--- a/sched/order.go
+++ b/sched/order.go
@@ -29,7 +29,7 @@
 	if r.pool.floor.holds(now, r.rank()) {
 		return s.refuse(now, r, ReasonFloor, r.pool.floor.until-now)
 	}
-	if !s.cfg.Off.Early && len(r.pool.members) > 0 && now+s.wait(now, r)+s.leastWhole(now, r) > r.Deadline {
+	if s.hopeless(now, r) {
 		return s.refuse(now, r, ReasonDeadline, s.wait(now, r))
 	}
 	if !s.before(r) {
@@ -159,6 +159,15 @@
 	return least
 }
 
+// hopeless reports whether a request that comes now cannot end in time.
+func (s *Scheduler) hopeless(now time.Duration, r *Request) bool {
+	if s.cfg.Off.Early || len(r.pool.members) == 0 {
+		return false
+	}
+	wait := time.Duration(s.cfg.EarlyTrust * float64(s.wait(now, r)))
+	return now+wait+s.leastWhole(now, r) > r.Deadline
+}
+
 // tooLate reports whether a request that waited is not likely to end in time any
 // more; running it would only take room from others.
 func (s *Scheduler) tooLate(now time.Duration, r *Request) bool {
