once, router: an ID that names a witness is always recorded

Cause: the outcome test under the race detector and load failed: calls guarded by their owner only ran twice (1 to 8 of 800). Their IDs named a witness although settings asked for none; after the owner's death the witness had no record and said "not run" of calls that had run, also of calls that may be repeated. Ruled out: retries inside the transport, double accept at the owner (runs were under two IDs, the second after a false "not run"). Change: the pure owner derives from the ID that a record is due; the address answer gives a prefix without a witness and one with; mutation MUT_NO_RECORD, two fault cases and a unit test. Conclusion: what a witness may say no longer depends on settings.

--- a/client/call.go
+++ b/client/call.go
@@ -27,6 +27,9 @@
 	// NoRepeat says that the call must not be run twice: one whose outcome is
 	// unknown is reported and not made again.
 	NoRepeat bool
+	// NoWitness leaves the witness out, for services set witness: false: then
+	// nobody knows what became of a call whose host died.
+	NoWitness bool
 }
 
 // CallAnswer is the answer of a plain service.
@@ -50,7 +53,7 @@
 			return CallAnswer{}, err
 		}
 		at := pick(list, n)
-		id := newID(at.Prefix)
+		id := newID(at, q.NoRepeat && !q.NoWitness)
 		ans, err := c.callOnce(ctx, at.Address, id, old, q)
 		if err == nil {
 			return ans, nil
--- a/client/client.go
+++ b/client/client.go
@@ -150,8 +150,14 @@
 // pick returns the address to use for try number n, the preferred one first.
 func pick(list []fleet.Address, n int) fleet.Address { return list[n%len(list)] }
 
-// newID makes an ID under a prefix.
-func newID(prefix string) string { return prefix + rand.Text() }
+// newID makes an ID for a host: with a witness, if there is one, for what may not
+// be repeated.
+func newID(at fleet.Address, once bool) string {
+	if once && at.OncePrefix != "" {
+		return at.OncePrefix + rand.Text()
+	}
+	return at.Prefix + rand.Text()
+}
 
 // Outcome asks any host that answers what became of a request.
 func (c *Client) Outcome(ctx context.Context, id string) (*problem.Problem, error) {
--- a/client/complete.go
+++ b/client/complete.go
@@ -71,7 +71,7 @@
 			return Answer{}, err
 		}
 		at := pick(list, n)
-		a := &attempt{c: c, q: q, id: newID(at.Prefix), old: old, start: start}
+		a := &attempt{c: c, q: q, id: newID(at, q.NoRepeat), old: old, start: start}
 		err = a.run(ctx, at.Address)
 		if err == nil {
 			a.ans.Text, a.ans.ID, a.ans.Resubmitted = a.text.String(), a.id, n
--- a/fleet/answer.go
+++ b/fleet/answer.go
@@ -18,8 +18,12 @@
 	Zone string `json:"zone"`
 	// Address is its IP number and port.
 	Address string `json:"address"`
-	// Prefix begins the ID of every request sent there; the caller appends its own part.
+	// Prefix begins the ID of requests sent there; the caller appends its own part.
 	Prefix string `json:"prefix"`
+	// OncePrefix begins the ID of calls that may not be repeated: it names a
+	// witness, which records every such ID before its dispatch. It is empty if
+	// there is no other host.
+	OncePrefix string `json:"once_prefix,omitempty"`
 	// Witness is the address to ask about a request when the host is lost; it may be empty.
 	Witness string `json:"witness,omitempty"`
 }
--- a/internal/dev/outcomes_test.go
+++ b/internal/dev/outcomes_test.go
@@ -36,7 +36,7 @@
 // pushAlone makes a call that only its owner guards.
 func pushAlone(cl *client.Client, name string) error {
 	_, err := cl.Do(context.Background(), client.Call{
-		Service: "push-alone", Method: http.MethodPost, Path: "/", Header: http.Header{fake.HeaderCall: {name}}, NoRepeat: true,
+		Service: "push-alone", Method: http.MethodPost, Path: "/", Header: http.Header{fake.HeaderCall: {name}}, NoRepeat: true, NoWitness: true,
 	})
 	return err
 }
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -93,6 +93,13 @@
 	e.faults = f
 }
 
+// SetStep changes the time of a step while the engine runs.
+func (e *Engine) SetStep(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.StepTime = d
+}
+
 // Runs returns how often a request was run under an ID.
 func (e *Engine) Runs(id string) int {
 	e.mu.Lock()
--- a/once/machines_test.go
+++ b/once/machines_test.go
@@ -22,16 +22,16 @@
 		want Verdict
 	}{
 		{"first", testID("a"), func(*Owner) {}, New},
-		{"again", testID("a"), func(o *Owner) { o.Accept(testID("a"), true) }, Known},
+		{"again", testID("a"), func(o *Owner) { o.Accept(testID("a")) }, Known},
 		{"after a question", testID("a"), func(o *Owner) { o.Query(testID("a")) }, Known},
 		{"other incarnation", ID{Prefix{9, 1, 2, 1}, "a"}, func(*Owner) {}, NotOwner},
 		{"future generation", ID{Prefix{1, 2, 2, 1}, "a"}, func(*Owner) {}, Forged},
 		{"old generation", testID("a"), func(o *Owner) { o.Advance(); o.Advance() }, Forgotten},
-		{"full", testID("c"), func(o *Owner) { o.Accept(testID("a"), true); o.Accept(testID("b"), true) }, Full},
+		{"full", testID("c"), func(o *Owner) { o.Accept(testID("a")); o.Accept(testID("b")) }, Full},
 		{"sealed since it was full", testID("c"), func(o *Owner) {
-			a, _ := o.Accept(testID("a"), true)
-			o.Accept(testID("b"), true)
-			o.Accept(testID("c"), true)
+			a, _ := o.Accept(testID("a"))
+			o.Accept(testID("b"))
+			o.Accept(testID("c"))
 			must.NoError(t, o.Refuse(a))
 			o.records.size = 0
 		}, Full},
@@ -39,27 +39,39 @@
 	for _, c := range cases {
 		o := NewOwner(1, 2, 2)
 		c.prep(o)
-		_, v := o.Accept(c.id, true)
+		_, v := o.Accept(c.id)
 		must.Eq(t, c.want, v, must.Sprint(c.name))
 	}
 }
 
 func TestOwnerKeepsLiveRecords(t *testing.T) {
 	o := NewOwner(1, 2, 0)
-	r, _ := o.Accept(testID("long"), false)
+	long := ID{Prefix{1, 1, 0, 0}, "long"}
+	r, _ := o.Accept(long)
 	must.NoError(t, o.Dispatch(r, "e"))
 	for range 5 {
 		o.Advance()
 	}
-	_, v := o.Query(testID("long"))
+	_, v := o.Query(long)
 	must.Eq(t, Known, v)
 	must.NoError(t, o.Finish(r, true))
 	o.Advance()
-	_, v = o.Query(testID("long"))
+	_, v = o.Query(long)
 	must.Eq(t, Forgotten, v)
 	must.Zero(t, o.Size())
 }
 
+func TestAnIDThatNamesAWitnessIsRecorded(t *testing.T) {
+	o := NewOwner(1, 0, 0)
+	r, _ := o.Accept(testID("a"))
+	must.Error(t, o.Dispatch(r, "e"))
+	_, err := o.BeginRecord(r, "e")
+	must.NoError(t, err)
+	must.Error(t, o.Dispatch(r, "e"))
+	o.Acknowledge(r, AckRecorded)
+	must.NoError(t, o.Dispatch(r, "e"))
+}
+
 func TestWitnessHandover(t *testing.T) {
 	w := NewWitness(2, 0, 0)
 	must.Eq(t, AckRecorded, w.Record(RecordRequest{testID("a"), "e"}))
@@ -106,7 +118,7 @@
 				before := heap()
 				o := NewOwner(1, 0, n+1)
 				for i := range n {
-					r, _ := o.Accept(testID(fmt.Sprintf("%026d", i)), false)
+					r, _ := o.Accept(ID{Prefix{1, 1, 0, 0}, fmt.Sprintf("%026d", i)})
 					_ = o.Dispatch(r, "runner-01")
 					_ = o.Finish(r, true)
 				}
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -96,7 +96,7 @@
 }
 
 func (w *world) submit(id ID, o *Owner) {
-	r, v := o.Accept(id, true)
+	r, v := o.Accept(id)
 	w.note(id, r, v)
 	if v == New {
 		w.inflight[id.String()] = r
--- a/once/owner.go
+++ b/once/owner.go
@@ -40,7 +40,9 @@
 type Record struct {
 	// ID is the request's ID.
 	ID ID
-	// Witnessed says that the witness must acknowledge before a dispatch.
+	// Witnessed says that the witness must acknowledge before a dispatch: always,
+	// if the ID names one, since the witness says "not run" of what it has no
+	// record of.
 	Witnessed bool
 	// State is the state reached.
 	State State
@@ -115,12 +117,12 @@
 // Accept takes a request that a caller brings. With New the record is in state
 // Waiting and the caller of Accept must bring it to a final state. With Known the
 // record is the one of the earlier try.
-func (o *Owner) Accept(id ID, witnessed bool) (*Record, Verdict) {
+func (o *Owner) Accept(id ID) (*Record, Verdict) {
 	r, v := o.look(id)
 	if v != New {
 		return r, v
 	}
-	r = &Record{ID: id, Witnessed: witnessed}
+	r = &Record{ID: id, Witnessed: id.Witness != 0}
 	o.records.put(id.OwnerGeneration, id.String(), r)
 	return r, New
 }
--- a/router/admit.go
+++ b/router/admit.go
@@ -92,12 +92,15 @@
 	return once.ID{Prefix: p, Unique: "h" + strconv.FormatUint(uniqueCount.Add(1), 36)}
 }
 
-// freshPrefix gives a prefix to resubmit under at this host.
-func (r *Router) freshPrefix() string {
+// freshPrefix gives a prefix to resubmit under at this host, with a witness or without.
+func (r *Router) freshPrefix(witnessed bool) string {
 	hosts := r.hosts()
-	r.mu.Lock()
-	w, _ := fleet.PickWitness(fleet.Host{}, r.Self, hosts, r.rnd)
-	r.mu.Unlock()
+	var w fleet.Host
+	if witnessed {
+		r.mu.Lock()
+		w, _ = fleet.PickWitness(fleet.Host{}, r.Self, hosts, r.rnd)
+		r.mu.Unlock()
+	}
 	r.onceMu.Lock()
 	defer r.onceMu.Unlock()
 	self := r.Self
@@ -161,16 +164,12 @@
 
 // accept makes the owner's record of a request.
 func (r *Router) accept(j *job, id once.ID) *problem.Problem {
-	witnessed := !j.eff.Repeatable && j.eff.Witness
-	if witnessed && id.Witness == 0 {
-		if r.fleetSize() > 1 {
-			p := problem.New(problem.BadID, "ask "+PathAddress+" for a prefix that names a witness", "the ID names no witness")
-			return r.refuseID(id, j.ownID, p)
-		}
-		witnessed = false
+	if !j.eff.Repeatable && j.eff.Witness && id.Witness == 0 && r.fleetSize() > 1 {
+		p := problem.New(problem.BadID, "use the once_prefix of an answer of "+PathAddress, "the call may not be repeated and its ID names no witness")
+		return r.refuseID(id, j.ownID, p)
 	}
 	r.onceMu.Lock()
-	rec, v := r.owner.Accept(id, witnessed)
+	rec, v := r.owner.Accept(id)
 	r.onceMu.Unlock()
 	if v == once.New {
 		j.rec, j.text = rec, id.String()
@@ -224,7 +223,7 @@
 	r.leave(j)
 	p.RequestID = j.id()
 	if p.Kind != problem.BadRequest && p.Kind != problem.BodyTooLarge {
-		p.Prefix = r.freshPrefix()
+		p.Prefix = r.freshPrefix(j.rec.Witnessed)
 	}
 	r.metrics.Count(j.key(), string(p.Outcome))
 	r.metrics.Count(j.key(), "refused: "+string(p.Kind))
--- a/router/bench_test.go
+++ b/router/bench_test.go
@@ -168,7 +168,11 @@
 				load(b, callers, func(c *http.Client) {
 					req, _ := http.NewRequest(http.MethodPost, "http://"+a.Address+router.PathCall+service, strings.NewReader("x"))
 					req.Header.Set(router.HeaderWorkspace, "w")
-					req.Header.Set(router.HeaderID, fmt.Sprintf("%su%d", a.Prefix, n.Add(1)))
+					prefix := a.Prefix
+					if service == "push" {
+						prefix = a.OncePrefix
+					}
+					req.Header.Set(router.HeaderID, fmt.Sprintf("%su%d", prefix, n.Add(1)))
 					resp, err := c.Do(req)
 					if err != nil || resp.StatusCode != http.StatusCreated {
 						panic(fmt.Sprint(err, resp))
--- a/router/engine_test.go
+++ b/router/engine_test.go
@@ -96,7 +96,7 @@
 func TestStreamOutlivesItsOwner(t *testing.T) {
 	r := newRig(t, nil)
 	for _, e := range r.Engines {
-		e.StepTime = 20 * time.Millisecond
+		e.SetStep(20 * time.Millisecond)
 	}
 	cl := newClient(r)
 	list, err := cl.Addresses(context.Background())
@@ -133,7 +133,7 @@
 func TestCallerThatLeavesCancelsItsStream(t *testing.T) {
 	r := newRig(t, func(x *router.Router) { x.CancelGrace = 50 * time.Millisecond })
 	for _, e := range r.Engines {
-		e.StepTime = 10 * time.Millisecond
+		e.SetStep(10 * time.Millisecond)
 	}
 	a := r.address(t, r.Nodes[0]).Addresses[0]
 	for _, id := range []string{"", a.Prefix + "leaves"} {
--- a/router/faults_test.go
+++ b/router/faults_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/heathkeel/heathkeel/internal/dev"
 	"github.com/heathkeel/heathkeel/internal/fake"
+	"github.com/heathkeel/heathkeel/once"
 	"github.com/heathkeel/heathkeel/problem"
 	"github.com/heathkeel/heathkeel/router"
 )
@@ -34,7 +35,7 @@
 		if a.Address == asked.Address || a.Witness == "" {
 			continue
 		}
-		s.id = a.Prefix + unique
+		s.id = a.OncePrefix + unique
 		s.owner, s.witness = r.node(a.Address), r.node(a.Witness)
 	}
 	must.NotNil(t, s.owner)
@@ -149,6 +150,29 @@
 		}
 		return last
 	}},
+	{"a call that may be repeated, with an ID of a witness, loses its owner", want{problem.Unknown, 1}, func(s *scene) reply {
+		reached, _ := s.ownerGate.at(router.StageSent)
+		done := make(chan reply, 1)
+		go func() { done <- call(s.owner.Address, "look", s.id) }()
+		<-reached
+		s.owner.Kill()
+		<-done
+		// The witness must have a record of it, or it would say "not run".
+		return outcome(s.third.Address, s.id)
+	}},
+	{"a call without witness loses its owner", want{problem.Unknown, 1}, func(s *scene) reply {
+		id, err := once.ParseID(s.id)
+		must.NoError(s.t, err)
+		id.Witness, id.WitnessGeneration = 0, 0
+		s.id = id.String()
+		reached, _ := s.ownerGate.at(router.StageSent)
+		done := make(chan reply, 1)
+		go func() { done <- call(s.owner.Address, "look", s.id) }()
+		<-reached
+		s.owner.Kill()
+		<-done
+		return outcome(s.third.Address, s.id)
+	}},
 	{"retry after the answer", want{problem.Answered, 1}, func(s *scene) reply {
 		must.Eq(s.t, problem.Answered, push(s.owner.Address, s.id).outcome)
 		again := push(s.third.Address, s.id)
--- a/router/helpers_test.go
+++ b/router/helpers_test.go
@@ -154,8 +154,11 @@
 
 // push makes a call that may not be repeated under an ID at a host. The call's
 // name for counting its runs is the ID.
-func push(host, id string) reply {
-	req, _ := http.NewRequest(http.MethodPost, "http://"+host+router.PathCall+"push/x?y=1", strings.NewReader("body"))
+func push(host, id string) reply { return call(host, "push", id) }
+
+// call makes a call to a service.
+func call(host, service, id string) reply {
+	req, _ := http.NewRequest(http.MethodPost, "http://"+host+router.PathCall+service+"/x?y=1", strings.NewReader("body"))
 	req.Header.Set(router.HeaderWorkspace, "w")
 	req.Header.Set(router.HeaderID, id)
 	req.Header.Set(fake.HeaderCall, id)
--- a/router/serve.go
+++ b/router/serve.go
@@ -72,11 +72,11 @@
 	fleet.Order(set, r.Self.Zone, r.rnd)
 	ans := fleet.Answer{Workspace: ws, MaxAgeMS: r.MaxAge.Milliseconds(), Revision: rev}
 	for _, h := range set {
-		wit, _ := fleet.PickWitness(self, h, live, r.rnd)
-		ans.Addresses = append(ans.Addresses, fleet.Address{
-			Host: h.Name, Zone: h.Zone, Address: h.Address,
-			Prefix: fleet.Prefix(h, wit).String(), Witness: wit.Address,
-		})
+		a := fleet.Address{Host: h.Name, Zone: h.Zone, Address: h.Address, Prefix: fleet.Prefix(h, fleet.Host{}).String()}
+		if wit, ok := fleet.PickWitness(self, h, live, r.rnd); ok {
+			a.OncePrefix, a.Witness = fleet.Prefix(h, wit).String(), wit.Address
+		}
+		ans.Addresses = append(ans.Addresses, a)
 	}
 	return ans
 }
--- a/spec/once.pml
+++ b/spec/once.pml
@@ -102,6 +102,9 @@
 	   }
 #ifdef MUT_NO_WAIT
 	:: atomic { o_alive && st == Recording -> st = Dispatched; sent_now = false }
+#endif
+#ifdef MUT_NO_RECORD
+	:: atomic { o_alive && st == Waiting -> st = Dispatched; sent_now = false }
 #endif
 	:: atomic { o_alive && st == Recorded -> st = Dispatched; sent_now = false }
 	:: atomic { o_alive && st == Dispatched && !sent_now -> send_to_endpoint() }
