--- a/client/complete.go
+++ b/client/complete.go
@@ -82,7 +82,7 @@
 		if !resubmit(p, q.NoRepeat) || ctx.Err() != nil {
 			return a.ans, err
 		}
-		if p.Outcome == problem.Unknown || p.Kind == problem.Draining {
+		if p.Outcome == problem.Unknown {
 			c.Forget()
 		}
 		old = a.id
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -50,7 +50,6 @@
 	OwnerLost        Kind = "owner-lost"
 	EndpointLost     Kind = "endpoint-lost"
 	BadAnswer        Kind = "bad-answer"
-	Draining         Kind = "draining"
 	NotReady         Kind = "not-ready"
 	Cancelled        Kind = "cancelled"
 	InProgress       Kind = "in-progress"
@@ -66,7 +65,7 @@
 	Overloaded: http.StatusServiceUnavailable, RateLimited: http.StatusTooManyRequests,
 	RetryBudget: http.StatusTooManyRequests, DeadlineTooNear: http.StatusServiceUnavailable,
 	Expired: http.StatusConflict, Closed: http.StatusConflict, WitnessLost: http.StatusServiceUnavailable,
-	Draining: http.StatusServiceUnavailable, NotReady: http.StatusServiceUnavailable,
+	NotReady:  http.StatusServiceUnavailable,
 	Cancelled: 499, InProgress: http.StatusConflict, AlreadyRun: http.StatusConflict,
 }
 
--- a/router/faults_test.go
+++ b/router/faults_test.go
@@ -55,6 +55,18 @@
 	return func() reply { return <-done }
 }
 
+// killOwnerAt calls a service at the owner, kills the owner at a stage of the
+// call, and asks the third host what became of it.
+func (s *scene) killOwnerAt(stage router.Stage, service string) reply {
+	reached, _ := s.ownerGate.at(stage)
+	done := make(chan reply, 1)
+	go func() { done <- call(s.owner.Address, service, s.id) }()
+	<-reached
+	s.owner.Kill()
+	<-done
+	return outcome(s.third.Address, s.id)
+}
+
 // want is what a case expects.
 type want struct {
 	outcome problem.Outcome
@@ -72,28 +84,13 @@
 		return push(s.owner.Address, s.id)
 	}},
 	{"owner killed while it waits", want{problem.NotRun, 0}, func(s *scene) reply {
-		reached, _ := s.ownerGate.at(router.StageAccepted)
-		wait := s.start()
-		<-reached
-		s.owner.Kill()
-		wait()
-		return outcome(s.third.Address, s.id)
+		return s.killOwnerAt(router.StageAccepted, "push")
 	}},
 	{"owner killed between record and dispatch", want{problem.Unknown, 0}, func(s *scene) reply {
-		reached, _ := s.ownerGate.at(router.StageRecorded)
-		wait := s.start()
-		<-reached
-		s.owner.Kill()
-		wait()
-		return outcome(s.third.Address, s.id)
+		return s.killOwnerAt(router.StageRecorded, "push")
 	}},
 	{"owner killed after dispatch", want{problem.Unknown, 1}, func(s *scene) reply {
-		reached, _ := s.ownerGate.at(router.StageSent)
-		wait := s.start()
-		<-reached
-		s.owner.Kill()
-		wait()
-		return outcome(s.third.Address, s.id)
+		return s.killOwnerAt(router.StageSent, "push")
 	}},
 	{"owner paused before the record, goes on after the caller was told", want{problem.NotRun, 0}, func(s *scene) reply {
 		reached, release := s.ownerGate.at(router.StageAccepted)
@@ -151,27 +148,15 @@
 		return last
 	}},
 	{"a call that may be repeated, with an ID of a witness, loses its owner", want{problem.Unknown, 1}, func(s *scene) reply {
-		reached, _ := s.ownerGate.at(router.StageSent)
-		done := make(chan reply, 1)
-		go func() { done <- call(s.owner.Address, "look", s.id) }()
-		<-reached
-		s.owner.Kill()
-		<-done
 		// The witness must have a record of it, or it would say "not run".
-		return outcome(s.third.Address, s.id)
+		return s.killOwnerAt(router.StageSent, "look")
 	}},
 	{"a call without witness loses its owner", want{problem.Unknown, 1}, func(s *scene) reply {
 		id, err := once.ParseID(s.id)
 		must.NoError(s.t, err)
 		id.Witness, id.WitnessGeneration = 0, 0
 		s.id = id.String()
-		reached, _ := s.ownerGate.at(router.StageSent)
-		done := make(chan reply, 1)
-		go func() { done <- call(s.owner.Address, "look", s.id) }()
-		<-reached
-		s.owner.Kill()
-		<-done
-		return outcome(s.third.Address, s.id)
+		return s.killOwnerAt(router.StageSent, "look")
 	}},
 	{"retry after the answer", want{problem.Answered, 1}, func(s *scene) reply {
 		must.Eq(s.t, problem.Answered, push(s.owner.Address, s.id).outcome)
