keyval: the product's interfaces to a key-value service get a package of their own

Cause: platform/ is to hold only the users' names, formats and calls; the product's KV, host list and weight store interfaces and their client lived there. Change: the package is renamed to keyval; no behaviour changed.

--- a/cmd/hkctl/main.go
+++ b/cmd/hkctl/main.go
@@ -18,7 +18,7 @@
 	"github.com/alexflint/go-arg"
 
 	"github.com/heathkeel/heathkeel/internal/version"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/revision"
 )
 
@@ -94,7 +94,7 @@
 type tool struct {
 	args
 	out io.Writer
-	pc  *platform.Client
+	pc  *keyval.Client
 }
 
 func main() {
@@ -122,7 +122,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), a.Timeout)
 	defer cancel()
-	t := &tool{args: a, out: stdout, pc: &platform.Client{Base: a.Platform}}
+	t := &tool{args: a, out: stdout, pc: &keyval.Client{Base: a.Platform}}
 	err = t.run(ctx)
 	switch {
 	case err == nil:
--- a/cmd/hkplacer/main.go
+++ b/cmd/hkplacer/main.go
@@ -22,9 +22,9 @@
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/internal/logs"
 	"github.com/heathkeel/heathkeel/internal/version"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
 	"github.com/heathkeel/heathkeel/placer"
-	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/revision"
 	"github.com/heathkeel/heathkeel/router"
 	"github.com/heathkeel/heathkeel/settings"
@@ -80,7 +80,7 @@
 
 // run follows the router's settings and places until ctx ends.
 func run(ctx context.Context, a args, log logr.Logger) {
-	pc := &platform.Client{Base: a.Platform}
+	pc := &keyval.Client{Base: a.Platform}
 	local := router.NewLocal(a.Router)
 	f := &revision.Follower{KV: pc, Peers: local.Peer(), Log: log}
 	engines := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
--- a/cmd/hkrouter/run.go
+++ b/cmd/hkrouter/run.go
@@ -15,8 +15,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
-	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/router"
 )
 
@@ -28,7 +28,7 @@
 	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	pc := &platform.Client{Base: a.Platform}
+	pc := &keyval.Client{Base: a.Platform}
 	r := &router.Router{
 		Self: fleet.Host{
 			Name: a.Name, Incarnation: once.NewIncarnation(), Address: l.Addr().String(), Zone: a.Zone, Region: a.Region,
--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -13,8 +13,8 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
-	"github.com/heathkeel/heathkeel/platform"
 )
 
 // Defaults of an Agent.
@@ -40,7 +40,7 @@
 	// Peers sends heartbeats.
 	Peers Caller
 	// List is the platform's list; nil means none.
-	List platform.HostList
+	List keyval.HostList
 	// Interval, Misses, Fanout and Batch default to the constants above.
 	Interval time.Duration
 	Misses   int
@@ -54,7 +54,7 @@
 	Floors    func() []Floor
 	SetFloors func([]Floor)
 	// Listed is told of each reading of the platform's list; nil means nobody.
-	Listed func([]platform.ListEntry)
+	Listed func([]keyval.ListEntry)
 	// Seed seeds the choice of suspects to probe.
 	Seed uint64
 	// Log takes changes of state.
@@ -67,7 +67,7 @@
 	missed  map[once.Incarnation]int
 	differ  map[once.Incarnation]int
 	inbound map[once.Incarnation]time.Duration
-	listed  []platform.ListEntry
+	listed  []keyval.ListEntry
 	rnd     *rand.Rand
 	round   int
 	kick    chan struct{}
@@ -173,7 +173,7 @@
 }
 
 // takeList joins one reading of the list.
-func (a *Agent) takeList(entries []platform.ListEntry) {
+func (a *Agent) takeList(entries []keyval.ListEntry) {
 	a.mu.Lock()
 	a.listed = entries
 	names := make([]string, 0, len(entries))
--- a/internal/dev/cluster.go
+++ b/internal/dev/cluster.go
@@ -16,9 +16,9 @@
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/fleet"
 	"github.com/heathkeel/heathkeel/internal/fake"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
 	"github.com/heathkeel/heathkeel/placer"
-	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/revision"
 	"github.com/heathkeel/heathkeel/router"
 	"github.com/heathkeel/heathkeel/settings"
@@ -175,7 +175,7 @@
 			zones[e.Zone] = true
 			c.Zones = append(c.Zones, e.Zone)
 		}
-		c.Platform.Hosts.Put(platform.ListEntry{Name: e.Name, Address: s.Address, Zone: e.Zone, Endpoint: true})
+		c.Platform.Hosts.Put(keyval.ListEntry{Name: e.Name, Address: s.Address, Zone: e.Zone, Endpoint: true})
 	}
 	return nil
 }
@@ -238,7 +238,7 @@
 		return nil, err
 	}
 	zone := c.Zones[i%len(c.Zones)]
-	pc := &platform.Client{Base: "http://" + c.PlatformAddress}
+	pc := &keyval.Client{Base: "http://" + c.PlatformAddress}
 	r := &router.Router{
 		Self: fleet.Host{
 			Name: fmt.Sprintf("host-%d", i+1), Incarnation: once.NewIncarnation(),
@@ -252,7 +252,7 @@
 	ctx, cancel := context.WithCancel(c.ctx)
 	n := &Node{Router: r, Address: l.Addr().String(), cancel: cancel}
 	n.server = &Server{Address: n.Address, http: &http.Server{Handler: r.Handler()}}
-	c.Platform.Hosts.Put(platform.ListEntry{Name: r.Self.Name, Address: n.Address, Zone: zone})
+	c.Platform.Hosts.Put(keyval.ListEntry{Name: r.Self.Name, Address: n.Address, Zone: zone})
 	go func() { _ = n.server.http.Serve(l) }()
 	go r.Run(ctx)
 	if c.Place {
@@ -263,7 +263,7 @@
 }
 
 // placer makes the placer beside a host.
-func (c *Cluster) placer(r *router.Router, pc *platform.Client) *placer.Manager {
+func (c *Cluster) placer(r *router.Router, pc *keyval.Client) *placer.Manager {
 	return &placer.Manager{
 		Name: r.Self.Name + "/" + r.Self.Incarnation.String(), KV: pc, Weights: pc,
 		Settings: r.Snapshot, Candidate: r.PlacerCandidate, Log: r.Log,
--- a/internal/fake/contract_test.go
+++ b/internal/fake/contract_test.go
@@ -15,45 +15,45 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/endpoint"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 )
 
 // kvPromises name what the key-value service promises; each case gets an empty one.
 var kvPromises = []struct {
 	name string
-	run  func(t *testing.T, kv platform.KV, stand *KV)
+	run  func(t *testing.T, kv keyval.KV, stand *KV)
 }{
-	{"a key that is not there is not found", func(t *testing.T, kv platform.KV, _ *KV) {
+	{"a key that is not there is not found", func(t *testing.T, kv keyval.KV, _ *KV) {
 		_, err := kv.Get(t.Context(), "a")
-		must.ErrorIs(t, err, platform.ErrNotFound)
+		must.ErrorIs(t, err, keyval.ErrNotFound)
 	}},
-	{"a value is read as written, with its version, under any key", func(t *testing.T, kv platform.KV, _ *KV) {
+	{"a value is read as written, with its version, under any key", func(t *testing.T, kv keyval.KV, _ *KV) {
 		for _, key := range []string{"a", "settings/head", "x y/ü%2F?&=#"} {
 			v, err := kv.Swap(t.Context(), key, 0, []byte("1\x00"), 0)
 			must.NoError(t, err)
 			it, err := kv.Get(t.Context(), key)
 			must.NoError(t, err, must.Sprint(key))
-			must.Eq(t, platform.Item{Key: key, Value: []byte("1\x00"), Version: v}, it)
+			must.Eq(t, keyval.Item{Key: key, Value: []byte("1\x00"), Version: v}, it)
 		}
 	}},
-	{"a swap of another version conflicts and writes nothing", func(t *testing.T, kv platform.KV, _ *KV) {
+	{"a swap of another version conflicts and writes nothing", func(t *testing.T, kv keyval.KV, _ *KV) {
 		v, _ := kv.Swap(t.Context(), "a", 0, []byte("1"), 0)
 		for _, wrong := range []uint64{0, v + 1} {
 			_, err := kv.Swap(t.Context(), "a", wrong, []byte("2"), 0)
-			must.ErrorIs(t, err, platform.ErrConflict)
+			must.ErrorIs(t, err, keyval.ErrConflict)
 		}
 		it, _ := kv.Get(t.Context(), "a")
 		must.Eq(t, "1", string(it.Value))
 	}},
-	{"versions rise over deletions", func(t *testing.T, kv platform.KV, _ *KV) {
+	{"versions rise over deletions", func(t *testing.T, kv keyval.KV, _ *KV) {
 		v, _ := kv.Swap(t.Context(), "a", 0, nil, 0)
-		must.ErrorIs(t, kv.Delete(t.Context(), "a", v+1), platform.ErrConflict)
+		must.ErrorIs(t, kv.Delete(t.Context(), "a", v+1), keyval.ErrConflict)
 		must.NoError(t, kv.Delete(t.Context(), "a", v))
 		w, err := kv.Swap(t.Context(), "a", 0, nil, 0)
 		must.NoError(t, err)
 		must.Greater(t, v, w)
 	}},
-	{"keys are listed by prefix, sorted", func(t *testing.T, kv platform.KV, _ *KV) {
+	{"keys are listed by prefix, sorted", func(t *testing.T, kv keyval.KV, _ *KV) {
 		for _, k := range []string{"b/2", "a/1", "b/1"} {
 			_, _ = kv.Swap(t.Context(), k, 0, nil, 0)
 		}
@@ -61,11 +61,11 @@
 		must.NoError(t, err)
 		must.Eq(t, []string{"b/1", "b/2"}, keys)
 	}},
-	{"a value over the limit is refused", func(t *testing.T, kv platform.KV, _ *KV) {
-		_, err := kv.Swap(t.Context(), "a", 0, make([]byte, platform.MaxValue+1), 0)
-		must.ErrorIs(t, err, platform.ErrTooLarge)
+	{"a value over the limit is refused", func(t *testing.T, kv keyval.KV, _ *KV) {
+		_, err := kv.Swap(t.Context(), "a", 0, make([]byte, keyval.MaxValue+1), 0)
+		must.ErrorIs(t, err, keyval.ErrTooLarge)
 	}},
-	{"a watch returns a change that came before or comes during it", func(t *testing.T, kv platform.KV, stand *KV) {
+	{"a watch returns a change that came before or comes during it", func(t *testing.T, kv keyval.KV, stand *KV) {
 		v, _ := kv.Swap(t.Context(), "a", 0, []byte("1"), 0)
 		it, err := kv.Watch(t.Context(), "a", v-1)
 		must.NoError(t, err)
@@ -75,12 +75,12 @@
 		must.NoError(t, err)
 		must.Eq(t, "2", string(it.Value))
 	}},
-	{"a watch without change ends", func(t *testing.T, kv platform.KV, stand *KV) {
+	{"a watch without change ends", func(t *testing.T, kv keyval.KV, stand *KV) {
 		stand.WatchTime = 20 * time.Millisecond
 		_, err := kv.Watch(t.Context(), "a", 0)
-		must.ErrorIs(t, err, platform.ErrNotFound)
+		must.ErrorIs(t, err, keyval.ErrNotFound)
 	}},
-	{"a key goes with its lease", func(t *testing.T, kv platform.KV, _ *KV) {
+	{"a key goes with its lease", func(t *testing.T, kv keyval.KV, _ *KV) {
 		l, err := kv.Grant(t.Context(), 30*time.Millisecond)
 		must.NoError(t, err)
 		_, err = kv.Swap(t.Context(), "a", 0, nil, l)
@@ -88,35 +88,35 @@
 		must.NoError(t, kv.Renew(t.Context(), l))
 		time.Sleep(60 * time.Millisecond)
 		_, err = kv.Get(t.Context(), "a")
-		must.ErrorIs(t, err, platform.ErrNotFound)
-		must.ErrorIs(t, kv.Renew(t.Context(), l), platform.ErrLeaseGone)
+		must.ErrorIs(t, err, keyval.ErrNotFound)
+		must.ErrorIs(t, kv.Renew(t.Context(), l), keyval.ErrLeaseGone)
 		_, err = kv.Swap(t.Context(), "a", 0, nil, l)
-		must.ErrorIs(t, err, platform.ErrLeaseGone)
+		must.ErrorIs(t, err, keyval.ErrLeaseGone)
 	}},
-	{"an answer may be lost after the write", func(t *testing.T, kv platform.KV, stand *KV) {
+	{"an answer may be lost after the write", func(t *testing.T, kv keyval.KV, stand *KV) {
 		stand.SetFaults(KVFaults{LoseAnswer: 1})
 		_, err := kv.Swap(t.Context(), "a", 0, []byte("1"), 0)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, keyval.ErrUnavailable)
 		it, err := kv.Get(t.Context(), "a")
 		must.NoError(t, err)
 		must.Eq(t, "1", string(it.Value))
 	}},
-	{"an outage makes every call unavailable and loses nothing", func(t *testing.T, kv platform.KV, stand *KV) {
+	{"an outage makes every call unavailable and loses nothing", func(t *testing.T, kv keyval.KV, stand *KV) {
 		_, _ = kv.Swap(t.Context(), "a", 0, []byte("1"), 0)
 		stand.SetFaults(KVFaults{Down: true})
 		_, err := kv.Get(t.Context(), "a")
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, keyval.ErrUnavailable)
 		_, err = kv.Grant(t.Context(), time.Second)
-		must.ErrorIs(t, err, platform.ErrUnavailable)
+		must.ErrorIs(t, err, keyval.ErrUnavailable)
 		stand.SetFaults(KVFaults{})
 		_, err = kv.Get(t.Context(), "a")
 		must.NoError(t, err)
 	}},
-	{"calls over the rate are refused and write nothing", func(t *testing.T, kv platform.KV, stand *KV) {
+	{"calls over the rate are refused and write nothing", func(t *testing.T, kv keyval.KV, stand *KV) {
 		stand.Writes = 2
 		var limited int
 		for range 5 {
-			if _, err := kv.Swap(t.Context(), "a", 0, nil, 0); errors.Is(err, platform.ErrLimited) {
+			if _, err := kv.Swap(t.Context(), "a", 0, nil, 0); errors.Is(err, keyval.ErrLimited) {
 				limited++
 			}
 		}
@@ -135,7 +135,7 @@
 			p := &Platform{KV: kv, Hosts: &HostList{}, Weights: &WeightStore{}}
 			srv := httptest.NewServer(p.Handler())
 			defer srv.Close()
-			c.run(t, &platform.Client{Base: srv.URL}, kv)
+			c.run(t, &keyval.Client{Base: srv.URL}, kv)
 		})
 	}
 }
@@ -145,7 +145,7 @@
 	p := &Platform{KV: &KV{}, Hosts: l, Weights: &WeightStore{}}
 	srv := httptest.NewServer(p.Handler())
 	defer srv.Close()
-	c := &platform.Client{Base: srv.URL}
+	c := &keyval.Client{Base: srv.URL}
 	names := func() string {
 		list, err := c.List(t.Context())
 		must.NoError(t, err)
@@ -155,8 +155,8 @@
 		}
 		return strings.Join(out, " ")
 	}
-	l.Put(platform.ListEntry{Name: "b"})
-	l.Put(platform.ListEntry{Name: "a"})
+	l.Put(keyval.ListEntry{Name: "b"})
+	l.Put(keyval.ListEntry{Name: "a"})
 	must.Eq(t, "", names())
 	time.Sleep(60 * time.Millisecond)
 	must.Eq(t, "a b", names())
--- a/internal/fake/kv.go
+++ b/internal/fake/kv.go
@@ -13,7 +13,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 )
 
 // KVFaults are the faults of the key-value service; the zero value has none.
@@ -37,10 +37,10 @@
 
 	mu       sync.Mutex
 	items    map[string]kvItem
-	leases   map[platform.Lease]*kvLease
+	leases   map[keyval.Lease]*kvLease
 	changed  chan struct{}
 	version  uint64
-	next     platform.Lease
+	next     keyval.Lease
 	faults   KVFaults
 	writeLim *rate.Limiter
 	readLim  *rate.Limiter
@@ -58,7 +58,7 @@
 type kvItem struct {
 	value   []byte
 	version uint64
-	lease   platform.Lease
+	lease   keyval.Lease
 }
 
 type kvLease struct {
@@ -107,7 +107,7 @@
 		return
 	}
 	k.items = make(map[string]kvItem)
-	k.leases = make(map[platform.Lease]*kvLease)
+	k.leases = make(map[keyval.Lease]*kvLease)
 	k.changed = make(chan struct{})
 	k.writeLim = limiter(k.Writes)
 	k.readLim = limiter(k.Reads)
@@ -136,20 +136,20 @@
 	if lim != nil && !lim.Allow() {
 		k.calls.Limited++
 		k.mu.Unlock()
-		return platform.ErrLimited
+		return keyval.ErrLimited
 	}
 	if f.Delay > 0 {
 		k.mu.Unlock()
 		select {
 		case <-time.After(f.Delay):
 		case <-ctx.Done():
-			return platform.ErrUnavailable
+			return keyval.ErrUnavailable
 		}
 		k.mu.Lock()
 	}
 	if f.Down || ctx.Err() != nil {
 		k.mu.Unlock()
-		return platform.ErrUnavailable
+		return keyval.ErrUnavailable
 	}
 	k.expire()
 	return nil
@@ -180,66 +180,66 @@
 	return true
 }
 
-// Get implements platform.KV.
-func (k *KV) Get(ctx context.Context, key string) (platform.Item, error) {
+// Get implements keyval.KV.
+func (k *KV) Get(ctx context.Context, key string) (keyval.Item, error) {
 	if err := k.enter(ctx, false); err != nil {
-		return platform.Item{}, err
+		return keyval.Item{}, err
 	}
 	defer k.mu.Unlock()
 	return k.get(key)
 }
 
 // get returns an item; mu must be held.
-func (k *KV) get(key string) (platform.Item, error) {
+func (k *KV) get(key string) (keyval.Item, error) {
 	it, ok := k.items[key]
 	if !ok {
-		return platform.Item{}, platform.ErrNotFound
+		return keyval.Item{}, keyval.ErrNotFound
 	}
-	return platform.Item{Key: key, Value: slices.Clone(it.value), Version: it.version}, nil
+	return keyval.Item{Key: key, Value: slices.Clone(it.value), Version: it.version}, nil
 }
 
-// Swap implements platform.KV.
-func (k *KV) Swap(ctx context.Context, key string, version uint64, value []byte, lease platform.Lease) (uint64, error) {
-	if len(value) > platform.MaxValue {
-		return 0, platform.ErrTooLarge
+// Swap implements keyval.KV.
+func (k *KV) Swap(ctx context.Context, key string, version uint64, value []byte, lease keyval.Lease) (uint64, error) {
+	if len(value) > keyval.MaxValue {
+		return 0, keyval.ErrTooLarge
 	}
 	if err := k.enter(ctx, true); err != nil {
 		return 0, err
 	}
 	defer k.mu.Unlock()
 	if k.items[key].version != version {
-		return 0, platform.ErrConflict
+		return 0, keyval.ErrConflict
 	}
 	if lease != 0 && k.leases[lease] == nil {
-		return 0, platform.ErrLeaseGone
+		return 0, keyval.ErrLeaseGone
 	}
 	k.version++
 	k.items[key] = kvItem{slices.Clone(value), k.version, lease}
 	k.wake()
 	if k.lost() {
-		return 0, platform.ErrUnavailable
+		return 0, keyval.ErrUnavailable
 	}
 	return k.version, nil
 }
 
-// Delete implements platform.KV.
+// Delete implements keyval.KV.
 func (k *KV) Delete(ctx context.Context, key string, version uint64) error {
 	if err := k.enter(ctx, true); err != nil {
 		return err
 	}
 	defer k.mu.Unlock()
 	if k.items[key].version != version {
-		return platform.ErrConflict
+		return keyval.ErrConflict
 	}
 	delete(k.items, key)
 	k.wake()
 	if k.lost() {
-		return platform.ErrUnavailable
+		return keyval.ErrUnavailable
 	}
 	return nil
 }
 
-// Keys implements platform.KV.
+// Keys implements keyval.KV.
 func (k *KV) Keys(ctx context.Context, prefix string) ([]string, error) {
 	if err := k.enter(ctx, false); err != nil {
 		return nil, err
@@ -255,10 +255,10 @@
 	return keys, nil
 }
 
-// Watch implements platform.KV.
-func (k *KV) Watch(ctx context.Context, key string, after uint64) (platform.Item, error) {
+// Watch implements keyval.KV.
+func (k *KV) Watch(ctx context.Context, key string, after uint64) (keyval.Item, error) {
 	if err := k.enter(ctx, false); err != nil {
-		return platform.Item{}, err
+		return keyval.Item{}, err
 	}
 	wait := k.WatchTime
 	if wait == 0 {
@@ -271,7 +271,7 @@
 		changed := k.changed
 		k.mu.Unlock()
 		if down {
-			return platform.Item{}, platform.ErrUnavailable
+			return keyval.Item{}, keyval.ErrUnavailable
 		}
 		if err == nil && it.Version > after && !silent {
 			return it, nil
@@ -279,16 +279,16 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			return platform.Item{}, platform.ErrNotFound
+			return keyval.Item{}, keyval.ErrNotFound
 		case <-ctx.Done():
-			return platform.Item{}, platform.ErrUnavailable
+			return keyval.Item{}, keyval.ErrUnavailable
 		}
 		k.mu.Lock()
 	}
 }
 
-// Grant implements platform.KV.
-func (k *KV) Grant(ctx context.Context, ttl time.Duration) (platform.Lease, error) {
+// Grant implements keyval.KV.
+func (k *KV) Grant(ctx context.Context, ttl time.Duration) (keyval.Lease, error) {
 	if err := k.enter(ctx, true); err != nil {
 		return 0, err
 	}
@@ -296,24 +296,24 @@
 	k.next++
 	k.leases[k.next] = &kvLease{ttl, time.Now().Add(ttl)}
 	if k.lost() {
-		return 0, platform.ErrUnavailable
+		return 0, keyval.ErrUnavailable
 	}
 	return k.next, nil
 }
 
-// Renew implements platform.KV.
-func (k *KV) Renew(ctx context.Context, lease platform.Lease) error {
+// Renew implements keyval.KV.
+func (k *KV) Renew(ctx context.Context, lease keyval.Lease) error {
 	if err := k.enter(ctx, true); err != nil {
 		return err
 	}
 	defer k.mu.Unlock()
 	l := k.leases[lease]
 	if l == nil {
-		return platform.ErrLeaseGone
+		return keyval.ErrLeaseGone
 	}
 	l.until = time.Now().Add(l.ttl)
 	if k.lost() {
-		return platform.ErrUnavailable
+		return keyval.ErrUnavailable
 	}
 	return nil
 }
--- a/internal/fake/lists.go
+++ b/internal/fake/lists.go
@@ -14,7 +14,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 )
 
 // HostList is a stand-in for the lagging list of hosts and endpoints.
@@ -29,17 +29,17 @@
 // listChange is a state that an entry takes at a time; nil means gone.
 type listChange struct {
 	at    time.Time
-	entry *platform.ListEntry
+	entry *keyval.ListEntry
 }
 
 // Put adds or changes an entry; the list shows it after Lag.
-func (l *HostList) Put(e platform.ListEntry) { l.change(e.Name, &e) }
+func (l *HostList) Put(e keyval.ListEntry) { l.change(e.Name, &e) }
 
 // Remove takes an entry away; the list shows it after Lag.
 func (l *HostList) Remove(name string) { l.change(name, nil) }
 
 // change notes a coming state of an entry.
-func (l *HostList) change(name string, e *platform.ListEntry) {
+func (l *HostList) change(name string, e *keyval.ListEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.entries == nil {
@@ -48,14 +48,14 @@
 	l.entries[name] = append(l.entries[name], listChange{time.Now().Add(l.Lag), e})
 }
 
-// List implements platform.HostList.
-func (l *HostList) List(context.Context) ([]platform.ListEntry, error) {
+// List implements keyval.HostList.
+func (l *HostList) List(context.Context) ([]keyval.ListEntry, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	var out []platform.ListEntry
+	var out []keyval.ListEntry
 	for _, changes := range l.entries {
-		var cur *platform.ListEntry
+		var cur *keyval.ListEntry
 		for _, c := range changes {
 			if !c.at.After(now) {
 				cur = c.entry
@@ -65,7 +65,7 @@
 			out = append(out, *cur)
 		}
 	}
-	slices.SortFunc(out, func(a, b platform.ListEntry) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(out, func(a, b keyval.ListEntry) int { return strings.Compare(a.Name, b.Name) })
 	return out, nil
 }
 
@@ -104,14 +104,14 @@
 	return s.loads
 }
 
-// Describe implements platform.WeightStore.
-func (s *WeightStore) Describe(_ context.Context, model, version string) (platform.Weights, error) {
+// Describe implements keyval.WeightStore.
+func (s *WeightStore) Describe(_ context.Context, model, version string) (keyval.Weights, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.Refuse {
-		return platform.Weights{}, platform.ErrUnavailable
+		return keyval.Weights{}, keyval.ErrUnavailable
 	}
-	return platform.Weights{Bytes: 1 << 30, Digest: digestOf(model, version)}, nil
+	return keyval.Weights{Bytes: 1 << 30, Digest: digestOf(model, version)}, nil
 }
 
 // Load fetches weights as an endpoint would and returns the digest of what came.
@@ -124,7 +124,7 @@
 	s.loads++
 	s.mu.Unlock()
 	if f.Refuse || (lim != nil && !lim.Allow()) {
-		return "", platform.ErrLimited
+		return "", keyval.ErrLimited
 	}
 	d := s.LoadTime
 	if f.SlowBy > 0 {
--- a/internal/fake/platform.go
+++ b/internal/fake/platform.go
@@ -13,7 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 )
 
 // Platform serves the stand-ins of the platform over HTTP.
@@ -27,14 +27,14 @@
 // Handler returns the HTTP handler of all parts.
 func (p *Platform) Handler() http.Handler {
 	r := mux.NewRouter().UseEncodedPath()
-	item := r.Path(platform.PathKV + "{key}").Subrouter()
+	item := r.Path(keyval.PathKV + "{key}").Subrouter()
 	item.Methods(http.MethodGet).HandlerFunc(p.get)
 	item.Methods(http.MethodPut).HandlerFunc(p.swap)
 	item.Methods(http.MethodDelete).HandlerFunc(p.remove)
-	r.Path(platform.PathKeys).HandlerFunc(p.keys)
-	r.Path(platform.PathLease).HandlerFunc(p.lease)
-	r.Path(platform.PathHosts).Methods(http.MethodPut).HandlerFunc(p.register)
-	r.Path(platform.PathHosts).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	r.Path(keyval.PathKeys).HandlerFunc(p.keys)
+	r.Path(keyval.PathLease).HandlerFunc(p.lease)
+	r.Path(keyval.PathHosts).Methods(http.MethodPut).HandlerFunc(p.register)
+	r.Path(keyval.PathHosts).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		out, err := p.Hosts.List(r.Context())
 		b, _ := json.Marshal(out)
 		tag := strconv.FormatUint(xxhash.Sum64(b), 16)
@@ -45,7 +45,7 @@
 		w.Header().Set("ETag", tag)
 		reply(w, out, err)
 	})
-	r.Path(platform.PathWeights).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	r.Path(keyval.PathWeights).HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		q := r.URL.Query()
 		out, err := p.Weights.Describe(r.Context(), q.Get("model"), q.Get("version"))
 		reply(w, out, err)
@@ -55,7 +55,7 @@
 
 // register adds an entry to the list; it stands in for whoever starts hosts.
 func (p *Platform) register(w http.ResponseWriter, r *http.Request) {
-	var e platform.ListEntry
+	var e keyval.ListEntry
 	if err := json.NewDecoder(r.Body).Decode(&e); err != nil || e.Name == "" {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -66,7 +66,7 @@
 // reply sends v, or the status of err.
 func reply(w http.ResponseWriter, v any, err error) {
 	if err != nil {
-		w.WriteHeader(platform.StatusOf(err))
+		w.WriteHeader(keyval.StatusOf(err))
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -75,7 +75,7 @@
 
 // key returns the unescaped key of a request.
 func key(r *http.Request) string {
-	const root = len(platform.PathKV)
+	const root = len(keyval.PathKV)
 	return r.URL.Path[root:]
 }
 
@@ -92,13 +92,13 @@
 }
 
 func (p *Platform) swap(w http.ResponseWriter, r *http.Request) {
-	var body platform.SwapBody
+	var body keyval.SwapBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	v, err := p.KV.Swap(r.Context(), key(r), body.Version, body.Value, body.Lease)
-	reply(w, platform.Item{Version: v}, err)
+	reply(w, keyval.Item{Version: v}, err)
 }
 
 func (p *Platform) remove(w http.ResponseWriter, r *http.Request) {
@@ -112,7 +112,7 @@
 }
 
 func (p *Platform) lease(w http.ResponseWriter, r *http.Request) {
-	var body platform.LeaseBody
+	var body keyval.LeaseBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
@@ -122,5 +122,5 @@
 		return
 	}
 	id, err := p.KV.Grant(r.Context(), time.Duration(body.TTLMS)*time.Millisecond)
-	reply(w, platform.LeaseBody{Lease: id}, err)
+	reply(w, keyval.LeaseBody{Lease: id}, err)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -16,8 +16,8 @@
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
-	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/revision"
 	"github.com/heathkeel/heathkeel/settings"
 )
@@ -32,7 +32,7 @@
 	// Zones are given to hosts in turn.
 	Zones []string
 	// List is the platform's list; it may be nil.
-	List platform.HostList
+	List keyval.HostList
 
 	mu    sync.Mutex
 	nodes map[string]*Node
@@ -65,7 +65,7 @@
 
 // Add starts a host with a key-value service of its own view. Of each zone the
 // first two hosts watch the head.
-func (m *Mesh) Add(ctx context.Context, kv platform.KV) *Node {
+func (m *Mesh) Add(ctx context.Context, kv keyval.KV) *Node {
 	m.mu.Lock()
 	i := len(m.nodes)
 	n := &Node{Name: fmt.Sprintf("host-%04d", i), Zone: m.Zones[i%len(m.Zones)], mesh: m}
--- a/internal/mesh/settings_test.go
+++ b/internal/mesh/settings_test.go
@@ -17,35 +17,35 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/internal/fake"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/revision"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
 // gap is a key-value service that one host may be cut off from.
 type gap struct {
-	platform.KV
+	keyval.KV
 	cut atomic.Bool
 }
 
 // errCut means that the host is cut off.
 func (g *gap) err() error {
 	if g.cut.Load() {
-		return platform.ErrUnavailable
+		return keyval.ErrUnavailable
 	}
 	return nil
 }
 
-func (g *gap) Get(ctx context.Context, key string) (platform.Item, error) {
+func (g *gap) Get(ctx context.Context, key string) (keyval.Item, error) {
 	if err := g.err(); err != nil {
-		return platform.Item{}, err
+		return keyval.Item{}, err
 	}
 	return g.KV.Get(ctx, key)
 }
 
-func (g *gap) Watch(ctx context.Context, key string, after uint64) (platform.Item, error) {
+func (g *gap) Watch(ctx context.Context, key string, after uint64) (keyval.Item, error) {
 	if err := g.err(); err != nil {
-		return platform.Item{}, err
+		return keyval.Item{}, err
 	}
 	return g.KV.Watch(ctx, key, after)
 }
@@ -94,7 +94,7 @@
 	n := w.Add(w.ctx, g)
 	w.gaps = append(w.gaps, g)
 	w.all = append(w.all, n)
-	w.List.(*fake.HostList).Put(platform.ListEntry{Name: n.Name, Address: n.Name, Zone: n.Zone})
+	w.List.(*fake.HostList).Put(keyval.ListEntry{Name: n.Name, Address: n.Name, Zone: n.Zone})
 	return n
 }
 
@@ -319,11 +319,11 @@
 
 // pausingKV pauses the writer between its read of the head and its write.
 type pausingKV struct {
-	platform.KV
+	keyval.KV
 	pause func()
 }
 
-func (p *pausingKV) Swap(ctx context.Context, key string, version uint64, value []byte, l platform.Lease) (uint64, error) {
+func (p *pausingKV) Swap(ctx context.Context, key string, version uint64, value []byte, l keyval.Lease) (uint64, error) {
 	if key == revision.KeyHead && p.pause != nil {
 		pause := p.pause
 		p.pause = nil
--- a/platform/http.go
+++ b/keyval/http.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package platform
+package keyval
 
 import (
 	"bytes"
--- a/placer/faults_test.go
+++ b/placer/faults_test.go
@@ -19,7 +19,7 @@
 
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/internal/fake"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
@@ -88,7 +88,7 @@
 }
 
 // add starts a placer with a key-value service of its own view.
-func (b *bay) add(kv platform.KV) *Placer {
+func (b *bay) add(kv keyval.KV) *Placer {
 	b.n++
 	p := &Placer{
 		Name: fmt.Sprint("p", b.n), Zone: "z", KV: kv, Weights: b.store, Settings: b.snap.Load,
@@ -243,14 +243,14 @@
 
 // pausable lets a test hold up all calls of one host.
 type pausable struct {
-	platform.KV
+	keyval.KV
 	paused atomic.Bool
 }
 
-func (p *pausable) Renew(ctx context.Context, l platform.Lease) error {
+func (p *pausable) Renew(ctx context.Context, l keyval.Lease) error {
 	if p.paused.Load() {
 		<-ctx.Done()
-		return platform.ErrUnavailable
+		return keyval.ErrUnavailable
 	}
 	return p.KV.Renew(ctx, l)
 }
--- a/placer/lease.go
+++ b/placer/lease.go
@@ -9,7 +9,7 @@
 	"errors"
 	"time"
 
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 )
 
 // Timing of leases.
@@ -27,13 +27,13 @@
 type Lease struct {
 	// KV is the key-value service, Key the shard's key and Holder the name that
 	// is written to it, which must be unique to the process.
-	KV     platform.KV
+	KV     keyval.KV
 	Key    string
 	Holder string
 	// TTL is the time to live; 0 means DefaultTTL.
 	TTL time.Duration
 
-	id      platform.Lease
+	id      keyval.Lease
 	token   uint64
 	renewed time.Time // when the last renewal that was answered was sent
 	since   time.Time // when the shard was acquired
@@ -70,7 +70,7 @@
 	switch {
 	case err == nil:
 		l.renewed = sent
-	case errors.Is(err, platform.ErrLeaseGone), time.Since(l.renewed) >= l.ttl():
+	case errors.Is(err, keyval.ErrLeaseGone), time.Since(l.renewed) >= l.ttl():
 		l.token, l.id = 0, 0
 	}
 	return err
@@ -82,7 +82,7 @@
 	if err == nil {
 		return l.recover(it)
 	}
-	if !errors.Is(err, platform.ErrNotFound) {
+	if !errors.Is(err, keyval.ErrNotFound) {
 		return err
 	}
 	sent := time.Now()
@@ -108,7 +108,7 @@
 
 // recover takes up a claim of its own whose answer was lost. Its lease may be
 // about to lapse, so nothing counts before a renewal was answered.
-func (l *Lease) recover(it platform.Item) error {
+func (l *Lease) recover(it keyval.Item) error {
 	if string(it.Value) != l.Holder || l.id == 0 {
 		return errHeld
 	}
--- a/placer/manager.go
+++ b/placer/manager.go
@@ -11,7 +11,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/endpoint"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
@@ -21,8 +21,8 @@
 	// Name identifies the process; it must be unique to this run of it.
 	Name string
 	// KV and Weights are the platform's.
-	KV      platform.KV
-	Weights platform.WeightStore
+	KV      keyval.KV
+	Weights keyval.WeightStore
 	// Settings gives the settings in force, or nil.
 	Settings func() *settings.Snapshot
 	// Candidate says whether this host should try to hold a zone.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,7 +13,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/endpoint"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
@@ -39,8 +39,8 @@
 	// Zone is the availability zone.
 	Zone string
 	// KV and Weights are the platform's.
-	KV      platform.KV
-	Weights platform.WeightStore
+	KV      keyval.KV
+	Weights keyval.WeightStore
 	// Settings gives the settings in force, or nil.
 	Settings func() *settings.Snapshot
 	// Candidate says whether this host should try to hold the zone; nil means always.
--- a/revision/bench_test.go
+++ b/revision/bench_test.go
@@ -16,7 +16,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/internal/fake"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
@@ -36,18 +36,18 @@
 
 // counting counts bytes and calls to a key-value service.
 type counting struct {
-	platform.KV
+	keyval.KV
 	calls, bytes int
 }
 
-func (c *counting) Get(ctx context.Context, key string) (platform.Item, error) {
+func (c *counting) Get(ctx context.Context, key string) (keyval.Item, error) {
 	it, err := c.KV.Get(ctx, key)
 	c.calls++
 	c.bytes += len(it.Value)
 	return it, err
 }
 
-func (c *counting) Swap(ctx context.Context, key string, v uint64, b []byte, l platform.Lease) (uint64, error) {
+func (c *counting) Swap(ctx context.Context, key string, v uint64, b []byte, l keyval.Lease) (uint64, error) {
 	c.calls++
 	c.bytes += len(b)
 	return c.KV.Swap(ctx, key, v, b, l)
--- a/revision/follower.go
+++ b/revision/follower.go
@@ -15,7 +15,7 @@
 	"github.com/go-logr/logr"
 	"github.com/rotisserie/eris"
 
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
@@ -45,7 +45,7 @@
 // then call Run.
 type Follower struct {
 	// KV is the key-value service.
-	KV platform.KV
+	KV keyval.KV
 	// Peers reads from other hosts; nil means that there are none.
 	Peers Peer
 	// Relay says whether this host watches the head now; nil means always.
@@ -167,7 +167,7 @@
 func (f *Follower) read(ctx context.Context) (uint64, error) {
 	f.count(func(c *Counts) { c.Reads++ })
 	it, err := f.KV.Get(ctx, KeyHead)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, keyval.ErrNotFound) {
 		return 0, err
 	}
 	if err != nil {
--- a/revision/store.go
+++ b/revision/store.go
@@ -13,7 +13,7 @@
 	"strings"
 	"time"
 
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
 )
 
@@ -42,7 +42,7 @@
 // Store is the operators' side of the settings in the key-value service.
 type Store struct {
 	// KV is the key-value service.
-	KV platform.KV
+	KV keyval.KV
 	// Pause is the time before a retry, 0 for 100 ms.
 	Pause time.Duration
 }
@@ -81,7 +81,7 @@
 // head reads the head record and its version.
 func (s *Store) head(ctx context.Context) (*Head, uint64, error) {
 	it, err := s.KV.Get(ctx, KeyHead)
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, keyval.ErrNotFound) {
 		return &Head{}, 0, nil
 	}
 	if err != nil {
@@ -135,8 +135,8 @@
 
 // again reports whether an error may pass by itself.
 func again(err error) bool {
-	return errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrUnavailable) ||
-		errors.Is(err, platform.ErrLimited) || errors.Is(err, platform.ErrNotFound)
+	return errors.Is(err, keyval.ErrConflict) || errors.Is(err, keyval.ErrUnavailable) ||
+		errors.Is(err, keyval.ErrLimited) || errors.Is(err, keyval.ErrNotFound)
 }
 
 // try makes one attempt. A head whose write gave no answer is read again by the
@@ -231,7 +231,7 @@
 func (s *Store) writeChunk(ctx context.Context, ch Chunk) error {
 	key := KeyChunk + ch.Digest
 	_, err := s.KV.Swap(ctx, key, 0, ch.Content, 0)
-	if !errors.Is(err, platform.ErrConflict) {
+	if !errors.Is(err, keyval.ErrConflict) {
 		return err
 	}
 	it, err := s.KV.Get(ctx, key)
@@ -245,11 +245,11 @@
 // retire notes in next which chunks it no longer names, and returns those
 // retired long enough ago to be deleted, with the versions they have now:
 // before the head that forgets them is written.
-func (s *Store) retire(ctx context.Context, h, next *Head) []platform.Item {
+func (s *Store) retire(ctx context.Context, h, next *Head) []keyval.Item {
 	named := func(digest string) bool {
 		return slices.ContainsFunc(next.Chunks, func(r ChunkRef) bool { return r.Digest == digest })
 	}
-	var dead []platform.Item
+	var dead []keyval.Item
 	for _, r := range h.Retired {
 		switch {
 		case named(r.Digest):
--- a/router/engine_test.go
+++ b/router/engine_test.go
@@ -20,7 +20,7 @@
 	"github.com/heathkeel/heathkeel/client"
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/internal/fake"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/problem"
 	"github.com/heathkeel/heathkeel/router"
 )
@@ -231,7 +231,7 @@
 
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
 	r := newRig(t, nil)
-	r.Platform.Hosts.Put(platform.ListEntry{Name: "s1", Zone: "z1", Endpoint: true, Leaving: true})
+	r.Platform.Hosts.Put(keyval.ListEntry{Name: "s1", Zone: "z1", Endpoint: true, Leaving: true})
 	cl := newClient(r)
 	look := func() string {
 		a, err := cl.Do(context.Background(), client.Call{Service: "look", Method: http.MethodGet, Path: "/"})
--- a/router/peers.go
+++ b/router/peers.go
@@ -15,8 +15,8 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
-	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/problem"
 )
 
@@ -33,7 +33,7 @@
 }
 
 // maxPeerAnswer bounds an answer of a peer, in bytes: a settings chunk at the most.
-const maxPeerAnswer = 2 * platform.MaxValue
+const maxPeerAnswer = 2 * keyval.MaxValue
 
 // call sends one request with a JSON body and returns the answer's content.
 func (c *peerClient) call(ctx context.Context, method, address, path string, in any) ([]byte, error) {
--- a/router/router.go
+++ b/router/router.go
@@ -16,9 +16,9 @@
 
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/once"
-	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/revision"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/settings"
@@ -52,8 +52,8 @@
 	// Self is this host's record; Incarnation must be drawn anew at each start.
 	Self fleet.Host
 	// KV and List are the platform's; List may be nil.
-	KV   platform.KV
-	List platform.HostList
+	KV   keyval.KV
+	List keyval.HostList
 	// Sched holds the policy's figures.
 	Sched sched.Config
 	// MaxAge is how long callers keep an address answer; 0 means fleet.DefaultMaxAge.
--- a/router/targets.go
+++ b/router/targets.go
@@ -13,7 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/heathkeel/heathkeel/endpoint"
-	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/settings"
 )
@@ -135,7 +135,7 @@
 }
 
 // listed takes a reading of the platform's list: endpoints that leave get no new work.
-func (r *Router) listed(entries []platform.ListEntry) {
+func (r *Router) listed(entries []keyval.ListEntry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	leaving := make(map[string]bool)
