--- /dev/null
+++ b/cmd/hkedge/host.go
@@ -0,0 +1,322 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/ingress"
+	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/quota"
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// Parts of the platform's bounds that the host keeps.
+const (
+	// trustShare is the part of the revocation time up to which settings are trusted.
+	trustShare = 0.6
+	// sureShare is the part of the configuration time up to which an unknown key is surely unknown.
+	sureShare = 0.9
+	// watchShare is the part of the revocation time that a watch of the configuration is idle.
+	watchShare = 0.24
+	// listShare is the part of the drain time between two readings of the endpoints.
+	listShare = 0.3
+	// retryShare is the part of the retry bound that hosts use.
+	retryShare = 0.7
+	// bodyShare is the part of the memory for bodies of requests.
+	bodyShare = 0.2
+	// heapShare is the part of the memory that the collector aims to stay under.
+	heapShare = 0.6
+)
+
+// host is the process: its parts and what joins them.
+type host struct {
+	// Boot is the settings file and Path where it lies.
+	Boot platform.Boot
+	Path string
+	// Log takes changes of state.
+	Log logr.Logger
+
+	start     time.Time
+	life      uint64
+	store     *platform.Store
+	settings  *feed.Settings
+	endpoints *feed.Endpoints
+	ingress   *ingress.Server
+	agent     *peers.Agent
+	entry     *feed.Entry
+	stopping  chan struct{}
+}
+
+// now is the steady clock.
+func (h *host) now() time.Duration { return time.Since(h.start) }
+
+// Run keeps the host going until a signal ends it.
+func (h *host) Run() error {
+	h.start = time.Now()
+	h.life = rand.Uint64() >> 12
+	h.stopping = make(chan struct{})
+	if mb := h.Boot.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(mb<<20)))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	h.build()
+	if err := h.listenPeers(); err != nil {
+		return err
+	}
+	if err := h.serve(ctx); err != nil {
+		return err
+	}
+	go h.settings.Run(ctx)
+	go h.endpoints.Run(ctx)
+	go h.agent.Run(ctx)
+	go h.entry.Run(ctx)
+	go h.tick(ctx)
+	h.Log.Info("started", "front", h.Boot.Front, "zone", h.Boot.Zone, "life", h.life)
+	return h.await()
+}
+
+// build makes the parts.
+func (h *host) build() {
+	b := &h.Boot
+	h.store = &platform.Store{
+		Base: "http://" + b.Store,
+		HTTP: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second,
+			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+		}},
+	}
+	h.ingress = &ingress.Server{
+		Headers: platform.Headers, Now: h.now, Policy: sched.Config{},
+		Trust:      time.Duration(trustShare * float64(b.RevokeTime)),
+		Sure:       time.Duration(sureShare * float64(b.ConfigTime)),
+		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
+		BodyMemory: h.bodyMemory(), Log: h.Log.WithName("ingress"),
+	}
+	h.settings = &feed.Settings{
+		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
+		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: 300 * time.Millisecond,
+		Changed: h.ingress.SetTable, Log: h.Log.WithName("settings"),
+	}
+	h.ingress.Settings = h.settings
+	h.ingress.Init()
+	h.endpoints = &feed.Endpoints{
+		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
+		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: time.Second, Pause: 400 * time.Millisecond,
+		LapseFor: 4 * b.Heartbeat, Changed: h.ingress.SetEndpoints, Log: h.Log.WithName("endpoints"),
+	}
+	h.entry = &feed.Entry{
+		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixHosts, Value: []byte(h.peerAddress()),
+		Life: 10 * time.Second, Found: h.foundHosts, Log: h.Log.WithName("entry"),
+	}
+}
+
+// bodyMemory bounds the bytes of requests held.
+func (h *host) bodyMemory() int64 {
+	if h.Boot.MemoryMB == 0 {
+		return 64 << 20
+	}
+	return int64(bodyShare * float64(h.Boot.MemoryMB<<20))
+}
+
+// peerAddress is where this host hears heartbeats.
+func (h *host) peerAddress() string { return fmt.Sprintf("%s:%d", h.Boot.IP, h.Boot.PeerPort) }
+
+// foundHosts takes the hosts' entries in the store.
+func (h *host) foundHosts(items []feed.Item) {
+	var seeds []string
+	for _, it := range items {
+		seeds = append(seeds, string(it.Value))
+	}
+	h.agent.AddSeeds(seeds)
+}
+
+// listenPeers opens the socket for heartbeats.
+func (h *host) listenPeers() error {
+	conn, err := net.ListenPacket("udp", h.peerAddress())
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for _, s := range h.Boot.Seeds {
+		if ap, err := netip.ParseAddrPort(s); err == nil && ap.Addr().String() != h.Boot.IP {
+			seeds = append(seeds, fmt.Sprintf("%s:%d", ap.Addr(), h.Boot.PeerPort))
+		}
+	}
+	h.agent = &peers.Agent{
+		Table: &peers.Table{Host: h.Boot.Host, Life: h.life}, Conn: conn, Seeds: seeds, Host: h, Now: h.now,
+		Rand: rand.New(rand.NewPCG(h.life, 1)), Log: h.Log.WithName("peers"),
+	}
+	h.agent.Init()
+	return nil
+}
+
+// ready tells whether the host takes requests.
+func (h *host) ready() bool {
+	select {
+	case <-h.stopping:
+		return false
+	default:
+	}
+	return h.settings.Current() != nil
+}
+
+// Fill implements peers.Host.
+func (h *host) Fill(b *peers.Beat) {
+	b.Row = peers.Row{
+		Address: h.peerAddress(), Front: h.Boot.Front, Control: h.Boot.Control, Zone: h.Boot.Zone, Region: h.Boot.Region,
+		Ready: h.ready(), Fresh: h.ingress.Fresh(),
+	}
+	b.Load = h.ingress.Loads()
+	b.Used = h.ingress.Used()
+	b.AgeMS = -1
+	if age, ok := h.settings.Age.At(h.now()); ok {
+		b.Revision, b.AgeMS = h.settings.Age.Revision(), age.Milliseconds()+1
+	}
+}
+
+// Heard implements peers.Host.
+func (h *host) Heard(b *peers.Beat) { h.ingress.Heard(b.Host, b.Life, b.Used) }
+
+// Proved implements peers.Host: settings that a peer knows to be newest are so
+// here too, and newer ones are asked for.
+func (h *host) Proved(p peers.Proof) {
+	have := h.settings.Age.Revision()
+	switch {
+	case p.Revision == have:
+		h.settings.Age.Prove(p.Revision, p.At)
+	case p.Revision > have:
+		h.fetch(p.Control)
+	}
+}
+
+// tick does what is due now and then.
+func (h *host) tick(ctx context.Context) {
+	t := time.NewTicker(100 * time.Millisecond)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		h.ingress.Tick()
+		if n%2 == 0 {
+			h.shareLoads()
+		}
+		if n%10 == 0 {
+			h.ingress.Sweep()
+		}
+	}
+}
+
+// shareLoads gives the ingress what the other hosts told.
+func (h *host) shareLoads() {
+	live := h.agent.Live()
+	loads := make([]map[string]peers.Load, len(live))
+	for i := range live {
+		loads[i] = live[i].Load
+	}
+	h.ingress.SetOthers(loads)
+	n := 1 + len(h.agent.Counted())
+	if n == 1 && len(h.Boot.Seeds) > 1 {
+		n = len(h.Boot.Seeds)
+	}
+	h.ingress.SetHosts(n)
+}
+
+// await waits for the signal to stop and stops.
+func (h *host) await() error {
+	sig := make(chan os.Signal, 4)
+	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for s := range sig {
+		if s != syscall.SIGHUP {
+			break
+		}
+		h.reload()
+	}
+	h.stop()
+	return nil
+}
+
+// reload reads the settings file again. A broken file changes nothing.
+func (h *host) reload() {
+	b, err := platform.ReadBoot(h.Path)
+	if err != nil {
+		h.Log.Error(err, "settings file refused; the last one stays")
+		return
+	}
+	h.Log.Info("settings file read", "seeds", len(b.Seeds))
+}
+
+// Times of a planned stop.
+const (
+	// lingerLeast is how long callers with old answers are still served.
+	lingerLeast = 3500 * time.Millisecond
+	// graceRest is the part of the grace that is not used.
+	graceRest = 700 * time.Millisecond
+)
+
+// stop tells callers and peers, and ends once nothing runs or the grace is over.
+func (h *host) stop() {
+	began := h.now()
+	close(h.stopping)
+	h.ingress.Stop()
+	h.agent.Kick()
+	h.Log.Info("stopping", "active", h.ingress.Active())
+	for h.now()-began < h.Boot.Grace-graceRest {
+		if h.now()-began > min(lingerLeast, h.Boot.Grace/2) && h.ingress.Active() == 0 {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	h.Log.Info("stopped", "active", h.ingress.Active())
+}
+
+// settingsBody is how hosts pass the configuration on.
+type settingsBody struct {
+	// Revision is the number of its write.
+	Revision uint64 `json:"revision"`
+	// Value is the document.
+	Value []byte `json:"value"`
+}
+
+// pathSettings answers other hosts with the configuration in force.
+const pathSettings = "/v1/settings"
+
+// fetch asks a peer for its configuration.
+func (h *host) fetch(control string) {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+pathSettings, nil)
+	if err != nil {
+		return
+	}
+	resp, err := h.store.HTTP.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	var b settingsBody
+	if resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(&b) == nil {
+		h.settings.Offer(b.Value, b.Revision)
+	}
+}
--- /dev/null
+++ b/cmd/hkedge/listen.go
@@ -0,0 +1,198 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/route"
+)
+
+// Defaults of the limits on callers.
+const (
+	defaultHeaderTime  = 3 * time.Second
+	defaultIdle        = 15 * time.Second
+	defaultHeaderBytes = 16 << 10
+	// idleMargin is how much longer than told a resting connection is kept.
+	idleMargin = 1.5
+)
+
+// serve opens the listeners and serves them until ctx ends.
+func (h *host) serve(ctx context.Context) error {
+	front := &frontServer{host: h}
+	ways := []struct {
+		address string
+		serve   func(net.Listener)
+	}{
+		{h.Boot.Front, front.serve},
+		{h.Boot.Ready, plain(h.readyHandler())},
+		{h.Boot.Control, plain(h.controlHandler())},
+		{h.Boot.Directory, plain(h.directoryHandler())},
+	}
+	for _, w := range ways {
+		if w.address == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", w.address)
+		if err != nil {
+			return err
+		}
+		go w.serve(l)
+		context.AfterFunc(ctx, func() { _ = l.Close() })
+	}
+	return nil
+}
+
+// plain serves a handler with fixed limits.
+func plain(handler http.Handler) func(net.Listener) {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdle, MaxHeaderBytes: defaultHeaderBytes}
+	return func(l net.Listener) { _ = srv.Serve(l) }
+}
+
+// frontServer serves callers under the limits of the configuration in force when
+// they connect.
+type frontServer struct {
+	host   *host
+	limits route.Limits
+	queue  *queueListener
+}
+
+// serve accepts connections and hands each to the server with the limits in force.
+func (f *frontServer) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			if ne, ok := err.(net.Error); ok && ne.Timeout() {
+				continue
+			}
+			time.Sleep(20 * time.Millisecond)
+			if _, aerr := l.Accept(); aerr != nil {
+				return
+			}
+			continue
+		}
+		f.current(l.Addr()).conns <- c
+	}
+}
+
+// current returns the queue of the server for the limits in force.
+func (f *frontServer) current(addr net.Addr) *queueListener {
+	var limits route.Limits
+	if src := f.host.settings.Current(); src != nil {
+		limits = src.Table.Document.Limits
+	}
+	if f.queue != nil && limits == f.limits {
+		return f.queue
+	}
+	f.limits = limits
+	f.queue = &queueListener{addr: addr, conns: make(chan net.Conn, 64)}
+	srv := &http.Server{
+		Handler:           f.host.ingress,
+		ReadHeaderTimeout: orElse(limits.HeaderTime, defaultHeaderTime),
+		IdleTimeout:       time.Duration(idleMargin * float64(orElse(limits.IdleTime, defaultIdle))),
+		MaxHeaderBytes:    int(orElse(limits.HeaderBytes, defaultHeaderBytes)),
+	}
+	go func(l net.Listener) { _ = srv.Serve(l) }(f.queue)
+	return f.queue
+}
+
+// orElse returns v, or a default if v is not above 0.
+func orElse[T int64 | time.Duration](v, def T) T {
+	if v > 0 {
+		return v
+	}
+	return def
+}
+
+// queueListener is a listener that is fed connections.
+type queueListener struct {
+	addr  net.Addr
+	conns chan net.Conn
+}
+
+// Accept implements net.Listener.
+func (q *queueListener) Accept() (net.Conn, error) { return <-q.conns, nil }
+
+// Close implements net.Listener.
+func (q *queueListener) Close() error { return nil }
+
+// Addr implements net.Listener.
+func (q *queueListener) Addr() net.Addr { return q.addr }
+
+// readyHandler answers the platform's checks.
+func (h *host) readyHandler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
+		if !h.ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	}).Methods(http.MethodGet)
+	return m
+}
+
+// controlHandler answers other hosts and operators.
+func (h *host) controlHandler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc(pathSettings, func(w http.ResponseWriter, _ *http.Request) {
+		src := h.settings.Current()
+		if src == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(settingsBody{src.Revision, src.Value})
+	}).Methods(http.MethodGet)
+	m.Handle("/debug/vars", expvar.Handler())
+	return m
+}
+
+// directoryHandler answers callers that ask where to go.
+func (h *host) directoryHandler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc(platform.PathResolve, func(w http.ResponseWriter, r *http.Request) {
+		a := platform.Resolve(h.addresses(r.URL.Query().Get("Zone")), answerLife)
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(a)
+	}).Methods(http.MethodGet)
+	return m
+}
+
+// answerLife is how long callers keep an address answer.
+const answerLife = time.Second
+
+// mostAddresses bounds an answer.
+const mostAddresses = 64
+
+// addresses lists where callers may connect: hosts that take requests and know the
+// newest settings, else those that take requests.
+func (h *host) addresses(string) []string {
+	var fresh, taking []string
+	add := func(front string, ready, young bool) {
+		if ready && young {
+			fresh = append(fresh, front)
+		}
+		if ready {
+			taking = append(taking, front)
+		}
+	}
+	add(h.Boot.Front, h.ready(), h.ingress.Fresh())
+	for _, m := range h.agent.Live() {
+		add(m.Row.Front, m.Row.Ready, m.Row.Fresh)
+	}
+	if len(fresh) == 0 {
+		fresh = taking
+	}
+	rand.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
+	return fresh[:min(mostAddresses, len(fresh))]
+}
--- /dev/null
+++ b/cmd/hkedge/main.go
@@ -0,0 +1,49 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+// Command hkedge is one host of heathkeel on a platform that gives the process a
+// settings file: it answers callers that ask for an address and takes their
+// requests by the routes of the configuration.
+package main
+
+import (
+	"os"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/heathkeel/heathkeel/internal/logs"
+	"github.com/heathkeel/heathkeel/internal/version"
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// args are the process settings.
+type args struct {
+	Settings string `arg:"--settings,env:HEATHKEEL_SETTINGS,required" help:"path of the platform's settings file"`
+}
+
+// Version gives the line that --version prints.
+func (args) Version() string { return "hkedge " + version.Version }
+
+// Description gives the first line of --help.
+func (args) Description() string {
+	return "hkedge is one host of heathkeel. SIGTERM stops it within its grace; SIGHUP reads the settings file again."
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	boot, err := platform.ReadBoot(a.Settings)
+	if err != nil {
+		p.Fail(err.Error())
+	}
+	log, err := logs.New("hkedge", version.Version)
+	if err != nil {
+		p.Fail(err.Error())
+	}
+	h := &host{Boot: boot, Path: a.Settings, Log: log.WithValues("host", boot.Host)}
+	if err := h.Run(); err != nil {
+		h.Log.Error(err, "stopped")
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/feed/age.go
@@ -0,0 +1,47 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"sync"
+	"time"
+)
+
+// Age knows the moment up to which a revision was proven to be the newest. All
+// times are of the host's steady clock, since the process started.
+type Age struct {
+	mu       sync.Mutex
+	revision uint64
+	proven   time.Duration
+	known    bool
+}
+
+// Prove notes that revision was the newest at a moment. A proof of an older
+// revision says nothing; a newer revision takes the place of the older one.
+func (a *Age) Prove(revision uint64, at time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch {
+	case a.known && revision < a.revision:
+	case a.known && revision == a.revision:
+		a.proven = max(a.proven, at)
+	default:
+		a.revision, a.proven, a.known = revision, max(a.proven, at), true
+	}
+}
+
+// At returns the age of the settings at a moment, and false if there are none.
+func (a *Age) At(now time.Duration) (time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return max(0, now-a.proven), a.known
+}
+
+// Revision returns the revision in force.
+func (a *Age) Revision() uint64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.revision
+}
--- /dev/null
+++ b/ingress/admit.go
@@ -0,0 +1,271 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/heathkeel/heathkeel/quota"
+	"github.com/heathkeel/heathkeel/route"
+)
+
+// Times of admission.
+const (
+	// freeDeadline holds where neither caller nor route give one.
+	freeDeadline = 60 * time.Second
+	// lateStop is the time into a stop from which new requests are refused.
+	lateStop = 2500 * time.Millisecond
+	// longestDeadline bounds what a caller may ask for.
+	longestDeadline = time.Hour
+)
+
+// admit finds out what a request is and whether it may run. It returns the
+// refusal, or nil. The order matters: what costs least and hides least comes first.
+func (c *call) admit() *refusal {
+	if t, ok := c.s.stopping(); ok && t > lateStop {
+		c.s.Count.Stopping.Add(1)
+		return &refusal{status: http.StatusServiceUnavailable, why: "this host is stopping; use another"}
+	}
+	src := c.s.Settings.Current()
+	if src == nil {
+		c.s.Count.NoSettings.Add(1)
+		return &refusal{http.StatusServiceUnavailable, "no settings yet; come back", time.Second}
+	}
+	c.table = src.Table
+	for _, step := range []func() *refusal{c.findRoute, c.findWorkspace, c.readNumbers, c.readBody, c.takeQuota} {
+		if f := step(); f != nil {
+			return f
+		}
+	}
+	return nil
+}
+
+// unknown refuses what the settings do not hold, if they are surely the newest.
+func (c *call) unknown(status int, why string) *refusal {
+	if age, ok := c.s.Settings.Age.At(c.s.Now()); !ok || age > c.s.Sure {
+		c.s.Count.Stale.Add(1)
+		return &refusal{http.StatusServiceUnavailable, "settings are too old to say; come back", time.Second}
+	}
+	return &refusal{status: status, why: why}
+}
+
+// findRoute finds the route and the service.
+func (c *call) findRoute() *refusal {
+	c.uri = c.r.RequestURI
+	if !strings.HasPrefix(c.uri, "/") {
+		c.uri = c.r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(c.uri, "?")
+	c.route = c.table.Match(c.r.Host, path)
+	if c.route == nil {
+		c.s.Count.NoRoute.Add(1)
+		return c.unknown(http.StatusNotFound, "no route for this host and path")
+	}
+	c.service = c.table.Service(c.route.Target(rand.Float64()))
+	if c.service == nil {
+		return &refusal{http.StatusServiceUnavailable, "the route has no service; come back", time.Second}
+	}
+	return nil
+}
+
+// findWorkspace finds out for whom the request runs.
+func (c *call) findWorkspace() *refusal {
+	if c.route.Public || len(c.table.Document.Workspaces) == 0 {
+		return nil
+	}
+	if !c.s.Fresh() {
+		c.s.Count.Stale.Add(1)
+		return &refusal{http.StatusServiceUnavailable, "settings are too old for keys; use another host", time.Second}
+	}
+	key, ok := strings.CutPrefix(c.r.Header.Get("Authorization"), c.s.Headers.KeyScheme)
+	if ok {
+		c.workspace = c.table.Workspace(strings.TrimSpace(key))
+	}
+	if c.workspace == nil {
+		c.s.Count.NoKey.Add(1)
+		return c.unknown(http.StatusUnauthorized, "unknown key; send one in Authorization")
+	}
+	return nil
+}
+
+// readNumbers reads the figures in the header.
+func (c *call) readNumbers() *refusal {
+	h, n := c.r.Header, &c.s.Headers
+	bad := func(name string) *refusal {
+		c.s.Count.Bad.Add(1)
+		return &refusal{status: http.StatusBadRequest, why: "bad header " + name + "; see the reference"}
+	}
+	ids := h[http.CanonicalHeaderKey(n.Attempt)]
+	if len(ids) != 1 || ids[0] == "" {
+		return bad(n.Attempt)
+	}
+	c.id = ids[0]
+	c.deadline = c.arrived + freeDeadline
+	if v := h.Get(n.Deadline); v != "" {
+		ms, err := strconv.ParseFloat(v, 64)
+		if err != nil || math.IsNaN(ms) || ms < 0 {
+			return bad(n.Deadline)
+		}
+		c.deadline = c.arrived + time.Duration(min(ms*float64(time.Millisecond), float64(longestDeadline)))
+	}
+	if c.route.Timeout > 0 {
+		c.deadline = min(c.deadline, c.arrived+c.route.Timeout)
+	}
+	if v := h.Get(n.Tokens); v != "" {
+		in, out, _ := strings.Cut(v, ",")
+		var err1, err2 error
+		c.tokensIn, err1 = strconv.Atoi(strings.TrimSpace(in))
+		c.tokensOut, err2 = strconv.Atoi(strings.TrimSpace(out))
+		if err1 != nil || err2 != nil || c.tokensIn < 0 || c.tokensOut < 0 {
+			return bad(n.Tokens)
+		}
+		c.named = true
+	}
+	if v := h.Get(n.LengthGuess); v != "" {
+		// A bad guess is no guess.
+		c.likely, _ = strconv.Atoi(v)
+	}
+	if c.service.Memory > 0 && c.tokensIn > c.service.Memory {
+		c.s.Count.Bad.Add(1)
+		return &refusal{status: http.StatusRequestEntityTooLarge, why: "prompt is larger than the memory of any endpoint"}
+	}
+	return nil
+}
+
+// readBody reads the whole body, so that it can be sent again.
+func (c *call) readBody() *refusal {
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return nil
+	}
+	most := c.table.Document.Limits.BodyBytes
+	if most <= 0 {
+		most = defaultBody
+	}
+	large := &refusal{status: http.StatusRequestEntityTooLarge, why: "body is too large"}
+	if c.r.ContentLength > most {
+		c.s.Count.Bad.Add(1)
+		return large
+	}
+	_ = c.rc.SetReadDeadline(time.Now().Add(c.deadline - c.s.Now()))
+	body, err := c.readHeld(most)
+	_ = c.rc.SetReadDeadline(time.Time{})
+	switch {
+	case errors.Is(err, errMemory):
+		c.s.Count.Memory.Add(1)
+		return &refusal{http.StatusServiceUnavailable, "too many bytes held; come back", time.Second}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		c.s.Count.Bad.Add(1)
+		return &refusal{status: http.StatusRequestTimeout, why: "the body did not come in time"}
+	case err != nil:
+		c.s.Count.Gone.Add(1)
+		return &refusal{status: http.StatusBadRequest, why: "the body broke off"}
+	case int64(len(body)) > most:
+		c.s.Count.Bad.Add(1)
+		return large
+	}
+	c.body, c.hasBody = body, true
+	return nil
+}
+
+// defaultBody bounds a body where the settings give no bound.
+const defaultBody = 4 << 20
+
+// errMemory means that the host holds too many bytes.
+var errMemory = errors.New("too many bytes of requests are held")
+
+// readHeld reads a body and counts its bytes among those held.
+func (c *call) readHeld(most int64) ([]byte, error) {
+	size := max(c.r.ContentLength, firstBuffer)
+	if !c.hold(size) {
+		return nil, errMemory
+	}
+	buf := make([]byte, 0, size)
+	for {
+		if len(buf) == cap(buf) {
+			if !c.hold(int64(cap(buf))) {
+				return nil, errMemory
+			}
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, err := c.r.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if int64(len(buf)) > most {
+			return buf, nil
+		}
+	}
+}
+
+// firstBuffer is the first size of a buffer for a body of unknown length.
+const firstBuffer = 1 << 10
+
+// hold counts bytes among those held, unless they are too many.
+func (c *call) hold(n int64) bool {
+	if c.s.bodies.Add(n) > c.s.BodyMemory {
+		c.s.bodies.Add(-n)
+		return false
+	}
+	c.held += n
+	return true
+}
+
+// takeQuota takes the request's units from its workspace's amount.
+func (c *call) takeQuota() *refusal {
+	w := c.workspace
+	if w == nil || w.Rate <= 0 {
+		return nil
+	}
+	c.units = 1
+	if w.Tokens {
+		c.units = w.PlainTokens
+		if c.named {
+			c.units = float64(c.tokensIn + c.tokensOut)
+		}
+	}
+	c.s.mu.Lock()
+	ok, wait := c.s.book.Take(c.s.Now(), w.Name, quota.Bound{Rate: w.Rate, Burst: w.Burst}, c.units)
+	c.s.mu.Unlock()
+	if ok {
+		return nil
+	}
+	c.units = 0
+	c.s.Count.OverQuota.Add(1)
+	return &refusal{http.StatusTooManyRequests, "the workspace's amount is used up; come back", wait}
+}
+
+// returnQuota gives the units back when the request surely ran nowhere.
+func (c *call) returnQuota() {
+	if c.units == 0 || c.account.Sends() > 0 {
+		return
+	}
+	c.s.mu.Lock()
+	c.s.book.Return(c.workspace.Name, c.units)
+	c.s.mu.Unlock()
+	c.units = 0
+}
+
+// rankOf orders workspaces before routes.
+type rankOf struct{ workspace, route int }
+
+// rank gives the pair that orders a request.
+func rank(w *route.Workspace, r *route.Route) rankOf {
+	if w == nil {
+		return rankOf{0, r.Rank}
+	}
+	return rankOf{w.Rank, r.Rank}
+}
--- /dev/null
+++ b/ingress/balance.go
@@ -0,0 +1,336 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/route"
+	"github.com/heathkeel/heathkeel/sched"
+	"github.com/heathkeel/heathkeel/settings"
+)
+
+// balancer joins the scheduler to what the host knows of endpoints: their list,
+// its own requests, what other hosts tell, and the pace it has seen.
+type balancer struct {
+	now func() time.Duration
+
+	mu      sync.Mutex
+	sched   *sched.Scheduler
+	targets map[string]*target
+	others  map[string]map[string]peers.Load // by host
+	table   *route.Table
+	values  map[valueRef]*settings.Effective
+	ranks   map[string][]rankOf // by service, sorted
+}
+
+// target is an endpoint as the host knows it.
+type target struct {
+	feed.Endpoint
+	own       peers.Load
+	others    peers.Load
+	step      time.Duration // mean time of a token, or of a request at a plain service
+	downUntil time.Duration
+}
+
+// valueRef names the values in force for a workspace on a route.
+type valueRef struct {
+	workspace *route.Workspace
+	route     *route.Route
+	service   string
+}
+
+// Figures of the balancer.
+const (
+	// prefillPerStep is the number of prompt tokens that an engine is taken to read in a step.
+	prefillPerStep = 200
+	// paceGain is the weight of a new observation of an endpoint's pace.
+	paceGain = 0.2
+	// mostWaiting bounds the requests of a workspace that wait on a host.
+	mostWaiting = 500
+)
+
+// newBalancer returns a balancer without endpoints.
+func newBalancer(cfg sched.Config, r *rand.Rand, now func() time.Duration) *balancer {
+	s := &sched.Scheduler{Config: cfg, Rand: r, Peers: 1}
+	s.Init()
+	return &balancer{
+		now: now, sched: s, targets: make(map[string]*target), others: make(map[string]map[string]peers.Load),
+		values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf),
+	}
+}
+
+// setTable takes a new configuration.
+func (b *balancer) setTable(t *route.Table) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.table = t
+	clear(b.values)
+	clear(b.ranks)
+	for i := range t.Document.Routes {
+		r := &t.Document.Routes[i]
+		for _, to := range r.Targets {
+			b.addRanks(to.Service, t.Document, r)
+		}
+	}
+	for _, rs := range b.ranks {
+		slices.SortFunc(rs, compareRanks)
+	}
+	b.setList(b.now())
+}
+
+// addRanks notes which ranks requests of a route to a service may have.
+func (b *balancer) addRanks(service string, d *route.Document, r *route.Route) {
+	add := func(k rankOf) {
+		if !slices.Contains(b.ranks[service], k) {
+			b.ranks[service] = append(b.ranks[service], k)
+		}
+	}
+	if r.Public || len(d.Workspaces) == 0 {
+		add(rank(nil, r))
+		return
+	}
+	for i := range d.Workspaces {
+		add(rank(&d.Workspaces[i], r))
+	}
+}
+
+// compareRanks orders by workspace, then by route.
+func compareRanks(a, b rankOf) int {
+	if a.workspace != b.workspace {
+		return a.workspace - b.workspace
+	}
+	return a.route - b.route
+}
+
+// value returns the values in force for a request; mu must be held.
+func (b *balancer) value(c *call) *settings.Effective {
+	ref := valueRef{c.workspace, c.route, c.service.Name}
+	if v := b.values[ref]; v != nil {
+		return v
+	}
+	name := ""
+	if c.workspace != nil {
+		name = c.workspace.Name
+	}
+	v := &settings.Effective{
+		Workspace: name, Service: c.route.Name, Rank: max(0, slices.Index(b.ranks[c.service.Name], rank(c.workspace, c.route))),
+		Weight: 1, Queue: mostWaiting, Repeatable: c.route.May(), Affinity: c.route.Sticky,
+	}
+	b.values[ref] = v
+	return v
+}
+
+// setEndpoints takes a new list of endpoints.
+func (b *balancer) setEndpoints(now time.Duration, list []feed.Endpoint) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	here := make(map[string]bool, len(list))
+	for _, e := range list {
+		here[e.Instance] = true
+		t := b.targets[e.Instance]
+		if t == nil {
+			t = &target{}
+			b.targets[e.Instance] = t
+		}
+		t.Endpoint = e
+	}
+	for name, t := range b.targets {
+		if !here[name] && t.own.Running == 0 {
+			delete(b.targets, name)
+		} else if !here[name] {
+			t.Leaving = true
+		}
+	}
+	b.setList(now)
+	b.poll(now)
+}
+
+// setList tells the scheduler of the endpoints; mu must be held.
+func (b *balancer) setList(now time.Duration) {
+	list := make([]sched.Endpoint, 0, len(b.targets))
+	for _, t := range b.targets {
+		list = append(list, sched.Endpoint{Name: t.Instance, Engine: true, Slots: t.Slots, Leaving: t.Leaving})
+	}
+	slices.SortFunc(list, func(x, y sched.Endpoint) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	b.sched.SetEndpoints(list)
+	b.report(now)
+}
+
+// report tells the scheduler what runs at the endpoints; mu must be held.
+func (b *balancer) report(now time.Duration) {
+	for name, t := range b.targets {
+		if now < t.downUntil {
+			continue
+		}
+		b.sched.TakeReport(now, name, sched.Report{
+			At: now, Running: t.own.Running + t.others.Running, PrefillTokens: t.own.Prefill + t.others.Prefill,
+			Slots: t.Slots, Step: t.step, PrefillPerStep: prefillPerStep, Model: t.Service, Fresh: true,
+		})
+	}
+}
+
+// setHosts tells the scheduler how many hosts share the endpoints.
+func (b *balancer) setHosts(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sched.Peers = max(1, n)
+}
+
+// setOthers takes what the live hosts have running.
+func (b *balancer) setOthers(now time.Duration, loads []map[string]peers.Load) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for name, t := range b.targets {
+		t.others = peers.Load{}
+		for _, l := range loads {
+			t.others.Running += l[name].Running
+			t.others.Prefill += l[name].Prefill
+		}
+	}
+	b.report(now)
+	b.poll(now)
+}
+
+// loads tells what this host has running.
+func (b *balancer) loads() map[string]peers.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[string]peers.Load)
+	for name, t := range b.targets {
+		if t.own.Running > 0 {
+			out[name] = t.own
+		}
+	}
+	return out
+}
+
+// poll delivers decisions on waiting requests; mu must be held.
+func (b *balancer) poll(now time.Duration) {
+	for _, d := range b.sched.Poll(now) {
+		b.deliver(d)
+	}
+}
+
+// deliver hands a decision to the request that waits for it; mu must be held.
+func (b *balancer) deliver(d sched.Decision) {
+	b.note(d)
+	d.Request.Data.(chan sched.Decision) <- d
+}
+
+// note counts a dispatch among the host's own; mu must be held.
+func (b *balancer) note(d sched.Decision) {
+	if d.Verdict != sched.Run {
+		return
+	}
+	if t := b.targets[d.Endpoint]; t != nil {
+		t.own.Running++
+		t.own.Prefill += d.Request.PromptTokens
+	}
+}
+
+// tick lets time pass.
+func (b *balancer) tick(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sched.Tick(now)
+	b.poll(now)
+}
+
+// submit asks for a place.
+func (b *balancer) submit(c *call) sched.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.req.Settings = b.value(c)
+	d := b.sched.Submit(b.now(), c.req)
+	b.note(d)
+	b.poll(b.now())
+	return d
+}
+
+// again asks for another place after a send that ended without an answer.
+func (b *balancer) again(c *call, hold time.Duration) sched.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.left(c)
+	if t := b.targets[c.at.Instance]; t != nil {
+		t.downUntil = max(t.downUntil, now+hold)
+	}
+	d := b.sched.Again(now, c.req, hold)
+	b.note(d)
+	b.poll(now)
+	return d
+}
+
+// left counts a send out of the host's own; mu must be held.
+func (b *balancer) left(c *call) {
+	t := b.targets[c.at.Instance]
+	if t == nil {
+		return
+	}
+	t.own.Running--
+	if !c.firstSeen {
+		t.own.Prefill -= c.req.PromptTokens
+	}
+	c.firstSeen = false
+}
+
+// first notes the first sign of an answer.
+func (b *balancer) first(c *call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.firstSeen {
+		return
+	}
+	c.firstSeen = true
+	if t := b.targets[c.at.Instance]; t != nil {
+		t.own.Prefill -= c.req.PromptTokens
+	}
+	b.sched.FirstToken(b.now(), c.req)
+}
+
+// done ends a send for good. pace is the seen time of a token, or of a request, or 0.
+func (b *balancer) done(c *call, res sched.Result, tokens int, pace time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	b.left(c)
+	if t := b.targets[c.at.Instance]; t != nil && pace > 0 {
+		if t.step == 0 {
+			t.step = pace
+		}
+		t.step += time.Duration(paceGain * float64(pace-t.step))
+	}
+	b.sched.Done(now, c.req, res, tokens)
+	b.poll(now)
+}
+
+// withdraw takes a waiting request back; it returns false if a decision is on its way.
+func (b *balancer) withdraw(c *call) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sched.Withdraw(c.req)
+}
+
+// endpoint returns a copy of an endpoint.
+func (b *balancer) endpoint(name string) feed.Endpoint {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[name]; t != nil {
+		return t.Endpoint
+	}
+	return feed.Endpoint{}
+}
--- /dev/null
+++ b/ingress/counters.go
@@ -0,0 +1,23 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import "sync/atomic"
+
+// Counters count outcomes of requests since the start.
+type Counters struct {
+	// Received counts requests; Served those whose answer went back whole.
+	Received, Served atomic.Int64
+	// NoSettings, Stale, NoRoute, NoKey and Bad count refusals before a decision.
+	NoSettings, Stale, NoRoute, NoKey, Bad atomic.Int64
+	// OverQuota, Overload, Stopping and Memory count refusals for a time.
+	OverQuota, Overload, Stopping, Memory atomic.Int64
+	// Rejected counts sends that endpoints did not run, Lost those without a whole answer.
+	Rejected, Lost atomic.Int64
+	// Repeated counts sends beyond the first, Resumed streams that went on elsewhere.
+	Repeated, Resumed atomic.Int64
+	// Cut counts answers broken off, Gone callers that left.
+	Cut, Gone atomic.Int64
+}
--- /dev/null
+++ b/ingress/headers.go
@@ -0,0 +1,71 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"net/http"
+	"strings"
+)
+
+// Headers are the names of the headers that callers and endpoints speak.
+type Headers struct {
+	// Attempt names a request; endpoints give it back.
+	Attempt string
+	// Deadline is the time in milliseconds that the sender waits.
+	Deadline string
+	// Parts names the parts of a prompt in order, as ID:TOKENS by commas.
+	Parts string
+	// LastEvent is the number of the last event received.
+	LastEvent string
+	// Stamp marks an endpoint's answer as its own.
+	Stamp string
+	// Workspace tells the endpoint for whom the request runs.
+	Workspace string
+	// Expect names the instance that is to run the request.
+	Expect string
+	// NotRun on an answer says that the endpoint did not run the request.
+	NotRun string
+	// Tokens holds the prompt's tokens and the most of the answer, by a comma.
+	Tokens string
+	// LengthGuess is the caller's guess of the answer's tokens.
+	LengthGuess string
+	// Load on an answer tells requests running, waiting and slots.
+	Load string
+	// KeyScheme goes before the key in Authorization.
+	KeyScheme string
+	// Own are headers that only the system may set; callers' ones are dropped.
+	Own []string
+}
+
+// single are headers that concern one connection only.
+var single = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length",
+}
+
+// dropSingle removes what concerns one connection only.
+func dropSingle(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range single {
+		delete(h, name)
+	}
+}
+
+// outgoing makes the header of a request for an endpoint.
+func (n *Headers) outgoing(in http.Header) http.Header {
+	h := in.Clone()
+	dropSingle(h)
+	h.Del("Authorization")
+	for _, name := range n.Own {
+		h.Del(name)
+	}
+	return h
+}
--- /dev/null
+++ b/ingress/refuse.go
@@ -0,0 +1,34 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// refusal is a final answer of the host's own.
+type refusal struct {
+	status int
+	why    string
+	after  time.Duration
+}
+
+// refuse writes a final answer of the host's own.
+func (c *call) refuse(f refusal) {
+	h := c.w.Header()
+	if f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests {
+		after := max(f.after, leastAfter)
+		h.Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(f.status)
+	_, _ = c.w.Write([]byte(f.why + "\n"))
+	c.s.Log.V(1).Info("refused", "id", c.id, "status", f.status, "why", f.why)
+}
+
+// leastAfter is the shortest time that a refused caller is asked to wait.
+const leastAfter = 100 * time.Millisecond
--- /dev/null
+++ b/ingress/serve.go
@@ -0,0 +1,290 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/heathkeel/heathkeel/attempt"
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/route"
+	"github.com/heathkeel/heathkeel/sched"
+	"github.com/heathkeel/heathkeel/upstream"
+)
+
+// call is one request of a caller, from its arrival to its end.
+type call struct {
+	s  *Server
+	w  http.ResponseWriter
+	r  *http.Request
+	rc *http.ResponseController
+
+	arrived, deadline time.Duration
+	table             *route.Table
+	route             *route.Route
+	service           *route.Service
+	workspace         *route.Workspace
+	id, uri           string
+	named             bool // the caller named its tokens
+	tokensIn          int
+	tokensOut         int
+	likely            int
+	units             float64
+	body              []byte
+	hasBody           bool
+	held              int64
+
+	account   attempt.Account
+	req       *sched.Request
+	at        feed.Endpoint
+	firstSeen bool
+	header    http.Header
+	saved     *answer // a failure to pass on if nothing better comes
+	stream    stream
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	s.Count.Received.Add(1)
+	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now()}
+	defer c.release()
+	// The server adds none of its own headers to an endpoint's answer.
+	w.Header()["Date"] = nil
+	w.Header()["Content-Type"] = nil
+	if _, ok := s.stopping(); ok {
+		w.Header().Set("Connection", "close")
+	}
+	if f := c.admit(); f != nil {
+		c.refuse(*f)
+		return
+	}
+	_ = c.rc.SetWriteDeadline(time.Now().Add(c.deadline - s.Now() + writeGrace))
+	ctx, cancel := context.WithTimeout(r.Context(), c.deadline-s.Now())
+	defer cancel()
+	c.run(ctx)
+}
+
+// writeGrace is the time past its deadline in which an answer may still be written.
+const writeGrace = time.Second
+
+// release gives back what the call held.
+func (c *call) release() {
+	c.returnQuota()
+	c.s.bodies.Add(-c.held)
+	c.s.active.Add(-1)
+}
+
+// ending says how a send ended.
+type ending uint8
+
+const (
+	// whole means that the caller got its answer.
+	whole ending = iota
+	// notRun means that the endpoint said that it did not run the request.
+	notRun
+	// unsent means that no byte went to the endpoint.
+	unsent
+	// failed means that the endpoint answered with a failure that a repeat may mend.
+	failed
+	// lost means that the answer did not come, or not whole.
+	lost
+	// given means that the caller left or the deadline passed.
+	given
+)
+
+// Holds are the times for which an endpoint is left alone after a failure.
+const (
+	holdUnreachable = time.Second
+	holdForeign     = 3 * time.Second
+	holdFull        = 60 * time.Millisecond
+	holdLost        = 30 * time.Millisecond
+)
+
+// mostDials bounds the endpoints tried because connections failed, and mostRejects
+// those that did not run the request.
+const (
+	mostDials   = 4
+	mostRejects = 2
+)
+
+// run brings the request to an endpoint, and to another where that is allowed.
+func (c *call) run(ctx context.Context) {
+	c.header = c.s.Headers.outgoing(c.r.Header)
+	if c.workspace != nil {
+		c.header.Set(c.s.Headers.Workspace, c.workspace.Name)
+	}
+	c.req = &sched.Request{
+		ID: c.id, Model: c.service.Name, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), LikelyTokens: c.likely,
+		Arrived: c.arrived, Deadline: c.deadline, Start: c.latestStart(), Data: make(chan sched.Decision, 1),
+	}
+	c.s.firstSend(c.service.Name)
+	d := c.s.balance.submit(c)
+	for dials, rejects := 0, 0; ; {
+		d = c.wait(ctx, d)
+		if d.Verdict != sched.Run {
+			c.giveUp(ctx, d)
+			return
+		}
+		c.at = c.s.balance.endpoint(d.Endpoint)
+		end, hold := c.send(ctx)
+		again := false
+		switch end {
+		case whole, given:
+			c.end(ctx, end)
+			return
+		case unsent:
+			dials++
+			again = dials < mostDials
+		case notRun:
+			c.s.Count.Rejected.Add(1)
+			rejects++
+			again = rejects <= mostRejects && c.s.mayRepeat(c.service.Name)
+		case failed, lost:
+			again = c.route.May() && c.account.Sends() < c.route.Attempts+rejects && c.s.mayRepeat(c.service.Name)
+		}
+		if !again || ctx.Err() != nil {
+			c.s.balance.done(c, sched.Dropped, 0, 0)
+			c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: hold})
+			return
+		}
+		if end != unsent {
+			c.s.Count.Repeated.Add(1)
+		}
+		d = c.s.balance.again(c, hold)
+	}
+}
+
+// latestStart is the time by which the request must have a place: what waits
+// longer is better told to come back while it still can.
+func (c *call) latestStart() time.Duration {
+	if c.route.Objective <= 0 {
+		return 0
+	}
+	return c.arrived + time.Duration(startShare*float64(c.route.Objective))
+}
+
+// startShare is the part of the objective that a request may wait for a place.
+const startShare = 0.6
+
+// wait waits for a decision that is still due.
+func (c *call) wait(ctx context.Context, d sched.Decision) sched.Decision {
+	if d.Verdict != sched.Wait {
+		return d
+	}
+	due := c.req.Data.(chan sched.Decision)
+	select {
+	case d = <-due:
+		return d
+	case <-ctx.Done():
+	}
+	if c.s.balance.withdraw(c) {
+		return sched.Decision{Verdict: sched.Refuse}
+	}
+	return <-due
+}
+
+// end counts a call whose last send is over.
+func (c *call) end(ctx context.Context, e ending) {
+	if e == whole {
+		c.s.Count.Served.Add(1)
+		return
+	}
+	c.s.balance.done(c, sched.Dropped, 0, 0)
+	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse})
+}
+
+// giveUp gives the final answer of a request that has none from an endpoint.
+func (c *call) giveUp(ctx context.Context, d sched.Decision) {
+	if c.r.Context().Err() != nil {
+		c.s.Count.Gone.Add(1)
+		panic(http.ErrAbortHandler)
+	}
+	if c.stream.begun {
+		c.s.Count.Cut.Add(1)
+		c.s.Log.V(1).Info("cut", "id", c.id, "endpoint", c.at.Instance, "events", c.stream.events)
+		panic(http.ErrAbortHandler)
+	}
+	if c.saved != nil {
+		c.pass(c.saved)
+		return
+	}
+	status := c.account.Status(c.s.Now() >= c.deadline || ctx.Err() != nil)
+	if status == http.StatusServiceUnavailable {
+		c.s.Count.Overload.Add(1)
+	}
+	c.refuse(refusal{status, "no answer from an endpoint: " + string(d.Reason), d.RetryAfter})
+}
+
+// send sends the request to the endpoint at c.at and deals with its answer.
+func (c *call) send(ctx context.Context) (ending, time.Duration) {
+	conn, _, err := c.s.pool.Get(ctx, c.at.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return given, 0
+		}
+		return unsent, holdUnreachable
+	}
+	left := c.deadline - c.s.Now()
+	if left <= 0 || ctx.Err() != nil {
+		conn.Done()
+		return given, 0
+	}
+	c.header.Set(c.s.Headers.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	c.header.Set(c.s.Headers.Expect, c.at.Instance)
+	unwatch := context.AfterFunc(ctx, func() { conn.Close() })
+	c.account.Send()
+	end, hold := c.exchange(ctx, conn)
+	clean := unwatch()
+	switch {
+	case !clean && end != whole:
+		end = given
+	case clean && (end == lost || end == given):
+		conn.Close()
+	case clean:
+		conn.Done()
+	}
+	if end == lost {
+		c.account.Lost()
+		c.s.Count.Lost.Add(1)
+	}
+	return end, hold
+}
+
+// exchange sends the request on a connection and reads the answer.
+func (c *call) exchange(ctx context.Context, conn *upstream.Conn) (ending, time.Duration) {
+	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: c.header, Body: c.body, HasBody: c.hasBody}
+	sent := c.s.Now()
+	if err := conn.Send(&req); err != nil {
+		return lost, holdLost
+	}
+	resp, err := conn.Answer(c.r.Method, c.s.Headers.Attempt, c.id)
+	if err != nil {
+		return lost, holdLost
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		c.account.NotRun()
+		drain(resp)
+		return notRun, holdForeign
+	}
+	if resp.Header.Get(c.s.Headers.NotRun) != "" {
+		c.account.NotRun()
+		drain(resp)
+		return notRun, holdFull
+	}
+	c.account.Answer()
+	ok := resp.StatusCode >= 200 && resp.StatusCode < 300
+	if ok && resp.Header.Get(c.s.Headers.Stamp) == "" {
+		return lost, holdLost
+	}
+	if ok && c.route.Kind == route.Stream {
+		return c.passStream(ctx, resp, sent)
+	}
+	return c.passPlain(resp, sent)
+}
--- /dev/null
+++ b/ingress/server.go
@@ -0,0 +1,156 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/quota"
+	"github.com/heathkeel/heathkeel/route"
+	"github.com/heathkeel/heathkeel/sched"
+	"github.com/heathkeel/heathkeel/upstream"
+)
+
+// Server is the ingress of one host. The exported fields must be set before Init.
+type Server struct {
+	// Headers are the names that are spoken.
+	Headers Headers
+	// Settings is the configuration in force and its age.
+	Settings *feed.Settings
+	// Now is the steady clock.
+	Now func() time.Duration
+	// Policy holds the figures of the decisions on endpoints.
+	Policy sched.Config
+	// Trust is the age of the settings up to which requests with a key are taken.
+	Trust time.Duration
+	// Sure is the age up to which an unknown route or key is said to be unknown.
+	Sure time.Duration
+	// Retries bound repeated sends: the ratio to first ones and the credit kept, of
+	// all hosts together.
+	Retries quota.Retries
+	// BodyMemory bounds the bytes of requests held at once.
+	BodyMemory int64
+	// Log takes changes of state and failures.
+	Log logr.Logger
+
+	pool    upstream.Pool
+	balance *balancer
+	active  atomic.Int64
+	bodies  atomic.Int64
+	stopAt  atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
+
+	mu      sync.Mutex
+	book    *quota.Book
+	retries map[string]*quota.Retries
+	hosts   int
+
+	// Count counts outcomes.
+	Count Counters
+}
+
+// Init makes the server ready.
+func (s *Server) Init() {
+	s.pool.Now = s.Now
+	s.pool.DialTimeout = dialTimeout
+	s.book = quota.NewBook(s.Now())
+	s.retries = make(map[string]*quota.Retries)
+	s.hosts = 1
+	s.balance = newBalancer(s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
+}
+
+// dialTimeout bounds the opening of a connection to an endpoint.
+const dialTimeout = 700 * time.Millisecond
+
+// SetTable is called with each new configuration.
+func (s *Server) SetTable(t *route.Table) { s.balance.setTable(t) }
+
+// SetEndpoints is called with each new list of endpoints.
+func (s *Server) SetEndpoints(list []feed.Endpoint) { s.balance.setEndpoints(s.Now(), list) }
+
+// SetHosts tells how many hosts share the amounts and the endpoints.
+func (s *Server) SetHosts(n int) {
+	s.mu.Lock()
+	s.hosts = max(1, n)
+	s.book.SetHosts(n)
+	s.mu.Unlock()
+	s.balance.setHosts(n)
+}
+
+// Heard takes what another host used.
+func (s *Server) Heard(host string, life uint64, used map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Heard(s.Now(), host, life, used)
+}
+
+// Used tells what this host used, by workspace.
+func (s *Server) Used() map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book.Used()
+}
+
+// Active tells how many requests are held.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// Fresh tells whether the settings are young enough to take requests with keys.
+func (s *Server) Fresh() bool {
+	age, ok := s.Settings.Age.At(s.Now())
+	return ok && age < s.Trust
+}
+
+// Stop begins a planned stop: answers close their connections, and after a while
+// new requests are refused.
+func (s *Server) Stop() { s.stopAt.CompareAndSwap(0, int64(s.Now())) }
+
+// stopping tells for how long the stop has gone on.
+func (s *Server) stopping() (time.Duration, bool) {
+	at := s.stopAt.Load()
+	if at == 0 {
+		return 0, false
+	}
+	return s.Now() - time.Duration(at), true
+}
+
+// retryBook returns the credit of a service; mu must be held.
+func (s *Server) retryBook(service string) *quota.Retries {
+	r := s.retries[service]
+	if r == nil {
+		c := s.Retries
+		r = &c
+		s.retries[service] = r
+	}
+	r.Most = max(1, s.Retries.Most/float64(s.hosts))
+	return r
+}
+
+// firstSend notes that a request of a service arrived.
+func (s *Server) firstSend(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBook(service).First()
+}
+
+// mayRepeat takes the credit for one repeated send.
+func (s *Server) mayRepeat(service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.retryBook(service).Take()
+}
+
+// Tick does what is due now and then; call it about ten times a second.
+func (s *Server) Tick() { s.balance.tick(s.Now()) }
+
+// Sweep closes connections that rested too long; call it about once a second.
+func (s *Server) Sweep() { s.pool.Sweep() }
+
+var _ http.Handler = (*Server)(nil)
--- /dev/null
+++ b/peers/agent.go
@@ -0,0 +1,220 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// Figures of the agent.
+const (
+	// DefaultEvery is the time between heartbeats.
+	DefaultEvery = 200 * time.Millisecond
+	// fanout is the number of members that get a heartbeat.
+	fanout = 8
+	// seedEvery is how many heartbeats pass between two to the seeds.
+	seedEvery = 5
+	// largestBeat bounds a datagram, in bytes.
+	largestBeat = 60 << 10
+)
+
+// Host is what an agent tells and asks of the program it runs in.
+type Host interface {
+	// Fill adds the host's own words to a heartbeat.
+	Fill(b *Beat)
+	// Heard is called with each heartbeat of another host.
+	Heard(b *Beat)
+	// Proved is called when a peer proved a revision of the settings.
+	Proved(p Proof)
+}
+
+// Agent sends and hears heartbeats. The fields must be set before Run.
+type Agent struct {
+	// Table is what is known of the others; the agent guards it.
+	Table *Table
+	// Conn sends and receives.
+	Conn net.PacketConn
+	// Seeds are addresses of some hosts.
+	Seeds []string
+	// Host is the program.
+	Host Host
+	// Now is the steady clock.
+	Now func() time.Duration
+	// Every is the time between heartbeats; 0 means DefaultEvery.
+	Every time.Duration
+	// Rand is the source of chance.
+	Rand *rand.Rand
+	// Log takes changes of state.
+	Log logr.Logger
+
+	mu    sync.Mutex
+	extra []string
+	kick  chan struct{}
+	ticks int
+	live  map[string]bool
+}
+
+// Init makes the agent ready; call it before Run.
+func (a *Agent) Init() {
+	a.kick = make(chan struct{}, 1)
+	a.live = make(map[string]bool)
+	if a.Every == 0 {
+		a.Every = DefaultEvery
+	}
+}
+
+// Kick sends a heartbeat at once.
+func (a *Agent) Kick() {
+	select {
+	case a.kick <- struct{}{}:
+	default:
+	}
+}
+
+// AddSeeds adds addresses of hosts that were learned elsewhere.
+func (a *Agent) AddSeeds(s []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.extra = s
+}
+
+// Live returns copies of the members heard of lately.
+func (a *Agent) Live() []Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return values(a.Table.Live(a.Now()))
+}
+
+// Counted returns copies of the members that may still run.
+func (a *Agent) Counted() []Member {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return values(a.Table.Counted(a.Now()))
+}
+
+// values copies members.
+func values(ms []*Member) []Member {
+	out := make([]Member, len(ms))
+	for i, m := range ms {
+		out[i] = *m
+	}
+	return out
+}
+
+// Run sends and hears until ctx ends.
+func (a *Agent) Run(ctx context.Context) {
+	go a.receive(ctx)
+	t := time.NewTicker(a.Every)
+	defer t.Stop()
+	for {
+		a.send()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-a.kick:
+		}
+	}
+}
+
+// send sends one heartbeat to some members, and now and then to the seeds.
+func (a *Agent) send() {
+	b := Beat{Host: a.Table.Host, Life: a.Table.Life}
+	a.Host.Fill(&b)
+	a.mu.Lock()
+	now := a.Now()
+	to := a.Table.Targets(now, fanout, a.Rand)
+	b.Seq = a.Table.Next(now)
+	b.Echo = a.Table.Echo(to)
+	b.Known = a.Table.KnownRows(now, a.Rand)
+	addresses := make([]string, 0, len(to))
+	for _, m := range to {
+		addresses = append(addresses, m.Row.Address)
+	}
+	if a.ticks%seedEvery == 0 || len(to) == 0 {
+		addresses = append(addresses, a.Seeds...)
+		addresses = append(addresses, a.extra...)
+	}
+	a.ticks++
+	a.noteLive(now)
+	a.mu.Unlock()
+	data, err := json.Marshal(&b)
+	if err != nil || len(data) > largestBeat {
+		a.Log.Info("heartbeat not sent", "bytes", len(data))
+		return
+	}
+	done := make(map[string]bool, len(addresses))
+	for _, address := range addresses {
+		if done[address] || address == b.Row.Address {
+			continue
+		}
+		done[address] = true
+		if to, err := net.ResolveUDPAddr("udp", address); err == nil {
+			// A lost heartbeat is followed by the next.
+			_, _ = a.Conn.WriteTo(data, to)
+		}
+	}
+}
+
+// noteLive logs hosts that came and went; mu must be held.
+func (a *Agent) noteLive(now time.Duration) {
+	seen := make(map[string]bool, len(a.live))
+	for _, m := range a.Table.Live(now) {
+		seen[m.Host] = true
+		if !a.live[m.Host] {
+			a.Log.Info("peer seen", "peer", m.Host)
+		}
+	}
+	for h := range a.live {
+		if !seen[h] {
+			a.Log.Info("peer lost", "peer", h)
+		}
+	}
+	a.live = seen
+}
+
+// receive hears heartbeats until ctx ends.
+func (a *Agent) receive(ctx context.Context) {
+	go func() {
+		<-ctx.Done()
+		_ = a.Conn.Close()
+	}()
+	buf := make([]byte, largestBeat)
+	for {
+		n, _, err := a.Conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(a.Every)
+			continue
+		}
+		var b Beat
+		if json.Unmarshal(buf[:n], &b) == nil {
+			a.hear(&b)
+		}
+	}
+}
+
+// hear takes one heartbeat.
+func (a *Agent) hear(b *Beat) {
+	if b.Host == a.Table.Host {
+		return
+	}
+	a.mu.Lock()
+	proof, ok := a.Table.Hear(a.Now(), b)
+	a.mu.Unlock()
+	a.Host.Heard(b)
+	if ok {
+		a.Host.Proved(proof)
+	}
+}
--- /dev/null
+++ b/peers/beat.go
@@ -0,0 +1,61 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+// Beat is a heartbeat. It is one datagram of JSON.
+type Beat struct {
+	// Host names the sender, Life one run of its process.
+	Host string `json:"h"`
+	Life uint64 `json:"l"`
+	// Seq numbers the sender's heartbeats.
+	Seq uint32 `json:"s"`
+	// Echo is the newest Seq heard of each receiver.
+	Echo map[string]uint32 `json:"e,omitempty"`
+	// Row is what the sender tells of itself.
+	Row Row `json:"r"`
+	// Known are other hosts that the sender heard of lately.
+	Known []Known `json:"k,omitempty"`
+	// Load is what the sender has running, by endpoint.
+	Load map[string]Load `json:"o,omitempty"`
+	// Used is what the sender used in its life, by workspace.
+	Used map[string]float64 `json:"u,omitempty"`
+	// Revision is the settings' revision and AgeMS their age when this was sent, -1 for none.
+	Revision uint64 `json:"v,omitempty"`
+	AgeMS    int64  `json:"a"`
+}
+
+// Row is where a host is and whether it takes requests.
+type Row struct {
+	// Address is where it hears heartbeats, Front where callers connect and
+	// Control where other hosts ask it.
+	Address string `json:"a"`
+	Front   string `json:"f"`
+	Control string `json:"c"`
+	// Zone and Region tell where it stands.
+	Zone   string `json:"z"`
+	Region string `json:"g"`
+	// Ready says that it takes requests; a host that stops says so first.
+	Ready bool `json:"y"`
+	// Fresh says that its settings are young enough for requests with keys.
+	Fresh bool `json:"w"`
+}
+
+// Known is another host as the sender knows it.
+type Known struct {
+	// Host and Life name it.
+	Host string `json:"h"`
+	Life uint64 `json:"l"`
+	// Row is what it told.
+	Row Row `json:"r"`
+	// Age is the time in milliseconds since it was heard.
+	Age int64 `json:"a"`
+}
+
+// Load is what one host has running at an endpoint.
+type Load struct {
+	// Running counts requests; Prefill is prompt tokens without a first token.
+	Running int `json:"r"`
+	Prefill int `json:"p,omitempty"`
+}
--- /dev/null
+++ b/quota/retries.go
@@ -0,0 +1,40 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota
+
+// Retries bounds the repeated sends of one service on one host.
+type Retries struct {
+	// Ratio is the credit that each first send earns.
+	Ratio float64
+	// Most is the largest credit.
+	Most float64
+
+	credit float64
+	begun  bool
+}
+
+// First notes a first send.
+func (r *Retries) First() {
+	r.begin()
+	r.credit = min(r.credit+r.Ratio, r.Most)
+}
+
+// Take takes the credit for one repeated send, or tells that there is none.
+func (r *Retries) Take() bool {
+	r.begin()
+	if r.credit < 1 {
+		return false
+	}
+	r.credit--
+	return true
+}
+
+// begin gives the credit that a host starts with.
+func (r *Retries) begin() {
+	if !r.begun {
+		r.begun = true
+		r.credit = r.Most
+	}
+}
--- a/sched/order.go
+++ b/sched/order.go
@@ -63,6 +63,9 @@
 // estimate sets cost and expected length of a request.
 func (s *Scheduler) estimate(r *Request) {
 	r.outGuess = s.lengths.guess(lengthKey{r.Settings.Workspace, r.Settings.Service}, max(1, r.MaxTokens))
+	if r.LikelyTokens > 0 {
+		r.outGuess = min(r.LikelyTokens, max(1, r.MaxTokens))
+	}
 	if r.Model == "" {
 		r.outGuess = 1
 	}
@@ -239,7 +242,7 @@
 func (s *Scheduler) Poll(now time.Duration) []Decision {
 	out := s.pending
 	s.pending = nil
-	for len(s.deadlines) > 0 && s.deadlines[0].Deadline <= now {
+	for len(s.deadlines) > 0 && s.deadlines[0].latest() <= now {
 		r := s.deadlines[0]
 		s.unqueue(r)
 		out = append(out, s.refuse(now, r, ReasonDeadline, s.wait(now, r)))
--- a/sched/request.go
+++ b/sched/request.go
@@ -22,10 +22,12 @@
 	// Blocks are the prompt's cache blocks and PromptTokens its length.
 	Blocks       []uint64
 	PromptTokens int
-	// MaxTokens bounds the answer, in tokens.
-	MaxTokens int
+	// MaxTokens bounds the answer, in tokens, and LikelyTokens is the caller's guess, or 0.
+	MaxTokens, LikelyTokens int
 	// Arrived and Deadline are times since the scheduler's start.
 	Arrived, Deadline time.Duration
+	// Start is the latest time to be dispatched, or 0 for none beside Deadline.
+	Start time.Duration
 	// Retry says that the caller tried before.
 	Retry bool
 	// Data is the caller's own.
@@ -48,6 +50,14 @@
 	avoid     *endpointState
 }
 
+// latest is the time at which a waiting request is given up.
+func (r *Request) latest() time.Duration {
+	if r.Start > 0 {
+		return min(r.Start, r.Deadline)
+	}
+	return r.Deadline
+}
+
 // rank is the tier's place, 0 the highest, bounded by maxRanks.
 func (r *Request) rank() int { return min(max(r.Settings.Rank, 0), maxRanks-1) }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -181,15 +181,22 @@
 	s.wake(e)
 }
 
-// Unsent notes that a dispatch failed before any byte was sent and decides
-// again, without that endpoint.
+// Unsent takes back a dispatch that the endpoint surely did not run, such as
+// one whose connection was refused, and decides again without that endpoint.
 func (s *Scheduler) Unsent(now time.Duration, r *Request) Decision {
+	return s.Again(now, r, s.cfg.DownHold)
+}
+
+// Again ends a dispatch whose request is to go to another endpoint, and decides
+// again; the endpoint it was at is left alone for hold.
+func (s *Scheduler) Again(now time.Duration, r *Request, hold time.Duration) Decision {
 	e := r.at
 	e.end(now, r)
 	s.limits.leave(r.Settings)
-	e.downUntil = now + s.cfg.DownHold
+	e.downUntil = max(e.downUntil, now+hold)
 	r.at = nil
 	r.firstAt = 0
+	r.tokens = 0
 	r.avoid = e
 	return s.place(now, r)
 }
@@ -248,7 +255,7 @@
 type deadlineHeap []*Request
 
 func (h deadlineHeap) Len() int           { return len(h) }
-func (h deadlineHeap) Less(i, j int) bool { return h[i].Deadline < h[j].Deadline }
+func (h deadlineHeap) Less(i, j int) bool { return h[i].latest() < h[j].latest() }
 func (h deadlineHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].heapAt, h[j].heapAt = i, j
--- /dev/null
+++ b/upstream/pool.go
@@ -0,0 +1,157 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"sync"
+	"time"
+)
+
+// Defaults of a Pool.
+const (
+	defaultRest = 2 * time.Second
+	bufferBytes = 4 << 10
+	headBytes   = 2 << 10
+	mostIdle    = 16
+)
+
+// Pool holds the connections of a host to all endpoints. The fields must be set
+// before the first call.
+type Pool struct {
+	// Now is the steady clock.
+	Now func() time.Duration
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+
+	mu     sync.Mutex
+	idle   map[string][]*Conn
+	open   map[string]int
+	heads  sync.Pool
+	opened int64
+}
+
+// Get returns a connection to an address: the one that was used last, if it is
+// sound, else a new one.
+func (p *Pool) Get(ctx context.Context, address string) (c *Conn, reused bool, err error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if p.Now()-c.idleAt < c.rest && c.sound() {
+			return c, true, nil
+		}
+		c.Close()
+	}
+	nc, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, false, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open == nil {
+		p.open = make(map[string]int)
+	}
+	p.open[address]++
+	p.opened++
+	return &Conn{pool: p, address: address, net: nc, br: bufio.NewReaderSize(nc, bufferBytes), rest: defaultRest}, false, nil
+}
+
+// take removes the newest idle connection to an address.
+func (p *Pool) take(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+// put keeps an idle connection.
+func (p *Pool) put(c *Conn) {
+	c.idleAt = p.Now()
+	p.mu.Lock()
+	if p.idle == nil {
+		p.idle = make(map[string][]*Conn)
+	}
+	list := append(p.idle[c.address], c)
+	var old *Conn
+	if len(list) > mostIdle {
+		old, list = list[0], list[1:]
+	}
+	p.idle[c.address] = list
+	p.mu.Unlock()
+	if old != nil {
+		old.Close()
+	}
+}
+
+// closed counts a connection out.
+func (p *Pool) closed(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.open[address]--; p.open[address] <= 0 {
+		delete(p.open, address)
+	}
+}
+
+// Open tells how many connections to an address are open.
+func (p *Pool) Open(address string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open[address]
+}
+
+// Opened counts the connections ever opened.
+func (p *Pool) Opened() int64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Sweep closes connections that rested too long; call it about once a second.
+func (p *Pool) Sweep() {
+	now := p.Now()
+	var old []*Conn
+	p.mu.Lock()
+	for address, list := range p.idle {
+		keep := list[:0]
+		for _, c := range list {
+			if now-c.idleAt < c.rest {
+				keep = append(keep, c)
+				continue
+			}
+			old = append(old, c)
+		}
+		if len(keep) == 0 {
+			delete(p.idle, address)
+			continue
+		}
+		p.idle[address] = keep
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+// headBuffer and keepBuffer recycle buffers for heads.
+func (p *Pool) headBuffer() []byte {
+	if b, ok := p.heads.Get().(*[]byte); ok {
+		return (*b)[:0]
+	}
+	return make([]byte, 0, headBytes)
+}
+
+func (p *Pool) keepBuffer(b []byte) {
+	if cap(b) <= 8*headBytes {
+		p.heads.Put(&b)
+	}
+}
