feed: an endpoint that went is kept no longer than the store is in doubt

Second cause, found by the test: with nothing to report the next reading came after 1.6 s. Ruled out: a late entry that puts back 'ready' (instance stays leaving once it was). Change: lapsed entries are kept for 0.7 of the contact time from the sending of the last call that failed, and readings do not idle meanwhile. A watch that the store cuts is followed by a pause (it was a storm: the test on the old code never ended).

--- a/cmd/hkedge/host.go
+++ b/cmd/hkedge/host.go
@@ -38,6 +38,8 @@
 	watchShare = 0.24
 	// listShare is the part of the drain time between two readings of the endpoints.
 	listShare = 0.3
+	// lapseShare is the part of the contact time for which lapsed endpoints are kept.
+	lapseShare = 0.7
 	// retryShare is the part of the retry bound that hosts use.
 	retryShare = 0.7
 	// bodyShare is the part of the memory for bodies of requests.
@@ -121,7 +123,7 @@
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
 		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: time.Second, Pause: 400 * time.Millisecond,
-		LapseFor: 4 * b.Heartbeat, Changed: h.ingress.SetEndpoints, Log: h.Log.WithName("endpoints"),
+		LapseFor: time.Duration(lapseShare * float64(b.ContactTime)), Changed: h.ingress.SetEndpoints, Log: h.Log.WithName("endpoints"),
 	}
 	h.entry = &feed.Entry{
 		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixHosts, Value: []byte(h.peerAddress()),
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -29,8 +29,9 @@
 	Every, Wait time.Duration
 	// Pause is the time between tries while the store fails.
 	Pause time.Duration
-	// LapseFor is how long after trouble of the store an entry that went is
-	// still taken for an endpoint that serves.
+	// LapseFor is how long after the sending of the last call that failed an entry
+	// that went is still taken for an endpoint that serves. It must be shorter than
+	// the time after which the host counts as in touch again.
 	LapseFor time.Duration
 	// Changed is called with the list when it changes, sorted by instance.
 	Changed func([]Endpoint)
@@ -51,6 +52,7 @@
 	at, read := uint64(0), false
 	for ctx.Err() == nil {
 		var err error
+		sent := e.Now()
 		if read {
 			at, err = e.watch(ctx, at)
 		} else {
@@ -59,7 +61,7 @@
 		read = err == nil || (read && !errors.Is(err, ErrHistory))
 		pause := e.Every
 		if err != nil {
-			e.trouble = e.Now()
+			e.trouble = sent
 			pause = e.Pause
 		}
 		e.note(err)
@@ -105,7 +107,7 @@
 func (e *Endpoints) watch(ctx context.Context, at uint64) (uint64, error) {
 	cctx, cancel := context.WithTimeout(ctx, e.Wait+storeTimeout)
 	defer cancel()
-	p, err := e.Store.Watch(cctx, e.Prefix, at, e.Wait)
+	p, err := e.Store.Watch(cctx, e.Prefix, at, e.idle())
 	if err != nil {
 		return at, err
 	}
@@ -119,6 +121,17 @@
 	return max(at, p.At), nil
 }
 
+// idle is how long a watch may wait for changes: not long while entries that
+// lapsed are to be dropped.
+func (e *Endpoints) idle() time.Duration {
+	for _, n := range e.known {
+		if n.Lapsed {
+			return min(e.Wait, e.Every/4)
+		}
+	}
+	return e.Wait
+}
+
 // take notes an entry. What once was leaving stays so: entries may be written late.
 func (e *Endpoints) take(it Item) {
 	n, err := e.Parse(it.Key, it.Value)
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -92,7 +92,7 @@
 }
 
 // storeTimeout bounds a call that does not wait for changes.
-const storeTimeout = 1500 * time.Millisecond
+const storeTimeout = time.Second
 
 // watch waits for the next change. A watch that was idle for its whole time proves
 // that nothing had changed when that time ended, which is not before sent+Wait.
@@ -105,13 +105,15 @@
 		return at, err
 	}
 	s.take(p.Items)
-	if len(p.Items) == 0 && s.Now()-sent >= s.Wait {
+	switch took := s.Now() - sent; {
+	case len(p.Items) > 0:
+	case took >= s.Wait:
 		sent += s.Wait
-	}
-	s.prove(sent)
-	if len(p.Items) == 0 && s.Now()-sent < 0 {
+	default:
+		// The store cut the watch; asking again at once would be a storm.
 		sleep(ctx, s.Pause)
 	}
+	s.prove(sent)
 	return max(at, p.At), nil
 }
 
