--- a/quota/book.go
+++ b/quota/book.go
@@ -9,7 +9,7 @@
 // Figures of the shares.
 const (
 	// reserve is the part of the burst that a host leaves to the shares of all hosts.
-	reserve = 0.35
+	reserve = 0.12
 	// deepest is how far below zero an account may go, in seconds of its rate.
 	deepest = 4
 	// heardWithin is the silence after which a peer is taken to use its share.
