--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -20,7 +20,8 @@
 // balancer joins the scheduler to what the host knows of endpoints: their list,
 // its own requests, what other hosts tell, and the pace it has seen.
 type balancer struct {
-	now func() time.Duration
+	zone string
+	now  func() time.Duration
 
 	mu      sync.Mutex
 	sched   *sched.Scheduler
@@ -58,11 +59,11 @@
 )
 
 // newBalancer returns a balancer without endpoints.
-func newBalancer(cfg sched.Config, r *rand.Rand, now func() time.Duration) *balancer {
+func newBalancer(zone string, cfg sched.Config, r *rand.Rand, now func() time.Duration) *balancer {
 	s := &sched.Scheduler{Config: cfg, Rand: r, Peers: 1}
 	s.Init()
 	return &balancer{
-		now: now, sched: s, targets: make(map[string]*target), others: make(map[string]map[string]peers.Load),
+		zone: zone, now: now, sched: s, targets: make(map[string]*target), others: make(map[string]map[string]peers.Load),
 		values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf),
 	}
 }
@@ -157,7 +158,7 @@
 func (b *balancer) setList(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Instance, Engine: true, Slots: t.Slots, Leaving: t.Leaving})
+		list = append(list, sched.Endpoint{Name: t.Instance, Engine: true, Slots: t.Slots, Leaving: t.Leaving, Far: t.Zone != b.zone})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -28,6 +28,8 @@
 	Settings *feed.Settings
 	// Now is the steady clock.
 	Now func() time.Duration
+	// Zone is the host's availability zone.
+	Zone string
 	// Policy holds the figures of the decisions on endpoints.
 	Policy sched.Config
 	// Trust is the age of the settings up to which requests with a key are taken.
@@ -64,7 +66,7 @@
 	s.book = quota.NewBook(s.Now())
 	s.retries = make(map[string]*quota.Retries)
 	s.hosts = 1
-	s.balance = newBalancer(s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
+	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 }
 
 // dialTimeout bounds the opening of a connection to an endpoint.
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -69,6 +69,9 @@
 		c := candidate{e: e, cached: s.cachedAt(e)}
 		c.first = s.predict(now, r, e, load, c.cached)
 		c.whole = s.completion(now, r, e, c.first)
+		if e.Far {
+			c.whole += time.Duration(s.cfg.FarCost * float64(c.whole))
+		}
 		best = min(best, c.whole)
 		s.cands = append(s.cands, c)
 	}
--- a/sched/config.go
+++ b/sched/config.go
@@ -22,6 +22,9 @@
 	LongFactor float64
 	// Near is the share by which predicted times may differ and count as equal; default 0.1.
 	Near float64
+	// FarCost is the share by which an endpoint in another zone counts as later
+	// than it is; default 0.
+	FarCost float64
 	// SlowAt eases an endpoint out at that many times its own speed; default 3.
 	SlowAt float64
 	// BackAt lets it back in below that; default 1.5.
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -35,6 +35,8 @@
 	Slots int
 	// Leaving says that it gets no new work.
 	Leaving bool
+	// Far says that it stands in another zone, which costs; see Config.FarCost.
+	Far bool
 }
 
 // sample is the own load at a time.
