hkedge: address answers stay over all zones

Cause: bytes between zones are priced; callers could be sent to hosts of their zone only. Conclusion: not kept: the amounts of a zone's callers fall on fewer hosts' shares.

--- a/cmd/hkedge/listen.go
+++ b/cmd/hkedge/listen.go
@@ -11,10 +11,12 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/gorilla/mux"
 
+	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/route"
 )
@@ -160,8 +162,8 @@
 // directoryHandler answers callers that ask where to go.
 func (h *host) directoryHandler() http.Handler {
 	m := mux.NewRouter()
-	m.HandleFunc(platform.PathResolve, func(w http.ResponseWriter, r *http.Request) {
-		a := platform.Resolve(h.addresses(r.URL.Query().Get("Zone")), answerLife)
+	m.HandleFunc(platform.PathResolve, func(w http.ResponseWriter, _ *http.Request) {
+		a := platform.Resolve(h.addresses(), answerLife)
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(a)
 	}).Methods(http.MethodGet)
@@ -175,24 +177,34 @@
 const mostAddresses = 64
 
 // addresses lists where callers may connect: hosts that take requests and know the
-// newest settings, else those that take requests.
-func (h *host) addresses(string) []string {
-	var fresh, taking []string
-	add := func(front string, ready, young bool) {
-		if ready && young {
-			fresh = append(fresh, front)
-		}
-		if ready {
-			taking = append(taking, front)
-		}
-	}
-	add(h.Boot.Front, h.ready(), h.ingress.Fresh())
+// newest settings, else those that take requests; of these the ones
+// of the caller's zone, else all.
+func (h *host) addresses(zone string) []string {
+	self := peers.Row{Front: h.Boot.Front, Zone: h.Boot.Zone, Ready: h.ready(), Fresh: h.ingress.Fresh()}
+	rows := []peers.Row{self}
 	for _, m := range h.agent.Live() {
-		add(m.Row.Front, m.Row.Ready, m.Row.Fresh)
+		rows = append(rows, m.Row)
+	}
+	rows = slices.DeleteFunc(rows, func(r peers.Row) bool { return !r.Ready })
+	rows = prefer(rows, func(r peers.Row) bool { return r.Fresh })
+	rand.Shuffle(len(rows), func(i, j int) { rows[i], rows[j] = rows[j], rows[i] })
+	var out []string
+	for _, r := range rows[:min(mostAddresses, len(rows))] {
+		out = append(out, r.Front)
+	}
+	return out
+}
+
+// prefer returns the rows that satisfy ok, or all if none does.
+func prefer(rows []peers.Row, ok func(peers.Row) bool) []peers.Row {
+	var out []peers.Row
+	for _, r := range rows {
+		if ok(r) {
+			out = append(out, r)
+		}
 	}
-	if len(fresh) == 0 {
-		fresh = taking
+	if len(out) == 0 {
+		return rows
 	}
-	rand.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
-	return fresh[:min(mostAddresses, len(fresh))]
+	return out
 }
