--- a/cmd/hkedge/listen.go
+++ b/cmd/hkedge/listen.go
@@ -177,9 +177,8 @@
 const mostAddresses = 64
 
 // addresses lists where callers may connect: hosts that take requests and know the
-// newest settings, else those that take requests; of these the ones
-// of the caller's zone, else all.
-func (h *host) addresses(zone string) []string {
+// newest settings, else those that take requests.
+func (h *host) addresses() []string {
 	self := peers.Row{Front: h.Boot.Front, Zone: h.Boot.Zone, Ready: h.ready(), Fresh: h.ingress.Fresh()}
 	rows := []peers.Row{self}
 	for _, m := range h.agent.Live() {
