--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -41,6 +42,14 @@
 	downUntil time.Duration
 }
 
+// pace is the time of a token as this host saw it, else as others did, or 0.
+func (t *target) pace() time.Duration {
+	if t.step > 0 {
+		return t.step
+	}
+	return time.Duration(t.others.Step) * time.Microsecond
+}
+
 // valueRef names the values in force for a workspace on a route.
 type valueRef struct {
 	workspace *route.Workspace
@@ -170,15 +179,23 @@
 	b.report(now)
 }
 
-// report tells the scheduler what runs at the endpoints; mu must be held.
+// report tells the scheduler what runs at the endpoints; mu must be held. An
+// endpoint whose pace nobody has seen is taken to be as fast as the fastest of
+// its service, so that it is tried.
 func (b *balancer) report(now time.Duration) {
+	fastest := make(map[string]time.Duration)
+	for _, t := range b.targets {
+		if p := t.pace(); p > 0 && (fastest[t.Service] == 0 || p < fastest[t.Service]) {
+			fastest[t.Service] = p
+		}
+	}
 	for name, t := range b.targets {
 		if now < t.downUntil {
 			continue
 		}
 		b.sched.TakeReport(now, name, sched.Report{
 			At: now, Running: t.own.Running + t.others.Running, PrefillTokens: t.own.Prefill + t.others.Prefill,
-			Slots: t.Slots, Step: t.step, PrefillPerStep: prefillPerStep, Model: t.Service, Fresh: true,
+			Slots: t.Slots, Step: cmp.Or(t.pace(), fastest[t.Service]), PrefillPerStep: prefillPerStep, Model: t.Service, Fresh: true,
 		})
 	}
 }
@@ -195,10 +212,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, t := range b.targets {
-		t.others = peers.Load{}
+		t.others = peers.Load{Step: t.others.Step}
+		sum, n := int64(0), int64(0)
 		for _, l := range loads {
 			t.others.Running += l[name].Running
 			t.others.Prefill += l[name].Prefill
+			if l[name].Step > 0 {
+				sum += l[name].Step
+				n++
+			}
+		}
+		if n > 0 {
+			t.others.Step = sum / n
 		}
 	}
 	b.report(now)
@@ -212,7 +237,9 @@
 	out := make(map[string]peers.Load)
 	for name, t := range b.targets {
 		if t.own.Running > 0 {
-			out[name] = t.own
+			l := t.own
+			l.Step = t.step.Microseconds()
+			out[name] = l
 		}
 	}
 	return out
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -58,4 +58,6 @@
 	// Running counts requests; Prefill is prompt tokens without a first token.
 	Running int `json:"r"`
 	Prefill int `json:"p,omitempty"`
+	// Step is the seen time of a token, or of a request at a plain service, in microseconds; 0 is unknown.
+	Step int64 `json:"s,omitempty"`
 }
