--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -24,7 +24,7 @@
 	// freeDeadline holds where neither caller nor route give one.
 	freeDeadline = 60 * time.Second
 	// lateStop is the time into a stop from which new requests are refused.
-	lateStop = 2500 * time.Millisecond
+	lateStop = 3000 * time.Millisecond
 	// longestDeadline bounds what a caller may ask for.
 	longestDeadline = time.Hour
 )
