sched: endpoints are chosen by the worth a request is expected to earn there

The shortest whole time sent long prompts where others were read (first token late) or to slow engines (pauses of 600 ms for all that ran there), and long answers past their deadline. Change: sched/value.go: chance of ending by the deadline x (late worth + rest x chance of a first token in time x pauses), less what a long prompt costs its neighbours; near-equal ones by room, roomier of two random ones; who fits nowhere lets others pass and gets a last chance anywhere before a refusal.

--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -123,6 +123,9 @@
 		ID: c.id, Model: c.service.Name, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), LikelyTokens: c.likely,
 		Arrived: c.arrived, Deadline: c.deadline, Start: c.latestStart(), Data: make(chan sched.Decision, 1),
 	}
+	if c.service.Engine {
+		c.req.Aim = sched.Aim{First: c.route.Objective, Gap: c.route.Gap, EventTokens: c.service.EventTokens}
+	}
 	c.s.firstSend(c.service.Name)
 	d := c.s.balance.submit(c)
 	for dials, rejects := 0, 0; ; {
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -12,6 +12,8 @@
 	cached int // prompt tokens held
 	first  time.Duration
 	whole  time.Duration
+	worth  float64 // see chooseByWorth
+	room   float64
 }
 
 // maxCandidates bounds the candidates kept for explanations.
--- a/sched/order.go
+++ b/sched/order.go
@@ -102,7 +102,11 @@
 	if !s.limits.enter(r.Settings, s.hosts(r)) {
 		return Decision{}, false
 	}
-	c := s.choose(now, r)
+	choose := s.choose
+	if r.Aim.First > 0 {
+		choose = s.chooseByWorth
+	}
+	c := choose(now, r)
 	if c == nil {
 		s.limits.leave(r.Settings)
 		return Decision{}, false
@@ -171,6 +175,38 @@
 	return now+wait+s.leastWhole(now, r) > r.Deadline
 }
 
+// lastChance dispatches a request that has waited as long as it may to the best
+// endpoint that admits it, although little may be earned there.
+func (s *Scheduler) lastChance(now time.Duration, r *Request) (Decision, bool) {
+	if r.Aim.First == 0 || now >= r.Deadline {
+		return Decision{}, false
+	}
+	r.last = true
+	d, ok := s.start(now, r)
+	if ok {
+		s.unqueue(r)
+	}
+	return d, ok
+}
+
+// mostPast bounds the requests looked at behind one that fits no endpoint now.
+const mostPast = 16
+
+// servePast dispatches requests behind one that fits no endpoint now, in order of
+// arrival: an endpoint with room for a short prompt may have none for a long one.
+func (s *Scheduler) servePast(now time.Duration, q *tierQueue, out []Decision) []Decision {
+	n := 0
+	for at := q.arrival.Front(); at != nil && n < mostPast; n++ {
+		r := at.Value.(*Request)
+		at = at.Next()
+		if d, ok := s.start(now, r); ok {
+			s.unqueue(r)
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // tooLate reports whether a request that waited is not likely to end in time any
 // more; running it would only take room from others.
 func (s *Scheduler) tooLate(now time.Duration, r *Request) bool {
@@ -244,6 +280,10 @@
 	s.pending = nil
 	for len(s.deadlines) > 0 && s.deadlines[0].latest() <= now {
 		r := s.deadlines[0]
+		if d, ok := s.lastChance(now, r); ok {
+			out = append(out, d)
+			continue
+		}
 		s.unqueue(r)
 		out = append(out, s.refuse(now, r, ReasonDeadline, s.wait(now, r)))
 	}
@@ -273,6 +313,10 @@
 				continue
 			}
 			d, ok := s.start(now, r)
+			if !ok && r.Aim.First > 0 {
+				out = s.servePast(now, q, out)
+				break
+			}
 			if !ok && r.long {
 				break
 			}
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -31,10 +31,7 @@
 // tokens that e need not compute. Prompt work of lower tiers is left out, since
 // engines honour priorities.
 func (s *Scheduler) predict(now time.Duration, r *Request, e *endpointState, load float64, cached int) time.Duration {
-	ahead := int(s.fade(now, e) * float64(e.othersPrefill))
-	for k := 0; k <= r.rank(); k++ {
-		ahead += e.ownPrefill[k]
-	}
+	ahead := s.prefillAhead(now, r, e)
 	fresh := max(1, r.PromptTokens-cached)
 	t := e.prefillTime(ahead+fresh) + e.step()
 	if over := load + 1 - float64(e.slots()); over > 0 {
--- a/sched/request.go
+++ b/sched/request.go
@@ -28,6 +28,8 @@
 	Arrived, Deadline time.Duration
 	// Start is the latest time to be dispatched, or 0 for none beside Deadline.
 	Start time.Duration
+	// Aim is what the request is worth where, or empty.
+	Aim Aim
 	// Retry says that the caller tried before.
 	Retry bool
 	// Data is the caller's own.
@@ -41,6 +43,7 @@
 	seq      uint64
 	heapAt   int
 	waiting  bool
+	last     bool // it has waited as long as it may
 
 	at        *endpointState
 	sentAt    time.Duration
