--- a/cmd/hkedge/host.go
+++ b/cmd/hkedge/host.go
@@ -107,7 +107,7 @@
 		}},
 	}
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.1, FarCost: 0.25, Off: sched.Rules{Floor: true}},
+		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.1, FarCost: 0.25, Reserve: 0.2, Off: sched.Rules{Floor: true}},
 		Trust:      time.Duration(trustShare * float64(b.RevokeTime)),
 		Sure:       time.Duration(sureShare * float64(b.ConfigTime)),
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
