--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -8,10 +8,13 @@
 package main
 
 import (
+	"context"
 	"os"
+	"os/signal"
 
 	"github.com/alexflint/go-arg"
 
+	"github.com/heathkeel/heathkeel/edge"
 	"github.com/heathkeel/heathkeel/internal/logs"
 	"github.com/heathkeel/heathkeel/internal/version"
 	"github.com/heathkeel/heathkeel/platform"
@@ -41,8 +44,10 @@
 	if err != nil {
 		p.Fail(err.Error())
 	}
-	h := &host{Boot: boot, Path: a.Settings, Log: log.WithValues("host", boot.Host)}
-	if err := h.Run(); err != nil {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, edge.Signals...)
+	h := &edge.Host{Boot: boot, Path: a.Settings, Log: log.WithValues("host", boot.Host)}
+	if err := h.Run(context.Background(), signals); err != nil {
 		h.Log.Error(err, "stopped")
 		os.Exit(1)
 	}
--- a/cmd/hkedge/host.go
+++ b/edge/host.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package main
+package edge
 
 import (
 	"context"
@@ -13,7 +13,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -48,8 +47,9 @@
 	heapShare = 0.6
 )
 
-// host is the process: its parts and what joins them.
-type host struct {
+// Host is one host: its parts and what joins them. The exported fields must be
+// set before Run.
+type Host struct {
 	// Boot is the settings file and Path where it lies.
 	Boot platform.Boot
 	Path string
@@ -68,36 +68,39 @@
 }
 
 // now is the steady clock.
-func (h *host) now() time.Duration { return time.Since(h.start) }
+func (h *Host) now() time.Duration { return time.Since(h.start) }
 
-// Run keeps the host going until a signal ends it.
-func (h *host) Run() error {
+// Signals are what the process is told from outside.
+var Signals = []os.Signal{syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP}
+
+// Run keeps the host going until a signal to stop comes and the stop is done, or
+// until ctx ends, which ends the host at once.
+func (h *Host) Run(ctx context.Context, signals <-chan os.Signal) error {
 	h.start = time.Now()
 	h.life = rand.Uint64() >> 12
 	h.stopping = make(chan struct{})
 	if mb := h.Boot.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(mb<<20)))
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.build()
-	if err := h.listenPeers(); err != nil {
+	if err := h.listenPeers(ctx); err != nil {
 		return err
 	}
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	go h.settings.Run(ctx)
-	go h.endpoints.Run(ctx)
-	go h.agent.Run(ctx)
-	go h.entry.Run(ctx)
-	go h.tick(ctx)
+	for _, run := range []func(context.Context){h.settings.Run, h.endpoints.Run, h.agent.Run, h.entry.Run, h.tick} {
+		go run(ctx)
+	}
 	h.Log.Info("started", "front", h.Boot.Front, "zone", h.Boot.Zone, "life", h.life)
-	return h.await()
+	h.await(ctx, signals)
+	return nil
 }
 
 // build makes the parts.
-func (h *host) build() {
+func (h *Host) build() {
 	b := &h.Boot
 	h.store = &platform.Store{
 		Base: "http://" + b.Store,
@@ -132,7 +135,7 @@
 }
 
 // bodyMemory bounds the bytes of requests held.
-func (h *host) bodyMemory() int64 {
+func (h *Host) bodyMemory() int64 {
 	if h.Boot.MemoryMB == 0 {
 		return 64 << 20
 	}
@@ -140,10 +143,10 @@
 }
 
 // peerAddress is where this host hears heartbeats.
-func (h *host) peerAddress() string { return fmt.Sprintf("%s:%d", h.Boot.IP, h.Boot.PeerPort) }
+func (h *Host) peerAddress() string { return fmt.Sprintf("%s:%d", h.Boot.IP, h.Boot.PeerPort) }
 
 // foundHosts takes the hosts' entries in the store.
-func (h *host) foundHosts(items []feed.Item) {
+func (h *Host) foundHosts(items []feed.Item) {
 	var seeds []string
 	for _, it := range items {
 		seeds = append(seeds, string(it.Value))
@@ -152,8 +155,9 @@
 }
 
 // listenPeers opens the socket for heartbeats.
-func (h *host) listenPeers() error {
-	conn, err := net.ListenPacket("udp", h.peerAddress())
+func (h *Host) listenPeers(ctx context.Context) error {
+	var lc net.ListenConfig
+	conn, err := lc.ListenPacket(ctx, "udp", h.peerAddress())
 	if err != nil {
 		return err
 	}
@@ -172,7 +176,7 @@
 }
 
 // ready tells whether the host takes requests.
-func (h *host) ready() bool {
+func (h *Host) ready() bool {
 	select {
 	case <-h.stopping:
 		return false
@@ -182,7 +186,7 @@
 }
 
 // Fill implements peers.Host.
-func (h *host) Fill(b *peers.Beat) {
+func (h *Host) Fill(b *peers.Beat) {
 	b.Row = peers.Row{
 		Address: h.peerAddress(), Front: h.Boot.Front, Control: h.Boot.Control, Zone: h.Boot.Zone, Region: h.Boot.Region,
 		Ready: h.ready(), Fresh: h.ingress.Fresh(),
@@ -196,11 +200,11 @@
 }
 
 // Heard implements peers.Host.
-func (h *host) Heard(b *peers.Beat) { h.ingress.Heard(b.Host, b.Life, b.Used) }
+func (h *Host) Heard(b *peers.Beat) { h.ingress.Heard(b.Host, b.Life, b.Used) }
 
 // Proved implements peers.Host: settings that a peer knows to be newest are so
 // here too, and newer ones are asked for.
-func (h *host) Proved(p peers.Proof) {
+func (h *Host) Proved(p peers.Proof) {
 	have := h.settings.Age.Revision()
 	switch {
 	case p.Revision == have:
@@ -211,7 +215,7 @@
 }
 
 // tick does what is due now and then.
-func (h *host) tick(ctx context.Context) {
+func (h *Host) tick(ctx context.Context) {
 	t := time.NewTicker(100 * time.Millisecond)
 	defer t.Stop()
 	for n := 0; ; n++ {
@@ -231,7 +235,7 @@
 }
 
 // shareLoads gives the ingress what the other hosts told.
-func (h *host) shareLoads() {
+func (h *Host) shareLoads() {
 	live := h.agent.Live()
 	loads := make([]map[string]peers.Load, len(live))
 	for i := range live {
@@ -246,21 +250,23 @@
 }
 
 // await waits for the signal to stop and stops.
-func (h *host) await() error {
-	sig := make(chan os.Signal, 4)
-	signal.Notify(sig, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range sig {
-		if s != syscall.SIGHUP {
-			break
+func (h *Host) await(ctx context.Context, signals <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				h.stop()
+				return
+			}
+			h.reload()
 		}
-		h.reload()
 	}
-	h.stop()
-	return nil
 }
 
 // reload reads the settings file again. A broken file changes nothing.
-func (h *host) reload() {
+func (h *Host) reload() {
 	b, err := platform.ReadBoot(h.Path)
 	if err != nil {
 		h.Log.Error(err, "settings file refused; the last one stays")
@@ -278,7 +284,7 @@
 )
 
 // stop tells callers and peers, and ends once nothing runs or the grace is over.
-func (h *host) stop() {
+func (h *Host) stop() {
 	began := h.now()
 	close(h.stopping)
 	h.ingress.Stop()
@@ -305,7 +311,7 @@
 const pathSettings = "/v1/settings"
 
 // fetch asks a peer for its configuration.
-func (h *host) fetch(control string) {
+func (h *Host) fetch(control string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+pathSettings, nil)
--- a/cmd/hkedge/listen.go
+++ b/edge/listen.go
@@ -2,7 +2,7 @@
 // Use of this source code is governed by a BSD-style
 // license that can be found in the LICENSE file.
 
-package main
+package edge
 
 import (
 	"context"
@@ -31,7 +31,7 @@
 )
 
 // serve opens the listeners and serves them until ctx ends.
-func (h *host) serve(ctx context.Context) error {
+func (h *Host) serve(ctx context.Context) error {
 	front := &frontServer{host: h}
 	ways := []struct {
 		address string
@@ -65,7 +65,7 @@
 // frontServer serves callers under the limits of the configuration in force when
 // they connect.
 type frontServer struct {
-	host   *host
+	host   *Host
 	limits route.Limits
 	queue  *queueListener
 }
@@ -133,7 +133,7 @@
 func (q *queueListener) Addr() net.Addr { return q.addr }
 
 // readyHandler answers the platform's checks.
-func (h *host) readyHandler() http.Handler {
+func (h *Host) readyHandler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc(platform.PathReady, func(w http.ResponseWriter, _ *http.Request) {
 		if !h.ready() {
@@ -144,7 +144,7 @@
 }
 
 // controlHandler answers other hosts and operators.
-func (h *host) controlHandler() http.Handler {
+func (h *Host) controlHandler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc(pathSettings, func(w http.ResponseWriter, _ *http.Request) {
 		src := h.settings.Current()
@@ -160,7 +160,7 @@
 }
 
 // directoryHandler answers callers that ask where to go.
-func (h *host) directoryHandler() http.Handler {
+func (h *Host) directoryHandler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc(platform.PathResolve, func(w http.ResponseWriter, _ *http.Request) {
 		a := platform.Resolve(h.addresses(), answerLife)
@@ -178,7 +178,7 @@
 
 // addresses lists where callers may connect: hosts that take requests and know the
 // newest settings, else those that take requests.
-func (h *host) addresses() []string {
+func (h *Host) addresses() []string {
 	self := peers.Row{Front: h.Boot.Front, Zone: h.Boot.Zone, Ready: h.ready(), Fresh: h.ingress.Fresh()}
 	rows := []peers.Row{self}
 	for _, m := range h.agent.Live() {
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,164 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package site
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"github.com/heathkeel/heathkeel/edge"
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// Host is a host of heathkeel and what ends it.
+type Host struct {
+	// Boot is its settings.
+	Boot platform.Boot
+	// Signals are what it is told.
+	Signals chan os.Signal
+	// Done is closed when it has ended.
+	Done chan struct{}
+
+	kill context.CancelFunc
+}
+
+// Kill ends the host at once.
+func (h *Host) Kill() { h.kill() }
+
+// Site is a store, endpoints and hosts.
+type Site struct {
+	// Log takes the hosts' logs.
+	Log logr.Logger
+	// Store is the platform's store.
+	Store *Store
+	// StoreAddress is where it listens.
+	StoreAddress string
+	// Hosts are those started.
+	Hosts []*Host
+
+	server *http.Server
+	ports  int
+}
+
+// Start starts the store.
+func (s *Site) Start() error {
+	s.Store = NewStore()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.StoreAddress = l.Addr().String()
+	s.server = &http.Server{Handler: s.Store.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = s.server.Serve(l) }()
+	return nil
+}
+
+// Stop ends all.
+func (s *Site) Stop() {
+	for _, h := range s.Hosts {
+		h.Kill()
+		<-h.Done
+	}
+	_ = s.server.Close()
+}
+
+// freePort returns a port that is free on an address.
+func freePort(ip string) (int, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return 0, err
+	}
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port, nil
+}
+
+// AddHost starts a host on an address of its own. As on the platform, all hosts use
+// the same ports.
+func (s *Site) AddHost() (*Host, error) {
+	n := len(s.Hosts) + 1
+	ip := fmt.Sprintf("127.0.0.%d", 10+n)
+	if s.ports == 0 {
+		p, err := freePort(ip)
+		if err != nil {
+			return nil, err
+		}
+		s.ports = min(p, 65000)
+	}
+	at := func(i int) string { return fmt.Sprintf("%s:%d", ip, s.ports+i) }
+	b := platform.Boot{
+		Host: fmt.Sprintf("host-%d", n), Zone: fmt.Sprintf("zone-%d", n%2), Region: "local", IP: ip,
+		Front: at(0), Ready: at(1), Control: at(2), Directory: at(3), PeerPort: s.ports + 4, Store: s.StoreAddress, First: true,
+		MemoryMB: 256, ConfigTime: 2 * time.Second, RevokeTime: 5 * time.Second, ContactTime: 3 * time.Second,
+		DrainTime: 2 * time.Second, Grace: 8 * time.Second, Heartbeat: time.Second, AnswerLife: 5 * time.Second,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+	}
+	for _, h := range s.Hosts {
+		b.Seeds = append(b.Seeds, h.Boot.Control)
+	}
+	return s.Restart(&Host{Boot: b})
+}
+
+// Restart starts a host, or one that ended, with its settings.
+func (s *Site) Restart(h *Host) (*Host, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	again := &Host{Boot: h.Boot, Signals: make(chan os.Signal, 4), Done: make(chan struct{}), kill: cancel}
+	s.Hosts = append(s.Hosts, again)
+	e := &edge.Host{Boot: again.Boot, Log: s.Log}
+	failed := make(chan error, 1)
+	go func() {
+		defer close(again.Done)
+		failed <- e.Run(ctx, again.Signals)
+	}()
+	for range 200 {
+		select {
+		case err := <-failed:
+			return nil, eris.Wrap(err, "host ended")
+		case <-time.After(25 * time.Millisecond):
+		}
+		resp, err := http.Get("http://" + again.Boot.Ready + platform.PathReady)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return again, nil
+		}
+	}
+	return nil, eris.New("host is not ready; look at its log")
+}
+
+// AddEndpoint starts an endpoint and writes its entry.
+func (s *Site) AddEndpoint(service string, e *Endpoint) error {
+	if err := e.Start(); err != nil {
+		return err
+	}
+	s.Store.Put(platform.PrefixEndpoints+e.Instance, EndpointEntry{Service: service, Address: e.Address, Zone: "zone-1", Slots: 8, State: "ready"})
+	return nil
+}
+
+// EndpointEntry is an endpoint's entry in the store.
+type EndpointEntry struct {
+	Service, Address, Zone, State string
+	Slots, Seq                    int
+}
+
+// Resolve asks a host where callers may connect.
+func (s *Site) Resolve(h *Host) ([]string, error) {
+	resp, err := http.Get("http://" + h.Boot.Directory + platform.PathResolve + "?Name=x&Zone=zone-1")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	var a platform.ResolveAnswer
+	return a.Addresses, json.NewDecoder(resp.Body).Decode(&a)
+}
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,357 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package site
+
+import (
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// events is the length of the endpoints' streams.
+const events = 6
+
+// scene is a site with two plain services and two engines.
+type scene struct {
+	*Site
+	plain, engines [2]*Endpoint
+}
+
+// start starts a scene with n hosts.
+func start(t *testing.T, n int) *scene {
+	t.Helper()
+	s := &scene{Site: &Site{Log: logr.Discard()}}
+	must.NoError(t, s.Site.Start())
+	t.Cleanup(s.Stop)
+	s.Store.Put(platform.KeyConfig, Example())
+	for i := range 2 {
+		s.plain[i] = &Endpoint{Instance: fmt.Sprintf("p-%d", i)}
+		s.engines[i] = &Endpoint{Instance: fmt.Sprintf("e-%d", i), Events: events, Pace: 5 * time.Millisecond}
+		must.NoError(t, s.AddEndpoint(Plain, s.plain[i]))
+		must.NoError(t, s.AddEndpoint(Engines, s.engines[i]))
+		t.Cleanup(s.plain[i].Stop)
+		t.Cleanup(s.engines[i].Stop)
+	}
+	for range n {
+		_, err := s.AddHost()
+		must.NoError(t, err)
+	}
+	s.await(t, "first answers", func() bool {
+		return Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/x", Key: Key, ID: "warm-1"}).Status == 200 &&
+			Do(s.Hosts[0].Boot.Front, Call{Path: "/draft/x", Key: Key, ID: "warm-2", Body: "b"}).Status == 200
+	})
+	return s
+}
+
+// await waits for a condition; how long it takes is not part of any verdict.
+func (s *scene) await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for range 600 {
+		if ok() {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	t.Fatalf("%s: not within half a minute", what)
+}
+
+// fail gives all endpoints the same faults.
+func (s *scene) fail(faults ...Fault) {
+	for i := range 2 {
+		s.plain[i].Fail(faults...)
+		s.engines[i].Fail(faults...)
+	}
+}
+
+// runs counts the runs of a request at all endpoints.
+func (s *scene) runs(id string) int {
+	n := 0
+	for i := range 2 {
+		for _, r := range append(s.plain[i].Runs(), s.engines[i].Runs()...) {
+			if r.Attempt == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// TestEndpointFaults sends one request of each kind while every endpoint's next
+// request meets a fault, and holds the answer against what may be told.
+func TestEndpointFaults(t *testing.T) {
+	s := start(t, 1)
+	const cut = -1 // the connection closes before the answer is whole
+	cases := []struct {
+		fault Fault
+		path  string
+		// status is wanted, with mostRuns runs at most.
+		status, mostRuns int
+	}{
+		{None, "/push/a", 200, 1}, {None, "/ask/a", 200, 1}, {None, "/draft/a", 200, 1}, {None, "/review/a", 200, 1},
+		{Full, "/push/a", 503, 0}, {Full, "/draft/a", 503, 0},
+		{Error, "/push/a", 500, 1}, {Error, "/ask/a", 500, 2}, {Error, "/draft/a", 500, 1},
+		{Reset, "/push/a", 502, 1}, {Reset, "/ask/a", 502, 2}, {Reset, "/draft/a", 502, 1}, {Reset, "/review/a", 502, 2},
+		{Torn, "/push/a", 502, 1}, {Torn, "/draft/a", cut, 1}, {Torn, "/review/a", 200, 2},
+		{TornEvent, "/draft/a", cut, 1}, {TornEvent, "/review/a", 200, 2},
+		{NoAnswer, "/push/a", 502, 1}, {NoAnswer, "/ask/a", 502, 2}, {NoAnswer, "/draft/a", 502, 1},
+		{NoStamp, "/push/a", 502, 1}, {NoStamp, "/draft/a", 502, 1},
+		{Surplus, "/push/a", 200, 1}, {Surplus, "/ask/a", 200, 1},
+		{Foreign, "/push/a", 200, 1}, {Foreign, "/draft/a", 200, 1},
+		{Unframed, "/push/a", 200, 1}, {UnframedReset, "/push/a", 502, 1},
+		{SkipEvent, "/draft/a", cut, 1}, {SkipEvent, "/review/a", 200, 2},
+		{DoubleEvent, "/draft/a", 200, 1}, {DoubleEvent, "/review/a", 200, 1},
+		{Closing, "/push/a", 200, 1}, {Closing, "/draft/a", 200, 1}, {Interim, "/push/a", 200, 1},
+		{Hang, "/brief/a", 504, 1},
+	}
+	for i, tc := range cases {
+		t.Run(fmt.Sprintf("%s %s", tc.fault, tc.path), func(t *testing.T) {
+			id := fmt.Sprintf("case-%d", i)
+			s.fail(tc.fault)
+			a := Do(s.Hosts[0].Boot.Front, Call{Path: tc.path, Key: Key, ID: id, Body: "body of " + id, Tokens: "20,30"})
+			s.fail()
+			runs := s.runs(id)
+			must.LessEq(t, tc.mostRuns, runs)
+			switch tc.status {
+			case cut:
+				must.False(t, a.Whole)
+			case 200:
+				must.EqOp(t, 200, a.Status)
+				must.True(t, a.Whole)
+				must.NotEq(t, "", a.Header.Get("Heathkeel-Response-Stamp"))
+				must.EqOp(t, id, a.Header.Get("Heathkeel-Attempt-Id"))
+				if tc.path == "/draft/a" || tc.path == "/review/a" {
+					must.EqOp(t, Stream(events), a.Body)
+				} else {
+					must.EqOp(t, "ran "+id+" with body of "+id, a.Body)
+				}
+			default:
+				must.EqOp(t, tc.status, a.Status)
+				if a.Status != 500 {
+					must.EqOp(t, "", a.Header.Get("Heathkeel-Response-Stamp"))
+				}
+			}
+			if a.Status == 503 {
+				must.EqOp(t, 0, runs) // the promise
+				must.NotEq(t, "", a.Header.Get("Retry-After"))
+			}
+			// What the fault left behind must not reach the next request.
+			after := Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/b", Key: Key, ID: id + "-after", Body: "b"})
+			must.EqOp(t, "ran "+id+"-after with b", after.Body)
+		})
+	}
+}
+
+// TestAdmission holds refusals before any decision against the pages.
+func TestAdmission(t *testing.T) {
+	s := start(t, 1)
+	long := make([]byte, 100001)
+	for i := range long {
+		long[i] = 'x'
+	}
+	cases := []struct {
+		name   string
+		call   Call
+		status int
+	}{
+		{"no route", Call{Path: "/none/a", Key: Key, ID: "a"}, 404},
+		{"prefix without its slash", Call{Path: "/ask", Key: Key, ID: "a"}, 404},
+		{"no key", Call{Path: "/ask/a", ID: "a"}, 401},
+		{"unknown key", Call{Path: "/ask/a", Key: "x", ID: "a"}, 401},
+		{"public route without key", Call{Path: "/open/a", ID: "a"}, 200},
+		{"no id", Call{Path: "/ask/a", Key: Key}, 400},
+		{"bad deadline", Call{Path: "/ask/a", Key: Key, ID: "a", Header: http.Header{"Heathkeel-Deadline-Ms": {"soon"}}}, 400},
+		{"bad tokens", Call{Path: "/draft/a", Key: Key, ID: "a", Tokens: "many", Body: "b"}, 400},
+		{"negative tokens", Call{Path: "/draft/a", Key: Key, ID: "a", Tokens: "-5,1", Body: "b"}, 400},
+		{"body too large", Call{Path: "/ask/a", Key: Key, ID: "a", Body: string(long)}, 413},
+		{"prompt larger than any endpoint", Call{Path: "/draft/a", Key: Key, ID: "a", Tokens: "100001,1", Body: "b"}, 413},
+		{"beyond the amount", Call{Path: "/draft/a", Key: Key, ID: "a", Tokens: "99000,90000", Body: "b"}, 429},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			a := Do(s.Hosts[0].Boot.Front, tc.call)
+			must.EqOp(t, tc.status, a.Status)
+			if tc.status != 200 {
+				must.EqOp(t, "", a.Header.Get("Heathkeel-Response-Stamp"))
+			}
+		})
+	}
+}
+
+// TestHeaders holds what an endpoint gets against the pages.
+func TestHeaders(t *testing.T) {
+	s := start(t, 1)
+	sent := http.Header{
+		"Heathkeel-Tenant": {"forged"}, "Heathkeel-Expect-Instance": {"forged"}, "Kv-From": {"1.2.3.4:5/x"},
+		"X-Other": {"kept"}, "Connection": {"X-Hop"}, "X-Hop": {"dropped"},
+	}
+	a := Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a%2Fb?q=1&q=2", Key: Key, ID: "h-1", Deadline: 3000, Header: sent})
+	must.EqOp(t, 200, a.Status)
+	var got *Run
+	for i := range 2 {
+		for _, r := range s.plain[i].Runs() {
+			if r.Attempt == "h-1" {
+				got = &r
+				must.EqOp(t, s.plain[i].Instance, r.Header.Get("Heathkeel-Expect-Instance"))
+			}
+		}
+	}
+	must.NotNil(t, got)
+	must.EqOp(t, "/ask/a%2Fb?q=1&q=2", got.URI)
+	must.EqOp(t, Workspace, got.Header.Get("Heathkeel-Tenant"))
+	must.EqOp(t, "kept", got.Header.Get("X-Other"))
+	for _, name := range []string{"X-Hop", "Authorization", "Kv-From"} {
+		must.EqOp(t, "", got.Header.Get(name))
+	}
+	must.NotEq(t, "", got.Header.Get("Heathkeel-Deadline-Ms"))
+}
+
+// TestCallerLeaves checks that an endpoint stops when its caller has left.
+func TestCallerLeaves(t *testing.T) {
+	s := start(t, 1)
+	s.fail(Hang)
+	done := make(chan Answer)
+	go func() { done <- Do(s.Hosts[0].Boot.Front, Call{Path: "/brief/a", Key: Key, ID: "gone-1"}) }()
+	<-done // the route's time-out ends it as a caller's leaving does: the send is dropped
+	s.await(t, "the endpoint is free", func() bool { return s.plain[0].Working()+s.plain[1].Working() == 0 })
+}
+
+// TestRevocation checks that a withdrawn key stops working, also at a host that
+// the store turns away, which learns of it from a peer or trusts its settings no more.
+func TestRevocation(t *testing.T) {
+	s := start(t, 2)
+	c := Example()
+	c.Version, c.Tenants[0].Keys = 2, []string{"new-key"}
+	s.Store.Put(platform.KeyConfig, c)
+	for _, h := range s.Hosts {
+		s.await(t, "the old key is refused", func() bool { return Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "r"}).Status == 401 })
+		s.await(t, "the new key works", func() bool {
+			return Do(h.Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "r"}).Status == 200
+		})
+	}
+	s.Store.SetFault(StoreFault{Status: 503})
+	for _, h := range s.Hosts {
+		s.await(t, "settings are too old for keys", func() bool {
+			return Do(h.Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "r"}).Status == 503
+		})
+		must.EqOp(t, 200, Do(h.Boot.Front, Call{Path: "/open/a", ID: "r"}).Status)
+		must.EqOp(t, 503, Do(h.Boot.Front, Call{Path: "/none/a", ID: "r"}).Status)
+	}
+	s.Store.SetFault(StoreFault{})
+	s.await(t, "keys work again", func() bool {
+		return Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "r"}).Status == 200
+	})
+}
+
+// TestEndpointLeaves checks that a leaving endpoint gets no more work.
+func TestEndpointLeaves(t *testing.T) {
+	s := start(t, 1)
+	e := s.plain[0]
+	s.Store.Put(platform.PrefixEndpoints+e.Instance, EndpointEntry{Service: Plain, Address: e.Address, Slots: 8, State: "draining", Seq: 2})
+	s.await(t, "all goes to the other", func() bool {
+		before := len(e.Runs())
+		for i := range 10 {
+			Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: fmt.Sprint("l", i)})
+		}
+		return len(e.Runs()) == before
+	})
+}
+
+// TestReusedAddress checks that another instance at an endpoint's address runs nothing.
+func TestReusedAddress(t *testing.T) {
+	s := start(t, 1)
+	for i := range 2 {
+		s.Store.Put(platform.PrefixEndpoints+fmt.Sprint("old-", i), EndpointEntry{Service: Plain, Address: s.engines[i].Address, Slots: 8, State: "ready"})
+	}
+	time.Sleep(time.Second) // let the host read the entries; whether it has does not decide the verdict
+	for i := range 40 {
+		a := Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: fmt.Sprint("reuse-", i)})
+		must.True(t, a.Status == 200 || a.Status == 503)
+	}
+	for i := range 2 {
+		for _, r := range s.engines[i].Runs() {
+			must.StrNotHasPrefix(t, "reuse-", r.Attempt)
+		}
+	}
+}
+
+// TestPlannedStop sends SIGTERM under load: no request is cut, the host leaves the
+// address answers of its peer at once and says that it is not ready.
+func TestPlannedStop(t *testing.T) {
+	s := start(t, 2)
+	h, other := s.Hosts[0], s.Hosts[1]
+	s.await(t, "both in the answer", func() bool {
+		list, err := s.Resolve(other)
+		return err == nil && len(list) == 2
+	})
+	for i := range 2 {
+		s.engines[i].Pace = 100 * time.Millisecond
+	}
+	running := make(chan Answer, 8)
+	for i := range 8 {
+		go func() {
+			running <- Do(h.Boot.Front, Call{Path: "/draft/a", Key: Key, ID: fmt.Sprint("stop-", i), Body: "b", Tokens: "10,30"})
+		}()
+	}
+	s.await(t, "they run", func() bool { return s.engines[0].Working()+s.engines[1].Working() >= 8 })
+	h.Signals <- syscall.SIGTERM
+	s.await(t, "not ready", func() bool {
+		resp, err := http.Get("http://" + h.Boot.Ready + platform.PathReady)
+		if err != nil {
+			return true
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	s.await(t, "out of the answer", func() bool {
+		list, err := s.Resolve(other)
+		return err == nil && len(list) == 1 && list[0] == other.Boot.Front
+	})
+	late := Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "late"})
+	must.EqOp(t, 200, late.Status)
+	for range 8 {
+		a := <-running
+		must.EqOp(t, 200, a.Status)
+		must.EqOp(t, Stream(events), a.Body)
+	}
+	<-h.Done
+}
+
+// TestStoreMoods checks that traffic goes on, and that the store is not hammered.
+func TestStoreMoods(t *testing.T) {
+	s := start(t, 1)
+	moods := []StoreFault{{Status: 503}, {Status: 429}, {Reset: true}, {Silent: time.Minute}, {Slow: 300 * time.Millisecond}, {Lost: true}}
+	for _, m := range moods {
+		t.Run(fmt.Sprintf("%+v", m), func(t *testing.T) {
+			s.Store.SetFault(m)
+			s.Store.Forget()
+			before := s.Store.Calls()
+			for range 10 {
+				must.EqOp(t, 200, Do(s.Hosts[0].Boot.Front, Call{Path: "/open/a", ID: "m"}).Status)
+				time.Sleep(100 * time.Millisecond)
+			}
+			must.LessEq(t, 60, s.Store.Calls()-before)
+			s.Store.SetFault(StoreFault{})
+			s.await(t, "keys work", func() bool { return Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "m"}).Status == 200 })
+		})
+	}
+}
+
+// TestConfigurationRefused checks that a broken document changes nothing.
+func TestConfigurationRefused(t *testing.T) {
+	s := start(t, 1)
+	c := Example()
+	c.Version = 2
+	c.Routes[0].Kind = "sometimes"
+	s.Store.Put(platform.KeyConfig, c)
+	time.Sleep(200 * time.Millisecond)
+	must.EqOp(t, 200, Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "c"}).Status)
+}
--- /dev/null
+++ b/internal/site/store.go
@@ -0,0 +1,367 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package site
+
+import (
+	"encoding/json"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// StoreFault is a bad mood of the store.
+type StoreFault struct {
+	// Status is what calls get instead of an answer; 0 is none.
+	Status int
+	// Silent calls get no answer for so long.
+	Silent time.Duration
+	// Reset closes connections without an answer.
+	Reset bool
+	// Slow delays each answer.
+	Slow time.Duration
+	// Lost does writes without answering them.
+	Lost bool
+}
+
+// StoreItem is an item on the wire.
+type StoreItem struct {
+	// TlsKey and Value are what was written.
+	TlsKey string
+	Value  []byte `json:",omitempty"`
+	// Revision is the last change, Made the creation and Lease what it hangs on.
+	Revision uint64
+	Made     uint64 `json:"made,omitempty"`
+	Lease    uint64 `json:"lease,omitempty"`
+	// Gone says that the key was removed.
+	Gone bool `json:"gone,omitempty"`
+}
+
+// Store is the platform's store.
+type Store struct {
+	mu      sync.Mutex
+	items   map[string]StoreItem
+	log     []StoreItem
+	at      uint64
+	oldest  uint64
+	leases  map[uint64]*storeLease
+	changed chan struct{}
+	fault   StoreFault
+	calls   int
+}
+
+// storeLease is a lease and the moment it ends.
+type storeLease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{items: make(map[string]StoreItem), leases: make(map[uint64]*storeLease), changed: make(chan struct{})}
+}
+
+// Handler speaks the store's protocol.
+func (s *Store) Handler() http.Handler {
+	m := mux.NewRouter()
+	m.HandleFunc("/-/kv-key", s.getKey).Methods(http.MethodGet)
+	m.HandleFunc("/-/kv-range", s.getRange).Methods(http.MethodGet)
+	m.HandleFunc("/-/kv-watch", s.watch).Methods(http.MethodGet)
+	m.HandleFunc("/-/kv-txn", s.txn).Methods(http.MethodPost)
+	m.HandleFunc("/-/kv-lease", s.grant).Methods(http.MethodPost)
+	m.HandleFunc("/-/kv-keep/{id}", s.keep).Methods(http.MethodPost)
+	m.HandleFunc("/-/kv-lease-end/{id}", s.endLease).Methods(http.MethodDelete)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.moody(w, r) {
+			m.ServeHTTP(w, r)
+		}
+	})
+}
+
+// moody shows the fault in force; it returns false if the call is over.
+func (s *Store) moody(w http.ResponseWriter, r *http.Request) bool {
+	s.mu.Lock()
+	s.calls++
+	f := s.fault
+	s.mu.Unlock()
+	wait := func(d time.Duration) {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(d):
+		}
+	}
+	switch {
+	case f.Reset:
+		panic(http.ErrAbortHandler)
+	case f.Silent > 0:
+		wait(f.Silent)
+		panic(http.ErrAbortHandler)
+	case f.Status != 0:
+		w.WriteHeader(f.Status)
+		return false
+	}
+	wait(f.Slow)
+	return true
+}
+
+// SetFault puts a fault in force.
+func (s *Store) SetFault(f StoreFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls counts the calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Forget drops the history.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.log, s.oldest = nil, s.at
+}
+
+// Put writes a key as the operators and the endpoints do.
+func (s *Store) Put(key string, value any) {
+	b, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(StoreItem{TlsKey: key, Value: b})
+}
+
+// Remove removes a key.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(StoreItem{TlsKey: key, Gone: true})
+}
+
+// write makes one change; mu must be held.
+func (s *Store) write(it StoreItem) {
+	s.at++
+	it.Revision = s.at
+	it.Made = s.at
+	if old, ok := s.items[it.TlsKey]; ok {
+		it.Made = old.Made
+	}
+	if it.Gone {
+		delete(s.items, it.TlsKey)
+	} else {
+		s.items[it.TlsKey] = it
+	}
+	s.log = append(s.log, it)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire ends leases that ran out; mu must be held.
+func (s *Store) expire() {
+	for id, l := range s.leases {
+		if time.Now().After(l.end) {
+			s.drop(id)
+		}
+	}
+}
+
+// drop ends a lease and its keys; mu must be held.
+func (s *Store) drop(id uint64) {
+	delete(s.leases, id)
+	for k, it := range s.items {
+		if it.Lease == id {
+			s.write(StoreItem{TlsKey: k, Gone: true})
+		}
+	}
+}
+
+// storeAnswer is what reads answer.
+type storeAnswer struct {
+	Items  []StoreItem `json:",omitempty"`
+	More   bool        `json:"more"`
+	At     uint64      `json:"at"`
+	Events []StoreItem `json:"events,omitempty"`
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Store) getKey(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	it, ok := s.items[r.URL.Query().Get("TlsKey")]
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, struct {
+		StoreItem
+		At uint64 `json:"at"`
+	}{it, s.at})
+}
+
+// pageItems is the most items of a page.
+const pageItems = 500
+
+func (s *Store) getRange(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	q := r.URL.Query()
+	a := storeAnswer{At: s.at}
+	keys := make([]string, 0, len(s.items))
+	for k := range s.items {
+		if strings.HasPrefix(k, q.Get("PathPrefix")) && k > q.Get("SinceRev") {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	for _, k := range keys[:min(pageItems, len(keys))] {
+		a.Items = append(a.Items, s.items[k])
+	}
+	a.More = len(keys) > pageItems
+	reply(w, http.StatusOK, a)
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, _ := strconv.ParseUint(q.Get("SinceRev"), 10, 64)
+	ms, _ := strconv.Atoi(q.Get("WaitMs"))
+	end := time.After(time.Duration(ms) * time.Millisecond)
+	for over := false; ; {
+		s.mu.Lock()
+		s.expire()
+		if since < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		a := storeAnswer{At: s.at}
+		for _, it := range s.log {
+			if it.Revision > since && strings.HasPrefix(it.TlsKey, q.Get("PathPrefix")) {
+				a.Events = append(a.Events, it)
+			}
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		if len(a.Events) > 0 || over {
+			reply(w, http.StatusOK, a)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-end:
+			over = true
+		}
+	}
+}
+
+// txnBody is a transaction.
+type txnBody struct {
+	ExpectedRev []struct {
+		TlsKey   string
+		Revision uint64
+	}
+	Put []struct {
+		TlsKey string
+		Value  []byte
+		Lease  uint64 `json:"lease"`
+	} `json:"put"`
+	Remove []string
+}
+
+func (s *Store) txn(w http.ResponseWriter, r *http.Request) {
+	var b txnBody
+	if json.NewDecoder(r.Body).Decode(&b) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for _, e := range b.ExpectedRev {
+		if s.items[e.TlsKey].Revision != e.Revision {
+			reply(w, http.StatusPreconditionFailed, storeAnswer{At: s.at})
+			return
+		}
+	}
+	for _, p := range b.Put {
+		if strings.HasPrefix(p.TlsKey, "op/") || strings.HasPrefix(p.TlsKey, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+	}
+	for _, p := range b.Put {
+		s.write(StoreItem{TlsKey: p.TlsKey, Value: p.Value, Lease: p.Lease})
+	}
+	for _, k := range b.Remove {
+		s.write(StoreItem{TlsKey: k, Gone: true})
+	}
+	if s.fault.Lost {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, http.StatusOK, struct{ Revision uint64 }{s.at})
+}
+
+// leaseBody is the body of lease calls and their answers.
+type leaseBody struct {
+	Lease uint64 `json:"lease,omitempty"`
+	TTL   int64  `json:"ttl_ms,omitempty"`
+}
+
+func (s *Store) grant(w http.ResponseWriter, r *http.Request) {
+	var b leaseBody
+	if json.NewDecoder(r.Body).Decode(&b) != nil || b.TTL <= 0 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	ttl := time.Duration(b.TTL) * time.Millisecond
+	s.leases[s.at] = &storeLease{ttl, time.Now().Add(ttl)}
+	reply(w, http.StatusOK, leaseBody{s.at, b.TTL})
+}
+
+func (s *Store) keep(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	l := s.leases[id]
+	if l == nil {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	l.end = time.Now().Add(l.ttl)
+	reply(w, http.StatusOK, leaseBody{TTL: l.ttl.Milliseconds()})
+}
+
+func (s *Store) endLease(w http.ResponseWriter, r *http.Request) {
+	id, _ := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(id)
+	reply(w, http.StatusOK, leaseBody{})
+}
