ingress: what may be repeated does not wait for a silent endpoint

Cause: an endpoint that goes dark or mute holds a resumable stream until its caller leaves (found with the fault 'hang' of the stand-in: 504, and with srv_crash dark). Raw requests that smuggle are a test table.

--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -10,7 +10,6 @@
 	"maps"
 	"slices"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -42,7 +41,6 @@
 	told    []Endpoint
 	trouble time.Duration
 	bad     bool
-	lost    atomic.Bool
 }
 
 // Run follows the store until ctx ends.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -242,7 +242,11 @@
 	c.header.Set(c.s.Headers.Expect, c.at.Instance)
 	unwatch := context.AfterFunc(ctx, func() { conn.Close() })
 	c.account.Send()
-	end, hold := c.exchange(ctx, conn)
+	watch := newSilence(c.patience(), conn.Close)
+	end, hold := c.exchange(ctx, conn, watch)
+	if watch.stop() && end == lost {
+		hold = holdUnreachable
+	}
 	clean := unwatch()
 	switch {
 	case !clean && end != whole:
@@ -260,7 +264,7 @@
 }
 
 // exchange sends the request on a connection and reads the answer.
-func (c *call) exchange(ctx context.Context, conn *upstream.Conn) (ending, time.Duration) {
+func (c *call) exchange(ctx context.Context, conn *upstream.Conn, watch *silence) (ending, time.Duration) {
 	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: c.header, Body: c.body, HasBody: c.hasBody}
 	sent := c.s.Now()
 	if err := conn.Send(&req); err != nil {
@@ -287,7 +291,7 @@
 		return lost, holdLost
 	}
 	if ok && c.route.Kind == route.Stream {
-		return c.passStream(ctx, resp, sent)
+		return c.passStream(ctx, resp, sent, watch)
 	}
 	return c.passPlain(resp, sent)
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -32,11 +32,8 @@
 	eventBuffer = 4 << 10
 )
 
-// Errors of a series of events.
-var (
-	errEvent = errors.New("event is malformed")
-	errOrder = errors.New("event out of order")
-)
+// errEvent means that bytes of a stream are no event.
+var errEvent = errors.New("event is malformed")
 
 // event is one event of a series: its bytes, up to and with the empty line, and its number.
 type event struct {
@@ -88,7 +85,7 @@
 // passStream passes a series of events on, each as it comes. Only whole events
 // go to the caller; one that was passed on before is left out, so that a series
 // may go on at another endpoint.
-func (c *call) passStream(ctx context.Context, resp *http.Response, sent time.Duration) (ending, time.Duration) {
+func (c *call) passStream(ctx context.Context, resp *http.Response, sent time.Duration, watch *silence) (ending, time.Duration) {
 	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer)}
 	var firstAt, lastAt time.Duration
 	n := 0
@@ -103,6 +100,7 @@
 		if err != nil {
 			return lost, holdLost
 		}
+		watch.heard()
 		lastAt = c.s.Now()
 		if n == 0 {
 			firstAt = lastAt
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -5,8 +5,11 @@
 package site
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"net/http"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -113,7 +116,7 @@
 		{SkipEvent, 1, "/draft/a", cut, 1}, {SkipEvent, 1, "/review/a", 200, 2},
 		{DoubleEvent, 1, "/draft/a", 200, 1}, {DoubleEvent, 1, "/review/a", 200, 1},
 		{Closing, 1, "/push/a", 200, 1}, {Closing, 1, "/draft/a", 200, 1}, {Interim, 1, "/push/a", 200, 1},
-		{Hang, 9, "/brief/a", 504, 1},
+		{Hang, 9, "/brief/a", 504, 1}, {Hang, 1, "/ask/a", 200, 2}, {Hang, 1, "/review/a", 200, 2},
 	}
 	for i, tc := range cases {
 		t.Run(fmt.Sprintf("%s %s", tc.fault, tc.path), func(t *testing.T) {
@@ -153,6 +156,49 @@
 	}
 }
 
+// TestSmuggling sends requests that no honest caller sends, as bytes, and checks
+// that none of them runs anywhere in another form than the first line says.
+func TestSmuggling(t *testing.T) {
+	s := start(t, 1)
+	inner := "GET /open/hidden HTTP/1.1\r\nHost: " + Name + "\r\nHeathkeel-Attempt-Id: hidden\r\n\r\n"
+	head := "POST /open/x HTTP/1.1\r\nHost: " + Name + "\r\nHeathkeel-Attempt-Id: outer\r\n"
+	cases := []struct {
+		name, bytes string
+		statuses    []string // any of these; "" means that the connection closes without an answer
+	}{
+		{"two lengths", head + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nhello" + inner, []string{"400"}},
+		{"length and chunks", head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", []string{"200", "400"}},
+		{"unknown coding", head + "Transfer-Encoding: xchunked\r\n\r\n" + inner, []string{"400", "501"}},
+		{"coding twice", head + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", []string{"400", "501"}},
+		{"bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + inner, []string{"400"}},
+		{"negative length", head + "Content-Length: -1\r\n\r\n", []string{"400"}},
+		{"space before the colon", head + "Content-Length : 5\r\n\r\nhello", []string{"400"}},
+		{"bare line feed in a value", head + "X-A: b\x00c\r\n\r\n", []string{"400"}},
+		{"two hosts", "GET /open/x HTTP/1.1\r\nHost: a\r\nHost: " + Name + "\r\n\r\n", []string{"400"}},
+		{"no host", "GET /open/x HTTP/1.1\r\nHeathkeel-Attempt-Id: outer\r\n\r\n", []string{"400"}},
+		{"two ids", head + "Heathkeel-Attempt-Id: hidden\r\n\r\n", []string{"400"}},
+		{"header too long", head + "X-Long: " + strings.Repeat("x", 40000) + "\r\n\r\n", []string{"431"}},
+		{"no request", "\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", []string{"400", ""}},
+		{"method with a line", "GET\r\nX /open/x HTTP/1.1\r\n\r\n", []string{"400"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c, err := net.Dial("tcp", s.Hosts[0].Boot.Front)
+			must.NoError(t, err)
+			defer c.Close()
+			_, _ = c.Write([]byte(tc.bytes))
+			must.NoError(t, c.SetReadDeadline(time.Now().Add(10*time.Second)))
+			line, _ := bufio.NewReader(c).ReadString('\n')
+			status := ""
+			if f := strings.Fields(line); len(f) > 1 {
+				status = f[1]
+			}
+			must.SliceContains(t, tc.statuses, status)
+		})
+	}
+	must.EqOp(t, 0, s.runs("hidden"))
+}
+
 // TestAdmission holds refusals before any decision against the pages.
 func TestAdmission(t *testing.T) {
 	s := start(t, 1)
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -32,8 +32,8 @@
 
 // StoreItem is an item on the wire.
 type StoreItem struct {
-	// TlsKey and Value are what was written.
-	TlsKey string
+	// TLSKey and Value are what was written.
+	TLSKey string `json:"TlsKey"`
 	Value  []byte `json:",omitempty"`
 	// Revision is the last change, Made the creation and Lease what it hangs on.
 	Revision uint64
@@ -139,14 +139,14 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(StoreItem{TlsKey: key, Value: b})
+	s.write(StoreItem{TLSKey: key, Value: b})
 }
 
 // Remove removes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.write(StoreItem{TlsKey: key, Gone: true})
+	s.write(StoreItem{TLSKey: key, Gone: true})
 }
 
 // write makes one change; mu must be held.
@@ -154,13 +154,13 @@
 	s.at++
 	it.Revision = s.at
 	it.Made = s.at
-	if old, ok := s.items[it.TlsKey]; ok {
+	if old, ok := s.items[it.TLSKey]; ok {
 		it.Made = old.Made
 	}
 	if it.Gone {
-		delete(s.items, it.TlsKey)
+		delete(s.items, it.TLSKey)
 	} else {
-		s.items[it.TlsKey] = it
+		s.items[it.TLSKey] = it
 	}
 	s.log = append(s.log, it)
 	close(s.changed)
@@ -181,7 +181,7 @@
 	delete(s.leases, id)
 	for k, it := range s.items {
 		if it.Lease == id {
-			s.write(StoreItem{TlsKey: k, Gone: true})
+			s.write(StoreItem{TLSKey: k, Gone: true})
 		}
 	}
 }
@@ -253,7 +253,7 @@
 		}
 		a := storeAnswer{At: s.at}
 		for _, it := range s.log {
-			if it.Revision > since && strings.HasPrefix(it.TlsKey, q.Get("PathPrefix")) {
+			if it.Revision > since && strings.HasPrefix(it.TLSKey, q.Get("PathPrefix")) {
 				a.Events = append(a.Events, it)
 			}
 		}
@@ -276,11 +276,11 @@
 // txnBody is a transaction.
 type txnBody struct {
 	ExpectedRev []struct {
-		TlsKey   string
+		TLSKey   string `json:"TlsKey"`
 		Revision uint64
 	}
 	Put []struct {
-		TlsKey string
+		TLSKey string `json:"TlsKey"`
 		Value  []byte
 		Lease  uint64 `json:"lease"`
 	} `json:"put"`
@@ -297,13 +297,13 @@
 	defer s.mu.Unlock()
 	s.expire()
 	for _, e := range b.ExpectedRev {
-		if s.items[e.TlsKey].Revision != e.Revision {
+		if s.items[e.TLSKey].Revision != e.Revision {
 			reply(w, http.StatusPreconditionFailed, storeAnswer{At: s.at})
 			return
 		}
 	}
 	for _, p := range b.Put {
-		if strings.HasPrefix(p.TlsKey, "op/") || strings.HasPrefix(p.TlsKey, "servers/") {
+		if strings.HasPrefix(p.TLSKey, "op/") || strings.HasPrefix(p.TLSKey, "servers/") {
 			w.WriteHeader(http.StatusForbidden)
 			return
 		}
@@ -313,10 +313,10 @@
 		}
 	}
 	for _, p := range b.Put {
-		s.write(StoreItem{TlsKey: p.TlsKey, Value: p.Value, Lease: p.Lease})
+		s.write(StoreItem{TLSKey: p.TLSKey, Value: p.Value, Lease: p.Lease})
 	}
 	for _, k := range b.Remove {
-		s.write(StoreItem{TlsKey: k, Gone: true})
+		s.write(StoreItem{TLSKey: k, Gone: true})
 	}
 	if s.fault.Lost {
 		panic(http.ErrAbortHandler)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,6 +29,7 @@
 	br      *bufio.Reader
 	rest    time.Duration // how long it may rest unused
 	idleAt  time.Duration
+	over    atomic.Bool
 	dirty   bool
 	writing chan error
 }
@@ -168,13 +170,12 @@
 
 // Close drops the connection, and with it the work of the endpoint on it.
 func (c *Conn) Close() {
-	_ = c.net.Close()
-	c.pool.closed(c.address)
+	if c.over.CompareAndSwap(false, true) {
+		_ = c.net.Close()
+		c.pool.closed(c.address)
+	}
 }
 
-// Read reads ahead-buffered bytes of the answer; it is for bodies only.
-func (c *Conn) Reader() *bufio.Reader { return c.br }
-
 // sound tells whether a resting connection is still open and silent.
 func (c *Conn) sound() bool {
 	sc, ok := c.net.(syscall.Conn)
