--- a/cmd/hkdev/main.go
+++ b/cmd/hkdev/main.go
@@ -32,6 +32,7 @@
 	Hosts int           `arg:"--hosts,env:HEATHKEEL_HOSTS" default:"3" help:"number of hosts; 0 serves the stand-ins only"`
 	Step  time.Duration `arg:"--step,env:HEATHKEEL_STEP" default:"3ms" help:"time of an engine's step"`
 	Check bool          `arg:"--check" help:"run one request of each tier and kind, print a line each and exit"`
+	Site  bool          `arg:"--site" help:"hosts of the users' platform instead: routes, keys and event streams"`
 	Logs  bool          `arg:"--logs" help:"write the hosts' logs to standard error"`
 }
 
@@ -79,6 +80,9 @@
 			return 1, err
 		}
 	}
+	if a.Site {
+		return runSite(a, log)
+	}
 	c := &dev.Cluster{Declaration: parsed.Declaration, Hosts: a.Hosts, StepTime: a.Step, Place: true, Log: log}
 	if err := c.Start(); err != nil {
 		return 1, err
--- /dev/null
+++ b/cmd/hkdev/site.go
@@ -0,0 +1,81 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heathkeel/heathkeel/internal/site"
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// Shape of the streams of the stand-in's engines.
+const (
+	siteEvents = 6
+	sitePace   = 50 * time.Millisecond
+)
+
+// runSite starts hosts of the users' platform on its stand-in and keeps them until
+// a signal, or checks them.
+func runSite(a args, log logr.Logger) (int, error) {
+	s := &site.Site{Log: log}
+	if err := s.Start(); err != nil {
+		return 1, err
+	}
+	defer s.Stop()
+	s.Store.Put(platform.KeyConfig, site.Example())
+	if _, _, err := s.AddScene(siteEvents, sitePace); err != nil {
+		return 1, err
+	}
+	for range a.Hosts {
+		if _, err := s.AddHost(); err != nil {
+			return 1, err
+		}
+	}
+	if a.Check {
+		return checkSite(s), nil
+	}
+	fmt.Println("store     http://" + s.StoreAddress)
+	for _, h := range s.Hosts {
+		fmt.Printf("host      http://%s  where to go: http://%s%s  figures: http://%s/debug/vars\n", h.Boot.Front, h.Boot.Directory, platform.PathResolve, h.Boot.Control)
+	}
+	if len(s.Hosts) > 0 {
+		fmt.Printf("\ntry:\n  curl -N http://%s/review/1 -H 'Host: %s' -H 'Authorization: Token %s' -H 'Heathkeel-Attempt-Id: 1' -H 'Heathkeel-Token-Count: 20,30' -d 'Hello'\n",
+			s.Hosts[0].Boot.Front, site.Name, site.Key)
+	}
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	<-term.Done()
+	return 0, nil
+}
+
+// siteTries bounds the tries of a check: a host may not have read the endpoints yet.
+const siteTries = 50
+
+// checkSite sends one request of each kind and prints a line for each.
+func checkSite(s *site.Site) int {
+	code := 0
+	for _, path := range []string{"/push/1", "/ask/1", "/draft/1", "/review/1", "/open/1"} {
+		var got site.Answer
+		for i := range siteTries {
+			got = site.Do(s.Hosts[0].Boot.Front, site.Call{Path: path, Key: site.Key, ID: fmt.Sprintf("check-%s-%d", path, i), Body: "b", Tokens: "20,30"})
+			if got.Status == 200 {
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if got.Status != 200 || !got.Whole {
+			code = 1
+		}
+		fmt.Printf("%-10s status %d whole %t %d bytes\n", path, got.Status, got.Whole, len(got.Body))
+	}
+	return code
+}
--- a/edge/host.go
+++ b/edge/host.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -65,6 +66,8 @@
 	agent     *peers.Agent
 	entry     *feed.Entry
 	stopping  chan struct{}
+	hup       chan struct{}
+	read      platform.Boot
 }
 
 // now is the steady clock.
@@ -79,6 +82,8 @@
 	h.start = time.Now()
 	h.life = rand.Uint64() >> 12
 	h.stopping = make(chan struct{})
+	h.hup = make(chan struct{}, 1)
+	h.read = h.Boot
 	if mb := h.Boot.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(mb<<20)))
 	}
@@ -91,7 +96,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.settings.Run, h.endpoints.Run, h.agent.Run, h.entry.Run, h.tick} {
+	for _, run := range []func(context.Context){h.settings.Run, h.endpoints.Run, h.agent.Run, h.entry.Run, h.tick, h.watchFile} {
 		go run(ctx)
 	}
 	h.Log.Info("started", "front", h.Boot.Front, "zone", h.Boot.Zone, "life", h.life)
@@ -111,8 +116,6 @@
 	}
 	h.ingress = &ingress.Server{
 		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.1, FarCost: 0.25, Reserve: 0.2, Off: sched.Rules{Floor: true, LongCap: true}},
-		Trust:      time.Duration(trustShare * float64(b.RevokeTime)),
-		Sure:       time.Duration(sureShare * float64(b.ConfigTime)),
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		BodyMemory: h.bodyMemory(), Log: h.Log.WithName("ingress"),
 	}
@@ -123,6 +126,7 @@
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
+	h.ingress.SetBounds(trust(b), sure(b))
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
 		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: time.Second, Pause: 400 * time.Millisecond,
@@ -161,20 +165,26 @@
 	if err != nil {
 		return err
 	}
-	var seeds []string
-	for _, s := range h.Boot.Seeds {
-		if ap, err := netip.ParseAddrPort(s); err == nil && ap.Addr().String() != h.Boot.IP {
-			seeds = append(seeds, fmt.Sprintf("%s:%d", ap.Addr(), h.Boot.PeerPort))
-		}
-	}
 	h.agent = &peers.Agent{
-		Table: &peers.Table{Host: h.Boot.Host, Life: h.life}, Conn: conn, Seeds: seeds, Host: h, Now: h.now,
+		Table: &peers.Table{Host: h.Boot.Host, Life: h.life}, Conn: conn, Seeds: h.seeds(h.Boot.Seeds), Host: h, Now: h.now,
 		Rand: rand.New(rand.NewPCG(h.life, 1)), Log: h.Log.WithName("peers"),
 	}
 	h.agent.Init()
 	return nil
 }
 
+// seeds gives where the named hosts hear heartbeats, but for this host: ports are
+// alike on all hosts.
+func (h *Host) seeds(control []string) []string {
+	var out []string
+	for _, s := range control {
+		if ap, err := netip.ParseAddrPort(s); err == nil && ap.Addr().String() != h.Boot.IP {
+			out = append(out, fmt.Sprintf("%s:%d", ap.Addr(), h.Boot.PeerPort))
+		}
+	}
+	return out
+}
+
 // ready tells whether the host takes requests.
 func (h *Host) ready() bool {
 	select {
@@ -255,6 +265,8 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-h.hup:
+			h.reload()
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				h.stop()
@@ -265,16 +277,54 @@
 	}
 }
 
-// reload reads the settings file again. A broken file changes nothing.
+// reload reads the settings file again and puts in force what may change while
+// the host runs: the addresses of other hosts and the bounds of trust. A broken
+// file changes nothing.
 func (h *Host) reload() {
 	b, err := platform.ReadBoot(h.Path)
 	if err != nil {
 		h.Log.Error(err, "settings file refused; the last one stays")
 		return
 	}
-	h.Log.Info("settings file read", "seeds", len(b.Seeds))
+	if reflect.DeepEqual(b, h.read) {
+		return
+	}
+	h.read = b
+	h.agent.SetSeeds(h.seeds(b.Seeds))
+	h.ingress.SetBounds(trust(&b), sure(&b))
+	h.Log.Info("settings file in force", "seeds", len(b.Seeds), "trust", trust(&b).String())
 }
 
+// trust and sure are the ages of the settings up to which keys are taken, and up
+// to which what is unknown is surely unknown.
+func trust(b *platform.Boot) time.Duration {
+	return time.Duration(trustShare * float64(b.RevokeTime))
+}
+
+func sure(b *platform.Boot) time.Duration {
+	return time.Duration(sureShare * float64(b.ConfigTime))
+}
+
+// watchFile looks for changes of the settings file that nobody tells.
+func (h *Host) watchFile(ctx context.Context) {
+	if h.Path == "" {
+		return
+	}
+	t := time.NewTicker(fileEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			h.hup <- struct{}{}
+		}
+	}
+}
+
+// fileEvery is the time between two looks at the settings file.
+const fileEvery = 5 * time.Second
+
 // Times of a planned stop.
 const (
 	// lingerLeast is how long callers with old answers are still served.
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"encoding/json"
-	"expvar"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -155,7 +154,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(settingsBody{src.Revision, src.Value})
 	}).Methods(http.MethodGet)
-	m.Handle("/debug/vars", expvar.Handler())
+	m.HandleFunc("/debug/vars", h.showVars).Methods(http.MethodGet)
 	return m
 }
 
--- /dev/null
+++ b/edge/vars.go
@@ -0,0 +1,65 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package edge
+
+import (
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"net/http"
+
+	"github.com/heathkeel/heathkeel/metrics"
+)
+
+// vars are the figures of a host.
+type vars struct {
+	// Requests are counters of outcomes since the start.
+	Requests map[string]int64 `json:"requests"`
+	// Series are the histograms per workspace and tier, in microseconds.
+	Series []metrics.Series `json:"series"`
+	// Active is the number of requests held.
+	Active int64 `json:"active"`
+	// SettingsRevision and SettingsAgeMS tell which settings are in force and how old
+	// they may be, -1 for none; SettingsRefused counts documents that could not be read.
+	SettingsRevision uint64 `json:"settings_revision"`
+	SettingsAgeMS    int64  `json:"settings_age_ms"`
+	SettingsRefused  int64  `json:"settings_refused"`
+	// PeersLive and PeersCounted are the other hosts heard of lately, and those that may run.
+	PeersLive    int `json:"peers_live"`
+	PeersCounted int `json:"peers_counted"`
+	// Connections counts connections opened to endpoints.
+	Connections int64 `json:"connections_opened"`
+	// Ready says that the host takes requests, Fresh that it takes those with keys.
+	Ready bool `json:"ready"`
+	Fresh bool `json:"fresh"`
+}
+
+// vars reads the figures.
+func (h *Host) vars() vars {
+	v := vars{
+		Requests: h.ingress.Count.All(), Series: h.ingress.Metrics.Export(), Active: h.ingress.Active(), SettingsAgeMS: -1,
+		SettingsRevision: h.settings.Age.Revision(), SettingsRefused: h.settings.Refused(),
+		PeersLive: len(h.agent.Live()), PeersCounted: len(h.agent.Counted()),
+		Connections: h.ingress.Connections(), Ready: h.ready(), Fresh: h.ingress.Fresh(),
+	}
+	if age, ok := h.settings.Age.At(h.now()); ok {
+		v.SettingsAgeMS = age.Milliseconds()
+	}
+	return v
+}
+
+// showVars answers with expvar's variables and the host's own. Several hosts may
+// run in one process, so the host's own are not published by name.
+func (h *Host) showVars(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	own, err := json.Marshal(h.vars())
+	if err != nil {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
+	fmt.Fprintf(w, "{%q: %s", "heathkeel_edge", own)
+	expvar.Do(func(kv expvar.KeyValue) { fmt.Fprintf(w, ",\n%q: %s", kv.Key, kv.Value) })
+	fmt.Fprintln(w, "}")
+}
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -4,7 +4,10 @@
 
 package ingress
 
-import "sync/atomic"
+import (
+	"reflect"
+	"sync/atomic"
+)
 
 // Counters count outcomes of requests since the start.
 type Counters struct {
@@ -21,3 +24,13 @@
 	// Cut counts answers broken off, Gone callers that left.
 	Cut, Gone atomic.Int64
 }
+
+// All gives the counters by name.
+func (c *Counters) All() map[string]int64 {
+	v := reflect.ValueOf(c).Elem()
+	out := make(map[string]int64, v.NumField())
+	for i := range v.NumField() {
+		out[v.Type().Field(i).Name] = v.Field(i).Addr().Interface().(*atomic.Int64).Load()
+	}
+	return out
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/heathkeel/heathkeel/attempt"
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/upstream"
@@ -134,6 +135,7 @@
 			c.giveUp(ctx, d)
 			return
 		}
+		c.record(metrics.QueueWait, c.s.Now()-c.arrived)
 		c.at = c.s.balance.endpoint(d.Endpoint)
 		end, hold := c.send(ctx)
 		again := false
@@ -192,10 +194,20 @@
 	return <-due
 }
 
+// record notes a time of the request under its workspace and route.
+func (c *call) record(m metrics.Measure, d time.Duration) {
+	k := metrics.Key{Tier: c.route.Name}
+	if c.workspace != nil {
+		k.Workspace = c.workspace.Name
+	}
+	c.s.Metrics.Record(k, m, d)
+}
+
 // end counts a call whose last send is over.
 func (c *call) end(ctx context.Context, e ending) {
 	if e == whole {
 		c.s.Count.Served.Add(1)
+		c.record(metrics.WholeTime, c.s.Now()-c.arrived)
 		return
 	}
 	c.s.balance.done(c, sched.Dropped, 0, 0)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -14,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/quota"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
@@ -32,10 +33,6 @@
 	Zone string
 	// Policy holds the figures of the decisions on endpoints.
 	Policy sched.Config
-	// Trust is the age of the settings up to which requests with a key are taken.
-	Trust time.Duration
-	// Sure is the age up to which an unknown route or key is said to be unknown.
-	Sure time.Duration
 	// Retries bound repeated sends: the ratio to first ones and the credit kept, of
 	// all hosts together.
 	Retries quota.Retries
@@ -48,6 +45,8 @@
 	balance *balancer
 	active  atomic.Int64
 	bodies  atomic.Int64
+	trust   atomic.Int64
+	sure    atomic.Int64
 	stopAt  atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
 
 	mu      sync.Mutex
@@ -57,6 +56,8 @@
 
 	// Count counts outcomes.
 	Count Counters
+	// Metrics holds the histograms per workspace and tier.
+	Metrics metrics.Set
 }
 
 // Init makes the server ready.
@@ -69,6 +70,13 @@
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 }
 
+// SetBounds sets the age of the settings up to which requests with a key are taken,
+// and that up to which an unknown route or key is said to be unknown.
+func (s *Server) SetBounds(trust, sure time.Duration) {
+	s.trust.Store(int64(trust))
+	s.sure.Store(int64(sure))
+}
+
 // dialTimeout bounds the opening of a connection to an endpoint.
 const dialTimeout = 700 * time.Millisecond
 
@@ -107,7 +115,7 @@
 // Fresh tells whether the settings are young enough to take requests with keys.
 func (s *Server) Fresh() bool {
 	age, ok := s.Settings.Age.At(s.Now())
-	return ok && age < s.Trust
+	return ok && age < time.Duration(s.trust.Load())
 }
 
 // Stop begins a planned stop: answers close their connections, and after a while
@@ -149,6 +157,9 @@
 	return s.retryBook(service).Take()
 }
 
+// Connections counts the connections opened to endpoints.
+func (s *Server) Connections() int64 { return s.pool.Opened() }
+
 // Tick does what is due now and then; call it about ten times a second.
 func (s *Server) Tick() { s.balance.tick(s.Now()) }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"time"
 
+	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/sched"
 )
 
@@ -105,6 +106,7 @@
 		if n == 0 {
 			firstAt = lastAt
 			c.s.balance.first(c)
+			c.record(metrics.FirstToken, lastAt-c.arrived)
 		}
 		n++
 		if e.hasID && c.stream.events > 0 && e.id <= c.stream.last {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -22,8 +22,9 @@
 
 // Host is a host of heathkeel and what ends it.
 type Host struct {
-	// Boot is its settings.
+	// Boot is its settings, and Path the file that they are read from again, or empty.
 	Boot platform.Boot
+	Path string
 	// Signals are what it is told.
 	Signals chan os.Signal
 	// Done is closed when it has ended.
@@ -108,12 +109,27 @@
 	return s.Restart(&Host{Boot: b})
 }
 
+// AddScene starts two plain services and two engines with short streams.
+func (s *Site) AddScene(events int, pace time.Duration) (plain, engines [2]*Endpoint, err error) {
+	for i := range 2 {
+		plain[i] = &Endpoint{Instance: fmt.Sprintf("p-%d", i)}
+		engines[i] = &Endpoint{Instance: fmt.Sprintf("e-%d", i), Events: events, Pace: pace}
+		if err := s.AddEndpoint(Plain, plain[i]); err != nil {
+			return plain, engines, err
+		}
+		if err := s.AddEndpoint(Engines, engines[i]); err != nil {
+			return plain, engines, err
+		}
+	}
+	return plain, engines, nil
+}
+
 // Restart starts a host, or one that ended, with its settings.
 func (s *Site) Restart(h *Host) (*Host, error) {
 	ctx, cancel := context.WithCancel(context.Background())
-	again := &Host{Boot: h.Boot, Signals: make(chan os.Signal, 4), Done: make(chan struct{}), kill: cancel}
+	again := &Host{Boot: h.Boot, Path: h.Path, Signals: make(chan os.Signal, 4), Done: make(chan struct{}), kill: cancel}
 	s.Hosts = append(s.Hosts, again)
-	e := &edge.Host{Boot: again.Boot, Log: s.Log}
+	e := &edge.Host{Boot: again.Boot, Path: again.Path, Log: s.Log}
 	failed := make(chan error, 1)
 	go func() {
 		defer close(again.Done)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -6,9 +6,12 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -36,11 +39,10 @@
 	must.NoError(t, s.Site.Start())
 	t.Cleanup(s.Stop)
 	s.Store.Put(platform.KeyConfig, Example())
+	var err error
+	s.plain, s.engines, err = s.AddScene(events, 5*time.Millisecond)
+	must.NoError(t, err)
 	for i := range 2 {
-		s.plain[i] = &Endpoint{Instance: fmt.Sprintf("p-%d", i)}
-		s.engines[i] = &Endpoint{Instance: fmt.Sprintf("e-%d", i), Events: events, Pace: 5 * time.Millisecond}
-		must.NoError(t, s.AddEndpoint(Plain, s.plain[i]))
-		must.NoError(t, s.AddEndpoint(Engines, s.engines[i]))
 		t.Cleanup(s.plain[i].Stop)
 		t.Cleanup(s.engines[i].Stop)
 	}
@@ -375,6 +377,56 @@
 	<-h.Done
 }
 
+// TestReload changes a host's settings file, with a signal and without, and breaks it.
+func TestReload(t *testing.T) {
+	s := start(t, 1)
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	write := func(extra string) {
+		b := s.Hosts[0].Boot
+		text := fmt.Sprintf("Node=second\nIp=127.0.0.99\nListen.Front=127.0.0.99:%d\nPlatform.Address=%s\n", 7000, b.Store)
+		must.NoError(t, os.WriteFile(path, []byte(text+extra), 0o600))
+	}
+	write("")
+	boot := s.Hosts[0].Boot
+	boot.Host, boot.IP = "second", "127.0.0.99"
+	for _, a := range []*string{&boot.Front, &boot.Ready, &boot.Control, &boot.Directory} {
+		_, port, _ := strings.Cut(*a, ":")
+		*a = "127.0.0.99:" + port
+	}
+	h, err := s.Restart(&Host{Boot: boot, Path: path})
+	must.NoError(t, err)
+	status := func() int { return Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "h"}).Status }
+	s.await(t, "it serves", func() bool { return status() == 200 })
+	write("Timing.RevokeMs=1\n")
+	h.Signals <- syscall.SIGHUP
+	s.await(t, "the new bound holds", func() bool { return status() == 503 })
+	write("Timing.RevokeMs=5000\n")
+	s.await(t, "a silent change holds", func() bool { return status() == 200 })
+	write("Timing.RevokeMs=never\n")
+	h.Signals <- syscall.SIGHUP
+	time.Sleep(300 * time.Millisecond)
+	must.EqOp(t, 200, status())
+}
+
+// TestVars reads the figures of a host.
+func TestVars(t *testing.T) {
+	s := start(t, 1)
+	resp, err := http.Get("http://" + s.Hosts[0].Boot.Control + "/debug/vars")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var v struct {
+		Edge struct {
+			Requests map[string]int64
+			Series   []struct{ Workspace, Tier string }
+			Ready    bool
+		} `json:"heathkeel_edge"`
+	}
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&v))
+	must.Greater(t, 1, v.Edge.Requests["Served"])
+	must.True(t, v.Edge.Ready)
+	must.Greater(t, 1, len(v.Edge.Series))
+}
+
 // TestStoreMoods checks that traffic goes on, and that the store is not hammered.
 func TestStoreMoods(t *testing.T) {
 	s := start(t, 1)
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -80,6 +80,13 @@
 	}
 }
 
+// SetSeeds replaces the given addresses of some hosts.
+func (a *Agent) SetSeeds(s []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Seeds = s
+}
+
 // AddSeeds adds addresses of hosts that were learned elsewhere.
 func (a *Agent) AddSeeds(s []string) {
 	a.mu.Lock()
