--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -39,7 +39,7 @@
 	src := c.s.Settings.Current()
 	if src == nil {
 		c.s.Count.NoSettings.Add(1)
-		return &refusal{http.StatusServiceUnavailable, "no settings yet; come back", time.Second}
+		return &refusal{http.StatusServiceUnavailable, "no settings yet; come back", leastAfter}
 	}
 	c.table = src.Table
 	for _, step := range []func() *refusal{c.findRoute, c.findWorkspace, c.readNumbers, c.readBody, c.takeQuota} {
