--- a/edge/host.go
+++ b/edge/host.go
@@ -37,7 +37,7 @@
 	// watchShare is the part of the revocation time that a watch of the configuration is idle.
 	watchShare = 0.24
 	// listShare is the part of the drain time between two readings of the endpoints.
-	listShare = 0.3
+	listShare = 0.45
 	// lapseShare is the part of the contact time for which lapsed endpoints are kept.
 	lapseShare = 0.7
 	// retryShare is the part of the retry bound that hosts use.
