peers: heartbeats are deflated and name other hosts in every fifth only

Change: deflated JSON; rows of other hosts only where hosts do not hear each other directly, else in every fifth heartbeat.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -23,6 +22,9 @@
 	fanout = 8
 	// seedEvery is how many heartbeats pass between two to the seeds.
 	seedEvery = 5
+	// knownEvery is how many heartbeats pass between two that name other hosts, where
+	// hosts hear each other directly.
+	knownEvery = 5
 	// largestBeat bounds a datagram, in bytes.
 	largestBeat = 60 << 10
 )
@@ -142,7 +144,9 @@
 	to := a.Table.Targets(now, fanout, a.Rand)
 	b.Seq = a.Table.Next(now)
 	b.Echo = a.Table.Echo(to)
-	b.Known = a.Table.KnownRows(now, a.Rand)
+	if a.ticks%knownEvery == 0 || len(to) >= fanout {
+		b.Known = a.Table.KnownRows(now, a.Rand)
+	}
 	addresses := make([]string, 0, len(to))
 	for _, m := range to {
 		addresses = append(addresses, m.Row.Address)
@@ -154,7 +158,7 @@
 	a.ticks++
 	a.noteLive(now)
 	a.mu.Unlock()
-	data, err := json.Marshal(&b)
+	data, err := encode(&b)
 	if err != nil || len(data) > largestBeat {
 		a.Log.Info("heartbeat not sent", "bytes", len(data))
 		return
@@ -205,9 +209,8 @@
 			time.Sleep(a.Every)
 			continue
 		}
-		var b Beat
-		if json.Unmarshal(buf[:n], &b) == nil {
-			a.hear(&b)
+		if b, err := decode(buf[:n]); err == nil {
+			a.hear(b)
 		}
 	}
 }
--- /dev/null
+++ b/peers/codec_test.go
@@ -0,0 +1,64 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// fullBeat is a heartbeat with n hosts and endpoints.
+func fullBeat(n int) *Beat {
+	b := &Beat{Host: "edge-a-1", Life: 1 << 50, Seq: 7, Echo: map[string]uint32{}, Load: map[string]Load{}, Used: map[string]float64{"w": 1234567}}
+	for i := range n {
+		b.Echo[fmt.Sprintf("edge-a-%d", i)] = uint32(i)
+		b.Known = append(b.Known, Known{Host: fmt.Sprintf("edge-a-%d", i), Row: Row{Address: fmt.Sprintf("10.0.0.%d:7600", i)}})
+		b.Load[fmt.Sprintf("i-%08x", i*7919)] = Load{Running: i, Prefill: i * 100, Step: 2700}
+	}
+	return b
+}
+
+func TestCodec(t *testing.T) {
+	b := fullBeat(22)
+	data, err := encode(b)
+	must.NoError(t, err)
+	got, err := decode(data)
+	must.NoError(t, err)
+	must.Eq(t, b, got)
+	for _, bad := range [][]byte{nil, []byte("{}"), data[:len(data)/2], bytes.Repeat([]byte{0xff}, 100)} {
+		_, err := decode(bad)
+		must.Error(t, err)
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	data, err := encode(fullBeat(3))
+	must.NoError(f, err)
+	f.Add(data)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		if b, err := decode(data); err == nil {
+			(&Table{Host: "x"}).Hear(0, b)
+		}
+	})
+}
+
+func BenchmarkEncode(b *testing.B) {
+	for _, n := range []int{6, 22, 100} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			beat := fullBeat(n)
+			b.ReportAllocs()
+			for b.Loop() {
+				data, err := encode(beat)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(len(data)), "bytes")
+			}
+		})
+	}
+}
