ingress: a request waits for a place for 0.22 of its objective

Cause: what is refused within a quarter of its objective and comes back in time earns the mean of the two; beyond, it is a late refusal.

--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -175,7 +175,7 @@
 }
 
 // startShare is the part of the objective that a request may wait for a place.
-const startShare = 0.3
+const startShare = 0.22
 
 // wait waits for a decision that is still due.
 func (c *call) wait(ctx context.Context, d sched.Decision) sched.Decision {
