--- a/sched/value.go
+++ b/sched/value.go
@@ -147,8 +147,12 @@
 	if n == 0 {
 		return nil
 	}
-	got := &s.cands[s.Rand.IntN(n)]
-	if other := &s.cands[s.Rand.IntN(n)]; other.room < got.room {
+	i := s.Rand.IntN(n)
+	got := &s.cands[i]
+	if n == 1 {
+		return got
+	}
+	if other := &s.cands[(i+1+s.Rand.IntN(n-1))%n]; other.room < got.room {
 		got = other
 	}
 	return got
--- /dev/null
+++ b/sched/value_test.go
@@ -0,0 +1,116 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/settings"
+)
+
+// aimed makes a scheduler with endpoints of the given steps and prompt work.
+func aimed(steps []time.Duration, prefill, running []int) *Scheduler {
+	s := &Scheduler{Rand: rand.New(rand.NewPCG(1, 2)), Peers: 6}
+	s.Init()
+	var list []Endpoint
+	for i := range steps {
+		list = append(list, Endpoint{Name: fmt.Sprint(i), Engine: true, Slots: 10})
+	}
+	s.SetEndpoints(list)
+	for i, step := range steps {
+		s.TakeReport(0, fmt.Sprint(i), Report{
+			Running: running[i], PrefillTokens: prefill[i], Slots: 10, Step: step, PrefillPerStep: 200, Model: "m", Fresh: true,
+		})
+	}
+	return s
+}
+
+func TestChoiceByWorth(t *testing.T) {
+	fast, slow := 3*time.Millisecond, 14*time.Millisecond
+	cases := []struct {
+		name             string
+		steps            []time.Duration
+		prefill, running []int
+		prompt, out      int
+		want             string // endpoint, or "" for waiting
+	}{
+		{"a long prompt goes to the fast engine", []time.Duration{slow, fast}, []int{0, 0}, []int{0, 4}, 30000, 100, "1"},
+		{"a long answer goes to the fast engine", []time.Duration{slow, fast}, []int{0, 0}, []int{0, 4}, 500, 1500, "1"},
+		{"a short one avoids prompts that are read", []time.Duration{fast, fast}, []int{60000, 0}, []int{1, 5}, 500, 50, "1"},
+		{"more room wins among equals", []time.Duration{fast, fast}, []int{0, 0}, []int{8, 1}, 500, 50, "1"},
+		{"all full", []time.Duration{fast, fast}, []int{0, 0}, []int{16, 16}, 500, 50, ""},
+		{"no answer by the deadline anywhere", []time.Duration{slow}, []int{0}, []int{0}, 500, 100000, ""},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := aimed(tc.steps, tc.prefill, tc.running)
+			s.cfg.Off.Share = true
+			s.Config.Off.Share = true
+			for range 20 { // the choice has chance in it
+				r := &Request{
+					Settings: &settings.Effective{Workspace: "w", Service: "s", Weight: 1, Queue: 10}, Model: "m", PromptTokens: tc.prompt,
+					MaxTokens: tc.out, LikelyTokens: tc.out, Deadline: 15 * time.Second, Start: 200 * time.Millisecond,
+					Aim: Aim{First: 800 * time.Millisecond, Gap: 400 * time.Millisecond, EventTokens: 5},
+				}
+				d := s.Submit(0, r)
+				must.EqOp(t, tc.want, d.Endpoint)
+				if d.Verdict == Run {
+					s.Done(0, r, Dropped, 0)
+				}
+				if d.Verdict == Wait {
+					s.Withdraw(r)
+				}
+			}
+		})
+	}
+}
+
+// TestLastChance checks that a request that fits nowhere well is sent at last, and
+// lets one behind it pass meanwhile.
+func TestLastChance(t *testing.T) {
+	s := aimed([]time.Duration{14 * time.Millisecond}, []int{200000}, []int{1})
+	ask := func(prompt int) *Request {
+		return &Request{
+			Settings: &settings.Effective{Workspace: "w", Service: "s", Weight: 1, Queue: 10}, Model: "m", PromptTokens: prompt, MaxTokens: 900,
+			LikelyTokens: 900, Deadline: 14 * time.Second, Start: 200 * time.Millisecond,
+			Aim: Aim{First: 800 * time.Millisecond, Gap: 400 * time.Millisecond, EventTokens: 5},
+		}
+	}
+	r := ask(20000)
+	d := s.Submit(0, r)
+	if d.Verdict == Wait {
+		out := s.Poll(201 * time.Millisecond)
+		must.Len(t, 1, out)
+		must.EqOp(t, Run, out[0].Verdict)
+	}
+}
+
+func BenchmarkWorth(b *testing.B) {
+	for _, n := range []int{22, 100, 930} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			steps, prefill, running := make([]time.Duration, n), make([]int, n), make([]int, n)
+			for i := range n {
+				steps[i], running[i] = time.Duration(2+i%12)*time.Millisecond, i%5
+			}
+			s := aimed(steps, prefill, running)
+			e := &settings.Effective{Workspace: "w", Service: "s", Weight: 1, Queue: 10}
+			b.ReportAllocs()
+			for b.Loop() {
+				r := Request{
+					Settings: e, Model: "m", PromptTokens: 600, MaxTokens: 300, LikelyTokens: 300, Deadline: 15 * time.Second,
+					Aim: Aim{First: 800 * time.Millisecond, Gap: 400 * time.Millisecond, EventTokens: 5},
+				}
+				if s.Submit(0, &r).Verdict == Run {
+					s.Done(0, &r, Dropped, 0)
+				}
+			}
+		})
+	}
+}
