ingress: a refused body is read over; idle connections stay within what endpoints take

The figure MaxConns of the configuration was read and not used. Ruled out: the limit itself (413 on every other run).

--- a/cmd/hkdev/site.go
+++ b/cmd/hkdev/site.go
@@ -48,8 +48,7 @@
 		fmt.Printf("host      http://%s  where to go: http://%s%s  figures: http://%s/debug/vars\n", h.Boot.Front, h.Boot.Directory, platform.PathResolve, h.Boot.Control)
 	}
 	if len(s.Hosts) > 0 {
-		fmt.Printf("\ntry:\n  curl -N http://%s/review/1 -H 'Host: %s' -H 'Authorization: Token %s' -H 'Heathkeel-Attempt-Id: 1' -H 'Heathkeel-Token-Count: 20,30' -d 'Hello'\n",
-			s.Hosts[0].Boot.Front, site.Name, site.Key)
+		fmt.Printf("\ntry:\n  %s\n", site.Curl(s.Hosts[0].Boot.Front))
 	}
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -31,8 +31,6 @@
 	Tokens string
 	// LengthGuess is the caller's guess of the answer's tokens.
 	LengthGuess string
-	// Load on an answer tells requests running, waiting and slots.
-	Load string
 	// KeyScheme goes before the key in Authorization.
 	KeyScheme string
 	// Own are headers that only the system may set; callers' ones are dropped.
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -19,6 +20,7 @@
 
 // refuse writes a final answer of the host's own.
 func (c *call) refuse(f refusal) {
+	c.skipBody()
 	h := c.w.Header()
 	if f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests {
 		after := max(f.after, leastAfter)
@@ -30,5 +32,23 @@
 	c.s.Log.V(1).Info("refused", "id", c.id, "status", f.status, "why", f.why)
 }
 
+// Bounds of what is read of a body that nobody wants.
+const (
+	mostSkipped = 512 << 10
+	skipTime    = 500 * time.Millisecond
+)
+
+// skipBody reads the rest of a body that is refused: a connection that is closed
+// over unread bytes is reset, and the answer may be lost with it.
+func (c *call) skipBody() {
+	if c.r.Body == nil || c.r.Body == http.NoBody || c.hasBody || c.r.Header.Get("Expect") != "" {
+		return
+	}
+	_ = c.rc.SetReadDeadline(time.Now().Add(skipTime))
+	// What fails here fails again, and is told, when the answer is written.
+	_, _ = io.CopyN(io.Discard, c.r.Body, mostSkipped)
+	_ = c.rc.SetReadDeadline(time.Time{})
+}
+
 // leastAfter is the shortest time that a refused caller is asked to wait.
 const leastAfter = 100 * time.Millisecond
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -81,7 +81,30 @@
 const dialTimeout = 700 * time.Millisecond
 
 // SetTable is called with each new configuration.
-func (s *Server) SetTable(t *route.Table) { s.balance.setTable(t) }
+func (s *Server) SetTable(t *route.Table) {
+	s.balance.setTable(t)
+	s.boundIdle(t)
+}
+
+// idlePart is the part of the connections that an endpoint takes which hosts keep
+// open without use.
+const idlePart = 0.5
+
+// boundIdle keeps the idle connections of all hosts within what endpoints take.
+func (s *Server) boundIdle(t *route.Table) {
+	s.mu.Lock()
+	hosts := s.hosts
+	s.mu.Unlock()
+	least := 0
+	for i := range t.Document.Services {
+		if n := t.Document.Services[i].Connections; n > 0 && (least == 0 || n < least) {
+			least = n
+		}
+	}
+	if least > 0 {
+		s.pool.SetIdle(int(idlePart * float64(least) / float64(hosts)))
+	}
+}
 
 // SetEndpoints is called with each new list of endpoints.
 func (s *Server) SetEndpoints(list []feed.Endpoint) { s.balance.setEndpoints(s.Now(), list) }
@@ -89,10 +112,14 @@
 // SetHosts tells how many hosts share the amounts and the endpoints.
 func (s *Server) SetHosts(n int) {
 	s.mu.Lock()
+	changed := s.hosts != max(1, n)
 	s.hosts = max(1, n)
 	s.book.SetHosts(n)
 	s.mu.Unlock()
 	s.balance.setHosts(n)
+	if src := s.Settings.Current(); changed && src != nil {
+		s.boundIdle(src.Table)
+	}
 }
 
 // Heard takes what another host used.
--- a/internal/site/call.go
+++ b/internal/site/call.go
@@ -70,3 +70,9 @@
 	b, err := io.ReadAll(resp.Body)
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: string(b), Whole: err == nil}
 }
+
+// Curl is a line that sends a request for a stream to a host.
+func Curl(address string) string {
+	return fmt.Sprintf("curl -N http://%s/review/1 -H 'Host: %s' -H 'Authorization: Token %s' -H 'Heathkeel-Attempt-Id: 1' -H 'Heathkeel-Token-Count: 20,30' -d 'Hello'",
+		address, Name, Key)
+}
--- /dev/null
+++ b/internal/site/life_test.go
@@ -0,0 +1,203 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// TestRevocation checks that a withdrawn key stops working, also at a host that
+// the store turns away, which learns of it from a peer or trusts its settings no more.
+func TestRevocation(t *testing.T) {
+	s := start(t, 2)
+	c := Example()
+	c.Version, c.Tenants[0].Keys = 2, []string{"new-key"}
+	s.Store.Put(platform.KeyConfig, c)
+	for _, h := range s.Hosts {
+		s.await(t, "the old key is refused", func() bool { return Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "r"}).Status == 401 })
+		s.await(t, "the new key works", func() bool {
+			return Do(h.Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "r"}).Status == 200
+		})
+	}
+	s.Store.SetFault(StoreFault{Status: 503})
+	for _, h := range s.Hosts {
+		s.await(t, "settings are too old for keys", func() bool {
+			return Do(h.Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "r"}).Status == 503
+		})
+		must.EqOp(t, 200, Do(h.Boot.Front, Call{Path: "/open/a", ID: "r"}).Status)
+		must.EqOp(t, 503, Do(h.Boot.Front, Call{Path: "/none/a", ID: "r"}).Status)
+	}
+	s.Store.SetFault(StoreFault{})
+	s.await(t, "keys work again", func() bool {
+		return Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "r"}).Status == 200
+	})
+}
+
+// TestEndpointLeaves checks that a leaving endpoint gets no more work.
+func TestEndpointLeaves(t *testing.T) {
+	s := start(t, 1)
+	e := s.plain[0]
+	s.Store.Put(platform.PrefixEndpoints+e.Instance, EndpointEntry{Service: Plain, Address: e.Address, Slots: 8, State: "draining", Seq: 2})
+	s.await(t, "all goes to the other", func() bool {
+		before := len(e.Runs())
+		for i := range 10 {
+			Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: fmt.Sprint("l", i)})
+		}
+		return len(e.Runs()) == before
+	})
+}
+
+// TestReusedAddress checks that another instance at an endpoint's address runs nothing.
+func TestReusedAddress(t *testing.T) {
+	s := start(t, 1)
+	for i := range 2 {
+		s.Store.Put(platform.PrefixEndpoints+fmt.Sprint("old-", i), EndpointEntry{Service: Plain, Address: s.engines[i].Address, Slots: 8, State: "ready"})
+	}
+	time.Sleep(time.Second) // let the host read the entries; whether it has does not decide the verdict
+	for i := range 40 {
+		a := Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: fmt.Sprint("reuse-", i)})
+		must.True(t, a.Status == 200 || a.Status == 503)
+	}
+	for i := range 2 {
+		for _, r := range s.engines[i].Runs() {
+			must.StrNotHasPrefix(t, "reuse-", r.Attempt)
+		}
+	}
+}
+
+// TestPlannedStop sends SIGTERM under load: no request is cut, the host leaves the
+// address answers of its peer at once and says that it is not ready.
+func TestPlannedStop(t *testing.T) {
+	s := start(t, 2)
+	h, other := s.Hosts[0], s.Hosts[1]
+	s.await(t, "both in the answer", func() bool {
+		list, err := s.Resolve(other)
+		return err == nil && len(list) == 2
+	})
+	for i := range 2 {
+		s.engines[i].SetPace(300 * time.Millisecond)
+	}
+	running := make(chan Answer, 8)
+	for i := range 8 {
+		go func() {
+			running <- Do(h.Boot.Front, Call{Path: "/draft/a", Key: Key, ID: fmt.Sprint("stop-", i), Body: "b", Tokens: "10,30"})
+		}()
+	}
+	s.await(t, "they run", func() bool { return s.engines[0].Working()+s.engines[1].Working() == 8 })
+	h.Signals <- syscall.SIGTERM
+	s.await(t, "not ready", func() bool {
+		resp, err := http.Get("http://" + h.Boot.Ready + platform.PathReady)
+		if err != nil {
+			return true
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	s.await(t, "out of the answer", func() bool {
+		list, err := s.Resolve(other)
+		return err == nil && len(list) == 1 && list[0] == other.Boot.Front
+	})
+	late := Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "late"})
+	must.EqOp(t, 200, late.Status)
+	for range 8 {
+		a := <-running
+		must.EqOp(t, 200, a.Status)
+		must.EqOp(t, Stream(events), a.Body)
+	}
+	<-h.Done
+}
+
+// TestReload changes a host's settings file, with a signal and without, and breaks it.
+func TestReload(t *testing.T) {
+	s := start(t, 1)
+	path := filepath.Join(t.TempDir(), "boot.conf")
+	write := func(extra string) {
+		b := s.Hosts[0].Boot
+		text := fmt.Sprintf("Node=second\nIp=127.0.0.99\nListen.Front=127.0.0.99:%d\nPlatform.Address=%s\n", 7000, b.Store)
+		must.NoError(t, os.WriteFile(path, []byte(text+extra), 0o600))
+	}
+	write("")
+	boot := s.Hosts[0].Boot
+	boot.Host, boot.IP = "second", "127.0.0.99"
+	for _, a := range []*string{&boot.Front, &boot.Ready, &boot.Control, &boot.Directory} {
+		_, port, _ := strings.Cut(*a, ":")
+		*a = "127.0.0.99:" + port
+	}
+	h, err := s.Restart(&Host{Boot: boot, Path: path})
+	must.NoError(t, err)
+	status := func() int { return Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "h"}).Status }
+	s.await(t, "it serves", func() bool { return status() == 200 })
+	write("Timing.RevokeMs=1\n")
+	h.Signals <- syscall.SIGHUP
+	s.await(t, "the new bound holds", func() bool { return status() == 503 })
+	write("Timing.RevokeMs=5000\n")
+	s.await(t, "a silent change holds", func() bool { return status() == 200 })
+	write("Timing.RevokeMs=never\n")
+	h.Signals <- syscall.SIGHUP
+	time.Sleep(300 * time.Millisecond)
+	must.EqOp(t, 200, status())
+}
+
+// TestVars reads the figures of a host.
+func TestVars(t *testing.T) {
+	s := start(t, 1)
+	resp, err := http.Get("http://" + s.Hosts[0].Boot.Control + "/debug/vars")
+	must.NoError(t, err)
+	defer resp.Body.Close()
+	var v struct {
+		Edge struct {
+			Requests map[string]int64
+			Series   []struct{ Workspace, Tier string }
+			Ready    bool
+		} `json:"heathkeel_edge"`
+	}
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&v))
+	must.Greater(t, 1, v.Edge.Requests["Served"])
+	must.True(t, v.Edge.Ready)
+	must.Greater(t, 1, len(v.Edge.Series))
+}
+
+// TestStoreMoods checks that traffic goes on, and that the store is not hammered.
+func TestStoreMoods(t *testing.T) {
+	s := start(t, 1)
+	moods := []StoreFault{{Status: 503}, {Status: 429}, {Reset: true}, {Silent: time.Minute}, {Slow: 300 * time.Millisecond}, {Lost: true}}
+	for _, m := range moods {
+		t.Run(fmt.Sprintf("%+v", m), func(t *testing.T) {
+			s.Store.SetFault(m)
+			s.Store.Forget()
+			before := s.Store.Calls()
+			for range 10 {
+				must.EqOp(t, 200, Do(s.Hosts[0].Boot.Front, Call{Path: "/open/a", ID: "m"}).Status)
+				time.Sleep(100 * time.Millisecond)
+			}
+			must.LessEq(t, 60, s.Store.Calls()-before)
+			s.Store.SetFault(StoreFault{})
+			s.await(t, "keys work", func() bool { return Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "m"}).Status == 200 })
+		})
+	}
+}
+
+// TestConfigurationRefused checks that a broken document changes nothing.
+func TestConfigurationRefused(t *testing.T) {
+	s := start(t, 1)
+	c := Example()
+	c.Version = 2
+	c.Routes[0].Kind = "sometimes"
+	s.Store.Put(platform.KeyConfig, c)
+	time.Sleep(200 * time.Millisecond)
+	must.EqOp(t, 200, Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "c"}).Status)
+}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -16,7 +17,7 @@
 	defaultRest = 2 * time.Second
 	bufferBytes = 4 << 10
 	headBytes   = 2 << 10
-	mostIdle    = 16
+	mostIdle    = 16 // of an address
 )
 
 // Pool holds the connections of a host to all endpoints. The fields must be set
@@ -32,6 +33,7 @@
 	open   map[string]int
 	heads  sync.Pool
 	opened int64
+	limit  int // idle connections of an address; 0 is mostIdle
 }
 
 // Get returns a connection to an address: the one that was used last, if it is
@@ -74,6 +76,14 @@
 	return c
 }
 
+// SetIdle bounds the idle connections of an address, so that all hosts together stay
+// well under what an endpoint takes.
+func (p *Pool) SetIdle(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = min(max(n, 1), mostIdle)
+}
+
 // put keeps an idle connection.
 func (p *Pool) put(c *Conn) {
 	c.idleAt = p.Now()
@@ -83,7 +93,7 @@
 	}
 	list := append(p.idle[c.address], c)
 	var old *Conn
-	if len(list) > mostIdle {
+	if limit := cmp.Or(p.limit, mostIdle); len(list) > limit {
 		old, list = list[0], list[1:]
 	}
 	p.idle[c.address] = list
