--- a/edge/host.go
+++ b/edge/host.go
@@ -117,7 +117,8 @@
 	h.ingress = &ingress.Server{
 		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.1, FarCost: 0.25, Reserve: 0.2, Off: sched.Rules{Floor: true, LongCap: true}},
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
-		BodyMemory: h.bodyMemory(), Log: h.Log.WithName("ingress"),
+		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
+		FirstStart: b.First, BodyMemory: h.bodyMemory(), Log: h.Log.WithName("ingress"),
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
@@ -202,7 +203,8 @@
 		Ready: h.ready(), Fresh: h.ingress.Fresh(),
 	}
 	b.Load = h.ingress.Loads()
-	b.Used = h.ingress.Used()
+	told := h.ingress.Tell()
+	b.Used, b.Left = told.Used, told.Left
 	b.AgeMS = -1
 	if age, ok := h.settings.Age.At(h.now()); ok {
 		b.Revision, b.AgeMS = h.settings.Age.Revision(), age.Milliseconds()+1
@@ -210,7 +212,9 @@
 }
 
 // Heard implements peers.Host.
-func (h *Host) Heard(b *peers.Beat) { h.ingress.Heard(b.Host, b.Life, b.Used) }
+func (h *Host) Heard(b *peers.Beat) {
+	h.ingress.Heard(b.Host, b.Life, quota.Told{Used: b.Used, Left: b.Left})
+}
 
 // Proved implements peers.Host: settings that a peer knows to be newest are so
 // here too, and newer ones are asked for.
@@ -252,7 +256,13 @@
 		loads[i] = live[i].Load
 	}
 	h.ingress.SetOthers(loads)
-	n := 1 + len(h.agent.Counted())
+	counted := h.agent.Counted()
+	names := make(map[string]bool, len(counted))
+	for i := range counted {
+		names[counted[i].Host] = true
+	}
+	h.ingress.KeepHosts(names)
+	n := 1 + len(counted)
 	if n == 1 && len(h.Boot.Seeds) > 1 {
 		n = len(h.Boot.Seeds)
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -36,6 +36,10 @@
 	// Retries bound repeated sends: the ratio to first ones and the credit kept, of
 	// all hosts together.
 	Retries quota.Retries
+	// Tolerance is what all hosts together may get wrong about a workspace's amount.
+	Tolerance quota.Tolerance
+	// FirstStart says that no host ran before this start.
+	FirstStart bool
 	// BodyMemory bounds the bytes of requests held at once.
 	BodyMemory int64
 	// Log takes changes of state and failures.
@@ -65,6 +69,7 @@
 	s.pool.Now = s.Now
 	s.pool.DialTimeout = dialTimeout
 	s.book = quota.NewBook(s.Now())
+	s.book.Tolerance, s.book.Full = s.Tolerance, s.FirstStart
 	s.retries = make(map[string]*quota.Retries)
 	s.hosts = 1
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
@@ -123,17 +128,24 @@
 }
 
 // Heard takes what another host used.
-func (s *Server) Heard(host string, life uint64, used map[string]float64) {
+func (s *Server) Heard(host string, life uint64, told quota.Told) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.book.Heard(s.Now(), host, life, used)
+	s.book.Heard(s.Now(), host, life, told)
 }
 
-// Used tells what this host used, by workspace.
-func (s *Server) Used() map[string]float64 {
+// Tell tells what this host used and which amounts are nearly used up.
+func (s *Server) Tell() quota.Told {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Used()
+	return s.book.Tell()
+}
+
+// KeepHosts drops what other hosts used but those named: the rest are surely gone.
+func (s *Server) KeepHosts(names map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.book.Keep(names)
 }
 
 // Active tells how many requests are held.
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -21,6 +21,8 @@
 	Load map[string]Load `json:"o,omitempty"`
 	// Used is what the sender used in its life, by workspace.
 	Used map[string]float64 `json:"u,omitempty"`
+	// Left is the level of workspaces whose amount is nearly used up.
+	Left map[string]float64 `json:"q,omitempty"`
 	// Revision is the settings' revision and AgeMS their age when this was sent, -1 for none.
 	Revision uint64 `json:"v,omitempty"`
 	AgeMS    int64  `json:"a"`
--- a/quota/book.go
+++ b/quota/book.go
@@ -4,40 +4,78 @@
 
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Figures of the shares.
 const (
-	// reserve is the part of the burst that a host leaves to the shares of all hosts.
-	reserve = 0.12
+	// debtShare is the part of the tolerance that requests may use; the rest covers
+	// what hosts use before they hear of each other, and restarts.
+	debtShare = 0.2
 	// deepest is how far below zero an account may go, in seconds of its rate.
 	deepest = 4
-	// heardWithin is the silence of any peer after which only the own level counts.
+	// heardWithin is the silence of a peer after which it is taken to serve on alone.
 	heardWithin = 450 * time.Millisecond
-	// ownCap is the most of the own level, as a part of an equal share of the burst.
-	ownCap = 0.3
+	// tellBelow is the part of the burst below which a level is told to new hosts.
+	tellBelow = 0.5
+	// learnFor is the time from a book's start in which it takes levels from peers.
+	learnFor = 2 * time.Second
 )
 
+// Tolerance is how far beyond its bound a workspace may get in a window:
+// Overshoot·(Rate·Window + Burst) + Slack. The zero value tolerates nothing.
+type Tolerance struct {
+	// Window is the span over which use is counted.
+	Window time.Duration
+	// Overshoot is a part of what the bound allows in a window.
+	Overshoot float64
+	// Slack is in units.
+	Slack float64
+}
+
+// debt is how far below zero a level may go and requests still pass.
+func (t Tolerance) debt(b Bound) float64 {
+	return debtShare * (t.Overshoot*(b.Rate*t.Window.Seconds()+b.Burst) + t.Slack)
+}
+
 // Bound is what a workspace may use.
 type Bound struct {
 	// Rate is in units a second and Burst in units, over all hosts.
 	Rate, Burst float64
 }
 
-// Book keeps the accounts of one host. It is not safe for concurrent use.
+// Told is what a host tells of its accounts, by workspace.
+type Told struct {
+	// Used is what it used in its life.
+	Used map[string]float64
+	// Left is the level of those accounts that are low.
+	Left map[string]float64
+}
+
+// Book keeps the accounts of one host. It is not safe for concurrent use. The exported
+// fields must be set before the first call.
 //
-// Each account holds two levels. The common one is this host's view of what all
-// hosts together have left: it fills at Rate up to Burst and sinks by own use, by
-// the use that peers tell, and by an equal share of the rate for each peer that has
-// not told yet. The own one fills at Rate/hosts up to a small part of the burst. A
-// request is let through while the common level is above the reserve; below it, and
-// while any peer is silent, only by the own level, which may go below zero once, so
-// that a request larger than the level passes some time. So the hosts together use
-// no more than Burst, Rate and the own levels, and, if they lose sight of each
-// other, what they use until they notice.
+// The level of an account is this host's view of what all hosts together have left: it
+// fills at Rate up to Burst and sinks by own use, by the use that peers tell, and by an
+// equal share of the rate for each host that has not told yet. A request passes while
+// the level is above a part of the tolerance below zero, whatever its size, so that
+// large ones are not starved by small ones, and while the host has used less than an
+// equal share of the level since it heard of all others. A peer that falls silent
+// is taken to use an equal share of the level and then its share of the rate; what it really
+// used sets that right when it is heard again. So hosts that lose sight of each other
+// use no more together than they would have done.
 type Book struct {
+	// Tolerance is what the hosts together may get wrong.
+	Tolerance Tolerance
+	// Full says that nothing was used before, as at the first start of all hosts:
+	// accounts begin full. Else they begin at zero, or at what peers tell.
+	Full bool
+
 	accounts map[string]*account
 	peers    map[string]*peer
+	left     map[string]float64 // the least that peers told in the first time
 	first    time.Duration
 	hosts    int
 }
@@ -46,23 +84,27 @@
 type account struct {
 	bound  Bound
 	at     time.Duration
-	common float64
-	own    float64
+	level  float64
 	used   float64
+	recent float64 // own use since all others were heard
 }
 
 // peer is another host.
 type peer struct {
-	life  uint64
-	heard time.Duration
-	used  map[string]float64
-	taken map[string]float64 // taken as used while it was silent
+	life   uint64
+	heard  time.Duration
+	used   map[string]float64
+	taken  map[string]float64 // taken as used since it was heard
+	told   bool               // heard since the last time that all were
+	silent bool
 }
 
-// NewBook returns an empty book. Its accounts begin empty: what others used
-// before is not known.
+// NewBook returns an empty book.
 func NewBook(now time.Duration) *Book {
-	return &Book{accounts: make(map[string]*account), peers: make(map[string]*peer), first: now, hosts: 1}
+	return &Book{
+		accounts: make(map[string]*account), peers: make(map[string]*peer), left: make(map[string]float64),
+		first: now, hosts: 1,
+	}
 }
 
 // SetHosts sets the number of hosts that share the amounts, this one included.
@@ -73,31 +115,42 @@
 	a := b.accounts[name]
 	if a == nil {
 		a = &account{bound: bound, at: b.first}
+		if b.Full {
+			a.level = bound.Burst
+		}
+		if left, ok := b.left[name]; ok {
+			a.level, a.at = left, now
+		}
 		b.accounts[name] = a
 	}
 	if a.bound != bound {
-		a.common = min(a.common, bound.Burst)
+		a.level = min(a.level, bound.Burst)
 		a.bound = bound
 	}
 	b.fill(now, name, a)
 	return a
 }
 
-// fill lets an account rise to now.
+// fill lets an account rise to now. Hosts that were never heard use their shares too.
 func (b *Book) fill(now time.Duration, name string, a *account) {
 	dt := (now - a.at).Seconds()
 	if dt <= 0 {
 		return
 	}
 	a.at = now
-	share := a.bound.Rate / float64(b.hosts)
-	a.common += a.bound.Rate * dt
+	share := a.bound.Rate / float64(b.hosts) * dt
+	a.level += a.bound.Rate * dt
+	a.level -= share * float64(max(0, b.hosts-1-len(b.peers)))
 	for _, p := range b.peers {
-		p.taken[name] += share * dt
-		a.common -= share * dt
+		p.taken[name] += share
+		a.level -= share
 	}
-	a.common = min(max(a.common, -deepest*a.bound.Rate), a.bound.Burst)
-	a.own = min(a.own+share*dt, ownCap*a.bound.Burst/float64(b.hosts))
+	a.clamp()
+}
+
+// clamp keeps the level within its bounds.
+func (a *account) clamp() {
+	a.level = min(max(a.level, -deepest*a.bound.Rate), a.bound.Burst)
 }
 
 // Take lets an amount through, or tells when to come back.
@@ -106,68 +159,134 @@
 		return true, 0
 	}
 	a := b.account(now, name, bound)
-	keep := reserve * bound.Burst
-	free := a.common-amount >= keep && !b.blind(now)
-	if free || a.own > 0 {
-		if !free {
-			a.own -= amount
-		}
-		a.common -= amount
-		a.used += amount
-		return true, 0
+	b.doubt(now)
+	free := a.level + b.Tolerance.debt(bound)
+	if free <= 0 {
+		return false, time.Duration(-free / bound.Rate * float64(time.Second))
 	}
-	share := bound.Rate / float64(b.hosts)
-	wait := min((keep+amount-a.common)/bound.Rate, -a.own/share)
-	return false, time.Duration(max(wait, 0) * float64(time.Second))
-}
-
-// blind tells whether a peer has been silent too long for the common level to be trusted.
-func (b *Book) blind(now time.Duration) bool {
-	for _, p := range b.peers {
-		if now-p.heard > heardWithin {
-			return true
-		}
+	if a.recent > 0 && a.recent >= (free+a.recent)/float64(b.hosts) {
+		return false, heardWithin / 2
 	}
-	return len(b.peers)+1 < b.hosts
+	a.level -= amount
+	a.used += amount
+	a.recent += amount
+	return true, 0
 }
 
 // Return gives back an amount that was taken and surely not used.
 func (b *Book) Return(name string, amount float64) {
 	if a := b.accounts[name]; a != nil {
-		a.common = min(a.common+amount, a.bound.Burst)
+		a.level = min(a.level+amount, a.bound.Burst)
 		a.used -= amount
 	}
 }
 
-// Used tells what this host used in its life, by workspace.
-func (b *Book) Used() map[string]float64 {
-	out := make(map[string]float64, len(b.accounts))
+// Tell tells what this host used in its life and which levels are low.
+func (b *Book) Tell() Told {
+	t := Told{Used: make(map[string]float64, len(b.accounts)), Left: make(map[string]float64)}
 	for name, a := range b.accounts {
-		out[name] = a.used
+		t.Used[name] = a.used
+		if a.level < tellBelow*a.bound.Burst {
+			t.Left[name] = math.Floor(a.level)
+		}
 	}
-	return out
+	return t
 }
 
-// Heard takes what a peer used in its life. The first tell of a life is where
-// the counting starts.
-func (b *Book) Heard(now time.Duration, name string, life uint64, used map[string]float64) {
+// Heard takes what a peer told. The first tell of a life is where the counting starts.
+func (b *Book) Heard(now time.Duration, name string, life uint64, told Told) {
+	b.learn(now, told.Left)
 	p := b.peers[name]
 	if p == nil {
-		p = &peer{life: life, heard: now, used: used, taken: make(map[string]float64)}
+		p = &peer{life: life, heard: now, used: told.Used, taken: make(map[string]float64)}
 		b.peers[name] = p
 		return
 	}
+	for ws, a := range b.accounts {
+		b.fill(now, ws, a)
+	}
 	if p.life != life {
+		// What the ended life used and did not tell is not known.
+		b.lose(p)
+		clear(p.taken)
 		p.life, p.used = life, nil
 	}
 	for ws, a := range b.accounts {
-		b.fill(now, ws, a)
-		a.common -= max(0, used[ws]-p.used[ws]) - p.taken[ws]
-		a.common = min(max(a.common, -deepest*a.bound.Rate), a.bound.Burst)
+		a.level -= max(0, told.Used[ws]-p.used[ws]) - p.taken[ws]
+		a.clamp()
 	}
 	clear(p.taken)
-	p.heard, p.used = now, used
+	p.heard, p.used, p.told, p.silent = now, told.Used, true, false
+	b.refresh()
 }
 
-// Forget drops a peer that is surely gone.
-func (b *Book) Forget(name string) { delete(b.peers, name) }
+// learn takes the levels that peers tell while the book is young: what was used before
+// its start is known to them only.
+func (b *Book) learn(now time.Duration, left map[string]float64) {
+	if b.Full || now-b.first > learnFor {
+		return
+	}
+	for ws, level := range left {
+		if old, ok := b.left[ws]; !ok || level < old {
+			b.left[ws] = level
+		}
+		if a := b.accounts[ws]; a != nil {
+			a.level = min(a.level, level)
+		}
+	}
+}
+
+// doubt finds peers that have fallen silent; nobody waits for their words.
+func (b *Book) doubt(now time.Duration) {
+	for _, p := range b.peers {
+		if !p.silent && now-p.heard > heardWithin {
+			b.lose(p)
+		}
+	}
+	b.refresh()
+}
+
+// lose takes a peer that is not heard any more to use its equal share of what was left
+// when it was heard last.
+func (b *Book) lose(p *peer) {
+	if p.silent {
+		return
+	}
+	p.silent = true
+	heard := 2.0 // with this host and p
+	for _, q := range b.peers {
+		if !q.silent {
+			heard++
+		}
+	}
+	for ws, a := range b.accounts {
+		free := max(0, a.level+b.Tolerance.debt(a.bound))
+		part := free - max(0, (free+a.recent)*(heard-1)/heard-a.recent)
+		a.level -= part
+		p.taken[ws] += part
+	}
+}
+
+// refresh begins the count of recent use anew once all others have been heard.
+func (b *Book) refresh() {
+	for _, p := range b.peers {
+		if !p.told && !p.silent {
+			return
+		}
+	}
+	for _, p := range b.peers {
+		p.told = false
+	}
+	for _, a := range b.accounts {
+		a.recent = 0
+	}
+}
+
+// Keep drops the peers that are surely gone: those not named.
+func (b *Book) Keep(names map[string]bool) {
+	for name := range b.peers {
+		if !names[name] {
+			delete(b.peers, name)
+		}
+	}
+}
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -15,6 +15,7 @@
 
 // fleet is some hosts that tell each other what they used, with losses.
 type fleet struct {
+	tol   Tolerance
 	now   time.Duration
 	books []*Book
 	lives []uint64
@@ -31,10 +32,11 @@
 // step is the time between two looks of the simulation.
 const step = 20 * time.Millisecond
 
-func newFleet(n int) *fleet {
-	f := &fleet{books: make([]*Book, n), lives: make([]uint64, n), cut: make([]bool, n)}
+func newFleet(n int, tol Tolerance) *fleet {
+	f := &fleet{tol: tol, books: make([]*Book, n), lives: make([]uint64, n), cut: make([]bool, n)}
 	for i := range n {
 		f.restart(i, n)
+		f.books[i].Full = true
 	}
 	return f
 }
@@ -42,6 +44,7 @@
 // restart begins a new life of a host, which knows nothing.
 func (f *fleet) restart(i, n int) {
 	f.books[i] = NewBook(f.now)
+	f.books[i].Tolerance = f.tol
 	f.books[i].SetHosts(n)
 	f.lives[i]++
 }
@@ -49,10 +52,10 @@
 // tell lets all hosts tell all others; lost says which words do not arrive.
 func (f *fleet) tell(lost func() bool) {
 	for i := range f.books {
-		used := f.books[i].Used()
+		told := f.books[i].Tell()
 		for j := range f.books {
 			if i != j && !f.cut[i] && !f.cut[j] && !lost() {
-				f.books[j].Heard(f.now, fmt.Sprint(i), f.lives[i], used)
+				f.books[j].Heard(f.now, fmt.Sprint(i), f.lives[i], told)
 			}
 		}
 	}
@@ -90,7 +93,7 @@
 			chance ^= chance << 17
 			return int(chance % uint64(m))
 		}
-		f := newFleet(n)
+		f := newFleet(n, Tolerance{Window: window, Overshoot: 0.1, Slack: bound.Rate})
 		for ; f.now < 40*time.Second; f.now += step {
 			if f.now%(200*time.Millisecond) == 0 {
 				f.tell(func() bool { return next(100) < loss })
@@ -133,7 +136,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			f := newFleet(6)
+			f := newFleet(6, Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: bound.Rate})
 			used, i := 0.0, 0
 			for ; f.now < 30*time.Second; f.now += step {
 				if f.now%(200*time.Millisecond) == 0 {
@@ -176,3 +179,133 @@
 	}
 	must.Between(t, 100, taken, 104)
 }
+
+// TestStart holds what passes at once, at the first start of all hosts and at a
+// later one, of which nothing is known.
+func TestStart(t *testing.T) {
+	bound := Bound{Rate: 1000, Burst: 2000}
+	cases := []struct {
+		name        string
+		full        bool
+		tolerance   Tolerance
+		least, most float64
+	}{
+		{"first start", true, Tolerance{}, 2000, 2010},
+		{"first start with tolerance", true, Tolerance{Slack: 1000}, 2200, 2210},
+		{"later start", false, Tolerance{}, 0, 0},
+		{"later start with tolerance", false, Tolerance{Slack: 1000}, 200, 210},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := NewBook(0)
+			b.Full, b.Tolerance = tc.full, tc.tolerance
+			must.Between(t, tc.least, passes(b, 0, bound, 10), tc.most)
+		})
+	}
+}
+
+// passes takes amounts until one is refused and returns what passed.
+func passes(b *Book, now time.Duration, bound Bound, amount float64) float64 {
+	sum := 0.0
+	for {
+		if ok, _ := b.Take(now, "w", bound, amount); !ok {
+			return sum
+		}
+		sum += amount
+	}
+}
+
+// TestShareUntilHeard checks that a host uses no more than an equal share of the
+// level until it has heard of all others again.
+func TestShareUntilHeard(t *testing.T) {
+	bound := Bound{Rate: 1000, Burst: 6000}
+	b := NewBook(0)
+	b.Full = true
+	b.SetHosts(3)
+	hear := func(at time.Duration) {
+		for _, p := range []string{"a", "b"} {
+			b.Heard(at, p, 1, Told{Used: map[string]float64{"w": 0}})
+		}
+	}
+	hear(0)
+	first := passes(b, 0, bound, 10)
+	must.Between(t, 2000, first, 2010)
+	b.Heard(0, "a", 1, Told{})
+	must.EqOp(t, 0, passes(b, 0, bound, 10)) // not all were heard
+	b.Heard(0, "b", 1, Told{})
+	must.Between(t, 1330, passes(b, 0, bound, 10), 1340)
+}
+
+// TestEndedLife checks that what a host was taken to use while it was silent stays
+// used when it comes back in a new life: what the ended life did is not known.
+func TestEndedLife(t *testing.T) {
+	bound := Bound{Rate: 1000, Burst: 4000}
+	level := func(life uint64) float64 {
+		b := NewBook(0)
+		b.Full = true
+		b.SetHosts(2)
+		b.Heard(0, "a", 1, Told{Used: map[string]float64{"w": 0}})
+		_, _ = b.Take(0, "w", bound, 1000)
+		b.Heard(time.Second, "a", life, Told{Used: map[string]float64{"w": 0}})
+		return b.accounts["w"].level
+	}
+	must.EqOp(t, 4000, level(1)) // it told that it used nothing
+	must.EqOp(t, 1250, level(2)) // it had half of the second's rate, and may have used its half of the rest
+}
+
+// TestSizesPassAlike asks for large and small amounts in turn, beyond the rate, and
+// checks that the large ones pass about as often as the small ones.
+func TestSizesPassAlike(t *testing.T) {
+	bound := Bound{Rate: 1000, Burst: 1000}
+	b := NewBook(0)
+	passed := [2]int{}
+	for i := range 10000 {
+		now := time.Duration(i) * 7 * time.Millisecond
+		if ok, _ := b.Take(now, "w", bound, []float64{500, 10}[i%2]); ok {
+			passed[i%2]++
+		}
+	}
+	must.Greater(t, 40, passed[0])
+	must.GreaterEq(t, passed[1]*7/10, passed[0])
+}
+
+// TestGoneHost checks that a host that goes for good leaves its share to the others.
+func TestGoneHost(t *testing.T) {
+	bound := Bound{Rate: 1000, Burst: 1000}
+	cases := []struct {
+		name  string
+		keep  bool
+		least float64
+	}{
+		{"silent", false, 0.45},
+		{"surely gone", true, 0.95},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b := NewBook(0)
+			b.SetHosts(2)
+			b.Heard(0, "a", 1, Told{})
+			passes(b, 10*time.Second, bound, 10)
+			if tc.keep {
+				b.Keep(nil)
+				b.SetHosts(1)
+			}
+			used := 0.0
+			for now := 10 * time.Second; now < 20*time.Second; now += step {
+				used += passes(b, now, bound, 10)
+			}
+			must.Between(t, tc.least*10000, used, 1.05*10000*(tc.least+0.05))
+		})
+	}
+}
+
+// TestNewHostLearns checks that a host that starts beside others takes their levels.
+func TestNewHostLearns(t *testing.T) {
+	bound := Bound{Rate: 1000, Burst: 5000}
+	b := NewBook(0)
+	b.SetHosts(2)
+	b.Heard(0, "a", 1, Told{Left: map[string]float64{"w": -900}})
+	must.EqOp(t, 0, passes(b, 0, bound, 10))
+	b.Heard(3*time.Second, "a", 1, Told{Left: map[string]float64{"w": -4000}}) // no longer young
+	must.Greater(t, 0, passes(b, 3*time.Second, bound, 10))
+}
