quota: only hosts that know teach levels to new ones

Cause: after a start of all hosts each took the least level that any other told for two seconds, and told its own; levels fell to the least of all, while refunds were lost.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -138,7 +138,7 @@
 func (s *Server) Tell() quota.Told {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.book.Tell()
+	return s.book.Tell(s.Now())
 }
 
 // KeepHosts drops what other hosts used but those named: the rest are surely gone.
--- a/quota/book.go
+++ b/quota/book.go
@@ -14,6 +14,9 @@
 	// debtShare is the part of the tolerance that requests may use; the rest covers
 	// what hosts use before they hear of each other, and restarts.
 	debtShare = 0.2
+	// startShare is the level with which accounts begin, as a part of that debt, when what
+	// was used before is not known.
+	startShare = 0.5
 	// deepest is how far below zero an account may go, in seconds of its rate.
 	deepest = 4
 	// heardWithin is the silence of a peer after which it is taken to serve on alone.
@@ -70,7 +73,7 @@
 	// Tolerance is what the hosts together may get wrong.
 	Tolerance Tolerance
 	// Full says that nothing was used before, as at the first start of all hosts:
-	// accounts begin full. Else they begin at zero, or at what peers tell.
+	// accounts begin full. Else they begin with a part of the tolerance, or at what peers tell.
 	Full bool
 
 	accounts map[string]*account
@@ -114,7 +117,7 @@
 func (b *Book) account(now time.Duration, name string, bound Bound) *account {
 	a := b.accounts[name]
 	if a == nil {
-		a = &account{bound: bound, at: b.first}
+		a = &account{bound: bound, at: b.first, level: startShare * b.Tolerance.debt(bound)}
 		if b.Full {
 			a.level = bound.Burst
 		}
@@ -181,12 +184,15 @@
 	}
 }
 
-// Tell tells what this host used in its life and which levels are low.
-func (b *Book) Tell() Told {
+// young tells whether peers know better than this book what was used of late.
+func (b *Book) young(now time.Duration) bool { return !b.Full && now-b.first < learnFor }
+
+// Tell tells what this host used in its life and, once it knows, which levels are low.
+func (b *Book) Tell(now time.Duration) Told {
 	t := Told{Used: make(map[string]float64, len(b.accounts)), Left: make(map[string]float64)}
 	for name, a := range b.accounts {
 		t.Used[name] = a.used
-		if a.level < tellBelow*a.bound.Burst {
+		if !b.young(now) && a.level < tellBelow*a.bound.Burst {
 			t.Left[name] = math.Floor(a.level)
 		}
 	}
@@ -223,7 +229,7 @@
 // learn takes the levels that peers tell while the book is young: what was used before
 // its start is known to them only.
 func (b *Book) learn(now time.Duration, left map[string]float64) {
-	if b.Full || now-b.first > learnFor {
+	if !b.young(now) {
 		return
 	}
 	for ws, level := range left {
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -19,7 +19,8 @@
 	now   time.Duration
 	books []*Book
 	lives []uint64
-	cut   []bool // hears and is heard by nobody
+	cut   []bool          // hears and is heard by nobody
+	up    []time.Duration // when the host's process has started
 	ends  []use
 }
 
@@ -33,7 +34,7 @@
 const step = 20 * time.Millisecond
 
 func newFleet(n int, tol Tolerance) *fleet {
-	f := &fleet{tol: tol, books: make([]*Book, n), lives: make([]uint64, n), cut: make([]bool, n)}
+	f := &fleet{tol: tol, books: make([]*Book, n), lives: make([]uint64, n), cut: make([]bool, n), up: make([]time.Duration, n)}
 	for i := range n {
 		f.restart(i, n)
 		f.books[i].Full = true
@@ -49,12 +50,24 @@
 	f.lives[i]++
 }
 
+// startTime is the time from a process's end to the start of the next: 0.52 s where
+// it was seen.
+const startTime = 500 * time.Millisecond
+
+// kill ends a host's process, which starts again.
+func (f *fleet) kill(i, n int) {
+	f.up[i] = f.now + startTime
+	f.now += startTime
+	f.restart(i, n)
+	f.now -= startTime
+}
+
 // tell lets all hosts tell all others; lost says which words do not arrive.
 func (f *fleet) tell(lost func() bool) {
 	for i := range f.books {
-		told := f.books[i].Tell()
+		told := f.books[i].Tell(f.now)
 		for j := range f.books {
-			if i != j && !f.cut[i] && !f.cut[j] && !lost() {
+			if i != j && !f.cut[i] && !f.cut[j] && f.now >= f.up[i] && f.now >= f.up[j] && !lost() {
 				f.books[j].Heard(f.now, fmt.Sprint(i), f.lives[i], told)
 			}
 		}
@@ -103,13 +116,18 @@
 				f.cut[next(n)] = true
 			case 1, 2:
 				f.cut[next(n)] = false
-			case 3:
-				f.restart(next(n), n)
+			case 3, 4:
+				f.kill(next(n), n)
 			}
 			asked := load * bound.Rate * step.Seconds()
 			for asked > 0 {
 				amount := float64(1 + next(20))
-				if ok, _ := f.books[next(n)].Take(f.now, "w", bound, amount); ok {
+				i := next(n)
+				if f.now < f.up[i] {
+					asked -= amount
+					continue
+				}
+				if ok, _ := f.books[i].Take(f.now, "w", bound, amount); ok {
 					f.ends = append(f.ends, use{f.now, amount})
 				}
 				asked -= amount
