--- a/quota/book.go
+++ b/quota/book.go
@@ -191,6 +191,7 @@
 func (b *Book) Tell(now time.Duration) Told {
 	t := Told{Used: make(map[string]float64, len(b.accounts)), Left: make(map[string]float64)}
 	for name, a := range b.accounts {
+		b.fill(now, name, a)
 		t.Used[name] = a.used
 		if !b.young(now) && a.level < tellBelow*a.bound.Burst {
 			t.Left[name] = math.Floor(a.level)
