sched, ingress: speeds are learned from running streams; near endpoints are drawn apart; no own share

Now the time between tokens (a low quantile) and the speed of reading (a high one) are learned from every event; an unseen engine has the mean pace; two near and two far candidates are compared; shares are off; the reserve of lower tiers is 0.05 and the top tier may exceed the slots by 0.4.

--- a/edge/host.go
+++ b/edge/host.go
@@ -115,7 +115,7 @@
 		}},
 	}
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.1, FarCost: 0.25, Reserve: 0.2, Off: sched.Rules{Floor: true, LongCap: true}},
+		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true}},
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		FirstStart: b.First, BodyMemory: h.bodyMemory(), Log: h.Log.WithName("ingress"),
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -29,6 +29,7 @@
 	targets map[string]*target
 	others  map[string]map[string]peers.Load // by host
 	table   *route.Table
+	prefill map[string]*sched.Quantile // by service: prompt tokens read in a step
 	values  map[valueRef]*settings.Effective
 	ranks   map[string][]rankOf // by service, sorted
 }
@@ -38,14 +39,14 @@
 	feed.Endpoint
 	own       peers.Load
 	others    peers.Load
-	step      time.Duration // mean time of a token, or of a request at a plain service
+	step      sched.Quantile // time of a token with little beside it, or of a request at a plain service
 	downUntil time.Duration
 }
 
 // pace is the time of a token as this host saw it, else as others did, or 0.
 func (t *target) pace() time.Duration {
-	if t.step > 0 {
-		return t.step
+	if t.step.Value > 0 {
+		return time.Duration(t.step.Value)
 	}
 	return time.Duration(t.others.Step) * time.Microsecond
 }
@@ -59,10 +60,17 @@
 
 // Figures of the balancer.
 const (
-	// prefillPerStep is the number of prompt tokens that an engine is taken to read in a step.
+	// prefillPerStep is the number of prompt tokens that an engine is taken to read in a
+	// step before it was seen.
 	prefillPerStep = 200
-	// paceGain is the weight of a new observation of an endpoint's pace.
-	paceGain = 0.2
+	// longPrompt is the prompt, in tokens, whose first event tells how fast an engine reads.
+	longPrompt = 4000
+	// stepShare and prefillShare are the quantiles taken of the time between tokens and
+	// of the speed of reading: what runs beside only makes both look slower.
+	stepShare    = 0.25
+	prefillShare = 0.8
+	// plainShare is the quantile taken of a plain service's time.
+	plainShare = 0.5
 	// mostWaiting bounds the requests of a workspace that wait on a host.
 	mostWaiting = 500
 )
@@ -73,7 +81,7 @@
 	s.Init()
 	return &balancer{
 		zone: zone, now: now, sched: s, targets: make(map[string]*target), others: make(map[string]map[string]peers.Load),
-		values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf),
+		prefill: make(map[string]*sched.Quantile), values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf),
 	}
 }
 
@@ -180,26 +188,44 @@
 }
 
 // report tells the scheduler what runs at the endpoints; mu must be held. An
-// endpoint whose pace nobody has seen is taken to be as fast as the fastest of
-// its service, so that it is tried.
+// endpoint whose pace nobody has seen is taken to have the mean pace of its service.
 func (b *balancer) report(now time.Duration) {
-	fastest := make(map[string]time.Duration)
-	for _, t := range b.targets {
-		if p := t.pace(); p > 0 && (fastest[t.Service] == 0 || p < fastest[t.Service]) {
-			fastest[t.Service] = p
-		}
-	}
+	mean := b.meanPace()
 	for name, t := range b.targets {
 		if now < t.downUntil {
 			continue
 		}
 		b.sched.TakeReport(now, name, sched.Report{
 			At: now, Running: t.own.Running + t.others.Running, PrefillTokens: t.own.Prefill + t.others.Prefill,
-			Slots: t.Slots, Step: cmp.Or(t.pace(), fastest[t.Service]), PrefillPerStep: prefillPerStep, Model: t.Service, Fresh: true,
+			Slots: t.Slots, Step: cmp.Or(t.pace(), mean[t.Service]), PrefillPerStep: b.prefillOf(t.Service), Model: t.Service, Fresh: true,
 		})
 	}
 }
 
+// meanPace is the mean of the paces seen, by service; mu must be held.
+func (b *balancer) meanPace() map[string]time.Duration {
+	sum, n := make(map[string]time.Duration), make(map[string]time.Duration)
+	for _, t := range b.targets {
+		if p := t.pace(); p > 0 {
+			sum[t.Service] += p
+			n[t.Service]++
+		}
+	}
+	for service := range sum {
+		sum[service] /= n[service]
+	}
+	return sum
+}
+
+// prefillOf is the number of prompt tokens that an engine of a service reads in a step;
+// mu must be held.
+func (b *balancer) prefillOf(service string) int {
+	if q := b.prefill[service]; q != nil && q.Value >= 1 {
+		return int(q.Value)
+	}
+	return prefillPerStep
+}
+
 // setHosts tells the scheduler how many hosts share the endpoints.
 func (b *balancer) setHosts(n int) {
 	b.mu.Lock()
@@ -238,7 +264,7 @@
 	for name, t := range b.targets {
 		if t.own.Running > 0 {
 			l := t.own
-			l.Step = t.step.Microseconds()
+			l.Step = time.Duration(t.step.Value).Microseconds()
 			out[name] = l
 		}
 	}
@@ -316,8 +342,30 @@
 	c.firstSeen = false
 }
 
-// first notes the first sign of an answer.
-func (b *balancer) first(c *call) {
+// learnPrefill takes the time that the first event of a long prompt took; mu must be held.
+func (b *balancer) learnPrefill(t *target, prompt int, took time.Duration) {
+	if prompt < longPrompt || t.step.Value <= 0 || took <= 0 {
+		return
+	}
+	q := b.prefill[t.Service]
+	if q == nil {
+		q = &sched.Quantile{}
+		b.prefill[t.Service] = q
+	}
+	q.Observe(float64(prompt)*t.step.Value/float64(took), prefillShare)
+}
+
+// paced notes the time between two tokens of a stream.
+func (b *balancer) paced(c *call, token time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[c.at.Instance]; t != nil {
+		t.step.Observe(float64(token), stepShare)
+	}
+}
+
+// first notes the first sign of an answer to what was sent at a time.
+func (b *balancer) first(c *call, sent time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.firstSeen {
@@ -326,21 +374,19 @@
 	c.firstSeen = true
 	if t := b.targets[c.at.Instance]; t != nil {
 		t.own.Prefill -= c.req.PromptTokens
+		b.learnPrefill(t, c.req.PromptTokens, b.now()-sent)
 	}
 	b.sched.FirstToken(b.now(), c.req)
 }
 
-// done ends a send for good. pace is the seen time of a token, or of a request, or 0.
-func (b *balancer) done(c *call, res sched.Result, tokens int, pace time.Duration) {
+// done ends a send for good. took is the time of a request at a plain service, or 0.
+func (b *balancer) done(c *call, res sched.Result, tokens int, took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	b.left(c)
-	if t := b.targets[c.at.Instance]; t != nil && pace > 0 {
-		if t.step == 0 {
-			t.step = pace
-		}
-		t.step += time.Duration(paceGain * float64(pace-t.step))
+	if t := b.targets[c.at.Instance]; t != nil {
+		t.step.Observe(float64(took), plainShare)
 	}
 	b.sched.Done(now, c.req, res, tokens)
 	b.poll(now)
--- /dev/null
+++ b/ingress/balance_test.go
@@ -0,0 +1,85 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/route"
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// engines makes a balancer with n engines named e0, e1 ... of one service, and a clock.
+func engines(n int) (*balancer, *time.Duration) {
+	now := new(time.Duration)
+	b := newBalancer("z", sched.Config{}, rand.New(rand.NewPCG(1, 1)), func() time.Duration { return *now })
+	b.setTable(&route.Table{Document: &route.Document{Services: []route.Service{{Name: "s", Engine: true}}}})
+	var list []feed.Endpoint
+	for i := range n {
+		list = append(list, feed.Endpoint{Instance: fmt.Sprint("e", i), Service: "s", Slots: 10, Zone: "z"})
+	}
+	b.setEndpoints(0, list)
+	return b, now
+}
+
+// TestPaceOfRunningStreams checks that an engine's pace is known from the first events
+// of a stream that still runs, and that long prompts read beside it do not hide it.
+func TestPaceOfRunningStreams(t *testing.T) {
+	b, _ := engines(2)
+	c := &call{at: feed.Endpoint{Instance: "e0"}}
+	must.EqOp(t, 0, b.targets["e0"].pace())
+	b.paced(c, 3*time.Millisecond)
+	must.EqOp(t, 3*time.Millisecond, b.targets["e0"].pace())
+	for range 200 {
+		for _, d := range []time.Duration{3, 3, 3, 40} {
+			b.paced(c, d*time.Millisecond)
+		}
+	}
+	must.Between(t, 2900*time.Microsecond, b.targets["e0"].pace(), 3700*time.Microsecond)
+	must.EqOp(t, 0, b.targets["e1"].pace())
+	must.EqOp(t, b.targets["e0"].pace(), b.meanPace()["s"]) // what e1 is taken to have
+}
+
+// TestPaceFromPeers checks that the pace that others tell is used until an own one is known.
+func TestPaceFromPeers(t *testing.T) {
+	b, now := engines(1)
+	b.setOthers(*now, []map[string]peers.Load{{"e0": {Running: 1, Step: 8000}}, {}})
+	must.EqOp(t, 8*time.Millisecond, b.targets["e0"].pace())
+	b.setOthers(*now, []map[string]peers.Load{{}, {}})
+	must.EqOp(t, 8*time.Millisecond, b.targets["e0"].pace()) // it stays known
+	b.paced(&call{at: feed.Endpoint{Instance: "e0"}}, 2*time.Millisecond)
+	must.EqOp(t, 2*time.Millisecond, b.targets["e0"].pace())
+}
+
+// TestPrefillLearned checks that the speed of reading prompts is learned from long
+// prompts, for all engines of the service.
+func TestPrefillLearned(t *testing.T) {
+	b, _ := engines(2)
+	c := &call{at: feed.Endpoint{Instance: "e0"}}
+	cases := []struct {
+		name   string
+		prompt int
+		took   time.Duration
+		want   int
+	}{
+		{"nothing seen", 0, 0, prefillPerStep},
+		{"a short prompt tells nothing", 100, time.Millisecond, prefillPerStep},
+		{"a long one does", 10000, 300 * time.Millisecond, 100},
+	}
+	b.paced(c, 3*time.Millisecond)
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b.learnPrefill(b.targets["e0"], tc.prompt, tc.took)
+			must.EqOp(t, tc.want, b.prefillOf("s"))
+		})
+	}
+}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -42,13 +42,13 @@
 	}
 	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
 	if len(body) > mostBuffered {
-		return c.passLarge(a, resp.Body)
+		return c.passLarge(a, resp.Body, sent)
 	}
 	if a.status >= http.StatusInternalServerError && c.route.May() && c.account.Sends() < c.route.Attempts {
 		c.saved = a
 		return failed, 0
 	}
-	c.s.balance.first(c)
+	c.s.balance.first(c, sent)
 	c.s.balance.done(c, sched.Whole, 1, c.s.Now()-sent)
 	c.pass(a)
 	return whole, 0
@@ -70,7 +70,7 @@
 }
 
 // passLarge passes a large answer on as it comes.
-func (c *call) passLarge(a *answer, rest io.Reader) (ending, time.Duration) {
+func (c *call) passLarge(a *answer, rest io.Reader, sent time.Duration) (ending, time.Duration) {
 	c.copyHeader(a.header)
 	c.stream.begun = true
 	c.w.WriteHeader(a.status)
@@ -86,7 +86,7 @@
 			}
 		}
 		if err == io.EOF {
-			c.s.balance.first(c)
+			c.s.balance.first(c, sent)
 			c.s.balance.done(c, sched.Whole, 1, 0)
 			return whole, 0
 		}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -88,7 +88,7 @@
 // may go on at another endpoint.
 func (c *call) passStream(ctx context.Context, resp *http.Response, sent time.Duration, watch *silence) (ending, time.Duration) {
 	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer)}
-	var firstAt, lastAt time.Duration
+	var lastAt time.Duration
 	n := 0
 	if c.stream.begun {
 		c.s.Count.Resumed.Add(1)
@@ -96,18 +96,20 @@
 	for {
 		e, err := r.next()
 		if errors.Is(err, io.EOF) {
-			return c.endStream(resp, n, firstAt, lastAt)
+			return c.endStream(resp, n, sent)
 		}
 		if err != nil {
 			return lost, holdLost
 		}
 		watch.heard()
-		lastAt = c.s.Now()
+		at := c.s.Now()
 		if n == 0 {
-			firstAt = lastAt
-			c.s.balance.first(c)
-			c.record(metrics.FirstToken, lastAt-c.arrived)
+			c.s.balance.first(c, sent)
+			c.record(metrics.FirstToken, at-c.arrived)
+		} else {
+			c.s.balance.paced(c, (at-lastAt)/time.Duration(c.eventTokens()))
 		}
+		lastAt = at
 		n++
 		if e.hasID && c.stream.events > 0 && e.id <= c.stream.last {
 			continue
@@ -145,18 +147,16 @@
 }
 
 // endStream ends a series that came whole.
-func (c *call) endStream(resp *http.Response, n int, firstAt, lastAt time.Duration) (ending, time.Duration) {
+func (c *call) endStream(resp *http.Response, n int, sent time.Duration) (ending, time.Duration) {
 	if !c.stream.begun {
 		c.copyHeader(resp.Header)
 		c.w.WriteHeader(resp.StatusCode)
 		c.stream.begun = true
 	}
-	c.s.balance.first(c)
-	tokens := n * max(1, c.service.EventTokens)
-	var pace time.Duration
-	if n > 1 {
-		pace = (lastAt - firstAt) / time.Duration((n-1)*max(1, c.service.EventTokens))
-	}
-	c.s.balance.done(c, sched.Whole, tokens, pace)
+	c.s.balance.first(c, sent)
+	c.s.balance.done(c, sched.Whole, n*c.eventTokens(), 0)
 	return whole, 0
 }
+
+// eventTokens is the number of tokens in an event of the service.
+func (c *call) eventTokens() int { return max(1, c.service.EventTokens) }
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -47,6 +47,8 @@
 	Unframed Fault = "unframed"
 	// UnframedReset answers without a length and resets in the middle.
 	UnframedReset Fault = "unframed reset"
+	// HangEvent sends two events and then nothing.
+	HangEvent Fault = "hang event"
 	// SkipEvent leaves out the third event of a stream.
 	SkipEvent Fault = "skip event"
 	// DoubleEvent sends the third event of a stream twice.
@@ -318,6 +320,9 @@
 				return false
 			case Torn:
 				return false
+			case HangEvent:
+				_, _ = io.Copy(io.Discard, c)
+				return false
 			case SkipEvent:
 				continue
 			case DoubleEvent:
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -262,12 +262,56 @@
 	must.NotEq(t, "", got.Header.Get("Heathkeel-Deadline-Ms"))
 }
 
-// TestCallerLeaves checks that an endpoint stops when its caller has left.
-func TestCallerLeaves(t *testing.T) {
+// TestRouteTimeout checks that an endpoint stops when the route's time-out has passed.
+func TestRouteTimeout(t *testing.T) {
 	s := start(t, 1)
 	s.fail(Hang, 9)
-	done := make(chan Answer)
-	go func() { done <- Do(s.Hosts[0].Boot.Front, Call{Path: "/brief/a", Key: Key, ID: "gone-1"}) }()
-	<-done // the route's time-out ends it as a caller's leaving does: the send is dropped
-	s.await(t, "the endpoint is free", func() bool { return s.plain[0].Working()+s.plain[1].Working() == 0 })
+	must.EqOp(t, 504, Do(s.Hosts[0].Boot.Front, Call{Path: "/brief/a", Key: Key, ID: "late-1"}).Status)
+	s.await(t, "the endpoint is free", s.idle)
+}
+
+// idle tells that no endpoint works on anything.
+func (s *scene) idle() bool {
+	n := 0
+	for i := range 2 {
+		n += s.plain[i].Working() + s.engines[i].Working()
+	}
+	return n == 0
+}
+
+// TestCallerLeaves checks that endpoints stop when callers close their connections.
+// The routes' time-outs are far beyond what the test waits, so nothing else ends the sends.
+func TestCallerLeaves(t *testing.T) {
+	s := start(t, 1)
+	c := Example()
+	c.Version, c.Tenants[0].Keys = 2, []string{"new-key"}
+	for i := range c.Routes {
+		c.Routes[i].TimeoutMs = 3600_000
+	}
+	s.Store.Put(platform.KeyConfig, c)
+	s.await(t, "the new time-outs", func() bool {
+		return Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: "new-key", ID: "warm-3"}).Status == 200
+	})
+	cases := []struct {
+		name, path, body string
+		fault            Fault
+	}{
+		{"a request that may not run again", "/push/a", "b", Hang},
+		{"a public one", "/open/a", "", Hang},
+		{"a stream before its first event", "/draft/a", "b", Hang},
+		{"a stream under way", "/draft/a", "b", HangEvent},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s.fail(tc.fault, 9)
+			defer s.fail(None, 0)
+			conn, err := net.Dial("tcp", s.Hosts[0].Boot.Front)
+			must.NoError(t, err)
+			fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: %s\r\nAuthorization: Token %s\r\nHeathkeel-Attempt-Id: leave\r\nHeathkeel-Token-Count: 10,30\r\nContent-Length: %d\r\n\r\n%s",
+				tc.path, Name, "new-key", len(tc.body), tc.body)
+			s.await(t, "an endpoint works on it", func() bool { return !s.idle() })
+			must.NoError(t, conn.Close())
+			s.await(t, "the endpoint is free", s.idle)
+		})
+	}
 }
--- a/sched/value.go
+++ b/sched/value.go
@@ -134,8 +134,9 @@
 	return s.roomiest(best - nearWorth)
 }
 
-// roomiest picks the one with more room of two random candidates that are worth
-// least or more: hosts that decide alike at the same moment must not all pick the same.
+// roomiest picks the one with most room of two random near and two random far
+// candidates that are worth least or more: hosts that decide alike at the same moment
+// must not all pick the same, and near ones must not be missed among many far ones.
 func (s *Scheduler) roomiest(least float64) *candidate {
 	n := 0
 	for i := range s.cands {
@@ -147,12 +148,38 @@
 	if n == 0 {
 		return nil
 	}
+	far := s.split(n)
+	got := s.roomierOfTwo(s.cands[:far])
+	if other := s.roomierOfTwo(s.cands[far:n]); got == nil || (other != nil && other.room < got.room) {
+		got = other
+	}
+	return got
+}
+
+// split moves the near ones of the first n candidates to the front and returns their number.
+func (s *Scheduler) split(n int) int {
+	near := 0
+	for i := range s.cands[:n] {
+		if !s.cands[i].e.Far {
+			s.cands[near], s.cands[i] = s.cands[i], s.cands[near]
+			near++
+		}
+	}
+	return near
+}
+
+// roomierOfTwo picks the one with more room of two different random candidates, nil if there are none.
+func (s *Scheduler) roomierOfTwo(cands []candidate) *candidate {
+	n := len(cands)
+	if n == 0 {
+		return nil
+	}
 	i := s.Rand.IntN(n)
-	got := &s.cands[i]
+	got := &cands[i]
 	if n == 1 {
 		return got
 	}
-	if other := &s.cands[(i+1+s.Rand.IntN(n-1))%n]; other.room < got.room {
+	if other := &cands[(i+1+s.Rand.IntN(n-1))%n]; other.room < got.room {
 		got = other
 	}
 	return got
--- a/sched/value_test.go
+++ b/sched/value_test.go
@@ -84,11 +84,57 @@
 		}
 	}
 	r := ask(20000)
-	d := s.Submit(0, r)
-	if d.Verdict == Wait {
-		out := s.Poll(201 * time.Millisecond)
-		must.Len(t, 1, out)
-		must.EqOp(t, Run, out[0].Verdict)
+	must.EqOp(t, Wait, s.Submit(0, r).Verdict)
+	out := s.Poll(201 * time.Millisecond)
+	must.Len(t, 1, out)
+	must.EqOp(t, Run, out[0].Verdict)
+}
+
+// TestNearFirst checks that an endpoint of the own zone is taken unless it has much
+// less room, however many far ones there are.
+func TestNearFirst(t *testing.T) {
+	const n = 12 // the first is near
+	cases := []struct {
+		name        string
+		nearRunning int
+		least, most int // of 100 requests that go to the near one
+	}{
+		{"as much room", 0, 100, 100},
+		{"a little less room", 3, 100, 100},
+		{"much less room", 8, 0, 0},
+		{"none", 10, 0, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Scheduler{Config: Config{FarCost: 0.6, Off: Rules{Share: true}}, Rand: rand.New(rand.NewPCG(1, 2)), Peers: 1}
+			s.Init()
+			var list []Endpoint
+			for i := range n {
+				list = append(list, Endpoint{Name: fmt.Sprint(i), Engine: true, Slots: 10, Far: i > 0})
+			}
+			s.SetEndpoints(list)
+			for i := range n {
+				rep := Report{Slots: 10, Step: 3 * time.Millisecond, PrefillPerStep: 200, Model: "m", Fresh: true}
+				if i == 0 {
+					rep.Running = tc.nearRunning
+				}
+				s.TakeReport(0, fmt.Sprint(i), rep)
+			}
+			near := 0
+			for range 100 {
+				r := &Request{
+					Settings: &settings.Effective{Workspace: "w", Service: "s", Weight: 1, Queue: 10}, Model: "m", PromptTokens: 500,
+					MaxTokens: 100, LikelyTokens: 100, Deadline: 15 * time.Second, Aim: Aim{First: time.Second, Gap: time.Second, EventTokens: 5},
+				}
+				d := s.Submit(0, r)
+				must.EqOp(t, Run, d.Verdict)
+				if d.Endpoint == "0" {
+					near++
+				}
+				s.Done(0, r, Dropped, 0)
+			}
+			must.Between(t, tc.least, near, tc.most)
+		})
 	}
 }
 
