sched: the pause that a prompt makes beside running streams is worked out

Now: tokens of an event times the step, plus the reading of what is ahead, at most a piece a step, against 0.9 of the wanted pause.

Test: TestStalls.

--- a/sched/value.go
+++ b/sched/value.go
@@ -34,6 +34,10 @@
 	gapWorth = 0.5
 	// stallWorth is the part of a running stream's worth that a long prompt beside it costs.
 	stallWorth = 0.15
+	// mostStall bounds that.
+	mostStall = 0.5
+	// gapMargin is the part of the wanted pause that a predicted one may take.
+	gapMargin = 0.9
 	// enoughWorth is the part of the best possible worth for which a request is sent.
 	enoughWorth = 0.15
 	// nearWorth is the difference of worth that counts as none.
@@ -61,25 +65,27 @@
 		over := math.Log(left / (float64(r.outGuess) * step.Seconds()))
 		done = 0.5 * math.Erfc(-over/(lengthBlur*math.Sqrt2))
 	}
-	stalls := s.stalls(r, e, step)
-	pieces := float64(s.prefillAhead(now, r, e)) / pieceTokens
-	if stalls && pieces > float64(max(1, r.Aim.EventTokens))/2 {
+	ahead := s.prefillAhead(now, r, e)
+	if s.stalls(r, e, step, ahead) {
 		inTime *= gapWorth
 	}
 	w := done * (lateWorth + (1-lateWorth)*inTime)
-	if stalls && r.PromptTokens > pieceTokens*max(1, r.Aim.EventTokens)/2 {
-		w -= min(0.5, stallWorth*load)
+	if s.stalls(r, e, step, ahead+r.PromptTokens) {
+		w -= min(mostStall, stallWorth*load)
 	}
 	return w
 }
 
-// stalls tells whether the reading of a long prompt makes pauses too long there.
-func (s *Scheduler) stalls(r *Request, e *endpointState, step time.Duration) bool {
+// stalls tells whether the reading of n prompt tokens makes a pause of the streams that
+// run there too long: an event waits for as many steps as it has tokens, and each step
+// reads at most a piece.
+func (s *Scheduler) stalls(r *Request, e *endpointState, step time.Duration, n int) bool {
 	if r.Aim.Gap <= 0 {
 		return false
 	}
-	pause := time.Duration(max(1, r.Aim.EventTokens)) * (step + e.prefillTime(pieceTokens))
-	return pause > r.Aim.Gap
+	tokens := max(1, r.Aim.EventTokens)
+	pause := time.Duration(tokens)*step + e.prefillTime(min(n, tokens*pieceTokens))
+	return pause > time.Duration(gapMargin*float64(r.Aim.Gap))
 }
 
 // due is the time by which the first token is wanted: in aim, or for a prompt that
--- a/sched/value_test.go
+++ b/sched/value_test.go
@@ -72,6 +72,32 @@
 	}
 }
 
+// TestStalls holds the pause that the reading of prompts makes against the one wanted.
+func TestStalls(t *testing.T) {
+	cases := []struct {
+		name        string
+		step        time.Duration
+		gap         time.Duration
+		eventTokens int
+		prompt      int
+		want        bool
+	}{
+		{"a fast engine reads any prompt between two events", 3 * time.Millisecond, 400 * time.Millisecond, 5, 50000, false},
+		{"a slow one does not", 14 * time.Millisecond, 400 * time.Millisecond, 5, 50000, true},
+		{"but a short one", 14 * time.Millisecond, 400 * time.Millisecond, 5, 3000, false},
+		{"a middling one is too much where it is slow", 14 * time.Millisecond, 400 * time.Millisecond, 5, 5000, true},
+		{"longer events wait longer", 14 * time.Millisecond, 400 * time.Millisecond, 20, 3000, true},
+		{"no pause is wanted", 14 * time.Millisecond, 0, 5, 50000, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := aimed([]time.Duration{tc.step}, []int{0}, []int{0})
+			r := &Request{Aim: Aim{First: time.Second, Gap: tc.gap, EventTokens: tc.eventTokens}}
+			must.EqOp(t, tc.want, s.stalls(r, s.byName["0"], tc.step, tc.prompt))
+		})
+	}
+}
+
 // TestLastChance checks that a request that fits nowhere well is sent at last, and
 // lets one behind it pass meanwhile.
 func TestLastChance(t *testing.T) {
