--- a/cmd/hkctl/main.go
+++ b/cmd/hkctl/main.go
@@ -49,8 +49,9 @@
 
 // explainArgs are the arguments of explain.
 type explainArgs struct {
-	Path string `arg:"positional,required" help:"node, such as workspaces/a/services/s, or the ID of a recent request"`
-	Dir  string `arg:"--dir" help:"explain this directory instead of the tree in force"`
+	Path string   `arg:"positional,required" help:"node, such as workspaces/a/services/s, or the ID of a request"`
+	Dir  string   `arg:"--dir" help:"explain this directory instead of the tree in force"`
+	Logs []string `arg:"--log,separate" help:"explain a request from this log of hkedge; repeat it for more hosts, - is standard input"`
 }
 
 // noArgs are the arguments of commands without any.
@@ -164,7 +165,7 @@
 // needsPlatform reports whether the subcommand reads what is in force.
 func (t *tool) needsPlatform() bool {
 	return t.Diff != nil || t.Apply != nil || t.Get != nil || t.History != nil || t.Status != nil ||
-		t.Drain != nil || (t.Explain != nil && t.Explain.Dir == "")
+		t.Drain != nil || (t.Explain != nil && t.Explain.Dir == "" && len(t.Explain.Logs) == 0)
 }
 
 // store is the settings in the key-value service.
--- a/cmd/hkctl/main_test.go
+++ b/cmd/hkctl/main_test.go
@@ -159,6 +159,8 @@
 		{[]string{"check", good}, exitDone},
 		{[]string{"explain", "--dir", good, ""}, exitDone},
 		{[]string{"explain", "--dir", good, "workspaces/x"}, exitRefused},
+		{[]string{"explain", "--log", filepath.Join(good, "a.yaml"), "some-id"}, exitDone},
+		{[]string{"explain", "--log", filepath.Join(good, "none"), "some-id"}, exitRefused},
 		{[]string{"status"}, exitUsage},
 		{[]string{"--platform", "http://127.0.0.1:1", "status"}, exitRefused},
 		{[]string{"--timeout", "1", "check", good}, exitUsage},
--- a/cmd/hkctl/tree.go
+++ b/cmd/hkctl/tree.go
@@ -235,6 +235,9 @@
 
 // explain shows the values in force at a node, or how a request was decided.
 func (t *tool) explain(ctx context.Context) error {
+	if len(t.Explain.Logs) > 0 {
+		return t.explainFromLogs(t.Explain.Path)
+	}
 	node := strings.Trim(t.Explain.Path, "/")
 	if strings.Count(node, ".") == 4 && !strings.Contains(node, "/") {
 		return t.explainRequest(ctx, node)
--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -40,15 +40,16 @@
 	if err != nil {
 		p.Fail(err.Error())
 	}
-	log, err := logs.New("hkedge", version.Version)
-	if err != nil {
-		p.Fail(err.Error())
-	}
+	log, lines := logs.Open("hkedge", version.Version, os.Stderr)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
 	h := &edge.Host{Boot: boot, Path: a.Settings, Log: log.WithValues("host", boot.Host)}
-	if err := h.Run(context.Background(), signals); err != nil {
+	err = h.Run(context.Background(), signals)
+	if err != nil {
 		h.Log.Error(err, "stopped")
+	}
+	_ = lines.Sync()
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -23,6 +23,8 @@
 	Repeated, Resumed atomic.Int64
 	// Cut counts answers broken off, Gone callers that left.
 	Cut, Gone atomic.Int64
+	// LinesDropped counts lines on requests that were beyond the bound on logs.
+	LinesDropped atomic.Int64
 }
 
 // All gives the counters by name.
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/sched"
 )
 
@@ -56,6 +57,9 @@
 
 // pass writes a whole answer.
 func (c *call) pass(a *answer) {
+	if a.status >= http.StatusInternalServerError {
+		c.tell(outcome.EndpointFailed, a.status, "the endpoint's own answer", 0)
+	}
 	c.copyHeader(a.header)
 	if bodyAllowed(c.r.Method, a.status) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/heathkeel/heathkeel/outcome"
 )
 
 // refusal is a final answer of the host's own.
@@ -29,7 +31,11 @@
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(f.status)
 	_, _ = c.w.Write([]byte(f.why + "\n"))
-	c.s.Log.V(1).Info("refused", "id", c.id, "status", f.status, "why", f.why)
+	kind := outcome.Refused
+	if c.account.MayHaveRun() {
+		kind = outcome.Failed
+	}
+	c.tell(kind, f.status, f.why, f.after)
 }
 
 // Bounds of what is read of a body that nobody wants.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -13,6 +13,7 @@
 	"github.com/heathkeel/heathkeel/attempt"
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/metrics"
+	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/upstream"
@@ -218,11 +219,16 @@
 func (c *call) giveUp(ctx context.Context, d sched.Decision) {
 	if c.r.Context().Err() != nil {
 		c.s.Count.Gone.Add(1)
+		c.tell(outcome.Gone, 0, "the caller closed its connection", 0)
 		panic(http.ErrAbortHandler)
 	}
 	if c.stream.begun {
 		c.s.Count.Cut.Add(1)
-		c.s.Log.V(1).Info("cut", "id", c.id, "endpoint", c.at.Instance, "events", c.stream.events)
+		why := "the endpoint ended the stream, which may not go on elsewhere"
+		if c.s.Now() >= c.deadline {
+			why = "the stream was not over by its deadline"
+		}
+		c.tell(outcome.Cut, 0, why, 0)
 		panic(http.ErrAbortHandler)
 	}
 	if c.saved != nil {
@@ -271,6 +277,7 @@
 	if end == lost {
 		c.account.Lost()
 		c.s.Count.Lost.Add(1)
+		c.tell(outcome.SendLost, 0, "no whole answer came", 0)
 	}
 	return end, hold
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -15,6 +15,7 @@
 
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/metrics"
+	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/quota"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
@@ -57,6 +58,7 @@
 	book    *quota.Book
 	retries map[string]*quota.Retries
 	hosts   int
+	lines   map[outcome.Kind]*outcome.Budget
 
 	// Count counts outcomes.
 	Count Counters
@@ -71,6 +73,7 @@
 	s.book = quota.NewBook(s.Now())
 	s.book.Tolerance, s.book.Full = s.Tolerance, s.FirstStart
 	s.retries = make(map[string]*quota.Retries)
+	s.lines = make(map[outcome.Kind]*outcome.Budget)
 	s.hosts = 1
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 }
--- /dev/null
+++ b/ingress/tell.go
@@ -0,0 +1,69 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"time"
+
+	"github.com/heathkeel/heathkeel/outcome"
+)
+
+// tell logs what became of a request, or of a send of it, that did not go well.
+// Requests that went well are counted only. Each kind has a budget of its own, so that
+// a flood of refusals hides no broken stream.
+func (c *call) tell(kind outcome.Kind, status int, why string, after time.Duration) {
+	now := c.s.Now()
+	c.s.mu.Lock()
+	budget := c.s.lines[kind]
+	if budget == nil {
+		budget = &outcome.Budget{}
+		c.s.lines[kind] = budget
+	}
+	dropped, ok := budget.Take(now)
+	c.s.mu.Unlock()
+	if !ok {
+		c.s.Count.LinesDropped.Add(1)
+		return
+	}
+	if dropped > 0 {
+		c.s.Log.Info("lines dropped", "outcome", kind, "count", dropped)
+	}
+	e := c.event(now)
+	e.Outcome, e.Status, e.Why, e.RetryAfterMS = kind, status, why, after.Milliseconds()
+	c.s.Log.Info(outcome.Message, e.Fields()...)
+}
+
+// event gives what is known of the request.
+func (c *call) event(now time.Duration) outcome.Event {
+	e := outcome.Event{
+		ID: c.id, Endpoint: c.at.Instance, Sends: c.account.Sends(), Events: c.stream.events,
+		HeldMS: (now - c.arrived).Milliseconds(), SettingsAgeMS: -1,
+	}
+	if e.ID == "" {
+		e.ID = c.r.Header.Get(c.s.Headers.Attempt)
+	}
+	if c.deadline > 0 {
+		e.LeftMS = (c.deadline - now).Milliseconds()
+	}
+	if c.workspace != nil {
+		e.Workspace = c.workspace.Name
+	}
+	if c.route != nil {
+		e.Route = c.route.Name
+	}
+	if c.service != nil {
+		e.Service = c.service.Name
+	}
+	if c.req != nil {
+		e.PredictedMS = c.req.Predicted().Milliseconds()
+	}
+	if c.table != nil {
+		e.Revision = c.table.Revision
+	}
+	if age, ok := c.s.Settings.Age.At(now); ok {
+		e.SettingsAgeMS = age.Milliseconds()
+	}
+	return e
+}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -5,19 +5,28 @@
 package logs
 
 import (
+	"io"
+	"os"
+
 	"github.com/go-logr/logr"
 	"github.com/go-logr/zapr"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 )
 
-// New returns a logger that writes JSON lines of a program to standard error.
+// New returns a logger that writes JSON lines of a program to standard error, and
+// never waits for it.
 func New(program, version string) (logr.Logger, error) {
-	cfg := zap.NewProductionConfig()
-	cfg.Sampling = nil
-	cfg.DisableStacktrace = true
-	z, err := cfg.Build()
-	if err != nil {
-		return logr.Logger{}, err
-	}
-	return zapr.NewLogger(z).WithValues("program", program, "version", version), nil
+	log, _ := Open(program, version, os.Stderr)
+	return log, nil
+}
+
+// Open returns a logger that writes JSON lines of a program to out, and its writer,
+// whose Sync is to be called before the program ends.
+func Open(program, version string, out io.Writer) (logr.Logger, *Writer) {
+	w := &Writer{Out: out}
+	w.Init()
+	go w.Run()
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), w, zap.InfoLevel)
+	return zapr.NewLogger(zap.New(core)).WithValues("program", program, "version", version), w
 }
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -30,8 +30,15 @@
 
 // start starts a scene with n hosts.
 func start(t *testing.T, n int) *scene {
+	t.Helper()
+	return startWith(t, n, func(*Site) {})
+}
+
+// startWith starts a scene whose site was prepared.
+func startWith(t *testing.T, n int, prepare func(*Site)) *scene {
 	t.Helper()
 	s := &scene{Site: &Site{Log: logr.Discard()}}
+	prepare(s.Site)
 	must.NoError(t, s.Site.Start())
 	t.Cleanup(s.Stop)
 	s.Store.Put(platform.KeyConfig, Example())
--- /dev/null
+++ b/internal/site/told_test.go
@@ -0,0 +1,81 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package site
+
+import (
+	"bytes"
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/internal/logs"
+	"github.com/heathkeel/heathkeel/outcome"
+)
+
+// buffer is a log in memory.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+// events reads what was logged of a request.
+func (b *buffer) events(t *testing.T, id string) []outcome.Event {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e, err := outcome.Read(bytes.NewReader(b.b.Bytes()), id)
+	must.NoError(t, err)
+	return e
+}
+
+// TestFailuresAreTold checks that the log of a host names the cause of every request
+// that did not go well, and says nothing of those that did.
+func TestFailuresAreTold(t *testing.T) {
+	var out buffer
+	s := startWith(t, 1, func(s *Site) { s.Log, _ = logs.Open("test", "0", &out) })
+	cases := []struct {
+		fault Fault
+		times int
+		call  Call
+		want  []outcome.Kind
+		cause string
+	}{
+		{None, 0, Call{Path: "/ask/a", Key: Key}, nil, "No line"},
+		{None, 0, Call{Path: "/ask/a"}, []outcome.Kind{outcome.Refused}, "refused with 401"},
+		{None, 0, Call{Path: "/none/a", Key: Key}, []outcome.Kind{outcome.Refused}, "refused with 404"},
+		{Full, 9, Call{Path: "/push/a", Key: Key, Body: "b"}, []outcome.Kind{outcome.Refused}, "refused it for a time"},
+		{Reset, 9, Call{Path: "/push/a", Key: Key, Body: "b"}, []outcome.Kind{outcome.SendLost, outcome.Failed}, "may have run"},
+		{Reset, 1, Call{Path: "/ask/a", Key: Key}, []outcome.Kind{outcome.SendLost}, "ended well"},
+		{Hang, 9, Call{Path: "/brief/a", Key: Key}, []outcome.Kind{outcome.Failed}, "did not answer by the deadline"},
+		{Error, 9, Call{Path: "/push/a", Key: Key, Body: "b"}, []outcome.Kind{outcome.EndpointFailed}, "its own failure 500"},
+		{TornEvent, 1, Call{Path: "/draft/a", Key: Key, Body: "b", Tokens: "10,30"}, []outcome.Kind{outcome.SendLost, outcome.Cut}, "cut after 2 events"},
+		{None, 0, Call{Path: "/draft/a", Key: Key, Body: "b", Tokens: "90000,90000"}, nil, "No line"},
+		{None, 0, Call{Path: "/draft/a", Key: Key, Body: "b", Tokens: "90000,90000"}, []outcome.Kind{outcome.Refused}, "used up its amount"},
+	}
+	for i, tc := range cases {
+		t.Run(fmt.Sprint(i, tc.fault, tc.call.Path), func(t *testing.T) {
+			tc.call.ID = fmt.Sprintf("told-%d.", i)
+			s.fail(tc.fault, tc.times)
+			Do(s.Hosts[0].Boot.Front, tc.call)
+			s.fail(None, 0)
+			s.await(t, "the lines", func() bool { return len(out.events(t, tc.call.ID)) >= len(tc.want) })
+			var got []outcome.Kind
+			events := out.events(t, tc.call.ID)
+			for _, e := range events {
+				got = append(got, e.Outcome)
+			}
+			must.Eq(t, tc.want, got)
+			must.StrContains(t, outcome.Cause(events), tc.cause)
+		})
+	}
+}
--- /dev/null
+++ b/outcome/event.go
@@ -0,0 +1,70 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package outcome
+
+// Message is the text by which lines of events are found in logs.
+const Message = "request"
+
+// Kind says what became of a request, or of one send of it.
+type Kind string
+
+// The kinds.
+const (
+	// Refused means that the host gave a final answer of its own and no endpoint ran the request.
+	Refused Kind = "refused"
+	// Failed means that the host gave a final answer of its own although an endpoint may have run the request.
+	Failed Kind = "failed"
+	// EndpointFailed means that an endpoint's own failure was passed on.
+	EndpointFailed Kind = "endpoint failed"
+	// Cut means that the answer was broken off after some of it went to the caller.
+	Cut Kind = "cut"
+	// Gone means that the caller left.
+	Gone Kind = "caller gone"
+	// SendLost means that a send brought no whole answer; the request may go on elsewhere.
+	SendLost Kind = "send lost"
+)
+
+// Event is one line about a request.
+type Event struct {
+	// Time is when, in seconds of the host's time of day; it orders lines roughly only.
+	Time float64 `json:"ts"`
+	// Host is who wrote it.
+	Host string `json:"host"`
+	// ID, Workspace, Route and Service name the request; what was not found out is empty.
+	ID        string `json:"id"`
+	Workspace string `json:"workspace"`
+	Route     string `json:"route"`
+	Service   string `json:"service"`
+	// Outcome is what became of it, Status what the caller was told, and Why explains it.
+	Outcome Kind   `json:"outcome"`
+	Status  int    `json:"status"`
+	Why     string `json:"why"`
+	// Endpoint is the last one it was sent to, Sends the number of sends and Events
+	// the number of events passed on.
+	Endpoint string `json:"endpoint"`
+	Sends    int    `json:"sends"`
+	Events   int    `json:"events"`
+	// HeldMS is the time since its arrival, PredictedMS the predicted time to the first
+	// event at that endpoint, and LeftMS what was left to its deadline.
+	HeldMS      int64 `json:"held_ms"`
+	PredictedMS int64 `json:"predicted_ms"`
+	LeftMS      int64 `json:"left_ms"`
+	// RetryAfterMS is when the caller was told to come back.
+	RetryAfterMS int64 `json:"retry_after_ms"`
+	// Revision and SettingsAgeMS tell the settings in force and how old they might be, -1 for unknown.
+	Revision      uint64 `json:"revision"`
+	SettingsAgeMS int64  `json:"settings_age_ms"`
+}
+
+// Fields gives the event as keys and values for a logger, without time and host.
+func (e *Event) Fields() []any {
+	return []any{
+		"id", e.ID, "workspace", e.Workspace, "route", e.Route, "service", e.Service,
+		"outcome", e.Outcome, "status", e.Status, "why", e.Why,
+		"endpoint", e.Endpoint, "sends", e.Sends, "events", e.Events,
+		"held_ms", e.HeldMS, "predicted_ms", e.PredictedMS, "left_ms", e.LeftMS,
+		"retry_after_ms", e.RetryAfterMS, "revision", e.Revision, "settings_age_ms", e.SettingsAgeMS,
+	}
+}
--- /dev/null
+++ b/outcome/outcome_test.go
@@ -0,0 +1,83 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package outcome
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestBudget(t *testing.T) {
+	b := Budget{Rate: 2, Burst: 3}
+	cases := []struct {
+		name    string
+		at      time.Duration
+		ok      bool
+		dropped int64
+	}{
+		{"first", 0, true, 0},
+		{"second", 0, true, 0},
+		{"third", 0, true, 0},
+		{"spent", 0, false, 0},
+		{"still spent", 400 * time.Millisecond, false, 0},
+		{"one again, and the dropped are told", 600 * time.Millisecond, true, 2},
+		{"spent again", 600 * time.Millisecond, false, 0},
+		{"no more than the burst comes back", time.Hour, true, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			dropped, ok := b.Take(tc.at)
+			must.EqOp(t, tc.ok, ok)
+			must.EqOp(t, tc.dropped, dropped)
+		})
+	}
+}
+
+const log = `{"level":"info","ts":1,"msg":"started","host":"a"}
+  12.5 a {"ts":3,"msg":"request","host":"b","id":"x1","outcome":"failed","status":502,"endpoint":"e2","sends":2,"held_ms":40}
+not json x1
+{"ts":2,"msg":"request","host":"a","id":"x1","outcome":"send lost","endpoint":"e1"}
+{"ts":2,"msg":"request","host":"a","id":"x10","outcome":"refused","status":429,"workspace":"w"}
+{"ts":2,"msg":"other","host":"a","id":"x1"}
+{"ts":4,"msg":"request","host":"a","id":"x1","outc`
+
+func TestRead(t *testing.T) {
+	events, err := Read(strings.NewReader(log), "x1")
+	must.NoError(t, err)
+	Sort(events)
+	must.Len(t, 2, events)
+	must.EqOp(t, "e1", events[0].Endpoint)
+	must.EqOp(t, Failed, events[1].Outcome)
+	must.StrContains(t, events[1].Line(), "b: failed after 40 ms, status 502, endpoint e2")
+	must.StrContains(t, Cause(events), "e2")
+}
+
+func TestCause(t *testing.T) {
+	cases := []struct {
+		event Event
+		want  string
+	}{
+		{Event{Outcome: Refused, Status: 429, Workspace: "w"}, "Workspace w had used up its amount."},
+		{Event{Outcome: Refused, Status: 503, Why: "settings are too old for keys"}, "settings are too old"},
+		{Event{Outcome: Refused, Status: 404, Why: "no route"}, "refused with 404: no route"},
+		{Event{Outcome: Failed, Status: 504, Endpoint: "e"}, "Endpoint e did not answer by the deadline."},
+		{Event{Outcome: Failed, Status: 502, Endpoint: "e"}, "may have run"},
+		{Event{Outcome: EndpointFailed, Status: 500, Endpoint: "e"}, "its own failure 500"},
+		{Event{Outcome: Cut, Events: 7, Endpoint: "e", LeftMS: 900}, "cut after 7 events"},
+		{Event{Outcome: Cut, Events: 7, Endpoint: "e"}, "not whole by the deadline; 7 events"},
+		{Event{Outcome: Gone, LeftMS: 900}, "caller left"},
+		{Event{Outcome: Gone, Endpoint: "e"}, "endpoint e was not whole by the deadline"},
+		{Event{Outcome: SendLost, Endpoint: "e"}, "The send to endpoint e was lost"},
+	}
+	for _, tc := range cases {
+		t.Run(tc.want, func(t *testing.T) {
+			must.StrContains(t, Cause([]Event{tc.event}), tc.want)
+		})
+	}
+	must.StrContains(t, Cause(nil), "No line")
+}
--- /dev/null
+++ b/outcome/story.go
@@ -0,0 +1,107 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package outcome
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+)
+
+// mostLine bounds a line of a log, in bytes.
+const mostLine = 1 << 20
+
+// Read finds the events of a request in a log. Lines that are no events, or not whole,
+// are passed over; what stands before the first brace of a line is too, so that logs
+// with prefixes of a collector can be read as they are.
+func Read(r io.Reader, id string) ([]Event, error) {
+	var out []Event
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, mostLine)
+	for sc.Scan() {
+		line := sc.Bytes()
+		at := bytes.IndexByte(line, '{')
+		if at < 0 || !bytes.Contains(line, []byte(id)) {
+			continue
+		}
+		var e struct {
+			Event
+			Message string `json:"msg"`
+		}
+		if json.Unmarshal(line[at:], &e) == nil && e.Message == Message && e.ID == id {
+			out = append(out, e.Event)
+		}
+	}
+	return out, sc.Err()
+}
+
+// Sort orders events by time.
+func Sort(events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		switch {
+		case a.Time < b.Time:
+			return -1
+		case a.Time > b.Time:
+			return 1
+		}
+		return 0
+	})
+}
+
+// Line tells an event in words.
+func (e *Event) Line() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s after %d ms", e.Host, e.Outcome, e.HeldMS)
+	if e.Status > 0 {
+		fmt.Fprintf(&b, ", status %d", e.Status)
+	}
+	if e.Endpoint != "" {
+		fmt.Fprintf(&b, ", endpoint %s (first event predicted in %d ms), %d sends", e.Endpoint, e.PredictedMS, e.Sends)
+	}
+	if e.Events > 0 {
+		fmt.Fprintf(&b, ", %d events passed on", e.Events)
+	}
+	fmt.Fprintf(&b, ", %d ms left, settings %d of age %d ms: %s", e.LeftMS, e.Revision, e.SettingsAgeMS, e.Why)
+	return b.String()
+}
+
+// nearDeadline is the time left, in milliseconds, at which a caller that leaves does so
+// because of its deadline.
+const nearDeadline = 100
+
+// Cause names the cause of the last event in one sentence, with what to look at.
+func Cause(events []Event) string {
+	if len(events) == 0 {
+		return "No line tells of this request: it went well, it never came to these hosts, or its line was dropped (look for \"lines dropped\")."
+	}
+	e := &events[len(events)-1]
+	late := e.LeftMS <= nearDeadline
+	switch {
+	case (e.Outcome == Gone || e.Outcome == Cut) && late:
+		return fmt.Sprintf("The answer of endpoint %s was not whole by the deadline; %d events had come.", e.Endpoint, e.Events)
+	case e.Outcome == Gone:
+		return "The caller left before its answer was whole."
+	case e.Outcome == Cut:
+		return fmt.Sprintf("The stream was cut after %d events because endpoint %s ended it and it may not go on elsewhere.", e.Events, e.Endpoint)
+	case e.Outcome == EndpointFailed:
+		return fmt.Sprintf("Endpoint %s answered with its own failure %d.", e.Endpoint, e.Status)
+	case e.Outcome == Failed && e.Status == http.StatusGatewayTimeout:
+		return fmt.Sprintf("Endpoint %s did not answer by the deadline.", e.Endpoint)
+	case e.Outcome == Failed:
+		return fmt.Sprintf("Endpoint %s was sent the request and its answer was lost; it may have run.", e.Endpoint)
+	case e.Outcome == SendLost:
+		return fmt.Sprintf("The send to endpoint %s was lost; the request went on and ended well, or the host ended.", e.Endpoint)
+	case e.Status == http.StatusTooManyRequests:
+		return fmt.Sprintf("Workspace %s had used up its amount.", e.Workspace)
+	case e.Status == http.StatusServiceUnavailable:
+		return "The host refused it for a time: " + e.Why + "."
+	}
+	return fmt.Sprintf("The request itself was refused with %d: %s.", e.Status, e.Why)
+}
--- a/sched/request.go
+++ b/sched/request.go
@@ -61,6 +61,9 @@
 	return r.Deadline
 }
 
+// Predicted is the time to the first token that was predicted at the last dispatch.
+func (r *Request) Predicted() time.Duration { return r.predicted }
+
 // rank is the tier's place, 0 the highest, bounded by maxRanks.
 func (r *Request) rank() int { return min(max(r.Settings.Rank, 0), maxRanks-1) }
 
