ingress: what answers a resumed stream must be the rest of it; endpoints that fail are eased out

Cause: passPlain did not look whether a stream had begun. Ruled out: events out of order (none logged). TestResumeFails/error failed before; the other four answers were sound.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -41,6 +41,7 @@
 	others    peers.Load
 	step      sched.Quantile // time of a token with little beside it, or of a request at a plain service
 	downUntil time.Duration
+	failing   failing
 }
 
 // pace is the time of a token as this host saw it, else as others did, or 0.
@@ -197,7 +198,7 @@
 		}
 		b.sched.TakeReport(now, name, sched.Report{
 			At: now, Running: t.own.Running + t.others.Running, PrefillTokens: t.own.Prefill + t.others.Prefill,
-			Slots: t.Slots, Step: cmp.Or(t.pace(), mean[t.Service]), PrefillPerStep: b.prefillOf(t.Service), Model: t.Service, Fresh: true,
+			Failing: t.failing.at(now), Slots: t.Slots, Step: cmp.Or(t.pace(), mean[t.Service]), PrefillPerStep: b.prefillOf(t.Service), Model: t.Service, Fresh: true,
 		})
 	}
 }
@@ -392,6 +393,15 @@
 	b.poll(now)
 }
 
+// judge notes whether an endpoint failed a request that it had.
+func (b *balancer) judge(c *call, failed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[c.at.Instance]; t != nil {
+		t.failing.observe(b.now(), failed)
+	}
+}
+
 // withdraw takes a waiting request back; it returns false if a decision is on its way.
 func (b *balancer) withdraw(c *call) bool {
 	b.mu.Lock()
--- a/ingress/balance_test.go
+++ b/ingress/balance_test.go
@@ -60,6 +60,57 @@
 	must.EqOp(t, 2*time.Millisecond, b.targets["e0"].pace())
 }
 
+// TestFailing checks how failures count, and that they are forgotten.
+func TestFailing(t *testing.T) {
+	var f failing
+	must.EqOp(t, 0, f.at(time.Hour))
+	for range 30 {
+		f.observe(time.Second, true)
+	}
+	must.Between(t, 0.99, f.at(time.Second), 1)
+	must.Between(t, 0.49, f.at(time.Second+failingHalf), 0.5)
+	f.observe(time.Second, false)
+	must.Between(t, 0.79, f.at(time.Second), 0.8)
+}
+
+// TestFailuresReachTheChoice checks that an endpoint that fails its requests is left
+// to the others, unless all do.
+func TestFailuresReachTheChoice(t *testing.T) {
+	cases := []struct {
+		name    string
+		failing []string
+		want    map[string]bool
+	}{
+		{"one fails", []string{"e0"}, map[string]bool{"e1": true}},
+		{"all fail", []string{"e0", "e1"}, map[string]bool{"e0": true, "e1": true}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			b, now := engines(2)
+			for _, name := range tc.failing {
+				for range 10 {
+					b.judge(&call{at: feed.Endpoint{Instance: name}}, true)
+				}
+			}
+			b.tick(*now)
+			b.setOthers(*now, nil)
+			got := make(map[string]bool)
+			for range 40 {
+				c := &call{
+					route: &route.Route{Name: "r"}, service: &route.Service{Name: "s", Engine: true},
+					req: &sched.Request{Model: "s", PromptTokens: 100, MaxTokens: 50, LikelyTokens: 50, Deadline: 10 * time.Second, Aim: sched.Aim{First: time.Second}},
+				}
+				d := b.submit(c)
+				must.EqOp(t, sched.Run, d.Verdict)
+				got[d.Endpoint] = true
+				c.at = feed.Endpoint{Instance: d.Endpoint}
+				b.done(c, sched.Dropped, 0, 0)
+			}
+			must.Eq(t, tc.want, got)
+		})
+	}
+}
+
 // TestPrefillLearned checks that the speed of reading prompts is learned from long
 // prompts, for all engines of the service.
 func TestPrefillLearned(t *testing.T) {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -45,9 +45,11 @@
 	req       *sched.Request
 	at        feed.Endpoint
 	firstSeen bool
-	header    http.Header
-	saved     *answer // a failure to pass on if nothing better comes
-	stream    stream
+	// failedAnswer says that the endpoint's newest answer was a failure of its own.
+	failedAnswer bool
+	header       http.Header
+	saved        *answer // a failure to pass on if nothing better comes
+	stream       stream
 }
 
 // ServeHTTP implements http.Handler.
@@ -274,6 +276,9 @@
 	case clean:
 		conn.Done()
 	}
+	if end == whole || end == failed || end == lost {
+		c.s.balance.judge(c, end != whole || c.failedAnswer)
+	}
 	if end == lost {
 		c.account.Lost()
 		c.s.Count.Lost.Add(1)
@@ -305,6 +310,7 @@
 		return notRun, holdFull
 	}
 	c.account.Answer()
+	c.failedAnswer = resp.StatusCode >= http.StatusInternalServerError
 	ok := resp.StatusCode >= 200 && resp.StatusCode < 300
 	if ok && resp.Header.Get(c.s.Headers.Stamp) == "" {
 		return lost, holdLost
@@ -312,5 +318,10 @@
 	if ok && c.route.Kind == route.Stream {
 		return c.passStream(ctx, resp, sent, watch)
 	}
+	if c.stream.begun {
+		// The caller has a part of a stream; another answer is not the rest of it.
+		drain(resp)
+		return failed, holdLost
+	}
 	return c.passPlain(resp, sent)
 }
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -322,3 +322,25 @@
 		})
 	}
 }
+
+// TestResumeFails lets a stream break off and the endpoint where it goes on answer
+// with something else than the rest of the stream: the caller must not take what it
+// got for the whole. Seen on litoral hunt-6dea-103 (ORDER).
+func TestResumeFails(t *testing.T) {
+	s := start(t, 1)
+	for _, second := range []Fault{Error, Full, NoStamp, Reset, NoAnswer} {
+		t.Run(string(second), func(t *testing.T) {
+			id := "resume-" + string(second[:4])
+			list := []Fault{TornEvent}
+			for range 9 {
+				list = append(list, second)
+			}
+			Share(list, s.engines[0], s.engines[1])
+			a := Do(s.Hosts[0].Boot.Front, Call{Path: "/review/a", Key: Key, ID: id, Body: "b", Tokens: "10,30"})
+			Share(nil, s.engines[0], s.engines[1])
+			must.EqOp(t, 200, a.Status)
+			must.False(t, a.Whole)
+			must.StrHasPrefix(t, a.Body, Stream(events))
+		})
+	}
+}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -56,6 +56,9 @@
 	return !s.cfg.Off.Share && float64(e.own) < limit/float64(max(1, s.Peers))
 }
 
+// leastSound bounds the part of requests that an endpoint is taken not to fail.
+const leastSound = 0.05
+
 // choose returns the endpoint with the least predicted time to the end of the
 // answer, at random among near-equal ones so that hosts with the same stale
 // reports do not all choose one; nil if none has room.
@@ -74,6 +77,8 @@
 		if e.Far {
 			c.whole += time.Duration(s.cfg.FarCost * float64(c.whole))
 		}
+		// A failure costs at least one more try.
+		c.whole = time.Duration(float64(c.whole) / max(leastSound, 1-e.report.Failing))
 		best = min(best, c.whole)
 		s.cands = append(s.cands, c)
 	}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -21,6 +21,8 @@
 	PrefillPerStep int
 	// Model is the model held, or empty.
 	Model string
+	// Failing is the part of the latest requests there that failed, 0 to 1.
+	Failing float64
 	// Fresh says that prompts may begin here: the role is not "decode".
 	Fresh bool
 }
--- a/sched/value.go
+++ b/sched/value.go
@@ -48,7 +48,7 @@
 
 // worth is the expected part of its worth that a request earns at an endpoint:
 //
-//	P(ends by its deadline) · (lateWorth + (1-lateWorth) · P(first token in time) · gaps)
+//	P(ends by its deadline) · (lateWorth + (1-lateWorth) · P(first token in time) · gaps) · P(does not fail)
 //
 // less what its prompt costs the streams that run there. The first token's error
 // is taken as logistic, the length's as log-normal.
@@ -69,7 +69,7 @@
 	if s.stalls(r, e, step, ahead) {
 		inTime *= gapWorth
 	}
-	w := done * (lateWorth + (1-lateWorth)*inTime)
+	w := done * (lateWorth + (1-lateWorth)*inTime) * (1 - e.report.Failing)
 	if s.stalls(r, e, step, ahead+r.PromptTokens) {
 		w -= min(mostStall, stallWorth*load)
 	}
