--- a/edge/host.go
+++ b/edge/host.go
@@ -266,7 +266,7 @@
 	if n == 1 && len(h.Boot.Seeds) > 1 {
 		n = len(h.Boot.Seeds)
 	}
-	h.ingress.SetHosts(n)
+	h.ingress.SetHosts(n, peers.Interval(n))
 }
 
 // await waits for the signal to stop and stops.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -117,12 +117,13 @@
 // SetEndpoints is called with each new list of endpoints.
 func (s *Server) SetEndpoints(list []feed.Endpoint) { s.balance.setEndpoints(s.Now(), list) }
 
-// SetHosts tells how many hosts share the amounts and the endpoints.
-func (s *Server) SetHosts(n int) {
+// SetHosts tells how many hosts share the amounts and the endpoints, and the time
+// between two words of one of them.
+func (s *Server) SetHosts(n int, every time.Duration) {
 	s.mu.Lock()
 	changed := s.hosts != max(1, n)
 	s.hosts = max(1, n)
-	s.book.SetHosts(n)
+	s.book.SetHosts(n, every)
 	s.mu.Unlock()
 	s.balance.setHosts(n)
 	if src := s.Settings.Current(); changed && src != nil {
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -29,6 +29,13 @@
 	largestBeat = 60 << 10
 )
 
+// Interval is the mean time between two heartbeats from one host to another where n
+// hosts run: each sends to fanout others at a time.
+func Interval(n int) time.Duration {
+	rounds := max(1, (n-1+fanout-1)/fanout)
+	return time.Duration(rounds) * DefaultEvery
+}
+
 // Host is what an agent tells and asks of the program it runs in.
 type Host interface {
 	// Fill adds the host's own words to a heartbeat.
--- a/peers/table_test.go
+++ b/peers/table_test.go
@@ -158,3 +158,13 @@
 		})
 	}
 }
+
+func TestInterval(t *testing.T) {
+	cases := []struct {
+		hosts int
+		want  time.Duration
+	}{{1, DefaultEvery}, {7, DefaultEvery}, {9, DefaultEvery}, {10, 2 * DefaultEvery}, {63, 8 * DefaultEvery}, {930, 117 * DefaultEvery}}
+	for _, tc := range cases {
+		must.EqOp(t, tc.want, Interval(tc.hosts))
+	}
+}
--- a/quota/book.go
+++ b/quota/book.go
@@ -4,59 +4,21 @@
 
 package quota
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Figures of the shares.
 const (
-	// debtShare is the part of the tolerance that requests may use; the rest covers
-	// what hosts use before they hear of each other, and restarts.
-	debtShare = 0.2
 	// startShare is the level with which accounts begin, as a part of that debt, when what
 	// was used before is not known.
 	startShare = 0.5
 	// deepest is how far below zero an account may go, in seconds of its rate.
 	deepest = 4
-	// heardWithin is the silence of a peer after which it is taken to serve on alone.
-	heardWithin = 450 * time.Millisecond
-	// tellBelow is the part of the burst below which a level is told to new hosts.
-	tellBelow = 0.5
-	// learnFor is the time from a book's start in which it takes levels from peers.
-	learnFor = 2 * time.Second
+	// silentAfter is the number of times between two words of a peer after which it is
+	// taken to serve on alone, and defaultEvery that time where none is given.
+	silentAfter  = 2.25
+	defaultEvery = 200 * time.Millisecond
 )
 
-// Tolerance is how far beyond its bound a workspace may get in a window:
-// Overshoot·(Rate·Window + Burst) + Slack. The zero value tolerates nothing.
-type Tolerance struct {
-	// Window is the span over which use is counted.
-	Window time.Duration
-	// Overshoot is a part of what the bound allows in a window.
-	Overshoot float64
-	// Slack is in units.
-	Slack float64
-}
-
-// debt is how far below zero a level may go and requests still pass.
-func (t Tolerance) debt(b Bound) float64 {
-	return debtShare * (t.Overshoot*(b.Rate*t.Window.Seconds()+b.Burst) + t.Slack)
-}
-
-// Bound is what a workspace may use.
-type Bound struct {
-	// Rate is in units a second and Burst in units, over all hosts.
-	Rate, Burst float64
-}
-
-// Told is what a host tells of its accounts, by workspace.
-type Told struct {
-	// Used is what it used in its life.
-	Used map[string]float64
-	// Left is the level of those accounts that are low.
-	Left map[string]float64
-}
-
 // Book keeps the accounts of one host. It is not safe for concurrent use. The exported
 // fields must be set before the first call.
 //
@@ -81,6 +43,7 @@
 	left     map[string]float64 // the least that peers told in the first time
 	first    time.Duration
 	hosts    int
+	silence  time.Duration
 }
 
 // account is what is known of a workspace.
@@ -106,12 +69,16 @@
 func NewBook(now time.Duration) *Book {
 	return &Book{
 		accounts: make(map[string]*account), peers: make(map[string]*peer), left: make(map[string]float64),
-		first: now, hosts: 1,
+		first: now, hosts: 1, silence: time.Duration(silentAfter * float64(defaultEvery)),
 	}
 }
 
-// SetHosts sets the number of hosts that share the amounts, this one included.
-func (b *Book) SetHosts(n int) { b.hosts = max(1, n) }
+// SetHosts sets the number of hosts that share the amounts, this one included, and the
+// time between two words of one of them, which grows with their number.
+func (b *Book) SetHosts(n int, every time.Duration) {
+	b.hosts = max(1, n)
+	b.silence = time.Duration(silentAfter * float64(max(every, defaultEvery)))
+}
 
 // account returns an account, filled up to now.
 func (b *Book) account(now time.Duration, name string, bound Bound) *account {
@@ -168,7 +135,7 @@
 		return false, time.Duration(-free / bound.Rate * float64(time.Second))
 	}
 	if a.recent > 0 && a.recent >= (free+a.recent)/float64(b.hosts) {
-		return false, heardWithin / 2
+		return false, b.silence / 2
 	}
 	a.level -= amount
 	a.used += amount
@@ -183,117 +150,3 @@
 		a.used -= amount
 	}
 }
-
-// young tells whether peers know better than this book what was used of late.
-func (b *Book) young(now time.Duration) bool { return !b.Full && now-b.first < learnFor }
-
-// Tell tells what this host used in its life and, once it knows, which levels are low.
-func (b *Book) Tell(now time.Duration) Told {
-	t := Told{Used: make(map[string]float64, len(b.accounts)), Left: make(map[string]float64)}
-	for name, a := range b.accounts {
-		b.fill(now, name, a)
-		t.Used[name] = a.used
-		if !b.young(now) && a.level < tellBelow*a.bound.Burst {
-			t.Left[name] = math.Floor(a.level)
-		}
-	}
-	return t
-}
-
-// Heard takes what a peer told. The first tell of a life is where the counting starts.
-func (b *Book) Heard(now time.Duration, name string, life uint64, told Told) {
-	b.learn(now, told.Left)
-	p := b.peers[name]
-	if p == nil {
-		p = &peer{life: life, heard: now, used: told.Used, taken: make(map[string]float64)}
-		b.peers[name] = p
-		return
-	}
-	for ws, a := range b.accounts {
-		b.fill(now, ws, a)
-	}
-	if p.life != life {
-		// What the ended life used and did not tell is not known.
-		b.lose(p)
-		clear(p.taken)
-		p.life, p.used = life, nil
-	}
-	for ws, a := range b.accounts {
-		a.level -= max(0, told.Used[ws]-p.used[ws]) - p.taken[ws]
-		a.clamp()
-	}
-	clear(p.taken)
-	p.heard, p.used, p.told, p.silent = now, told.Used, true, false
-	b.refresh()
-}
-
-// learn takes the levels that peers tell while the book is young: what was used before
-// its start is known to them only.
-func (b *Book) learn(now time.Duration, left map[string]float64) {
-	if !b.young(now) {
-		return
-	}
-	for ws, level := range left {
-		if old, ok := b.left[ws]; !ok || level < old {
-			b.left[ws] = level
-		}
-		if a := b.accounts[ws]; a != nil {
-			a.level = min(a.level, level)
-		}
-	}
-}
-
-// doubt finds peers that have fallen silent; nobody waits for their words.
-func (b *Book) doubt(now time.Duration) {
-	for _, p := range b.peers {
-		if !p.silent && now-p.heard > heardWithin {
-			b.lose(p)
-		}
-	}
-	b.refresh()
-}
-
-// lose takes a peer that is not heard any more to use its equal share of what was left
-// when it was heard last.
-func (b *Book) lose(p *peer) {
-	if p.silent {
-		return
-	}
-	p.silent = true
-	heard := 2.0 // with this host and p
-	for _, q := range b.peers {
-		if !q.silent {
-			heard++
-		}
-	}
-	for ws, a := range b.accounts {
-		free := max(0, a.level+b.Tolerance.debt(a.bound))
-		part := free - max(0, (free+a.recent)*(heard-1)/heard-a.recent)
-		a.level -= part
-		p.taken[ws] += part
-	}
-}
-
-// refresh begins the count of recent use anew once all others have been heard.
-func (b *Book) refresh() {
-	for _, p := range b.peers {
-		if !p.told && !p.silent {
-			return
-		}
-	}
-	for _, p := range b.peers {
-		p.told = false
-	}
-	for _, a := range b.accounts {
-		a.recent = 0
-	}
-}
-
-// Keep drops the peers that are surely gone: those not named.
-func (b *Book) Keep(names map[string]bool) {
-	for name := range b.peers {
-		if !names[name] {
-			delete(b.peers, name)
-		}
-	}
-}
--- /dev/null
+++ b/quota/told.go
@@ -0,0 +1,140 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quota
+
+import (
+	"math"
+	"time"
+)
+
+// Figures of what hosts tell each other.
+const (
+	// tellBelow is the part of the burst below which a level is told to new hosts.
+	tellBelow = 0.5
+	// learnFor is the time from a book's start in which it takes levels from peers.
+	learnFor = 2 * time.Second
+)
+
+// Told is what a host tells of its accounts, by workspace.
+type Told struct {
+	// Used is what it used in its life.
+	Used map[string]float64
+	// Left is the level of those accounts that are low.
+	Left map[string]float64
+}
+
+// young tells whether peers know better than this book what was used of late.
+func (b *Book) young(now time.Duration) bool { return !b.Full && now-b.first < learnFor }
+
+// Tell tells what this host used in its life and, once it knows, which levels are low.
+func (b *Book) Tell(now time.Duration) Told {
+	t := Told{Used: make(map[string]float64, len(b.accounts)), Left: make(map[string]float64)}
+	for name, a := range b.accounts {
+		b.fill(now, name, a)
+		t.Used[name] = a.used
+		if !b.young(now) && a.level < tellBelow*a.bound.Burst {
+			t.Left[name] = math.Floor(a.level)
+		}
+	}
+	return t
+}
+
+// Heard takes what a peer told. The first tell of a life is where the counting starts.
+func (b *Book) Heard(now time.Duration, name string, life uint64, told Told) {
+	b.learn(now, told.Left)
+	p := b.peers[name]
+	if p == nil {
+		p = &peer{life: life, heard: now, used: told.Used, taken: make(map[string]float64)}
+		b.peers[name] = p
+		return
+	}
+	for ws, a := range b.accounts {
+		b.fill(now, ws, a)
+	}
+	if p.life != life {
+		// What the ended life used and did not tell is not known.
+		b.lose(p)
+		clear(p.taken)
+		p.life, p.used = life, nil
+	}
+	for ws, a := range b.accounts {
+		a.level -= max(0, told.Used[ws]-p.used[ws]) - p.taken[ws]
+		a.clamp()
+	}
+	clear(p.taken)
+	p.heard, p.used, p.told, p.silent = now, told.Used, true, false
+	b.refresh()
+}
+
+// learn takes the levels that peers tell while the book is young: what was used before
+// its start is known to them only.
+func (b *Book) learn(now time.Duration, left map[string]float64) {
+	if !b.young(now) {
+		return
+	}
+	for ws, level := range left {
+		if old, ok := b.left[ws]; !ok || level < old {
+			b.left[ws] = level
+		}
+		if a := b.accounts[ws]; a != nil {
+			a.level = min(a.level, level)
+		}
+	}
+}
+
+// doubt finds peers that have fallen silent; nobody waits for their words.
+func (b *Book) doubt(now time.Duration) {
+	for _, p := range b.peers {
+		if !p.silent && now-p.heard > b.silence {
+			b.lose(p)
+		}
+	}
+	b.refresh()
+}
+
+// lose takes a peer that is not heard any more to use its equal share of what was left
+// when it was heard last.
+func (b *Book) lose(p *peer) {
+	if p.silent {
+		return
+	}
+	p.silent = true
+	heard := 2.0 // with this host and p
+	for _, q := range b.peers {
+		if !q.silent {
+			heard++
+		}
+	}
+	for ws, a := range b.accounts {
+		free := max(0, a.level+b.Tolerance.debt(a.bound))
+		part := free - max(0, (free+a.recent)*(heard-1)/heard-a.recent)
+		a.level -= part
+		p.taken[ws] += part
+	}
+}
+
+// refresh begins the count of recent use anew once all others have been heard.
+func (b *Book) refresh() {
+	for _, p := range b.peers {
+		if !p.told && !p.silent {
+			return
+		}
+	}
+	for _, p := range b.peers {
+		p.told = false
+	}
+	for _, a := range b.accounts {
+		a.recent = 0
+	}
+}
+
+// Keep drops the peers that are surely gone: those not named.
+func (b *Book) Keep(names map[string]bool) {
+	for name := range b.peers {
+		if !names[name] {
+			delete(b.peers, name)
+		}
+	}
+}
