--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -34,24 +34,6 @@
 	ranks   map[string][]rankOf // by service, sorted
 }
 
-// target is an endpoint as the host knows it.
-type target struct {
-	feed.Endpoint
-	own       peers.Load
-	others    peers.Load
-	step      sched.Quantile // time of a token with little beside it, or of a request at a plain service
-	downUntil time.Duration
-	failing   failing
-}
-
-// pace is the time of a token as this host saw it, else as others did, or 0.
-func (t *target) pace() time.Duration {
-	if t.step.Value > 0 {
-		return time.Duration(t.step.Value)
-	}
-	return time.Duration(t.others.Step) * time.Microsecond
-}
-
 // valueRef names the values in force for a workspace on a route.
 type valueRef struct {
 	workspace *route.Workspace
@@ -59,22 +41,8 @@
 	service   string
 }
 
-// Figures of the balancer.
-const (
-	// prefillPerStep is the number of prompt tokens that an engine is taken to read in a
-	// step before it was seen.
-	prefillPerStep = 200
-	// longPrompt is the prompt, in tokens, whose first event tells how fast an engine reads.
-	longPrompt = 4000
-	// stepShare and prefillShare are the quantiles taken of the time between tokens and
-	// of the speed of reading: what runs beside only makes both look slower.
-	stepShare    = 0.25
-	prefillShare = 0.8
-	// plainShare is the quantile taken of a plain service's time.
-	plainShare = 0.5
-	// mostWaiting bounds the requests of a workspace that wait on a host.
-	mostWaiting = 500
-)
+// mostWaiting bounds the requests of a workspace that wait on a host.
+const mostWaiting = 500
 
 // newBalancer returns a balancer without endpoints.
 func newBalancer(zone string, cfg sched.Config, r *rand.Rand, now func() time.Duration) *balancer {
@@ -203,30 +171,6 @@
 	}
 }
 
-// meanPace is the mean of the paces seen, by service; mu must be held.
-func (b *balancer) meanPace() map[string]time.Duration {
-	sum, n := make(map[string]time.Duration), make(map[string]time.Duration)
-	for _, t := range b.targets {
-		if p := t.pace(); p > 0 {
-			sum[t.Service] += p
-			n[t.Service]++
-		}
-	}
-	for service := range sum {
-		sum[service] /= n[service]
-	}
-	return sum
-}
-
-// prefillOf is the number of prompt tokens that an engine of a service reads in a step;
-// mu must be held.
-func (b *balancer) prefillOf(service string) int {
-	if q := b.prefill[service]; q != nil && q.Value >= 1 {
-		return int(q.Value)
-	}
-	return prefillPerStep
-}
-
 // setHosts tells the scheduler how many hosts share the endpoints.
 func (b *balancer) setHosts(n int) {
 	b.mu.Lock()
@@ -343,28 +287,6 @@
 	c.firstSeen = false
 }
 
-// learnPrefill takes the time that the first event of a long prompt took; mu must be held.
-func (b *balancer) learnPrefill(t *target, prompt int, took time.Duration) {
-	if prompt < longPrompt || t.step.Value <= 0 || took <= 0 {
-		return
-	}
-	q := b.prefill[t.Service]
-	if q == nil {
-		q = &sched.Quantile{}
-		b.prefill[t.Service] = q
-	}
-	q.Observe(float64(prompt)*t.step.Value/float64(took), prefillShare)
-}
-
-// paced notes the time between two tokens of a stream.
-func (b *balancer) paced(c *call, token time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t := b.targets[c.at.Instance]; t != nil {
-		t.step.Observe(float64(token), stepShare)
-	}
-}
-
 // first notes the first sign of an answer to what was sent at a time.
 func (b *balancer) first(c *call, sent time.Duration) {
 	b.mu.Lock()
@@ -393,15 +315,6 @@
 	b.poll(now)
 }
 
-// judge notes whether an endpoint failed a request that it had.
-func (b *balancer) judge(c *call, failed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t := b.targets[c.at.Instance]; t != nil {
-		t.failing.observe(b.now(), failed)
-	}
-}
-
 // withdraw takes a waiting request back; it returns false if a decision is on its way.
 func (b *balancer) withdraw(c *call) bool {
 	b.mu.Lock()
