--- a/quota/bound.go
+++ b/quota/bound.go
@@ -31,4 +31,3 @@
 	// Rate is in units a second and Burst in units, over all hosts.
 	Rate, Burst float64
 }
-
