--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -27,7 +27,6 @@
 	mu      sync.Mutex
 	sched   *sched.Scheduler
 	targets map[string]*target
-	others  map[string]map[string]peers.Load // by host
 	table   *route.Table
 	prefill map[string]*sched.Quantile // by service: prompt tokens read in a step
 	values  map[valueRef]*settings.Effective
@@ -49,7 +48,7 @@
 	s := &sched.Scheduler{Config: cfg, Rand: r, Peers: 1}
 	s.Init()
 	return &balancer{
-		zone: zone, now: now, sched: s, targets: make(map[string]*target), others: make(map[string]map[string]peers.Load),
+		zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefill: make(map[string]*sched.Quantile), values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf),
 	}
 }
