sched, ingress: a plain request is tried once more before it is refused; a repeat may wait as long as a first send

The first endpoint answered 500, the other was still left alone for 60 ms after the case before (full); the repeat's latest start counted from the arrival of the request (66 ms), so that it was refused at the next look although the endpoint was back: only requests with an aim were tried once more. Ruled out: the new choice by failures (the other endpoint had none). Test: TestLastChancePlain fails before.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -267,6 +267,7 @@
 	if t := b.targets[c.at.Instance]; t != nil {
 		t.downUntil = max(t.downUntil, now+hold)
 	}
+	c.req.Start = c.latestStart(now)
 	d := b.sched.Again(now, c.req, hold)
 	b.note(d)
 	b.poll(now)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -125,7 +125,7 @@
 	}
 	c.req = &sched.Request{
 		ID: c.id, Model: c.service.Name, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), LikelyTokens: c.likely,
-		Arrived: c.arrived, Deadline: c.deadline, Start: c.latestStart(), Data: make(chan sched.Decision, 1),
+		Arrived: c.arrived, Deadline: c.deadline, Start: c.latestStart(c.arrived), Data: make(chan sched.Decision, 1),
 	}
 	if c.service.Engine {
 		c.req.Aim = sched.Aim{First: c.route.Objective, Gap: c.route.Gap, EventTokens: c.service.EventTokens}
@@ -168,13 +168,13 @@
 	}
 }
 
-// latestStart is the time by which the request must have a place: what waits
-// longer is better told to come back while it still can.
-func (c *call) latestStart() time.Duration {
+// latestStart is the time by which a request that asks for a place at a time must have
+// one: what waits longer is better told to come back while it still can.
+func (c *call) latestStart(asked time.Duration) time.Duration {
 	if c.route.Objective <= 0 {
 		return 0
 	}
-	return c.arrived + time.Duration(startShare*float64(c.route.Objective))
+	return asked + time.Duration(startShare*float64(c.route.Objective))
 }
 
 // startShare is the part of the objective that a request may wait for a place.
--- a/sched/order.go
+++ b/sched/order.go
@@ -178,7 +178,7 @@
 // lastChance dispatches a request that has waited as long as it may to the best
 // endpoint that admits it, although little may be earned there.
 func (s *Scheduler) lastChance(now time.Duration, r *Request) (Decision, bool) {
-	if r.Aim.First == 0 || now >= r.Deadline {
+	if now >= r.Deadline {
 		return Decision{}, false
 	}
 	r.last = true
--- a/sched/value_test.go
+++ b/sched/value_test.go
@@ -116,6 +116,39 @@
 	must.EqOp(t, Run, out[0].Verdict)
 }
 
+// TestLastChancePlain checks that a request without an aim is sent, too, if an endpoint
+// has come back by the time at which it would be refused.
+func TestLastChancePlain(t *testing.T) {
+	cases := []struct {
+		name string
+		poll time.Duration
+		want Verdict
+	}{
+		{"the endpoint is back", 100 * time.Millisecond, Run},
+		{"it is not", 59 * time.Millisecond, Refuse},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Scheduler{Rand: rand.New(rand.NewPCG(1, 2)), Peers: 1}
+			s.Init()
+			s.SetEndpoints([]Endpoint{{Name: "a", Engine: true, Slots: 1}})
+			s.TakeReport(0, "a", Report{Slots: 1, Step: 20 * time.Millisecond, Model: "m", Fresh: true})
+			ask := func(start time.Duration) *Request {
+				e := &settings.Effective{Workspace: "w", Service: "s", Weight: 1, Queue: 10}
+				return &Request{Settings: e, Model: "m", MaxTokens: 1, Deadline: time.Second, Start: start}
+			}
+			first := ask(time.Second)
+			must.EqOp(t, Run, s.Submit(0, first).Verdict)
+			must.EqOp(t, Wait, s.Again(0, first, 60*time.Millisecond).Verdict) // its endpoint is left alone
+			s.Withdraw(first)
+			must.EqOp(t, Wait, s.Submit(0, ask(min(66*time.Millisecond, tc.poll))).Verdict)
+			out := s.Poll(tc.poll)
+			must.Len(t, 1, out)
+			must.EqOp(t, tc.want, out[0].Verdict)
+		})
+	}
+}
+
 // TestNearFirst checks that an endpoint of the own zone is taken unless it has much
 // less room, however many far ones there are.
 func TestNearFirst(t *testing.T) {
