--- a/cmd/hkctl/logs.go
+++ b/cmd/hkctl/logs.go
@@ -17,15 +17,10 @@
 
 // explainFromLogs tells the story of a request from the logs of one or several hosts.
 func (t *tool) explainFromLogs(id string) error {
-	var events []outcome.Event
-	for _, name := range t.Explain.Logs {
-		found, err := readLog(name, id)
-		if err != nil {
-			return fmt.Errorf("log %s: %w; give a file of JSON lines, or - for standard input", name, err)
-		}
-		events = append(events, found...)
+	events, err := readLogs(t.Explain.Logs, id)
+	if err != nil {
+		return err
 	}
-	outcome.Sort(events)
 	if t.JSON {
 		return t.printJSON(events)
 	}
@@ -36,7 +31,21 @@
 	return nil
 }
 
-// readLog finds the events of a request in one log.
+// readLogs finds the events of a request, or of all if id is empty, in logs of several hosts, in order of time.
+func readLogs(names []string, id string) ([]outcome.Event, error) {
+	var events []outcome.Event
+	for _, name := range names {
+		found, err := readLog(name, id)
+		if err != nil {
+			return nil, fmt.Errorf("log %s: %w; give a file of JSON lines, or - for standard input", name, err)
+		}
+		events = append(events, found...)
+	}
+	outcome.Sort(events)
+	return events, nil
+}
+
+// readLog finds the events of a request, or of all if id is empty, in one log.
 func readLog(name, id string) ([]outcome.Event, error) {
 	var r io.Reader = os.Stdin
 	if name != stdinName {
--- a/cmd/hkctl/main.go
+++ b/cmd/hkctl/main.go
@@ -54,6 +54,12 @@
 	Logs []string `arg:"--log,separate" help:"explain a request from this log of hkedge; repeat it for more hosts, - is standard input"`
 }
 
+// accountArgs are the arguments of account.
+type accountArgs struct {
+	Logs   []string      `arg:"--log,separate,required" help:"log of an hkedge that ran with --trace; repeat it for more hosts, - is standard input"`
+	Window time.Duration `arg:"--window" default:"2s" help:"length of the spans of time in the second table"`
+}
+
 // noArgs are the arguments of commands without any.
 type noArgs struct{}
 
@@ -69,6 +75,7 @@
 	Apply    *applyArgs    `arg:"subcommand:apply" help:"put a directory in force"`
 	Get      *getArgs      `arg:"subcommand:get" help:"show or write the tree in force"`
 	Explain  *explainArgs  `arg:"subcommand:explain" help:"show each effective value and where it comes from"`
+	Account  *accountArgs  `arg:"subcommand:account" help:"show from the logs of hosts that trace requests where and why these were not answered in time"`
 	History  *noArgs       `arg:"subcommand:history" help:"show the last changes"`
 	Status   *noArgs       `arg:"subcommand:status" help:"show the revision in force on each host"`
 	Drain    *drainArgs    `arg:"subcommand:drain" help:"make a host or endpoint leave"`
@@ -152,6 +159,8 @@
 		return t.get(ctx)
 	case t.Explain != nil:
 		return t.explain(ctx)
+	case t.Account != nil:
+		return t.account()
 	case t.History != nil:
 		return t.history(ctx)
 	case t.Status != nil:
--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -23,6 +23,7 @@
 // args are the process settings.
 type args struct {
 	Settings string `arg:"--settings,env:HEATHKEEL_SETTINGS,required" help:"path of the platform's settings file"`
+	Trace    bool   `arg:"--trace,env:HEATHKEEL_TRACE" help:"log a line for every request, without a bound; for measurements, see hkctl account"`
 }
 
 // Version gives the line that --version prints.
@@ -43,7 +44,7 @@
 	log, lines := logs.Open("hkedge", version.Version, os.Stderr)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Log: log.WithValues("host", boot.Host)}
+	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: log.WithValues("host", boot.Host)}
 	err = h.Run(context.Background(), signals)
 	if err != nil {
 		h.Log.Error(err, "stopped")
--- a/edge/host.go
+++ b/edge/host.go
@@ -54,6 +54,8 @@
 	// Boot is the settings file and Path where it lies.
 	Boot platform.Boot
 	Path string
+	// Trace logs a line for every request.
+	Trace bool
 	// Log takes changes of state.
 	Log logr.Logger
 
@@ -118,7 +120,7 @@
 		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true}},
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
-		FirstStart: b.First, BodyMemory: h.bodyMemory(), Log: h.Log.WithName("ingress"),
+		FirstStart: b.First, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -60,6 +60,7 @@
 	if a.status >= http.StatusInternalServerError {
 		c.tell(outcome.EndpointFailed, a.status, "the endpoint's own answer", 0)
 	}
+	c.times.first = c.s.Now()
 	c.copyHeader(a.header)
 	if bodyAllowed(c.r.Method, a.status) {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -75,6 +76,7 @@
 
 // passLarge passes a large answer on as it comes.
 func (c *call) passLarge(a *answer, rest io.Reader, sent time.Duration) (ending, time.Duration) {
+	c.times.first = c.s.Now()
 	c.copyHeader(a.header)
 	c.stream.begun = true
 	c.w.WriteHeader(a.status)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -45,6 +45,7 @@
 	req       *sched.Request
 	at        feed.Endpoint
 	firstSeen bool
+	times     times
 	// failedAnswer says that the endpoint's newest answer was a failure of its own.
 	failedAnswer bool
 	header       http.Header
@@ -84,6 +85,13 @@
 	c.s.active.Add(-1)
 }
 
+// times are the moments and spans of a call that its log line tells.
+type times struct {
+	sent    time.Duration // when it was first sent to an endpoint, 0 for never
+	first   time.Duration // when the first event or answer went to the caller, 0 for never
+	longest time.Duration // the longest pause between two events
+}
+
 // ending says how a send ended.
 type ending uint8
 
@@ -139,6 +147,9 @@
 			return
 		}
 		c.record(metrics.QueueWait, c.s.Now()-c.arrived)
+		if c.times.sent == 0 {
+			c.times.sent = c.s.Now()
+		}
 		c.at = c.s.balance.endpoint(d.Endpoint)
 		end, hold := c.send(ctx)
 		again := false
@@ -211,6 +222,9 @@
 	if e == whole {
 		c.s.Count.Served.Add(1)
 		c.record(metrics.WholeTime, c.s.Now()-c.arrived)
+		if c.s.Trace && !c.failedAnswer {
+			c.tell(outcome.Served, http.StatusOK, "", 0)
+		}
 		return
 	}
 	c.s.balance.done(c, sched.Dropped, 0, 0)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -43,6 +43,8 @@
 	FirstStart bool
 	// BodyMemory bounds the bytes of requests held at once.
 	BodyMemory int64
+	// Trace logs a line for every request, without a bound on their number.
+	Trace bool
 	// Log takes changes of state and failures.
 	Log logr.Logger
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -20,9 +20,10 @@
 
 // stream is what the caller has got of a series of events.
 type stream struct {
-	begun  bool  // the head went to the caller
-	events int   // events passed on
-	last   int64 // number of the last event passed on
+	begun  bool          // the head went to the caller
+	events int           // events passed on
+	last   int64         // number of the last event passed on
+	at     time.Duration // when it was
 }
 
 // Bounds of events.
@@ -135,6 +136,7 @@
 		c.w.WriteHeader(resp.StatusCode)
 		c.stream.begun = true
 	}
+	c.notePause()
 	if _, err := c.w.Write(e.bytes); err != nil {
 		return false
 	}
@@ -146,6 +148,17 @@
 	return more || c.rc.Flush() == nil
 }
 
+// notePause notes the time since the last event that was passed on.
+func (c *call) notePause() {
+	now := c.s.Now()
+	if c.times.first == 0 {
+		c.times.first = now
+	} else {
+		c.times.longest = max(c.times.longest, now-c.stream.at)
+	}
+	c.stream.at = now
+}
+
 // endStream ends a series that came whole.
 func (c *call) endStream(resp *http.Response, n int, sent time.Duration) (ending, time.Duration) {
 	if !c.stream.begun {
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -10,11 +10,21 @@
 	"github.com/heathkeel/heathkeel/outcome"
 )
 
-// tell logs what became of a request, or of a send of it, that did not go well.
-// Requests that went well are counted only. Each kind has a budget of its own, so that
-// a flood of refusals hides no broken stream.
+// tell logs what became of a request, or of a send of it, that did not go well; requests
+// that went well are told only where all are traced. Each kind has a budget of its own, so
+// that a flood of refusals hides no broken stream.
 func (c *call) tell(kind outcome.Kind, status int, why string, after time.Duration) {
 	now := c.s.Now()
+	if !c.s.Trace && !c.mayTell(kind, now) {
+		return
+	}
+	e := c.event(now)
+	e.Outcome, e.Status, e.Why, e.RetryAfterMS = kind, status, why, after.Milliseconds()
+	c.s.Log.Info(outcome.Message, e.Fields()...)
+}
+
+// mayTell takes a line from the budget of a kind, and tells how many lines were dropped.
+func (c *call) mayTell(kind outcome.Kind, now time.Duration) bool {
 	c.s.mu.Lock()
 	budget := c.s.lines[kind]
 	if budget == nil {
@@ -25,21 +35,27 @@
 	c.s.mu.Unlock()
 	if !ok {
 		c.s.Count.LinesDropped.Add(1)
-		return
+		return false
 	}
 	if dropped > 0 {
 		c.s.Log.Info("lines dropped", "outcome", kind, "count", dropped)
 	}
-	e := c.event(now)
-	e.Outcome, e.Status, e.Why, e.RetryAfterMS = kind, status, why, after.Milliseconds()
-	c.s.Log.Info(outcome.Message, e.Fields()...)
+	return true
 }
 
 // event gives what is known of the request.
 func (c *call) event(now time.Duration) outcome.Event {
 	e := outcome.Event{
 		ID: c.id, Endpoint: c.at.Instance, Sends: c.account.Sends(), Events: c.stream.events,
-		HeldMS: (now - c.arrived).Milliseconds(), SettingsAgeMS: -1,
+		HeldMS: (now - c.arrived).Milliseconds(), SettingsAgeMS: -1, FirstMS: -1,
+		TokensIn: c.tokensIn, TokensOut: c.tokensOut, TokensGuess: c.likely,
+		LongestPauseMS: c.times.longest.Milliseconds(),
+	}
+	if c.times.sent > 0 {
+		e.QueuedMS = (c.times.sent - c.arrived).Milliseconds()
+	}
+	if c.times.first > 0 {
+		e.FirstMS = (c.times.first - c.arrived).Milliseconds()
 	}
 	if e.ID == "" {
 		e.ID = c.r.Header.Get(c.s.Headers.Attempt)
@@ -52,12 +68,14 @@
 	}
 	if c.route != nil {
 		e.Route = c.route.Name
+		e.ObjectiveMS, e.PauseObjectiveMS = c.route.Objective.Milliseconds(), c.route.Gap.Milliseconds()
 	}
 	if c.service != nil {
 		e.Service = c.service.Name
 	}
 	if c.req != nil {
 		e.PredictedMS = c.req.Predicted().Milliseconds()
+		e.StepUS, e.Load = c.req.Step().Microseconds(), c.req.Load()
 	}
 	if c.table != nil {
 		e.Revision = c.table.Revision
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -38,8 +38,9 @@
 
 // Site is a store, endpoints and hosts.
 type Site struct {
-	// Log takes the hosts' logs.
-	Log logr.Logger
+	// Log takes the hosts' logs, with a line for every request if Trace is set.
+	Log   logr.Logger
+	Trace bool
 	// Store is the platform's store.
 	Store *Store
 	// StoreAddress is where it listens.
@@ -129,7 +130,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	again := &Host{Boot: h.Boot, Path: h.Path, Signals: make(chan os.Signal, 4), Done: make(chan struct{}), kill: cancel}
 	s.Hosts = append(s.Hosts, again)
-	e := &edge.Host{Boot: again.Boot, Path: again.Path, Log: s.Log}
+	e := &edge.Host{Boot: again.Boot, Path: again.Path, Trace: s.Trace, Log: s.Log}
 	failed := make(chan error, 1)
 	go func() {
 		defer close(again.Done)
--- a/internal/site/told_test.go
+++ b/internal/site/told_test.go
@@ -79,3 +79,42 @@
 		})
 	}
 }
+
+// TestTrace checks that a host that traces requests tells those that went well too, and
+// drops no line.
+func TestTrace(t *testing.T) {
+	var out buffer
+	s := startWith(t, 1, func(s *Site) {
+		s.Log, _ = logs.Open("test", "0", &out)
+		s.Trace = true
+	})
+	cases := []struct {
+		name   string
+		call   Call
+		events int
+	}{
+		{"plain", Call{Path: "/ask/a", Key: Key}, 0},
+		{"stream", Call{Path: "/draft/a", Key: Key, Body: "b", Tokens: "10,30"}, 6},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			tc.call.ID = fmt.Sprintf("trace-%d.", i)
+			must.EqOp(t, 200, Do(s.Hosts[0].Boot.Front, tc.call).Status)
+			s.await(t, "the line", func() bool { return len(out.events(t, tc.call.ID)) == 1 })
+			e := out.events(t, tc.call.ID)[0]
+			must.EqOp(t, outcome.Served, e.Outcome)
+			must.EqOp(t, 1, e.Sends)
+			must.EqOp(t, tc.events, e.Events)
+			must.Between(t, 0, e.FirstMS, e.HeldMS)
+			must.EqOp(t, outcome.InTime, e.Loss())
+		})
+	}
+	t.Run("refusals beyond the budget", func(t *testing.T) {
+		const n = 300
+		for i := range n {
+			Do(s.Hosts[0].Boot.Front, Call{Path: "/none/a", Key: Key, ID: fmt.Sprintf("many-%d.", i)})
+		}
+		s.await(t, "all lines", func() bool { return len(out.events(t, fmt.Sprintf("many-%d.", n-1))) == 1 })
+		must.Len(t, 1, out.events(t, "many-250."))
+	})
+}
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -24,6 +24,9 @@
 	Gone Kind = "caller gone"
 	// SendLost means that a send brought no whole answer; the request may go on elsewhere.
 	SendLost Kind = "send lost"
+	// Served means that the caller got an endpoint's whole answer; it is told only by a
+	// host that traces all requests.
+	Served Kind = "served"
 )
 
 // Event is one line about a request.
@@ -51,6 +54,25 @@
 	HeldMS      int64 `json:"held_ms"`
 	PredictedMS int64 `json:"predicted_ms"`
 	LeftMS      int64 `json:"left_ms"`
+	// TokensIn and TokensOut are the prompt and the most of the answer as the caller named
+	// them, TokensGuess its guess of the answer; 0 where it named none.
+	TokensIn    int `json:"tokens_in"`
+	TokensOut   int `json:"tokens_out"`
+	TokensGuess int `json:"tokens_guess"`
+	// ObjectiveMS is the time to the first event, or to a whole answer that is no stream,
+	// that the route wants, and PauseObjectiveMS the longest pause between two events; 0 for none.
+	ObjectiveMS      int64 `json:"objective_ms"`
+	PauseObjectiveMS int64 `json:"pause_objective_ms"`
+	// QueuedMS is the time from its arrival to its first send, FirstMS to the first event
+	// or answer that was passed on, -1 where there was none; LongestPauseMS is the longest
+	// pause between two events.
+	QueuedMS       int64 `json:"queued_ms"`
+	FirstMS        int64 `json:"first_ms"`
+	LongestPauseMS int64 `json:"longest_pause_ms"`
+	// StepUS is the time of a token at the endpoint as this host knew it at the last send,
+	// in microseconds, and Load the requests that it was taken to have there.
+	StepUS int64   `json:"step_us"`
+	Load   float64 `json:"load"`
 	// RetryAfterMS is when the caller was told to come back.
 	RetryAfterMS int64 `json:"retry_after_ms"`
 	// Revision and SettingsAgeMS tell the settings in force and how old they might be, -1 for unknown.
@@ -64,6 +86,10 @@
 		"id", e.ID, "workspace", e.Workspace, "route", e.Route, "service", e.Service,
 		"outcome", e.Outcome, "status", e.Status, "why", e.Why,
 		"endpoint", e.Endpoint, "sends", e.Sends, "events", e.Events,
+		"tokens_in", e.TokensIn, "tokens_out", e.TokensOut, "tokens_guess", e.TokensGuess,
+		"objective_ms", e.ObjectiveMS, "pause_objective_ms", e.PauseObjectiveMS,
+		"queued_ms", e.QueuedMS, "first_ms", e.FirstMS, "longest_pause_ms", e.LongestPauseMS,
+		"step_us", e.StepUS, "load", e.Load,
 		"held_ms", e.HeldMS, "predicted_ms", e.PredictedMS, "left_ms", e.LeftMS,
 		"retry_after_ms", e.RetryAfterMS, "revision", e.Revision, "settings_age_ms", e.SettingsAgeMS,
 	}
--- a/outcome/story.go
+++ b/outcome/story.go
@@ -18,9 +18,9 @@
 // mostLine bounds a line of a log, in bytes.
 const mostLine = 1 << 20
 
-// Read finds the events of a request in a log. Lines that are no events, or not whole,
-// are passed over; what stands before the first brace of a line is too, so that logs
-// with prefixes of a collector can be read as they are.
+// Read finds the events of a request in a log, or those of all requests if id is empty.
+// Lines that are no events, or not whole, are passed over; what stands before the first
+// brace of a line is too, so that logs with prefixes of a collector can be read as they are.
 func Read(r io.Reader, id string) ([]Event, error) {
 	var out []Event
 	sc := bufio.NewScanner(r)
@@ -35,7 +35,7 @@
 			Event
 			Message string `json:"msg"`
 		}
-		if json.Unmarshal(line[at:], &e) == nil && e.Message == Message && e.ID == id {
+		if json.Unmarshal(line[at:], &e) == nil && e.Message == Message && (id == "" || e.ID == id) {
 			out = append(out, e.Event)
 		}
 	}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -10,6 +10,7 @@
 type candidate struct {
 	e      *endpointState
 	cached int // prompt tokens held
+	load   float64
 	first  time.Duration
 	whole  time.Duration
 	worth  float64 // see chooseByWorth
@@ -71,7 +72,7 @@
 		if e == r.avoid || !s.admits(now, r, e, load) {
 			continue
 		}
-		c := candidate{e: e, cached: s.cachedAt(e)}
+		c := candidate{e: e, cached: s.cachedAt(e), load: load}
 		c.first = s.predict(now, r, e, load, c.cached)
 		c.whole = s.completion(now, r, e, c.first)
 		if e.Far {
--- a/sched/order.go
+++ b/sched/order.go
@@ -113,6 +113,7 @@
 	}
 	d := Decision{Request: r, Verdict: Run, Endpoint: c.e.Name, ImportFrom: s.importFrom(now, c)}
 	r.at, r.sentAt, r.predicted = c.e, now, c.first
+	r.step, r.load = c.e.step(), c.load
 	r.avoid = nil
 	c.e.start(now, r)
 	r.pool.tiers[r.rank()].charge(r)
--- a/sched/request.go
+++ b/sched/request.go
@@ -48,6 +48,8 @@
 	at        *endpointState
 	sentAt    time.Duration
 	predicted time.Duration
+	step      time.Duration // of the endpoint at the last dispatch
+	load      float64       // there, at the last dispatch
 	firstAt   time.Duration
 	tokens    int
 	avoid     *endpointState
@@ -64,6 +66,12 @@
 // Predicted is the time to the first token that was predicted at the last dispatch.
 func (r *Request) Predicted() time.Duration { return r.predicted }
 
+// Step is the time of a token at the endpoint of the last dispatch, as it was known then.
+func (r *Request) Step() time.Duration { return r.step }
+
+// Load is the number of requests that the endpoint of the last dispatch was taken to have.
+func (r *Request) Load() float64 { return r.load }
+
 // rank is the tier's place, 0 the highest, bounded by maxRanks.
 func (r *Request) rank() int { return min(max(r.Settings.Rank, 0), maxRanks-1) }
 
--- a/sched/value.go
+++ b/sched/value.go
@@ -123,7 +123,7 @@
 		if e == r.avoid || !s.admits(now, r, e, load) {
 			continue
 		}
-		c := candidate{e: e, cached: s.cachedAt(e)}
+		c := candidate{e: e, cached: s.cachedAt(e), load: load}
 		c.first = s.predict(now, r, e, load, c.cached)
 		c.worth = s.worth(now, r, e, load, c.first, due)
 		c.room = load/float64(e.slots()) + e.prefillTime(s.prefillAhead(now, r, e)).Seconds()/r.Aim.First.Seconds()
