--- a/sched/value.go
+++ b/sched/value.go
@@ -112,7 +112,7 @@
 	s.matchPrefix(r)
 	s.cands = s.cands[:0]
 	due := s.due(now, r)
-	best, ideal := 0.0, 0.0
+	best, ideal := math.Inf(-1), 0.0
 	for _, e := range r.pool.members {
 		if !e.usable(now) {
 			continue
--- a/sched/value_test.go
+++ b/sched/value_test.go
@@ -72,6 +72,22 @@
 	}
 }
 
+// TestLastChanceOfWorthless has a request that is worth less than nothing wherever it goes,
+// as its prompt delays more than it earns: once it has waited as long as it may it is sent
+// all the same, since endpoints have room.
+func TestLastChanceOfWorthless(t *testing.T) {
+	s := aimed([]time.Duration{12 * time.Millisecond, 12 * time.Millisecond}, []int{40000, 40000}, []int{8, 8})
+	r := &Request{
+		Settings: &settings.Effective{Workspace: "w", Service: "s", Weight: 1, Queue: 10}, Model: "m", PromptTokens: 60000,
+		MaxTokens: 100, LikelyTokens: 100, Deadline: 20 * time.Second, Start: 200 * time.Millisecond,
+		Aim: Aim{First: 800 * time.Millisecond, Gap: 250 * time.Millisecond, EventTokens: 6},
+	}
+	must.EqOp(t, Wait, s.Submit(0, r).Verdict)
+	got := s.Poll(r.Start)
+	must.Len(t, 1, got)
+	must.EqOp(t, Run, got[0].Verdict)
+}
+
 // TestStalls holds the pause that the reading of prompts makes against the one wanted.
 func TestStalls(t *testing.T) {
 	cases := []struct {
