hkedge: no second factor of slowness beside the paces that are learned

Cause: a first token that waited behind other prompts was read as a sign of a slow engine. The factor reached 27 at the fastest engines, which were then eased out, so that long prompts went to engines four times slower or were refused; predicted first tokens of 15 to 30 s where 1 to 3 s came. The pace of each endpoint is learned from its running streams since the last round, so the factor counted slowness twice. It stays for hkrouter, whose engines report their own pace.

--- a/edge/host.go
+++ b/edge/host.go
@@ -117,7 +117,7 @@
 		}},
 	}
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true}},
+		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true}},
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		FirstStart: b.First, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
