ingress, platform: without strict revocation, keys are taken whatever the age of the settings

Cause: StrictRevoke of the settings file was read nowhere; every request with a key was refused 503 from 0.6 of RevokeMs on, also where the operators prefer service to a sure withdrawal. Without strictness a host that cannot hear of changes goes on with what it knows; callers are still sent to hosts with young settings first, and unknown keys and routes are still not said to be unknown by old settings. A settings file that says nothing is strict.

--- a/edge/host.go
+++ b/edge/host.go
@@ -129,7 +129,7 @@
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
-	h.ingress.SetBounds(trust(b), sure(b))
+	h.ingress.SetAges(ages(b))
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
 		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: time.Second, Pause: 400 * time.Millisecond,
@@ -303,18 +303,18 @@
 	}
 	h.read = b
 	h.agent.SetSeeds(h.seeds(b.Seeds))
-	h.ingress.SetBounds(trust(&b), sure(&b))
-	h.Log.Info("settings file in force", "seeds", len(b.Seeds), "trust", trust(&b).String())
+	a := ages(&b)
+	h.ingress.SetAges(a)
+	h.Log.Info("settings file in force", "seeds", len(b.Seeds), "trust", a.Trust.String(), "strict", a.Strict)
 }
 
-// trust and sure are the ages of the settings up to which keys are taken, and up
-// to which what is unknown is surely unknown.
-func trust(b *platform.Boot) time.Duration {
-	return time.Duration(trustShare * float64(b.RevokeTime))
-}
-
-func sure(b *platform.Boot) time.Duration {
-	return time.Duration(sureShare * float64(b.ConfigTime))
+// ages gives the bounds on the age of the settings.
+func ages(b *platform.Boot) ingress.Ages {
+	return ingress.Ages{
+		Trust:  time.Duration(trustShare * float64(b.RevokeTime)),
+		Strict: b.StrictRevoke,
+		Sure:   time.Duration(sureShare * float64(b.ConfigTime)),
+	}
 }
 
 // watchFile looks for changes of the settings file that nobody tells.
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -52,7 +52,7 @@
 
 // unknown refuses what the settings do not hold, if they are surely the newest.
 func (c *call) unknown(status int, why string) *refusal {
-	if age, ok := c.s.Settings.Age.At(c.s.Now()); !ok || age > time.Duration(c.s.sure.Load()) {
+	if age, ok := c.s.Settings.Age.At(c.s.Now()); !ok || age > c.s.ages.Load().Sure {
 		c.s.Count.Stale.Add(1)
 		return &refusal{http.StatusServiceUnavailable, "settings are too old to say; come back", time.Second}
 	}
@@ -83,7 +83,7 @@
 	if c.route.Public || len(c.table.Document.Workspaces) == 0 {
 		return nil
 	}
-	if !c.s.Fresh() {
+	if !c.s.takesKeys() {
 		c.s.Count.Stale.Add(1)
 		return &refusal{http.StatusServiceUnavailable, "settings are too old for keys; use another host", time.Second}
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -52,8 +52,7 @@
 	balance *balancer
 	active  atomic.Int64
 	bodies  atomic.Int64
-	trust   atomic.Int64
-	sure    atomic.Int64
+	ages    atomic.Pointer[Ages]
 	stopAt  atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
 
 	mu      sync.Mutex
@@ -77,16 +76,24 @@
 	s.retries = make(map[string]*quota.Retries)
 	s.lines = make(map[outcome.Kind]*outcome.Budget)
 	s.hosts = 1
+	s.SetAges(Ages{Strict: true})
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 }
 
-// SetBounds sets the age of the settings up to which requests with a key are taken,
-// and that up to which an unknown route or key is said to be unknown.
-func (s *Server) SetBounds(trust, sure time.Duration) {
-	s.trust.Store(int64(trust))
-	s.sure.Store(int64(sure))
+// Ages bound what a host does with settings that may be old.
+type Ages struct {
+	// Trust is the age up to which they are taken to know which keys were withdrawn.
+	Trust time.Duration
+	// Strict says that requests with keys are refused beyond Trust; else they are taken
+	// with the keys that are known, and only callers are sent to other hosts.
+	Strict bool
+	// Sure is the age up to which an unknown route or key is said to be unknown.
+	Sure time.Duration
 }
 
+// SetAges puts bounds in force.
+func (s *Server) SetAges(a Ages) { s.ages.Store(&a) }
+
 // dialTimeout bounds the opening of a connection to an endpoint.
 const dialTimeout = 700 * time.Millisecond
 
@@ -157,12 +164,15 @@
 // Active tells how many requests are held.
 func (s *Server) Active() int64 { return s.active.Load() }
 
-// Fresh tells whether the settings are young enough to take requests with keys.
+// Fresh tells whether the settings are young enough to know which keys were withdrawn.
 func (s *Server) Fresh() bool {
 	age, ok := s.Settings.Age.At(s.Now())
-	return ok && age < time.Duration(s.trust.Load())
+	return ok && age < s.ages.Load().Trust
 }
 
+// takesKeys tells whether requests with keys are taken.
+func (s *Server) takesKeys() bool { return !s.ages.Load().Strict || s.Fresh() }
+
 // Stop begins a planned stop: answers close their connections, and after a while
 // new requests are refused.
 func (s *Server) Stop() { s.stopAt.CompareAndSwap(0, int64(s.Now())) }
--- a/internal/site/life_test.go
+++ b/internal/site/life_test.go
@@ -47,6 +47,24 @@
 	})
 }
 
+// TestLenientRevocation checks that without strict revocation a host that hears nothing of
+// the settings any more goes on with the keys that it knows, and refuses none as unknown.
+func TestLenientRevocation(t *testing.T) {
+	s := startWith(t, 1, func(s *Site) { s.Lenient = true })
+	front := s.Hosts[0].Boot.Front
+	s.Store.SetFault(StoreFault{Status: 503})
+	s.await(t, "settings are old", func() bool {
+		return Do(front, Call{Path: "/ask/a", Key: "unknown", ID: "r"}).Status == 503
+	})
+	time.Sleep(4 * time.Second) // a strict host takes no key from an age of 3 s on
+	must.EqOp(t, 200, Do(front, Call{Path: "/ask/a", Key: Key, ID: "r"}).Status)
+	must.EqOp(t, 503, Do(front, Call{Path: "/ask/a", Key: "unknown", ID: "r"}).Status)
+	s.Store.SetFault(StoreFault{})
+	s.await(t, "unknown keys are told again", func() bool {
+		return Do(front, Call{Path: "/ask/a", Key: "unknown", ID: "r"}).Status == 401
+	})
+}
+
 // TestEndpointLeaves checks that a leaving endpoint gets no more work.
 func TestEndpointLeaves(t *testing.T) {
 	s := start(t, 1)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -41,6 +41,8 @@
 	// Log takes the hosts' logs, with a line for every request if Trace is set.
 	Log   logr.Logger
 	Trace bool
+	// Lenient starts hosts that take keys whatever the age of their settings.
+	Lenient bool
 	// Store is the platform's store.
 	Store *Store
 	// StoreAddress is where it listens.
@@ -100,7 +102,7 @@
 	b := platform.Boot{
 		Host: fmt.Sprintf("host-%d", n), Zone: fmt.Sprintf("zone-%d", n%2), Region: "local", IP: ip,
 		Front: at(0), Ready: at(1), Control: at(2), Directory: at(3), PeerPort: s.ports + 4, Store: s.StoreAddress, First: true,
-		MemoryMB: 256, ConfigTime: 2 * time.Second, RevokeTime: 5 * time.Second, ContactTime: 3 * time.Second,
+		MemoryMB: 256, ConfigTime: 2 * time.Second, RevokeTime: 5 * time.Second, StrictRevoke: !s.Lenient, ContactTime: 3 * time.Second,
 		DrainTime: 2 * time.Second, Grace: 8 * time.Second, Heartbeat: time.Second, AnswerLife: 5 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 	}
