peers, sched: changed loads are told within 25 ms; hosts claim free places in proportion to what they have waiting

Now what changed is told in small datagrams as soon as it did (fleets of up to 9 hosts; heartbeats tell all as before and make lost ones good), and while requests of the same or a higher tier wait at other hosts a place is filled by the host whose request ended there, or by a claim drawn with the host's share of all that waits.

--- a/edge/host.go
+++ b/edge/host.go
@@ -204,7 +204,7 @@
 		Address: h.peerAddress(), Front: h.Boot.Front, Control: h.Boot.Control, Zone: h.Boot.Zone, Region: h.Boot.Region,
 		Ready: h.ready(), Fresh: h.ingress.Fresh(),
 	}
-	b.Load = h.ingress.Loads()
+	b.Load, b.Waiting = h.ingress.Loads()
 	told := h.ingress.Tell()
 	b.Used, b.Left = told.Used, told.Left
 	b.AgeMS = -1
@@ -218,6 +218,12 @@
 	h.ingress.Heard(b.Host, b.Life, quota.Told{Used: b.Used, Left: b.Left})
 }
 
+// Changes implements peers.Host.
+func (h *Host) Changes() (map[string]peers.Load, map[string][]int, bool) { return h.ingress.Changes() }
+
+// LoadsHeard implements peers.Host.
+func (h *Host) LoadsHeard() { h.shareLoads() }
+
 // Proved implements peers.Host: settings that a peer knows to be newest are so
 // here too, and newer ones are asked for.
 func (h *Host) Proved(p peers.Proof) {
@@ -243,6 +249,7 @@
 		h.ingress.Tick()
 		if n%2 == 0 {
 			h.shareLoads()
+			h.shareHosts()
 		}
 		if n%10 == 0 {
 			h.ingress.Sweep()
@@ -254,10 +261,15 @@
 func (h *Host) shareLoads() {
 	live := h.agent.Live()
 	loads := make([]map[string]peers.Load, len(live))
+	waiting := make([]map[string][]int, len(live))
 	for i := range live {
-		loads[i] = live[i].Load
+		loads[i], waiting[i] = live[i].Load, live[i].Waiting
 	}
-	h.ingress.SetOthers(loads)
+	h.ingress.SetOthers(loads, waiting)
+}
+
+// shareHosts tells the ingress which hosts share amounts and endpoints with this one.
+func (h *Host) shareHosts() {
 	counted := h.agent.Counted()
 	names := make(map[string]bool, len(counted))
 	for i := range counted {
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -31,6 +31,8 @@
 	prefill map[string]*sched.Quantile // by service: prompt tokens read in a step
 	values  map[valueRef]*settings.Effective
 	ranks   map[string][]rankOf // by service, sorted
+	changed map[string]bool     // endpoints whose own load changed since it was told
+	waited  bool                // something waited when it was told last
 }
 
 // valueRef names the values in force for a workspace on a route.
@@ -49,7 +51,7 @@
 	s.Init()
 	return &balancer{
 		zone: zone, now: now, sched: s, targets: make(map[string]*target),
-		prefill: make(map[string]*sched.Quantile), values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf),
+		prefill: make(map[string]*sched.Quantile), values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf), changed: make(map[string]bool),
 	}
 }
 
@@ -177,8 +179,8 @@
 	b.sched.Peers = max(1, n)
 }
 
-// setOthers takes what the live hosts have running.
-func (b *balancer) setOthers(now time.Duration, loads []map[string]peers.Load) {
+// setOthers takes what the live hosts have running and waiting.
+func (b *balancer) setOthers(now time.Duration, loads []map[string]peers.Load, waiting []map[string][]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, t := range b.targets {
@@ -197,22 +199,58 @@
 		}
 	}
 	b.report(now)
+	b.sched.SetOthersWaiting(now, sumWaiting(waiting))
 	b.poll(now)
 }
 
-// loads tells what this host has running.
-func (b *balancer) loads() map[string]peers.Load {
+// sumWaiting adds up what waits at several hosts.
+func sumWaiting(hosts []map[string][]int) map[string][]int {
+	sum := make(map[string][]int)
+	for _, h := range hosts {
+		for service, tiers := range h {
+			for len(sum[service]) < len(tiers) {
+				sum[service] = append(sum[service], 0)
+			}
+			for k, n := range tiers {
+				sum[service][k] += n
+			}
+		}
+	}
+	return sum
+}
+
+// loads tells what this host has running and waiting.
+func (b *balancer) loads() (map[string]peers.Load, map[string][]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]peers.Load)
 	for name, t := range b.targets {
 		if t.own.Running > 0 {
-			l := t.own
-			l.Step = time.Duration(t.step.Value).Microseconds()
-			out[name] = l
+			out[name] = t.load()
+		}
+	}
+	return out, b.sched.OwnWaiting()
+}
+
+// changes tells the loads that changed since they were told last, and what waits; false if
+// nothing changed.
+func (b *balancer) changes() (map[string]peers.Load, map[string][]int, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	waiting := b.sched.OwnWaiting()
+	if len(b.changed) == 0 && len(waiting) == 0 && !b.waited {
+		return nil, nil, false
+	}
+	b.waited = len(waiting) > 0
+	out := make(map[string]peers.Load, len(b.changed))
+	for name := range b.changed {
+		out[name] = peers.Load{}
+		if t := b.targets[name]; t != nil {
+			out[name] = t.load()
 		}
 	}
-	return out
+	clear(b.changed)
+	return out, waiting, true
 }
 
 // poll delivers decisions on waiting requests; mu must be held.
@@ -236,6 +274,7 @@
 	if t := b.targets[d.Endpoint]; t != nil {
 		t.own.Running++
 		t.own.Prefill += d.Request.PromptTokens
+		b.changed[d.Endpoint] = true
 	}
 }
 
@@ -280,6 +319,7 @@
 	if t == nil {
 		return
 	}
+	b.changed[c.at.Instance] = true
 	t.own.Running--
 	if !c.firstSeen {
 		t.own.Prefill -= c.req.PromptTokens
@@ -297,6 +337,7 @@
 	c.firstSeen = true
 	if t := b.targets[c.at.Instance]; t != nil {
 		t.own.Prefill -= c.req.PromptTokens
+		b.changed[c.at.Instance] = true
 		b.learnPrefill(t, c.req.PromptTokens, b.now()-sent)
 	}
 	b.sched.FirstToken(b.now(), c.req)
--- a/ingress/balance_test.go
+++ b/ingress/balance_test.go
@@ -52,9 +52,9 @@
 // TestPaceFromPeers checks that the pace that others tell is used until an own one is known.
 func TestPaceFromPeers(t *testing.T) {
 	b, now := engines(1)
-	b.setOthers(*now, []map[string]peers.Load{{"e0": {Running: 1, Step: 8000}}, {}})
+	b.setOthers(*now, []map[string]peers.Load{{"e0": {Running: 1, Step: 8000}}, {}}, nil)
 	must.EqOp(t, 8*time.Millisecond, b.targets["e0"].pace())
-	b.setOthers(*now, []map[string]peers.Load{{}, {}})
+	b.setOthers(*now, []map[string]peers.Load{{}, {}}, nil)
 	must.EqOp(t, 8*time.Millisecond, b.targets["e0"].pace()) // it stays known
 	b.paced(&call{at: feed.Endpoint{Instance: "e0"}}, 2*time.Millisecond)
 	must.EqOp(t, 2*time.Millisecond, b.targets["e0"].pace())
@@ -93,7 +93,7 @@
 				}
 			}
 			b.tick(*now)
-			b.setOthers(*now, nil)
+			b.setOthers(*now, nil, nil)
 			got := make(map[string]bool)
 			for range 40 {
 				c := &call{
@@ -134,3 +134,28 @@
 		})
 	}
 }
+
+// TestChangesAreTold checks that what changed at an endpoint is told once, also that
+// nothing runs there any more.
+func TestChangesAreTold(t *testing.T) {
+	b, _ := engines(2)
+	c := &call{
+		req:   &sched.Request{Model: "s", PromptTokens: 100, Deadline: time.Hour, Aim: sched.Aim{First: time.Second}, Data: make(chan sched.Decision, 1)},
+		route: &route.Route{}, service: &route.Service{Name: "s", Engine: true},
+	}
+	_, _, ok := b.changes()
+	must.False(t, ok)
+	d := b.submit(c)
+	must.EqOp(t, sched.Run, d.Verdict)
+	c.at.Instance = d.Endpoint
+	load, waiting, ok := b.changes()
+	must.True(t, ok)
+	must.Eq(t, map[string]peers.Load{d.Endpoint: {Running: 1, Prefill: 100}}, load)
+	must.MapEmpty(t, waiting)
+	_, _, ok = b.changes()
+	must.False(t, ok)
+	b.done(c, sched.Whole, 1, 0)
+	load, _, ok = b.changes()
+	must.True(t, ok)
+	must.Eq(t, map[string]peers.Load{d.Endpoint: {}}, load)
+}
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -6,8 +6,18 @@
 
 import "github.com/heathkeel/heathkeel/peers"
 
-// Loads tells what this host has running, by endpoint.
-func (s *Server) Loads() map[string]peers.Load { return s.balance.loads() }
+// Loads tells what this host has running, by endpoint, and how many requests wait, by
+// service and tier.
+func (s *Server) Loads() (map[string]peers.Load, map[string][]int) { return s.balance.loads() }
 
-// SetOthers takes what the other live hosts have running.
-func (s *Server) SetOthers(loads []map[string]peers.Load) { s.balance.setOthers(s.Now(), loads) }
+// Changes tells the loads that changed since its last call and what waits, and false if
+// nothing changed.
+func (s *Server) Changes() (map[string]peers.Load, map[string][]int, bool) {
+	return s.balance.changes()
+}
+
+// SetOthers takes what the other live hosts have running and how many requests wait there,
+// by service and tier.
+func (s *Server) SetOthers(loads []map[string]peers.Load, waiting []map[string][]int) {
+	s.balance.setOthers(s.Now(), loads, waiting)
+}
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -30,6 +30,13 @@
 	return time.Duration(t.others.Step) * time.Microsecond
 }
 
+// load is what the host tells others of its own requests there.
+func (t *target) load() peers.Load {
+	l := t.own
+	l.Step = time.Duration(t.step.Value).Microseconds()
+	return l
+}
+
 // Figures of the learning of speeds.
 const (
 	// prefillPerStep is the number of prompt tokens that an engine is taken to read in a
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -20,6 +20,10 @@
 	DefaultEvery = 200 * time.Millisecond
 	// fanout is the number of members that get a heartbeat.
 	fanout = 8
+	// updateEvery is the time between two looks for loads that changed: about the time in
+	// which a request more or less comes to an endpoint of a busy fleet, and more than the
+	// datagrams of a zone take.
+	updateEvery = 25 * time.Millisecond
 	// seedEvery is how many heartbeats pass between two to the seeds.
 	seedEvery = 5
 	// knownEvery is how many heartbeats pass between two that name other hosts, where
@@ -42,6 +46,11 @@
 	Fill(b *Beat)
 	// Heard is called with each heartbeat of another host.
 	Heard(b *Beat)
+	// Changes gives the loads that changed since its last call and what waits, and false
+	// if nothing did.
+	Changes() (map[string]Load, map[string][]int, bool)
+	// LoadsHeard is called soon after other hosts told of changed loads.
+	LoadsHeard()
 	// Proved is called when a peer proved a revision of the settings.
 	Proved(p Proof)
 }
@@ -66,6 +75,7 @@
 	Log logr.Logger
 
 	mu    sync.Mutex
+	heard bool // updates came since the last look
 	extra []string
 	kick  chan struct{}
 	ticks int
@@ -129,6 +139,7 @@
 // Run sends and hears until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	go a.receive(ctx)
+	go a.tellChanges(ctx)
 	t := time.NewTicker(a.Every)
 	defer t.Stop()
 	for {
@@ -149,7 +160,7 @@
 	a.mu.Lock()
 	now := a.Now()
 	to := a.Table.Targets(now, fanout, a.Rand)
-	b.Seq = a.Table.Next(now)
+	b.Seq, b.LoadSeq = a.Table.Next(now), a.Table.NextLoad()
 	b.Echo = a.Table.Echo(to)
 	if a.ticks%knownEvery == 0 || len(to) >= fanout {
 		b.Known = a.Table.KnownRows(now, a.Rand)
@@ -170,14 +181,19 @@
 		a.Log.Info("heartbeat not sent", "bytes", len(data))
 		return
 	}
+	a.write(data, addresses, b.Row.Address)
+}
+
+// write sends a datagram to each of some addresses once, but not to the host itself.
+func (a *Agent) write(data []byte, addresses []string, self string) {
 	done := make(map[string]bool, len(addresses))
 	for _, address := range addresses {
-		if done[address] || address == b.Row.Address {
+		if done[address] || address == self {
 			continue
 		}
 		done[address] = true
 		if to, err := net.ResolveUDPAddr("udp", address); err == nil {
-			// A lost heartbeat is followed by the next.
+			// A lost datagram is followed by the next.
 			_, _ = a.Conn.WriteTo(data, to)
 		}
 	}
@@ -216,12 +232,79 @@
 			time.Sleep(a.Every)
 			continue
 		}
-		if b, err := decode(buf[:n]); err == nil {
-			a.hear(b)
+		// One that cannot be read is passed over: it may be damaged or of another
+		// version, and the next full heartbeat tells all.
+		msg, err := decode(buf[:n])
+		if err != nil {
+			continue
+		}
+		switch msg := msg.(type) {
+		case *Beat:
+			a.hear(msg)
+		case *Update:
+			a.hearUpdate(msg)
 		}
 	}
 }
 
+// hearUpdate takes changed loads.
+func (a *Agent) hearUpdate(u *Update) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.Table.HearUpdate(u) {
+		a.heard = true
+	}
+}
+
+// tellChanges tells the others of changed loads, and the program of theirs, until ctx ends.
+func (a *Agent) tellChanges(ctx context.Context) {
+	t := time.NewTicker(updateEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		a.sendChanges()
+		a.mu.Lock()
+		heard := a.heard
+		a.heard = false
+		a.mu.Unlock()
+		if heard {
+			a.Host.LoadsHeard()
+		}
+	}
+}
+
+// sendChanges sends an update where all others can be told directly and something changed.
+func (a *Agent) sendChanges() {
+	a.mu.Lock()
+	to := a.Table.Live(a.Now())
+	addresses := make([]string, 0, len(to))
+	for _, m := range to {
+		addresses = append(addresses, m.Row.Address)
+	}
+	a.mu.Unlock()
+	if len(addresses) == 0 || len(addresses) > fanout {
+		return
+	}
+	load, waiting, ok := a.Host.Changes()
+	if !ok {
+		return
+	}
+	u := Update{Host: a.Table.Host, Life: a.Table.Life, Load: load, Waiting: waiting}
+	a.mu.Lock()
+	u.LoadSeq = a.Table.NextLoad()
+	a.mu.Unlock()
+	data, err := encodeUpdate(&u)
+	if err != nil {
+		a.Log.Error(err, "update not sent")
+		return
+	}
+	a.write(data, addresses, "")
+}
+
 // hear takes one heartbeat.
 func (a *Agent) hear(b *Beat) {
 	if b.Host == a.Table.Host {
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -17,8 +17,11 @@
 	Row Row `json:"r"`
 	// Known are other hosts that the sender heard of lately.
 	Known []Known `json:"k,omitempty"`
-	// Load is what the sender has running, by endpoint.
-	Load map[string]Load `json:"o,omitempty"`
+	// Load is what the sender has running, by endpoint, and Waiting the number of requests
+	// that wait, by service and tier. LoadSeq numbers them together with those of updates.
+	Load    map[string]Load  `json:"o,omitempty"`
+	Waiting map[string][]int `json:"t,omitempty"`
+	LoadSeq uint32           `json:"n,omitempty"`
 	// Used is what the sender used in its life, by workspace.
 	Used map[string]float64 `json:"u,omitempty"`
 	// Left is the level of workspaces whose amount is nearly used up.
--- a/peers/codec_test.go
+++ b/peers/codec_test.go
@@ -29,8 +29,14 @@
 	must.NoError(t, err)
 	got, err := decode(data)
 	must.NoError(t, err)
-	must.Eq(t, b, got)
-	for _, bad := range [][]byte{nil, []byte("{}"), data[:len(data)/2], bytes.Repeat([]byte{0xff}, 100)} {
+	must.Eq(t, any(b), got)
+	u := &Update{Host: "edge-a-1", Life: 1 << 50, LoadSeq: 9, Load: b.Load, Waiting: map[string][]int{"s": {0, 3}}}
+	text, err := encodeUpdate(u)
+	must.NoError(t, err)
+	got, err = decode(text)
+	must.NoError(t, err)
+	must.Eq(t, any(u), got)
+	for _, bad := range [][]byte{nil, []byte("{}"), data[:len(data)/2], data[1:], text[:len(text)/2], {kindUpdate}, bytes.Repeat([]byte{0xff}, 100)} {
 		_, err := decode(bad)
 		must.Error(t, err)
 	}
@@ -40,9 +46,20 @@
 	data, err := encode(fullBeat(3))
 	must.NoError(f, err)
 	f.Add(data)
+	text, err := encodeUpdate(&Update{Host: "h", LoadSeq: 1, Load: map[string]Load{"e": {Running: 1}}})
+	must.NoError(f, err)
+	f.Add(text)
 	f.Fuzz(func(_ *testing.T, data []byte) {
-		if b, err := decode(data); err == nil {
-			(&Table{Host: "x"}).Hear(0, b)
+		table := &Table{Host: "x"}
+		msg, err := decode(data)
+		if err != nil {
+			return
+		}
+		switch msg := msg.(type) {
+		case *Beat:
+			table.Hear(0, msg)
+		case *Update:
+			table.HearUpdate(msg)
 		}
 	})
 }
--- a/peers/table.go
+++ b/peers/table.go
@@ -36,11 +36,14 @@
 	Row Row
 	// Heard is when it was last known to live.
 	Heard time.Duration
-	// Load is what it has running.
-	Load map[string]Load
+	// Load is what it has running, by endpoint, and Waiting the number of requests that
+	// wait there, by service and tier.
+	Load    map[string]Load
+	Waiting map[string][]int
 
 	direct  time.Duration
 	lastSeq uint32
+	loadSeq uint32
 }
 
 // Proof says that a peer knew its settings' revision to be the newest at a moment of this host's clock.
@@ -62,6 +65,7 @@
 
 	members map[string]*Member
 	seq     uint32
+	loadSeq uint32
 	sent    [seqRing]time.Duration
 }
 
@@ -72,6 +76,12 @@
 	return t.seq
 }
 
+// NextLoad numbers loads that are told now.
+func (t *Table) NextLoad() uint32 {
+	t.loadSeq++
+	return t.loadSeq
+}
+
 // Echo gives the newest numbers heard of the given members.
 func (t *Table) Echo(to []*Member) map[string]uint32 {
 	out := make(map[string]uint32, len(to))
@@ -94,8 +104,11 @@
 	if b.Life == m.Life && b.Seq <= m.lastSeq {
 		return Proof{}, false
 	}
+	if b.Life != m.Life || b.LoadSeq >= m.loadSeq {
+		m.Load, m.Waiting, m.loadSeq = b.Load, b.Waiting, b.LoadSeq
+	}
 	m.Life, m.lastSeq, m.Row = b.Life, b.Seq, b.Row
-	m.Heard, m.direct, m.Load = now, now, b.Load
+	m.Heard, m.direct = now, now
 	for _, k := range b.Known {
 		t.hearOf(now, k)
 	}
@@ -129,7 +142,7 @@
 	m := t.member(k.Host)
 	if m.Row.Address == "" || (heard > m.direct && heard > m.Heard) {
 		if m.Life != k.Life {
-			m.Life, m.lastSeq = k.Life, 0
+			m.Life, m.lastSeq, m.loadSeq = k.Life, 0, 0
 		}
 		m.Row, m.Heard = k.Row, max(heard, m.Heard)
 	}
--- /dev/null
+++ b/peers/update_test.go
@@ -0,0 +1,66 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestUpdates gives a host updates and heartbeats of another one in several orders; what it
+// holds of that host's loads in the end must be the newest that was told.
+func TestUpdates(t *testing.T) {
+	two, three, none := Load{Running: 2}, Load{Running: 3}, Load{}
+	first := &Beat{Host: "b", Life: 1, Seq: 1, LoadSeq: 1, Load: map[string]Load{"e": two}}
+	second := &Update{Host: "b", Life: 1, LoadSeq: 2, Load: map[string]Load{"f": two}, Waiting: map[string][]int{"s": {1}}}
+	third := &Update{Host: "b", Life: 1, LoadSeq: 3, Load: map[string]Load{"e": none, "f": three}}
+	full := &Beat{Host: "b", Life: 1, Seq: 2, LoadSeq: 4, Load: map[string]Load{"f": three}}
+	reborn := &Beat{Host: "b", Life: 2, Seq: 1, LoadSeq: 1, Load: map[string]Load{"g": two}}
+	cases := []struct {
+		name    string
+		heard   []any
+		want    map[string]Load
+		waiting int
+	}{
+		{"in order", []any{first, second}, map[string]Load{"e": two, "f": two}, 1},
+		{"an endpoint without requests any more", []any{first, second, third}, map[string]Load{"e": none, "f": three}, 0},
+		{"an overtaken update is passed over", []any{first, third, second}, map[string]Load{"e": none, "f": three}, 0},
+		{"an overtaken heartbeat keeps the loads", []any{first, third, &Beat{Host: "b", Life: 1, Seq: 2, LoadSeq: 2}}, map[string]Load{"e": none, "f": three}, 0},
+		{"a lost update is made good", []any{first, full}, map[string]Load{"f": three}, 0},
+		{"an update of a host not known yet", []any{second}, nil, 0},
+		{"an update of an ended life", []any{first, reborn, third}, map[string]Load{"g": two}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			table := &Table{Host: "a", Life: 9}
+			var given []Member
+			for _, msg := range tc.heard {
+				switch msg := msg.(type) {
+				case *Beat:
+					table.Hear(time.Second, msg)
+				case *Update:
+					table.HearUpdate(msg)
+				}
+				if len(given) == 0 {
+					given = values(table.Live(time.Second))
+				}
+			}
+			live := table.Live(time.Second)
+			if tc.want == nil {
+				must.Len(t, 0, live)
+				return
+			}
+			must.Eq(t, tc.want, live[0].Load)
+			sum := 0
+			for _, n := range live[0].Waiting["s"] {
+				sum += n
+			}
+			must.EqOp(t, tc.waiting, sum)
+			must.Eq(t, first.Load, given[0].Load) // a copy given out before stays as it was
+		})
+	}
+}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -41,6 +41,9 @@
 	if !e.usable(now) || (load >= limit && !s.withinShare(e, limit)) {
 		return false
 	}
+	if !s.mayFill(r, e) {
+		return false
+	}
 	if e.eased && (e.own > 0 || r.rank() == 0) {
 		return false
 	}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -60,6 +60,8 @@
 	hasReport bool
 	downUntil time.Duration
 
+	vacated    int           // places that own requests left since the last draw of claims
+	claims     int           // free places that this host may take beside others
 	own        int           // own requests there
 	ownLong    int           // long ones of them
 	ownPrefill [maxRanks]int // own prompt tokens sent and without first token
@@ -172,6 +174,7 @@
 // end counts the end of a request.
 func (e *endpointState) end(now time.Duration, r *Request) {
 	e.own--
+	e.vacated++
 	if r.long {
 		e.ownLong--
 	}
--- a/sched/order.go
+++ b/sched/order.go
@@ -115,6 +115,7 @@
 	r.at, r.sentAt, r.predicted = c.e, now, c.first
 	r.step, r.load = c.e.step(), c.load
 	r.avoid = nil
+	c.e.fill()
 	c.e.start(now, r)
 	r.pool.tiers[r.rank()].charge(r)
 	s.remember(now, d, s.cands[:min(len(s.cands), maxCandidates)])
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -23,7 +23,10 @@
 	// Hosts gives the number of hosts that serve a workspace; nil means 1.
 	Hosts func(workspace string) int
 
-	cfg       Config
+	cfg Config
+	// othersWaiting counts requests that wait at other hosts, by model and tier.
+	othersWaiting map[string][]int
+
 	endpoints []*endpointState
 	byName    map[string]*endpointState
 	pools     map[uint64]*pool
