--- a/edge/host.go
+++ b/edge/host.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -25,6 +24,7 @@
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/quota"
+	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
 )
 
@@ -34,10 +34,16 @@
 	trustShare = 0.6
 	// sureShare is the part of the configuration time up to which an unknown key is surely unknown.
 	sureShare = 0.9
-	// watchShare is the part of the revocation time that a watch of the configuration is idle.
-	watchShare = 0.24
-	// listShare is the part of the drain time between two readings of the endpoints.
-	listShare = 0.45
+	// watchShare is the part of the revocation time that a watch of the configuration is
+	// idle: hosts that hear of the settings from others then know them to be younger than
+	// trustShare even if some heartbeats are lost.
+	watchShare = 0.2
+	// listShare is the part of the drain time between two readings of the endpoints by the
+	// host that reads for all; the others read at 0.7 of it, see feed.Turns.
+	listShare = 0.4
+	// listWait is how long a reading of the endpoints' changes waits for some. Endpoints
+	// write all the time, so that there mostly are.
+	listWait = 100 * time.Millisecond
 	// lapseShare is the part of the contact time for which lapsed endpoints are kept.
 	lapseShare = 0.7
 	// retryShare is the part of the retry bound that hosts use.
@@ -67,6 +73,8 @@
 	ingress   *ingress.Server
 	agent     *peers.Agent
 	entry     *feed.Entry
+	peerHTTP  *http.Client
+	wanted    chan wanted
 	stopping  chan struct{}
 	hup       chan struct{}
 	read      platform.Boot
@@ -85,6 +93,7 @@
 	h.life = rand.Uint64() >> 12
 	h.stopping = make(chan struct{})
 	h.hup = make(chan struct{}, 1)
+	h.wanted = make(chan wanted, 1)
 	h.read = h.Boot
 	if mb := h.Boot.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(mb<<20)))
@@ -98,7 +107,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.settings.Run, h.endpoints.Run, h.agent.Run, h.entry.Run, h.tick, h.watchFile} {
+	for _, run := range []func(context.Context){h.settings.Run, h.endpoints.Run, h.agent.Run, h.entry.Run, h.tick, h.watchFile, h.fetchWanted} {
 		go run(ctx)
 	}
 	h.Log.Info("started", "front", h.Boot.Front, "zone", h.Boot.Zone, "life", h.life)
@@ -116,6 +125,10 @@
 			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
 		}},
 	}
+	h.peerHTTP = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
+		DialContext: (&net.Dialer{Timeout: fetchTimeout}).DialContext,
+	}}
 	h.ingress = &ingress.Server{
 		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true}},
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
@@ -124,23 +137,36 @@
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
-		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: 300 * time.Millisecond,
-		Changed: h.ingress.SetTable, Log: h.Log.WithName("settings"),
+		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: 300 * time.Millisecond, Turn: h.turn,
+		Changed: h.newTable, Log: h.Log.WithName("settings"),
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
 	h.ingress.SetAges(ages(b))
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
-		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: time.Second, Pause: 400 * time.Millisecond,
-		LapseFor: time.Duration(lapseShare * float64(b.ContactTime)), Changed: h.ingress.SetEndpoints, Log: h.Log.WithName("endpoints"),
+		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: listWait, Pause: 400 * time.Millisecond, Turn: h.turn,
+		LapseFor: time.Duration(lapseShare * float64(b.ContactTime)), Changed: h.newEndpoints, Log: h.Log.WithName("endpoints"),
 	}
+	h.endpoints.Init()
 	h.entry = &feed.Entry{
 		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixHosts, Value: []byte(h.peerAddress()),
 		Life: 10 * time.Second, Found: h.foundHosts, Log: h.Log.WithName("entry"),
 	}
 }
 
+// newTable puts a configuration in force and tells the other hosts of it at once.
+func (h *Host) newTable(t *route.Table) {
+	h.ingress.SetTable(t)
+	h.agent.Kick()
+}
+
+// newEndpoints puts a list of endpoints in force and tells the other hosts of it at once.
+func (h *Host) newEndpoints(list []feed.Endpoint) {
+	h.ingress.SetEndpoints(list)
+	h.agent.Kick()
+}
+
 // bodyMemory bounds the bytes of requests held.
 func (h *Host) bodyMemory() int64 {
 	if h.Boot.MemoryMB == 0 {
@@ -188,52 +214,15 @@
 	return out
 }
 
-// ready tells whether the host takes requests.
+// ready tells whether the host takes requests: it knows settings and endpoints and does not stop.
 func (h *Host) ready() bool {
 	select {
 	case <-h.stopping:
 		return false
 	default:
 	}
-	return h.settings.Current() != nil
-}
-
-// Fill implements peers.Host.
-func (h *Host) Fill(b *peers.Beat) {
-	b.Row = peers.Row{
-		Address: h.peerAddress(), Front: h.Boot.Front, Control: h.Boot.Control, Zone: h.Boot.Zone, Region: h.Boot.Region,
-		Ready: h.ready(), Fresh: h.ingress.Fresh(),
-	}
-	b.Load, b.Waiting = h.ingress.Loads()
-	told := h.ingress.Tell()
-	b.Used, b.Left = told.Used, told.Left
-	b.AgeMS = -1
-	if age, ok := h.settings.Age.At(h.now()); ok {
-		b.Revision, b.AgeMS = h.settings.Age.Revision(), age.Milliseconds()+1
-	}
-}
-
-// Heard implements peers.Host.
-func (h *Host) Heard(b *peers.Beat) {
-	h.ingress.Heard(b.Host, b.Life, quota.Told{Used: b.Used, Left: b.Left})
-}
-
-// Changes implements peers.Host.
-func (h *Host) Changes() (map[string]peers.Load, map[string][]int, bool) { return h.ingress.Changes() }
-
-// LoadsHeard implements peers.Host.
-func (h *Host) LoadsHeard() { h.shareLoads() }
-
-// Proved implements peers.Host: settings that a peer knows to be newest are so
-// here too, and newer ones are asked for.
-func (h *Host) Proved(p peers.Proof) {
-	have := h.settings.Age.Revision()
-	switch {
-	case p.Revision == have:
-		h.settings.Age.Prove(p.Revision, p.At)
-	case p.Revision > have:
-		h.fetch(p.Control)
-	}
+	_, listed := h.endpoints.View()
+	return listed && h.settings.Current() != nil
 }
 
 // tick does what is due now and then.
@@ -257,32 +246,6 @@
 	}
 }
 
-// shareLoads gives the ingress what the other hosts told.
-func (h *Host) shareLoads() {
-	live := h.agent.Live()
-	loads := make([]map[string]peers.Load, len(live))
-	waiting := make([]map[string][]int, len(live))
-	for i := range live {
-		loads[i], waiting[i] = live[i].Load, live[i].Waiting
-	}
-	h.ingress.SetOthers(loads, waiting)
-}
-
-// shareHosts tells the ingress which hosts share amounts and endpoints with this one.
-func (h *Host) shareHosts() {
-	counted := h.agent.Counted()
-	names := make(map[string]bool, len(counted))
-	for i := range counted {
-		names[counted[i].Host] = true
-	}
-	h.ingress.KeepHosts(names)
-	n := 1 + len(counted)
-	if n == 1 && len(h.Boot.Seeds) > 1 {
-		n = len(h.Boot.Seeds)
-	}
-	h.ingress.SetHosts(n, peers.Interval(n))
-}
-
 // await waits for the signal to stop and stops.
 func (h *Host) await(ctx context.Context, signals <-chan os.Signal) {
 	for {
@@ -372,33 +335,3 @@
 	}
 	h.Log.Info("stopped", "active", h.ingress.Active())
 }
-
-// settingsBody is how hosts pass the configuration on.
-type settingsBody struct {
-	// Revision is the number of its write.
-	Revision uint64 `json:"revision"`
-	// Value is the document.
-	Value []byte `json:"value"`
-}
-
-// pathSettings answers other hosts with the configuration in force.
-const pathSettings = "/v1/settings"
-
-// fetch asks a peer for its configuration.
-func (h *Host) fetch(control string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+pathSettings, nil)
-	if err != nil {
-		return
-	}
-	resp, err := h.store.HTTP.Do(req)
-	if err != nil {
-		return
-	}
-	defer resp.Body.Close()
-	var b settingsBody
-	if resp.StatusCode == http.StatusOK && json.NewDecoder(resp.Body).Decode(&b) == nil {
-		h.settings.Offer(b.Value, b.Revision)
-	}
-}
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -145,15 +144,8 @@
 // controlHandler answers other hosts and operators.
 func (h *Host) controlHandler() http.Handler {
 	m := mux.NewRouter()
-	m.HandleFunc(pathSettings, func(w http.ResponseWriter, _ *http.Request) {
-		src := h.settings.Current()
-		if src == nil {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(settingsBody{src.Revision, src.Value})
-	}).Methods(http.MethodGet)
+	m.HandleFunc(pathSettings, h.answerSettings).Methods(http.MethodGet)
+	m.HandleFunc(pathEndpoints, h.answerEndpoints).Methods(http.MethodGet)
 	m.HandleFunc("/debug/vars", h.showVars).Methods(http.MethodGet)
 	return m
 }
@@ -162,9 +154,7 @@
 func (h *Host) directoryHandler() http.Handler {
 	m := mux.NewRouter()
 	m.HandleFunc(platform.PathResolve, func(w http.ResponseWriter, _ *http.Request) {
-		a := platform.Resolve(h.addresses(), answerLife)
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(a)
+		h.answer(w, platform.Resolve(h.addresses(), answerLife))
 	}).Methods(http.MethodGet)
 	return m
 }
--- /dev/null
+++ b/edge/share.go
@@ -0,0 +1,207 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/quota"
+)
+
+// Fill implements peers.Host.
+func (h *Host) Fill(b *peers.Beat) {
+	b.Row = peers.Row{
+		Address: h.peerAddress(), Front: h.Boot.Front, Control: h.Boot.Control, Zone: h.Boot.Zone, Region: h.Boot.Region,
+		Capacity: h.Boot.Capacity(), Ready: h.ready(), Fresh: h.ingress.Fresh(),
+	}
+	b.Load, b.Waiting = h.ingress.Loads()
+	told := h.ingress.Tell()
+	b.Used, b.Left = told.Used, told.Left
+	now := h.now()
+	b.Settings, b.Endpoints = peers.Stamp{AgeMS: -1}, peers.Stamp{AgeMS: -1}
+	if age, ok := h.settings.Age.At(now); ok {
+		b.Settings = peers.Stamp{Revision: h.settings.Age.Revision(), AgeMS: age.Milliseconds() + 1}
+	}
+	if v, ok := h.endpoints.View(); ok {
+		b.Endpoints = peers.Stamp{Revision: v.Revision, Sum: v.Sum, AgeMS: (now - v.At).Milliseconds() + 1}
+	}
+}
+
+// Heard implements peers.Host.
+func (h *Host) Heard(u peers.Usage) {
+	h.ingress.Heard(u.Source, u.Life, quota.Told{Hosts: u.Hosts, Used: u.Used, Left: u.Left})
+}
+
+// Changes implements peers.Host.
+func (h *Host) Changes() (map[string]peers.Load, map[string][]int, bool) { return h.ingress.Changes() }
+
+// LoadsHeard implements peers.Host.
+func (h *Host) LoadsHeard() { h.shareLoads() }
+
+// Proved implements peers.Host: settings and endpoints that a peer knows to be newest are
+// so here too, and newer ones are asked for.
+func (h *Host) Proved(p peers.Proof) {
+	w := wanted{control: p.Control}
+	if v := p.Settings; v.Known {
+		switch have := h.settings.Age.Revision(); {
+		case v.Revision == have:
+			h.settings.Age.Prove(v.Revision, v.At)
+		case v.Revision > have:
+			w.settings = true
+		}
+	}
+	if v := p.Endpoints; v.Known {
+		w.endpoints = h.endpoints.Proved(feed.View{Revision: v.Revision, Sum: v.Sum, At: v.At})
+	}
+	if !w.settings && !w.endpoints {
+		return
+	}
+	select {
+	case h.wanted <- w:
+	default: // one is asked for already; the next heartbeat tells of what is newer still
+	}
+}
+
+// wanted is what is to be asked of a peer.
+type wanted struct {
+	control             string
+	settings, endpoints bool
+}
+
+// fetchWanted asks peers for what they know better, until ctx ends.
+func (h *Host) fetchWanted(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-h.wanted:
+			h.fetch(ctx, w)
+		}
+	}
+}
+
+// fetchTimeout bounds a question to a peer. A peer that does not answer is followed by
+// another one's heartbeat.
+const fetchTimeout = 500 * time.Millisecond
+
+// fetch asks a peer.
+func (h *Host) fetch(ctx context.Context, w wanted) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	if w.settings {
+		var b settingsBody
+		if h.ask(ctx, w.control, pathSettings, &b) {
+			h.settings.Offer(b.Value, b.Revision)
+		}
+	}
+	if w.endpoints {
+		var l feed.EndpointList
+		if h.ask(ctx, w.control, pathEndpoints, &l) {
+			h.endpoints.Offer(l)
+		}
+	}
+}
+
+// ask reads a peer's answer and reports whether there was one.
+func (h *Host) ask(ctx context.Context, control, path string, out any) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+control+path, nil)
+	if err != nil {
+		h.Log.Error(err, "peer's address cannot be asked", "peer", control)
+		return false
+	}
+	resp, err := h.peerHTTP.Do(req)
+	if err != nil {
+		h.Log.V(1).Info("peer not reached", "peer", control, "path", path, "cause", err.Error())
+		return false
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		h.Log.V(1).Info("peer has no answer", "peer", control, "path", path, "status", resp.StatusCode)
+		return false
+	}
+	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+		h.Log.Error(err, "peer's answer cannot be read", "peer", control, "path", path)
+		return false
+	}
+	return true
+}
+
+// turn is this host's place among the live hosts in an order drawn from their names, in
+// which they read the store for each other.
+func (h *Host) turn() int {
+	own := xxhash.Sum64String(h.Boot.Host)
+	before := 0
+	for _, m := range h.agent.Live() {
+		if xxhash.Sum64String(m.Host) < own {
+			before++
+		}
+	}
+	return before
+}
+
+// shareLoads gives the ingress what the other hosts told of their requests.
+func (h *Host) shareLoads() {
+	load, waiting := h.agent.Others()
+	h.ingress.SetOthers(load, waiting)
+}
+
+// shareHosts tells the ingress which hosts share amounts and endpoints with this one.
+func (h *Host) shareHosts() {
+	h.ingress.KeepHosts(h.agent.Sources())
+	n := 1 + len(h.agent.Counted())
+	if n == 1 && len(h.Boot.Seeds) > 1 {
+		n = len(h.Boot.Seeds)
+	}
+	h.ingress.SetHosts(n, peers.Interval(n))
+}
+
+// settingsBody is how hosts pass the configuration on.
+type settingsBody struct {
+	// Revision is the number of its write.
+	Revision uint64 `json:"revision"`
+	// Value is the document.
+	Value []byte `json:"value"`
+}
+
+// Paths at which other hosts ask for the configuration and the endpoints in force.
+const (
+	pathSettings  = "/v1/settings"
+	pathEndpoints = "/v1/endpoints"
+)
+
+// answerSettings answers other hosts with the configuration in force.
+func (h *Host) answerSettings(w http.ResponseWriter, _ *http.Request) {
+	src := h.settings.Current()
+	if src == nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.answer(w, settingsBody{src.Revision, src.Value})
+}
+
+// answerEndpoints answers other hosts with the endpoints in force.
+func (h *Host) answerEndpoints(w http.ResponseWriter, _ *http.Request) {
+	l, ok := h.endpoints.List()
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	h.answer(w, l)
+}
+
+// answer writes JSON.
+func (h *Host) answer(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(body); err != nil {
+		h.Log.V(1).Info("answer not written", "cause", err.Error())
+	}
+}
--- a/feed/endpoint.go
+++ b/feed/endpoint.go
@@ -9,15 +9,17 @@
 // Endpoint is an endpoint as it tells of itself.
 type Endpoint struct {
 	// Instance names one life of the endpoint; Service is what it serves.
-	Instance, Service string
+	Instance string `json:"instance"`
+	Service  string `json:"service"`
 	// Address is its IP number and port, Zone its availability zone.
-	Address, Zone string
+	Address string `json:"address"`
+	Zone    string `json:"zone"`
 	// Slots is the number of requests it works on at once.
-	Slots int
+	Slots int `json:"slots"`
 	// Leaving says that it gets no new work.
-	Leaving bool
-	// Cold is how much longer it stays slow after its start.
-	Cold time.Duration
+	Leaving bool `json:"leaving,omitempty"`
+	// Cold is how much longer it stays slow after its start, in nanoseconds.
+	Cold time.Duration `json:"cold,omitempty"`
 	// Lapsed says that its entry went while the store was in trouble.
-	Lapsed bool
+	Lapsed bool `json:"lapsed,omitempty"`
 }
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -10,6 +10,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -28,6 +29,8 @@
 	Every, Wait time.Duration
 	// Pause is the time between tries while the store fails.
 	Pause time.Duration
+	// Turn is this host's turn to read, see Turns; nil means that it always reads.
+	Turn func() int
 	// LapseFor is how long after the sending of the last call that failed an entry
 	// that went is still taken for an endpoint that serves. It must be shorter than
 	// the time after which the host counts as in touch again.
@@ -37,38 +40,82 @@
 	// Log takes changes of state.
 	Log logr.Logger
 
+	mu      sync.Mutex
 	known   map[string]Endpoint
 	told    []Endpoint
-	trouble time.Duration
+	read    bool          // known is what the store, or a peer, told
+	forgot  bool          // the store does not know the changes since at any more
+	at      uint64        // the store's revision of known
+	proven  time.Duration // when known was surely the newest
+	trouble time.Duration // when the last call that failed was sent
 	bad     bool
 }
 
-// Run follows the store until ctx ends.
-func (e *Endpoints) Run(ctx context.Context) {
+// Init makes it ready; call it before all else.
+func (e *Endpoints) Init() {
 	e.known = make(map[string]Endpoint)
 	e.trouble = -e.LapseFor
-	at, read := uint64(0), false
+}
+
+// Run follows the store until ctx ends.
+func (e *Endpoints) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		var err error
-		sent := e.Now()
-		if read {
-			at, err = e.watch(ctx, at)
-		} else {
-			at, err = e.read(ctx)
+		if pause := e.untilTurn(); pause > 0 {
+			sleep(ctx, pause)
+			continue
 		}
-		read = err == nil || (read && !errors.Is(err, ErrHistory))
 		pause := e.Every
-		if err != nil {
-			e.trouble = sent
+		if !e.follow(ctx) {
 			pause = e.Pause
 		}
-		e.note(err)
-		e.tell()
 		sleep(ctx, pause)
 	}
 }
 
-// note logs changes of state.
+// untilTurn is the time until this host has to read: while peers prove the list it waits
+// longer, the later its turn is.
+func (e *Endpoints) untilTurn() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.Turn == nil || !e.read {
+		return 0
+	}
+	turn := e.Turn()
+	if turn == 0 {
+		return 0
+	}
+	return e.proven + Turns(e.Every, turn) - e.Now()
+}
+
+// follow reads once and reports whether that succeeded.
+func (e *Endpoints) follow(ctx context.Context) bool {
+	e.mu.Lock()
+	changes, at := e.read && !e.forgot, e.at
+	e.mu.Unlock()
+	sent := e.Now()
+	var err error
+	var idle time.Duration
+	if changes {
+		idle, err = e.watch(ctx, at)
+	} else {
+		err = e.readAll(ctx)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if errors.Is(err, ErrHistory) {
+		e.forgot = true
+	}
+	if err == nil {
+		e.proven = max(e.proven, sent+idle)
+	} else {
+		e.trouble = sent
+	}
+	e.note(err)
+	e.tell()
+	return err == nil
+}
+
+// note logs changes of state; mu must be held.
 func (e *Endpoints) note(err error) {
 	if bad := err != nil; bad != e.bad {
 		e.bad = bad
@@ -80,14 +127,16 @@
 	}
 }
 
-// read reads all entries anew.
-func (e *Endpoints) read(ctx context.Context) (uint64, error) {
+// readAll reads all entries anew.
+func (e *Endpoints) readAll(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	p, err := e.Store.Range(cctx, e.Prefix, false)
 	if err != nil {
-		return 0, err
+		return err
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	here := make(map[string]bool, len(p.Items))
 	for _, it := range p.Items {
 		here[strings.TrimPrefix(it.Key, e.Prefix)] = true
@@ -98,30 +147,45 @@
 			e.gone(name)
 		}
 	}
-	return p.At, nil
+	e.read, e.forgot, e.at = true, false, max(e.at, p.At)
+	return nil
 }
 
-// watch takes the changes since the last reading.
-func (e *Endpoints) watch(ctx context.Context, at uint64) (uint64, error) {
+// watch takes the changes since a revision. It returns the time from its start in which
+// there were surely none: all of it, if it was idle to its end.
+func (e *Endpoints) watch(ctx context.Context, since uint64) (time.Duration, error) {
 	cctx, cancel := context.WithTimeout(ctx, e.Wait+storeTimeout)
 	defer cancel()
-	p, err := e.Store.Watch(cctx, e.Prefix, at, e.idle())
+	sent, wait := e.Now(), e.idle()
+	p, err := e.Store.Watch(cctx, e.Prefix, since, wait)
 	if err != nil {
-		return at, err
+		return 0, err
 	}
+	idle := time.Duration(0)
+	if len(p.Items) == 0 && e.Now()-sent >= wait {
+		idle = wait
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, it := range p.Items {
+		if it.Revision <= e.at && e.at > since {
+			continue // a peer has told of it meanwhile
+		}
 		if it.Gone {
 			e.gone(strings.TrimPrefix(it.Key, e.Prefix))
 			continue
 		}
 		e.take(it)
 	}
-	return max(at, p.At), nil
+	e.at = max(e.at, p.At)
+	return idle, nil
 }
 
 // idle is how long a watch may wait for changes: not long while entries that
 // lapsed are to be dropped.
 func (e *Endpoints) idle() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	for _, n := range e.known {
 		if n.Lapsed {
 			return min(e.Wait, e.Every/4)
@@ -130,7 +194,8 @@
 	return e.Wait
 }
 
-// take notes an entry. What once was leaving stays so: entries may be written late.
+// take notes an entry; mu must be held. What once was leaving stays so: entries may be
+// written late.
 func (e *Endpoints) take(it Item) {
 	n, err := e.Parse(it.Key, it.Value)
 	if err != nil {
@@ -143,8 +208,8 @@
 	e.known[n.Instance] = n
 }
 
-// gone notes that an entry went. While the store is in trouble, and a while
-// after, entries go although their endpoints serve.
+// gone notes that an entry went; mu must be held. While the store is in trouble, and a
+// while after, entries go although their endpoints serve.
 func (e *Endpoints) gone(name string) {
 	n, ok := e.known[name]
 	if !ok {
@@ -158,7 +223,7 @@
 	e.known[name] = n
 }
 
-// tell drops what lapsed for good and passes the list on if it changed.
+// tell drops what lapsed for good and passes the list on if it changed; mu must be held.
 func (e *Endpoints) tell() {
 	if e.Now()-e.trouble > e.LapseFor {
 		maps.DeleteFunc(e.known, func(_ string, n Endpoint) bool { return n.Lapsed })
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -28,6 +28,8 @@
 	Wait time.Duration
 	// Pause is the time between tries while the store fails.
 	Pause time.Duration
+	// Turn is this host's turn to watch, see Turns; nil means that it always watches.
+	Turn func() int
 	// Changed is called with each new table.
 	Changed func(*route.Table)
 	// Log takes changes of state.
@@ -60,6 +62,10 @@
 func (s *Settings) Run(ctx context.Context) {
 	at, read := uint64(0), false
 	for ctx.Err() == nil {
+		if pause := s.untilTurn(); pause > 0 {
+			sleep(ctx, pause)
+			continue
+		}
 		var err error
 		if read {
 			at, err = s.watch(ctx, at)
@@ -77,6 +83,24 @@
 	}
 }
 
+// watchers is the number of hosts that always watch: one more than needed, so that the
+// loss of one delays no change.
+const watchers = 2
+
+// untilTurn is the time until this host has to watch: the first hosts always do, and are
+// told of changes at once; the others do while nobody proves the settings to them.
+func (s *Settings) untilTurn() time.Duration {
+	age, ok := s.Age.At(s.Now())
+	if s.Turn == nil || !ok {
+		return 0
+	}
+	turn := s.Turn()
+	if turn < watchers {
+		return 0
+	}
+	return Turns(s.Wait, turn-watchers+1) - age
+}
+
 // read reads the key anew.
 func (s *Settings) read(ctx context.Context) (uint64, error) {
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- /dev/null
+++ b/feed/shared.go
@@ -0,0 +1,123 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Hosts pass on to each other what they read from the store, with a proof of its age. So
+// that the store is not asked by all of them, each has a turn: the host whose turn is 0
+// reads when the view is as old as it may be, the next ones only if that did not happen.
+
+const (
+	// proofShare is the part of the time between two readings that a proof may take from
+	// the host that read to the others: two heartbeats of 0.2 s, at a time of 0.8 s or more.
+	proofShare = 0.6
+	// turnShare is the part of that time by which each later turn waits longer, so that
+	// not all read at once when the first ones fail; lastTurn is the turn from which all
+	// wait alike.
+	turnShare = 0.06
+	lastTurn  = 4
+)
+
+// Turns is the age of a view at which a host with a turn of 1 or more reads it itself.
+func Turns(every time.Duration, turn int) time.Duration {
+	part := 1 + proofShare + turnShare*float64(min(turn, lastTurn)-1)
+	return time.Duration(part * float64(every))
+}
+
+// EndpointList is the endpoints as one host passes them on.
+type EndpointList struct {
+	// Revision is the store's revision that they speak of.
+	Revision uint64 `json:"revision"`
+	// TroubleMS is the time since the last call to the store failed, in milliseconds.
+	TroubleMS int64 `json:"trouble_ms"`
+	// Endpoints are sorted by instance.
+	Endpoints []Endpoint `json:"endpoints"`
+}
+
+// View names what a host knows of the endpoints.
+type View struct {
+	// Revision is the store's revision that it speaks of.
+	Revision uint64
+	// Sum tells views of different content apart.
+	Sum uint64
+	// At is when it was surely the newest.
+	At time.Duration
+}
+
+// View names the view in force, and false if there is none.
+func (e *Endpoints) View() (View, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return View{Revision: e.at, Sum: checksum(e.told), At: e.proven}, e.read
+}
+
+// List gives the endpoints to pass on, and false if none are known.
+func (e *Endpoints) List() (EndpointList, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return EndpointList{Revision: e.at, TroubleMS: (e.Now() - e.trouble).Milliseconds(), Endpoints: e.told}, e.read
+}
+
+// Proved takes what a peer knows, and reports whether its list is to be asked for: the
+// same content is proven as of the peer's moment, newer content is wanted.
+func (e *Endpoints) Proved(v View) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.read && v.Sum == checksum(e.told) {
+		e.at, e.proven = max(e.at, v.Revision), max(e.proven, v.At)
+		return false
+	}
+	return !e.read || v.Revision > e.at
+}
+
+// Offer puts a peer's list in force if it is newer.
+func (e *Endpoints) Offer(l EndpointList) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.read && l.Revision <= e.at {
+		return
+	}
+	e.trouble = max(e.trouble, e.Now()-time.Duration(l.TroubleMS)*time.Millisecond)
+	known := make(map[string]Endpoint, len(l.Endpoints))
+	for _, n := range l.Endpoints {
+		if old, ok := e.known[n.Instance]; ok && old.Leaving && !old.Lapsed {
+			n.Leaving = true
+		}
+		known[n.Instance] = n
+	}
+	e.known, e.read, e.at = known, true, l.Revision
+	e.forgot = false
+	e.tell()
+}
+
+// checksum sums up what tells lists apart that matter: how long an endpoint stays slow
+// after its start changes all the time and is left out.
+func checksum(list []Endpoint) uint64 {
+	d := xxhash.New()
+	var slots [8]byte
+	for i := range list {
+		n := &list[i]
+		for _, s := range []string{n.Instance, n.Service, n.Address, n.Zone} {
+			_, _ = d.WriteString(s) // never fails
+			_, _ = d.Write([]byte{0})
+		}
+		flags := byte(0)
+		if n.Leaving {
+			flags |= 1
+		}
+		if n.Lapsed {
+			flags |= 2
+		}
+		binary.LittleEndian.PutUint64(slots[:], uint64(n.Slots))
+		_, _ = d.Write(append(slots[:], flags))
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/feed/shared_test.go
@@ -0,0 +1,296 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/route"
+)
+
+// sharers are hosts that read one store and pass on what they read.
+type sharers struct {
+	store  *memoryStore
+	cut    []bool // from the store
+	silent []bool // from the other hosts
+	ends   []*Endpoints
+	sets   []*Settings
+	now    func() time.Duration
+}
+
+// cutStore is the store as a host sees it that may be cut from it.
+type cutStore struct {
+	*memoryStore
+	cut *bool
+}
+
+func (c cutStore) dark() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return *c.cut
+}
+
+func (c cutStore) Range(ctx context.Context, prefix string, stale bool) (Page, error) {
+	if c.dark() {
+		return Page{}, errDark
+	}
+	return c.memoryStore.Range(ctx, prefix, stale)
+}
+
+func (c cutStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (Page, error) {
+	if c.dark() {
+		return Page{}, errDark
+	}
+	return c.memoryStore.Watch(ctx, prefix, since, wait)
+}
+
+// share starts n hosts that tell each other every 0.2 s what they know, as heartbeats do.
+func share(ctx context.Context, n int) *sharers {
+	start := time.Now()
+	s := &sharers{store: newMemoryStore(), cut: make([]bool, n), silent: make([]bool, n), now: func() time.Duration { return time.Since(start) }}
+	s.store.put("servers/a", "ready")
+	s.store.put("servers/b", "ready")
+	s.store.put("op/config", "one")
+	for i := range n {
+		store := cutStore{s.store, &s.cut[i]}
+		turn := func() int { return i }
+		e := &Endpoints{
+			Store: store, Prefix: "servers/", Every: 800 * time.Millisecond, Wait: 100 * time.Millisecond, Pause: 400 * time.Millisecond, Turn: turn,
+			LapseFor: 2100 * time.Millisecond, Now: s.now, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
+		}
+		e.Init()
+		set := &Settings{
+			Store: store, Prefix: "op/", Key: "op/config", Parse: parseVersion, Wait: time.Second, Pause: 300 * time.Millisecond, Turn: turn,
+			Now: s.now, Changed: func(*route.Table) {}, Log: logr.Discard(),
+		}
+		s.ends, s.sets = append(s.ends, e), append(s.sets, set)
+		go e.Run(ctx)
+		go set.Run(ctx)
+	}
+	go s.tell(ctx)
+	return s
+}
+
+// tell passes on what each host knows. A proof holds as of 0.2 s before, the sending of the
+// receiver's heartbeat that it answers.
+func (s *sharers) tell(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, 200*time.Millisecond)
+		for i := range s.ends {
+			for j := range s.ends {
+				if i != j && !s.isSilent(i) && !s.isSilent(j) {
+					s.pass(i, j)
+				}
+			}
+		}
+	}
+}
+
+func (s *sharers) isSilent(i int) bool {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return s.silent[i]
+}
+
+// pass tells host j what host i knows.
+func (s *sharers) pass(i, j int) {
+	const lag = 200 * time.Millisecond
+	if v, ok := s.ends[i].View(); ok {
+		v.At -= lag
+		if s.ends[j].Proved(v) {
+			l, _ := s.ends[i].List()
+			s.ends[j].Offer(l)
+		}
+	}
+	if c := s.sets[i].Current(); c != nil {
+		age, _ := s.sets[i].Age.At(s.now())
+		s.sets[j].Offer(c.Value, c.Revision)
+		s.sets[j].Age.Prove(c.Revision, s.now()-age-lag)
+	}
+}
+
+// TestSharedReadings counts the calls of fleets in calm times: they must not grow with the
+// hosts, and every host's view must stay young.
+func TestSharedReadings(t *testing.T) {
+	const span = 30 * time.Second
+	for _, n := range []int{1, 2, 6, 40} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := share(ctx, n)
+				time.Sleep(3 * time.Second)
+				before := s.store.count()
+				for range int(span / time.Second) {
+					time.Sleep(time.Second)
+					for i := range n {
+						age, ok := s.sets[i].Age.At(s.now())
+						must.True(t, ok)
+						must.Less(t, 1800*time.Millisecond, age)
+						v, ok := s.ends[i].View()
+						must.True(t, ok)
+						must.Less(t, 1600*time.Millisecond, s.now()-v.At)
+					}
+				}
+				// One reader of the endpoints, each 0.9 s, two watchers of the settings, each
+				// of 1 s, and now and then another host whose turn has come.
+				must.LessEq(t, 4, float64(s.store.count()-before)/span.Seconds())
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// count gives the calls so far.
+func (m *memoryStore) count() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
+
+// TestSharedFaults holds how soon all hosts know of a change, whoever of them is in trouble.
+func TestSharedFaults(t *testing.T) {
+	const n = 6
+	cases := []struct {
+		name  string
+		fault func(s *sharers)
+		// within is the time after the change in which each host must know of it.
+		within time.Duration
+	}{
+		{"calm", func(*sharers) {}, 1400 * time.Millisecond},
+		{"the host that reads is cut from the store", func(s *sharers) { s.cut[0] = true }, 2 * time.Second},
+		{"the two first are cut from the store", func(s *sharers) { s.cut[0], s.cut[1] = true, true }, 2 * time.Second},
+		{"all but the last are cut from the store", func(s *sharers) {
+			for i := range n - 1 {
+				s.cut[i] = true
+			}
+		}, 2 * time.Second},
+		{"the host that reads is silent", func(s *sharers) { s.silent[0] = true }, 2 * time.Second},
+		{"the store forgets its history", func(s *sharers) {
+			s.store.log, s.store.forgotten = nil, s.store.at
+		}, 2 * time.Second},
+		{"nobody hears another", func(s *sharers) {
+			for i := range n {
+				s.silent[i] = true
+			}
+		}, 2 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := share(ctx, n)
+				// The change comes at several moments after the fault.
+				for round := range 8 {
+					s.store.set(func() { clear(s.cut); clear(s.silent) })
+					s.store.put("servers/a", "ready")
+					s.store.put("servers/c", fmt.Sprint("ready", round))
+					time.Sleep(5 * time.Second)
+					s.store.set(func() { tc.fault(s) })
+					time.Sleep(time.Duration(round) * 333 * time.Millisecond)
+					name := fmt.Sprint("new", round)
+					s.store.put("servers/"+name, "ready")
+					s.store.put("op/config", name)
+					time.Sleep(tc.within)
+					for i := range n {
+						l, _ := s.ends[i].List()
+						must.EqOp(t, 4+round, len(l.Endpoints))
+						must.EqOp(t, name, s.sets[i].Current().Table.Document.Routes[0].Name)
+					}
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestStartWhileStoreIsDark starts a host while the store answers nobody: it must learn
+// the endpoints and the settings from another one.
+func TestStartWhileStoreIsDark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := share(ctx, 2)
+		time.Sleep(2 * time.Second)
+		s.store.set(func() { s.cut[0], s.cut[1] = true, true })
+		e := &Endpoints{
+			Store: cutStore{s.store, &s.cut[1]}, Prefix: "servers/", Every: 800 * time.Millisecond, Pause: 400 * time.Millisecond, LapseFor: 2100 * time.Millisecond,
+			Now: s.now, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
+		}
+		e.Init()
+		go e.Run(ctx)
+		time.Sleep(time.Second)
+		_, ok := e.List()
+		must.False(t, ok)
+		s.store.set(func() { s.ends[1] = e })
+		time.Sleep(400 * time.Millisecond)
+		l, ok := e.List()
+		must.True(t, ok)
+		must.Len(t, 2, l.Endpoints)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestOfferedEndpoints holds what a host takes from a peer's list.
+func TestOfferedEndpoints(t *testing.T) {
+	list := func(revision uint64, names ...Endpoint) EndpointList {
+		return EndpointList{Revision: revision, TroubleMS: 60000, Endpoints: names}
+	}
+	ready, leaving, lapsed := Endpoint{Instance: "a"}, Endpoint{Instance: "a", Leaving: true}, Endpoint{Instance: "a", Lapsed: true}
+	cases := []struct {
+		name   string
+		offers []EndpointList
+		want   []Endpoint
+	}{
+		{"newer", []EndpointList{list(5, ready), list(6, leaving)}, []Endpoint{leaving}},
+		{"older", []EndpointList{list(5, leaving), list(4, ready)}, []Endpoint{leaving}},
+		{"what was leaving stays so", []EndpointList{list(5, leaving), list(6, ready)}, []Endpoint{leaving}},
+		{"gone", []EndpointList{list(5, ready), list(6)}, []Endpoint{}},
+		{"lapsed long ago", []EndpointList{list(5, lapsed)}, []Endpoint{}},
+		{"lapsed in the trouble of now", []EndpointList{{Revision: 5, TroubleMS: 100, Endpoints: []Endpoint{lapsed}}}, []Endpoint{lapsed}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			e := &Endpoints{
+				Now: func() time.Duration { return time.Hour }, LapseFor: 2 * time.Second, Changed: func([]Endpoint) {}, Log: logr.Discard(),
+			}
+			e.Init()
+			for _, o := range tc.offers {
+				e.Offer(o)
+			}
+			l, ok := e.List()
+			must.True(t, ok)
+			must.Eq(t, tc.want, append([]Endpoint{}, l.Endpoints...))
+		})
+	}
+}
+
+// TestViewProofs holds which views of peers prove a host's own.
+func TestViewProofs(t *testing.T) {
+	e := &Endpoints{Now: func() time.Duration { return time.Hour }, LapseFor: time.Second, Changed: func([]Endpoint) {}, Log: logr.Discard()}
+	e.Init()
+	must.True(t, e.Proved(View{Revision: 1, Sum: 1, At: time.Minute})) // nothing is known yet
+	e.Offer(EndpointList{Revision: 5, Endpoints: []Endpoint{{Instance: "a"}}})
+	own, ok := e.View()
+	must.True(t, ok)
+	must.EqOp(t, 0, own.At)
+	must.False(t, e.Proved(View{Revision: 7, Sum: own.Sum, At: time.Minute}))
+	must.False(t, e.Proved(View{Revision: 6, Sum: own.Sum, At: time.Second}))
+	now, _ := e.View()
+	must.Eq(t, View{Revision: 7, Sum: own.Sum, At: time.Minute}, now)
+	must.False(t, e.Proved(View{Revision: 6, Sum: 9, At: time.Minute})) // older content
+	must.True(t, e.Proved(View{Revision: 8, Sum: 9, At: time.Minute}))
+}
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -179,46 +179,20 @@
 	b.sched.Peers = max(1, n)
 }
 
-// setOthers takes what the live hosts have running and waiting.
-func (b *balancer) setOthers(now time.Duration, loads []map[string]peers.Load, waiting []map[string][]int) {
+// setOthers takes what all other hosts together have running and waiting.
+func (b *balancer) setOthers(now time.Duration, load map[string]peers.Load, waiting map[string][]int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, t := range b.targets {
-		t.others = peers.Load{Step: t.others.Step}
-		sum, n := int64(0), int64(0)
-		for _, l := range loads {
-			t.others.Running += l[name].Running
-			t.others.Prefill += l[name].Prefill
-			if l[name].Step > 0 {
-				sum += l[name].Step
-				n++
-			}
-		}
-		if n > 0 {
-			t.others.Step = sum / n
-		}
+		l := load[name]
+		l.Step = cmp.Or(l.Step, t.others.Step) // it stays known
+		t.others = l
 	}
 	b.report(now)
-	b.sched.SetOthersWaiting(now, sumWaiting(waiting))
+	b.sched.SetOthersWaiting(now, waiting)
 	b.poll(now)
 }
 
-// sumWaiting adds up what waits at several hosts.
-func sumWaiting(hosts []map[string][]int) map[string][]int {
-	sum := make(map[string][]int)
-	for _, h := range hosts {
-		for service, tiers := range h {
-			for len(sum[service]) < len(tiers) {
-				sum[service] = append(sum[service], 0)
-			}
-			for k, n := range tiers {
-				sum[service][k] += n
-			}
-		}
-	}
-	return sum
-}
-
 // loads tells what this host has running and waiting.
 func (b *balancer) loads() (map[string]peers.Load, map[string][]int) {
 	b.mu.Lock()
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -16,8 +16,8 @@
 	return s.balance.changes()
 }
 
-// SetOthers takes what the other live hosts have running and how many requests wait there,
-// by service and tier.
-func (s *Server) SetOthers(loads []map[string]peers.Load, waiting []map[string][]int) {
-	s.balance.setOthers(s.Now(), loads, waiting)
+// SetOthers takes what all other hosts together have running, by endpoint, and how many
+// requests wait there, by service and tier.
+func (s *Server) SetOthers(load map[string]peers.Load, waiting map[string][]int) {
+	s.balance.setOthers(s.Now(), load, waiting)
 }
--- a/internal/site/life_test.go
+++ b/internal/site/life_test.go
@@ -219,3 +219,13 @@
 	time.Sleep(200 * time.Millisecond)
 	must.EqOp(t, 200, Do(s.Hosts[0].Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "c"}).Status)
 }
+
+// TestStartInOutage starts a host while the store answers nobody: it learns settings and
+// endpoints from another host and serves.
+func TestStartInOutage(t *testing.T) {
+	s := startWith(t, 1, func(s *Site) { s.Lenient = true })
+	s.Store.SetFault(StoreFault{Status: 503})
+	h, err := s.AddHost()
+	must.NoError(t, err)
+	must.EqOp(t, 200, Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "r"}).Status)
+}
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -18,7 +18,8 @@
 const (
 	// DefaultEvery is the time between heartbeats.
 	DefaultEvery = 200 * time.Millisecond
-	// fanout is the number of members that get a heartbeat.
+	// fanout is the number of members that get a heartbeat directly. In larger fleets
+	// heartbeats go to a relay.
 	fanout = 8
 	// updateEvery is the time between two looks for loads that changed: about the time in
 	// which a request more or less comes to an endpoint of a busy fleet, and more than the
@@ -29,32 +30,53 @@
 	// knownEvery is how many heartbeats pass between two that name other hosts, where
 	// hosts hear each other directly.
 	knownEvery = 5
+	// gossipFanout is the number of hosts that a host of a large fleet tells directly of
+	// others it knows, with each such heartbeat, so that parts that lost sight of each
+	// other meet again; as many are drawn from the hosts' entries in the store.
+	gossipFanout = 2
+	// mostGreeted bounds the hosts that are answered at once because they were heard for
+	// the first time, with a heartbeat: some 200 KB.
+	mostGreeted = 64
 	// largestBeat bounds a datagram, in bytes.
 	largestBeat = 60 << 10
 )
 
-// Interval is the mean time between two heartbeats from one host to another where n
-// hosts run: each sends to fanout others at a time.
+// Interval is the longest usual time between two words of a host that reach another one
+// where n hosts run: by way of two relays, three heartbeats.
 func Interval(n int) time.Duration {
-	rounds := max(1, (n-1+fanout-1)/fanout)
-	return time.Duration(rounds) * DefaultEvery
+	if n <= fanout+1 {
+		return DefaultEvery
+	}
+	return 3 * DefaultEvery
 }
 
 // Host is what an agent tells and asks of the program it runs in.
 type Host interface {
 	// Fill adds the host's own words to a heartbeat.
 	Fill(b *Beat)
-	// Heard is called with each heartbeat of another host.
-	Heard(b *Beat)
+	// Heard is called with what other hosts used of shared amounts.
+	Heard(u Usage)
 	// Changes gives the loads that changed since its last call and what waits, and false
 	// if nothing did.
 	Changes() (map[string]Load, map[string][]int, bool)
 	// LoadsHeard is called soon after other hosts told of changed loads.
 	LoadsHeard()
-	// Proved is called when a peer proved a revision of the settings.
+	// Proved is called when a peer proved what it knows.
 	Proved(p Proof)
 }
 
+// Usage is what one or several other hosts used of shared amounts.
+type Usage struct {
+	// Source names who told, Life one run of its process.
+	Source string
+	Life   uint64
+	// Hosts is the number of hosts whose use it is.
+	Hosts int
+	// Used is what they used since the life began, by workspace, and Left the level of
+	// those workspaces whose amount is nearly used up.
+	Used, Left map[string]float64
+}
+
 // Agent sends and hears heartbeats. The fields must be set before Run.
 type Agent struct {
 	// Table is what is known of the others; the agent guards it.
@@ -74,18 +96,23 @@
 	// Log takes changes of state.
 	Log logr.Logger
 
-	mu    sync.Mutex
-	heard bool // updates came since the last look
-	extra []string
-	kick  chan struct{}
-	ticks int
-	live  map[string]bool
+	mu     sync.Mutex
+	heard  bool // loads of others were heard since the last look
+	extra  []string
+	greet  []string // addresses of hosts that were heard for the first time
+	kick   chan struct{}
+	ticks  int
+	live   map[string]bool
+	relay  Relay   // what this host passes on
+	uplink uplink  // the relay that passes on what this host tells
+	told   history // what this host told
 }
 
 // Init makes the agent ready; call it before Run.
 func (a *Agent) Init() {
 	a.kick = make(chan struct{}, 1)
 	a.live = make(map[string]bool)
+	a.relay = Relay{Host: a.Table.Host, Life: a.Table.Life}
 	if a.Every == 0 {
 		a.Every = DefaultEvery
 	}
@@ -136,6 +163,40 @@
 	return out
 }
 
+// Others sums up what the other hosts have running and waiting.
+func (a *Agent) Others() (map[string]Load, map[string][]int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	if a.relayed() {
+		return a.uplink.others(now, &a.told)
+	}
+	var sum loadSum
+	for _, m := range a.Table.Live(now) {
+		sum.add(&Words{Load: m.Load, Waiting: m.Waiting})
+	}
+	return sum.loads(), sum.waiting
+}
+
+// Sources names who tells this host what the others used.
+func (a *Agent) Sources() map[string]bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	out := make(map[string]bool)
+	if a.relayed() {
+		out[a.uplink.host] = true
+		return out
+	}
+	for _, m := range a.Table.Counted(now) {
+		out[m.Host] = true
+	}
+	return out
+}
+
+// relayed tells whether there are too many hosts to tell all of them directly; mu must be held.
+func (a *Agent) relayed() bool { return a.Table.Size() > fanout }
+
 // Run sends and hears until ctx ends.
 func (a *Agent) Run(ctx context.Context) {
 	go a.receive(ctx)
@@ -153,42 +214,80 @@
 	}
 }
 
-// send sends one heartbeat to some members, and now and then to the seeds.
+// send sends one heartbeat: to all others, or to the relay, and now and then to the seeds
+// and to some hosts that it names others to.
 func (a *Agent) send() {
 	b := Beat{Host: a.Table.Host, Life: a.Table.Life}
 	a.Host.Fill(&b)
 	a.mu.Lock()
 	now := a.Now()
+	relayed := a.relayed()
+	// Without a relay that tells of the others, hosts find each other as in small fleets.
+	told := relayed && a.uplink.fresh(now, b.Host)
 	to := a.Table.Targets(now, fanout, a.Rand)
+	if told {
+		to = to[:min(gossipFanout, len(to))]
+	}
 	b.Seq, b.LoadSeq = a.Table.Next(now), a.Table.NextLoad()
 	b.Echo = a.Table.Echo(to)
-	if a.ticks%knownEvery == 0 || len(to) >= fanout {
-		b.Known = a.Table.KnownRows(now, a.Rand)
+	turn := a.ticks%knownEvery == 0
+	if turn || (relayed && !told) {
+		b.Known = a.Table.KnownRows(now, "")
 	}
-	addresses := make([]string, 0, len(to))
-	for _, m := range to {
-		addresses = append(addresses, m.Row.Address)
+	var addresses []string
+	if turn || !told {
+		addresses = rowAddresses(to)
 	}
 	if a.ticks%seedEvery == 0 || len(to) == 0 {
 		addresses = append(addresses, a.Seeds...)
-		addresses = append(addresses, a.extra...)
+		addresses = append(addresses, a.someExtra()...)
+	}
+	if n := min(mostGreeted, len(a.greet)); n > 0 {
+		addresses = append(addresses, a.greet[:n]...)
+		a.greet = a.greet[n:]
+		b.Known = a.Table.KnownRows(now, "")
 	}
 	a.ticks++
 	a.noteLive(now)
 	a.mu.Unlock()
-	data, err := encode(&b)
-	if err != nil || len(data) > largestBeat {
-		a.Log.Info("heartbeat not sent", "bytes", len(data))
-		return
+	a.write(&b, addresses)
+	if relayed {
+		a.sendRelayed(b)
+	}
+}
+
+// someExtra draws some addresses of hosts' entries in the store; mu must be held.
+func (a *Agent) someExtra() []string {
+	n := min(gossipFanout, len(a.extra))
+	out := make([]string, 0, n)
+	for _, i := range a.Rand.Perm(len(a.extra))[:n] {
+		out = append(out, a.extra[i])
+	}
+	return out
+}
+
+// rowAddresses are where members hear heartbeats.
+func rowAddresses(ms []*Member) []string {
+	out := make([]string, 0, len(ms))
+	for _, m := range ms {
+		out = append(out, m.Row.Address)
 	}
-	a.write(data, addresses, b.Row.Address)
+	return out
 }
 
-// write sends a datagram to each of some addresses once, but not to the host itself.
-func (a *Agent) write(data []byte, addresses []string, self string) {
+// write sends a message to each of some addresses once.
+func (a *Agent) write(msg any, addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	data, err := encode(msg)
+	if err != nil || len(data) > largestBeat {
+		a.Log.Info("datagram not sent: too large or not to be written", "bytes", len(data))
+		return
+	}
 	done := make(map[string]bool, len(addresses))
 	for _, address := range addresses {
-		if done[address] || address == self {
+		if done[address] {
 			continue
 		}
 		done[address] = true
@@ -216,46 +315,6 @@
 	a.live = seen
 }
 
-// receive hears heartbeats until ctx ends.
-func (a *Agent) receive(ctx context.Context) {
-	go func() {
-		<-ctx.Done()
-		_ = a.Conn.Close()
-	}()
-	buf := make([]byte, largestBeat)
-	for {
-		n, _, err := a.Conn.ReadFrom(buf)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			time.Sleep(a.Every)
-			continue
-		}
-		// One that cannot be read is passed over: it may be damaged or of another
-		// version, and the next full heartbeat tells all.
-		msg, err := decode(buf[:n])
-		if err != nil {
-			continue
-		}
-		switch msg := msg.(type) {
-		case *Beat:
-			a.hear(msg)
-		case *Update:
-			a.hearUpdate(msg)
-		}
-	}
-}
-
-// hearUpdate takes changed loads.
-func (a *Agent) hearUpdate(u *Update) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.Table.HearUpdate(u) {
-		a.heard = true
-	}
-}
-
 // tellChanges tells the others of changed loads, and the program of theirs, until ctx ends.
 func (a *Agent) tellChanges(ctx context.Context) {
 	t := time.NewTicker(updateEvery)
@@ -280,13 +339,12 @@
 // sendChanges sends an update where all others can be told directly and something changed.
 func (a *Agent) sendChanges() {
 	a.mu.Lock()
-	to := a.Table.Live(a.Now())
-	addresses := make([]string, 0, len(to))
-	for _, m := range to {
-		addresses = append(addresses, m.Row.Address)
+	var to []string
+	if !a.relayed() {
+		to = rowAddresses(a.Table.Live(a.Now()))
 	}
 	a.mu.Unlock()
-	if len(addresses) == 0 || len(addresses) > fanout {
+	if len(to) == 0 {
 		return
 	}
 	load, waiting, ok := a.Host.Changes()
@@ -297,24 +355,5 @@
 	a.mu.Lock()
 	u.LoadSeq = a.Table.NextLoad()
 	a.mu.Unlock()
-	data, err := encodeUpdate(&u)
-	if err != nil {
-		a.Log.Error(err, "update not sent")
-		return
-	}
-	a.write(data, addresses, "")
-}
-
-// hear takes one heartbeat.
-func (a *Agent) hear(b *Beat) {
-	if b.Host == a.Table.Host {
-		return
-	}
-	a.mu.Lock()
-	proof, ok := a.Table.Hear(a.Now(), b)
-	a.mu.Unlock()
-	a.Host.Heard(b)
-	if ok {
-		a.Host.Proved(proof)
-	}
+	a.write(&u, to)
 }
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -4,12 +4,14 @@
 
 package peers
 
+import "time"
+
 // Beat is a heartbeat. It is one datagram of JSON.
 type Beat struct {
 	// Host names the sender, Life one run of its process.
 	Host string `json:"h"`
 	Life uint64 `json:"l"`
-	// Seq numbers the sender's heartbeats.
+	// Seq numbers the sender's heartbeats and digests.
 	Seq uint32 `json:"s"`
 	// Echo is the newest Seq heard of each receiver.
 	Echo map[string]uint32 `json:"e,omitempty"`
@@ -17,18 +19,23 @@
 	Row Row `json:"r"`
 	// Known are other hosts that the sender heard of lately.
 	Known []Known `json:"k,omitempty"`
-	// Load is what the sender has running, by endpoint, and Waiting the number of requests
-	// that wait, by service and tier. LoadSeq numbers them together with those of updates.
+	Words
+}
+
+// Words are what a host tells of its requests and of what it knows.
+type Words struct {
+	// Load is what runs, by endpoint, and Waiting the number of requests that wait, by
+	// service and tier. LoadSeq numbers them together with those of updates.
 	Load    map[string]Load  `json:"o,omitempty"`
 	Waiting map[string][]int `json:"t,omitempty"`
 	LoadSeq uint32           `json:"n,omitempty"`
-	// Used is what the sender used in its life, by workspace.
+	// Used is what was used in the sender's life, by workspace.
 	Used map[string]float64 `json:"u,omitempty"`
 	// Left is the level of workspaces whose amount is nearly used up.
 	Left map[string]float64 `json:"q,omitempty"`
-	// Revision is the settings' revision and AgeMS their age when this was sent, -1 for none.
-	Revision uint64 `json:"v,omitempty"`
-	AgeMS    int64  `json:"a"`
+	// Settings and Endpoints tell what the sender knows of either, and its age.
+	Settings  Stamp `json:"v"`
+	Endpoints Stamp `json:"w"`
 }
 
 // Row is where a host is and whether it takes requests.
@@ -41,6 +48,8 @@
 	// Zone and Region tell where it stands.
 	Zone   string `json:"z"`
 	Region string `json:"g"`
+	// Capacity is what it can carry beside callers' requests, in cores; 0 is unknown.
+	Capacity float64 `json:"p,omitempty"`
 	// Ready says that it takes requests; a host that stops says so first.
 	Ready bool `json:"y"`
 	// Fresh says that its settings are young enough for requests with keys.
@@ -58,7 +67,7 @@
 	Age int64 `json:"a"`
 }
 
-// Load is what one host has running at an endpoint.
+// Load is what runs at an endpoint.
 type Load struct {
 	// Running counts requests; Prefill is prompt tokens without a first token.
 	Running int `json:"r"`
@@ -66,3 +75,28 @@
 	// Step is the seen time of a token, or of a request at a plain service, in microseconds; 0 is unknown.
 	Step int64 `json:"s,omitempty"`
 }
+
+// Stamp names a version of something and its age when it was sent.
+type Stamp struct {
+	// Revision is the store's revision, and Sum tells versions of different content apart
+	// where the revision does not.
+	Revision uint64 `json:"v,omitempty"`
+	Sum      uint64 `json:"x,omitempty"`
+	// AgeMS is the time in milliseconds since it was surely the newest, -1 for none known.
+	AgeMS int64 `json:"a"`
+}
+
+// Version is a stamp in the receiver's own time.
+type Version struct {
+	// Known says that the sender had one.
+	Known bool
+	// Revision and Sum name it.
+	Revision, Sum uint64
+	// At is a moment of the receiver's clock at which it was the newest.
+	At time.Duration
+}
+
+// since gives the version that a stamp names, if it was sent at a moment or later.
+func (s Stamp) since(sent time.Duration) Version {
+	return Version{Known: s.AgeMS >= 0, Revision: s.Revision, Sum: s.Sum, At: sent - time.Duration(s.AgeMS)*time.Millisecond}
+}
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -26,17 +26,38 @@
 // The first byte of a datagram tells what follows.
 const (
 	kindBeat   = 'b' // deflated JSON of a Beat
+	kindMember = 'm' // the same, to be passed on by the receiver
+	kindDigest = 'd' // deflated JSON of a Digest
 	kindUpdate = 'u' // JSON of an Update, too short to be worth deflating
 )
 
-// encode writes a heartbeat as deflated JSON: bytes between zones are paid for.
-func encode(b *Beat) ([]byte, error) {
+// member is a heartbeat to a relay, which is to pass on its words.
+type member struct{ Beat }
+
+// encode writes a *Beat, *member, *Digest or *Update.
+func encode(msg any) ([]byte, error) {
+	switch msg := msg.(type) {
+	case *Beat:
+		return deflate(kindBeat, msg)
+	case *member:
+		return deflate(kindMember, &msg.Beat)
+	case *Digest:
+		return deflate(kindDigest, msg)
+	case *Update:
+		b, err := json.Marshal(msg)
+		return append([]byte{kindUpdate}, b...), err
+	}
+	return nil, errKind
+}
+
+// deflate writes deflated JSON: bytes between zones are paid for.
+func deflate(kind byte, msg any) ([]byte, error) {
 	var out bytes.Buffer
-	out.WriteByte(kindBeat)
+	out.WriteByte(kind)
 	w := deflaters.Get().(*flate.Writer)
 	defer deflaters.Put(w)
 	w.Reset(&out)
-	if err := json.NewEncoder(w).Encode(b); err != nil {
+	if err := json.NewEncoder(w).Encode(msg); err != nil {
 		return nil, err
 	}
 	if err := w.Close(); err != nil {
@@ -45,26 +66,27 @@
 	return out.Bytes(), nil
 }
 
-// largestPlain bounds a heartbeat before it was deflated.
+// largestPlain bounds a datagram before it was deflated.
 const largestPlain = 1 << 20
 
-// encodeUpdate writes an update.
-func encodeUpdate(u *Update) ([]byte, error) {
-	b, err := json.Marshal(u)
-	return append([]byte{kindUpdate}, b...), err
-}
-
 // errKind means that a datagram is of no known kind.
 var errKind = eris.New("datagram is of no known kind; its sender may run another version")
 
-// decode reads a datagram: a *Beat or an *Update.
+// decode reads a datagram: a *Beat, *member, *Digest or *Update.
 func decode(data []byte) (any, error) {
 	if len(data) == 0 {
 		return nil, errKind
 	}
 	switch kind, data := data[0], data[1:]; kind {
 	case kindBeat:
-		return decodeBeat(data)
+		var b Beat
+		return &b, inflate(data, &b)
+	case kindMember:
+		var m member
+		return &m, inflate(data, &m.Beat)
+	case kindDigest:
+		var d Digest
+		return &d, inflate(data, &d)
 	case kindUpdate:
 		var u Update
 		return &u, json.Unmarshal(data, &u)
@@ -72,13 +94,9 @@
 	return nil, errKind
 }
 
-// decodeBeat reads what follows the first byte of a heartbeat.
-func decodeBeat(data []byte) (*Beat, error) {
+// inflate reads deflated JSON.
+func inflate(data []byte, msg any) error {
 	r := flate.NewReader(bytes.NewReader(data))
 	defer r.Close()
-	var b Beat
-	if err := json.NewDecoder(io.LimitReader(r, largestPlain)).Decode(&b); err != nil {
-		return nil, err
-	}
-	return &b, nil
+	return json.NewDecoder(io.LimitReader(r, largestPlain)).Decode(msg)
 }
--- /dev/null
+++ b/peers/receive.go
@@ -0,0 +1,111 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import (
+	"context"
+	"time"
+)
+
+// receive hears datagrams until ctx ends.
+func (a *Agent) receive(ctx context.Context) {
+	go func() {
+		<-ctx.Done()
+		_ = a.Conn.Close()
+	}()
+	buf := make([]byte, largestBeat)
+	for {
+		n, _, err := a.Conn.ReadFrom(buf)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(a.Every)
+			continue
+		}
+		// One that cannot be read is passed over: it may be damaged or of another
+		// version, and the next full heartbeat tells all.
+		if msg, err := decode(buf[:n]); err == nil {
+			a.take(msg)
+		}
+	}
+}
+
+// take takes one message.
+func (a *Agent) take(msg any) {
+	switch msg := msg.(type) {
+	case *Beat:
+		a.hear(msg)
+	case *member:
+		a.hear(&msg.Beat)
+		a.mu.Lock()
+		a.relay.HearBeat(a.Now(), &msg.Beat)
+		a.mu.Unlock()
+	case *Digest:
+		a.hearDigest(msg)
+	case *Update:
+		a.hearUpdate(msg)
+	}
+}
+
+// hear takes one heartbeat.
+func (a *Agent) hear(b *Beat) {
+	if b.Host == a.Table.Host {
+		return
+	}
+	a.mu.Lock()
+	now := a.Now()
+	a.welcome(b)
+	proof, ok := a.Table.Hear(now, b)
+	relayed := a.relayed()
+	a.mu.Unlock()
+	if !relayed {
+		a.Host.Heard(Usage{Source: b.Host, Life: b.Life, Hosts: 1, Used: b.Used, Left: b.Left})
+	}
+	if ok {
+		a.Host.Proved(proof)
+	}
+}
+
+// welcome answers a host that is heard for the first time at once, so that it learns of
+// the others; mu must be held.
+func (a *Agent) welcome(b *Beat) {
+	if b.Row.Address == "" || a.Table.Knows(b.Host) {
+		return
+	}
+	a.greet = append(a.greet, b.Row.Address)
+	a.Kick()
+}
+
+// hearUpdate takes changed loads.
+func (a *Agent) hearUpdate(u *Update) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.Table.HearUpdate(u) {
+		a.heard = true
+	}
+}
+
+// hearDigest takes what a relay passes on.
+func (a *Agent) hearDigest(d *Digest) {
+	if d.Host == a.Table.Host {
+		return
+	}
+	a.mu.Lock()
+	now := a.Now()
+	proof, ok := a.Table.HearDigest(now, d)
+	if d.Part {
+		a.relay.HearPart(now, d)
+	}
+	u, whole := a.uplink.hear(now, d, &a.told)
+	a.heard = a.heard || whole
+	a.mu.Unlock()
+	if whole {
+		a.Host.Heard(u)
+	}
+	if ok {
+		a.Host.Proved(proof)
+	}
+}
--- /dev/null
+++ b/peers/relayed.go
@@ -0,0 +1,74 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import "time"
+
+// sendRelayed gives a heartbeat to the relay of this host's zone, which may be this host,
+// and sends the digests that this host owes as a relay.
+func (a *Agent) sendRelayed(b Beat) {
+	b.Known = nil // relays name hosts to their members
+	a.mu.Lock()
+	now := a.Now()
+	a.told.note(&b)
+	self := &Member{Host: b.Host, Life: b.Life, Row: b.Row}
+	up := a.uplink.choose(now, b.Host, a.Table.Relays(now, b.Row.Zone, self))
+	var to []string
+	switch up {
+	case nil:
+	case self:
+		a.relay.HearBeat(now, &b)
+	default:
+		to = []string{up.Row.Address}
+		b.Echo = a.Table.Echo([]*Member{up})
+	}
+	a.mu.Unlock()
+	a.write(&member{Beat: b}, to)
+	a.sendDigests(now, &b)
+}
+
+// sendDigests sends the sum of the members to the other relays, and that of all hosts to
+// the members, if this host has any.
+func (a *Agent) sendDigests(now time.Duration, b *Beat) {
+	a.mu.Lock()
+	members := a.relay.Members(now)
+	if len(members) == 0 && a.uplink.host != b.Host {
+		a.mu.Unlock()
+		return
+	}
+	relays := append(a.otherRelays(now, b), a.relay.Relays(now)...)
+	part, whole := a.relay.Part(now), a.relay.Whole(now)
+	part.Known, whole.Known = a.Table.KnownRows(now, b.Row.Zone), a.Table.KnownRows(now, "")
+	var own Usage
+	var counted bool
+	for _, d := range []*Digest{&part, &whole} {
+		d.Seq, d.Row = a.Table.Next(now), b.Row
+		d.Settings, d.Endpoints, d.Left = b.Settings, b.Endpoints, b.Left
+	}
+	if a.uplink.host == b.Host {
+		own, counted = a.uplink.hear(now, &whole, &a.told)
+		a.heard = true
+	}
+	a.mu.Unlock()
+	if counted {
+		a.Host.Heard(own)
+	}
+	a.write(&part, relays)
+	a.write(&whole, members)
+}
+
+// otherRelays are the addresses of the first choices of all zones, but for this host; mu
+// must be held.
+func (a *Agent) otherRelays(now time.Duration, b *Beat) []string {
+	self := &Member{Host: b.Host, Life: b.Life, Row: b.Row}
+	all := append(a.Table.Live(now), self)
+	var out []string
+	for _, zone := range zonesOf(all) {
+		if relays := preferred(all, zone); len(relays) > 0 && relays[0] != self {
+			out = append(out, relays[0].Row.Address)
+		}
+	}
+	return out
+}
--- a/peers/table.go
+++ b/peers/table.go
@@ -5,24 +5,30 @@
 package peers
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Figures of the table.
 const (
 	// DefaultSilent is the silence after which a host is not given to callers, in
-	// fleets of up to directHosts hosts; it grows with the fleet, as news of a host then
-	// comes by way of others, up to longestSilent.
+	// fleets of up to directHosts hosts; it grows with the fleet, as a relay then names
+	// each host more seldom, up to longestSilent. Relays tell at once of hosts that fell
+	// silent, so that this time only counts where a relay went with them.
 	DefaultSilent = 1200 * time.Millisecond
 	directHosts   = 50
-	longestSilent = 6 * time.Second
+	longestSilent = 12 * time.Second
 	// DefaultForget is the silence after which a host is dropped.
 	DefaultForget = 20 * time.Second
-	// mostKnown bounds the hosts passed on in a heartbeat.
-	mostKnown = 24
+	// leastKnown is the number of hosts passed on in a heartbeat or a digest, if that many
+	// are known; in large fleets it is more, so that knownRound of them name all.
+	leastKnown = 24
+	knownRound = 20
 	// seqRing is the number of own heartbeats whose sending times are kept.
 	seqRing = 64
 )
@@ -42,17 +48,17 @@
 	Waiting map[string][]int
 
 	direct  time.Duration
+	changed time.Duration // when its row changed last
 	lastSeq uint32
 	loadSeq uint32
 }
 
-// Proof says that a peer knew its settings' revision to be the newest at a moment of this host's clock.
+// Proof says what a peer knew to be the newest at a moment of this host's clock.
 type Proof struct {
 	// Host is the peer, Control where it can be asked.
 	Host, Control string
-	// Revision was the newest at At.
-	Revision uint64
-	At       time.Duration
+	// Settings and Endpoints are what it knew.
+	Settings, Endpoints Version
 }
 
 // Table is what a host knows of the others. It is pure and not safe for concurrent use.
@@ -66,6 +72,7 @@
 	members map[string]*Member
 	seq     uint32
 	loadSeq uint32
+	named   map[string]string // the last host that was passed on, by the zone asked for
 	sent    [seqRing]time.Duration
 }
 
@@ -93,6 +100,9 @@
 	return out
 }
 
+// Knows tells whether a host was heard of.
+func (t *Table) Knows(host string) bool { return t.members[host] != nil }
+
 // Hear takes a heartbeat. The proof is valid if the peer told an age and had
 // heard of a heartbeat whose sending time is still known: the peer's words were
 // written after that time, so its age can only be counted from there.
@@ -107,17 +117,92 @@
 	if b.Life != m.Life || b.LoadSeq >= m.loadSeq {
 		m.Load, m.Waiting, m.loadSeq = b.Load, b.Waiting, b.LoadSeq
 	}
-	m.Life, m.lastSeq, m.Row = b.Life, b.Seq, b.Row
+	m.setRow(now, b.Row)
+	m.Life, m.lastSeq = b.Life, b.Seq
 	m.Heard, m.direct = now, now
 	for _, k := range b.Known {
 		t.hearOf(now, k)
 	}
-	echo, ok := b.Echo[t.Host]
-	if !ok || b.AgeMS < 0 || echo > t.seq || t.seq-echo >= seqRing {
+	return t.proof(b.Host, &b.Row, b.Echo, &b.Words)
+}
+
+// HearDigest takes a relay's digest of all hosts. The hosts that it lost are silent from now.
+func (t *Table) HearDigest(now time.Duration, d *Digest) (Proof, bool) {
+	if d.Host == t.Host || d.Host == "" {
+		return Proof{}, false
+	}
+	m := t.member(d.Host)
+	if d.Life == m.Life && d.Seq <= m.lastSeq {
+		return Proof{}, false
+	}
+	m.setRow(now, d.Row)
+	m.Life, m.lastSeq = d.Life, d.Seq
+	m.Heard, m.direct = now, now
+	for _, k := range d.Known {
+		t.hearOf(now, k)
+	}
+	for _, name := range d.Lost {
+		if m := t.members[name]; m != nil && now-m.direct > sourceLife {
+			m.Heard = min(m.Heard, now-t.silent()-1)
+		}
+	}
+	return t.proof(d.Host, &d.Row, d.Echo, &d.Words)
+}
+
+// proof gives what a peer's words prove: they were written after it had heard the datagram
+// of this host that it echoes.
+func (t *Table) proof(host string, row *Row, echoes map[string]uint32, w *Words) (Proof, bool) {
+	echo, ok := echoes[t.Host]
+	if !ok || echo > t.seq || t.seq-echo >= seqRing {
 		return Proof{}, false
 	}
-	at := t.sent[echo%seqRing] - time.Duration(b.AgeMS)*time.Millisecond
-	return Proof{Host: b.Host, Control: b.Row.Control, Revision: b.Revision, At: at}, true
+	sent := t.sent[echo%seqRing]
+	return Proof{Host: host, Control: row.Control, Settings: w.Settings.since(sent), Endpoints: w.Endpoints.since(sent)}, true
+}
+
+// Relays lists the hosts of a zone that may relay, the first choice first. self is this
+// host, which counts like the others.
+func (t *Table) Relays(now time.Duration, zone string, self *Member) []*Member {
+	return preferred(append(t.Live(now), self), zone)
+}
+
+// relayCapacity is the part of the largest capacity of a zone from which a host may relay.
+const relayCapacity = 0.75
+
+// preferred lists the hosts of a zone that may relay: those with about the largest
+// capacity of the zone, in an order drawn from their names, so that all hosts name the same.
+func preferred(all []*Member, zone string) []*Member {
+	var out []*Member
+	largest := 0.0
+	for _, m := range all {
+		if m.Row.Zone == zone && m.Row.Ready {
+			out = append(out, m)
+			largest = max(largest, m.Row.Capacity)
+		}
+	}
+	out = slices.DeleteFunc(out, func(m *Member) bool { return m.Row.Capacity < relayCapacity*largest })
+	slices.SortFunc(out, func(a, b *Member) int {
+		return cmp.Compare(xxhash.Sum64String(a.Host), xxhash.Sum64String(b.Host))
+	})
+	return out
+}
+
+// zonesOf lists the availability zones of some hosts.
+func zonesOf(all []*Member) []string {
+	var out []string
+	for _, m := range all {
+		if !slices.Contains(out, m.Row.Zone) {
+			out = append(out, m.Row.Zone)
+		}
+	}
+	return out
+}
+
+// setRow takes what a member tells of itself.
+func (m *Member) setRow(now time.Duration, row Row) {
+	if m.Row != row {
+		m.Row, m.changed = row, now
+	}
 }
 
 // member returns a member, made when it is first heard of.
@@ -144,7 +229,8 @@
 		if m.Life != k.Life {
 			m.Life, m.lastSeq, m.loadSeq = k.Life, 0, 0
 		}
-		m.Row, m.Heard = k.Row, max(heard, m.Heard)
+		m.setRow(now, k.Row)
+		m.Heard = max(heard, m.Heard)
 	}
 }
 
@@ -195,13 +281,50 @@
 	return all[:min(n, len(all))]
 }
 
-// KnownRows picks members to pass on.
-func (t *Table) KnownRows(now time.Duration, r *rand.Rand) []Known {
-	all := t.Live(now)
-	r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	out := make([]Known, 0, mostKnown)
-	for _, m := range all[:min(mostKnown, len(all))] {
-		out = append(out, Known{m.Host, m.Life, m.Row, (now - m.Heard).Milliseconds()})
+// KnownRows picks members to pass on, of one zone if it is not empty: first those that
+// relay, which a host that knows few others needs most, then those whose row changed
+// lately, and the others in turn.
+func (t *Table) KnownRows(now time.Duration, zone string) []Known {
+	all := slices.DeleteFunc(t.Live(now), func(m *Member) bool { return zone != "" && m.Row.Zone != zone })
+	most := max(leastKnown, len(all)/knownRound)
+	out := make([]Known, 0, most)
+	named := make(map[string]bool, most)
+	add := func(m *Member) {
+		if !named[m.Host] && len(out) < most {
+			named[m.Host] = true
+			out = append(out, m.known(now))
+		}
+	}
+	for _, z := range zonesOf(all) {
+		if relays := preferred(all, z); len(relays) > 0 {
+			add(relays[0])
+		}
+	}
+	for _, m := range all {
+		if now-m.changed < newsFor && len(out) < most/2 {
+			add(m)
+		}
+	}
+	// All are sorted by name; go on behind the one that was named last.
+	if t.named == nil {
+		t.named = make(map[string]string)
+	}
+	first, _ := slices.BinarySearchFunc(all, t.named[zone]+"\x00", func(m *Member, name string) int { return strings.Compare(m.Host, name) })
+	for i := 0; i < len(all) && len(out) < most; i++ {
+		m := all[(first+i)%len(all)]
+		add(m)
+		t.named[zone] = m.Host
 	}
 	return out
 }
+
+// newsFor is the time for which a change of a row is passed on before others.
+const newsFor = time.Second
+
+// known is how a member is passed on.
+func (m *Member) known(now time.Duration) Known {
+	return Known{m.Host, m.Life, m.Row, (now - m.Heard).Milliseconds()}
+}
+
+// Size is the number of members that may still run, as of the last look at them.
+func (t *Table) Size() int { return len(t.members) }
--- a/quota/book.go
+++ b/quota/book.go
@@ -55,9 +55,10 @@
 	recent float64 // own use since all others were heard
 }
 
-// peer is another host.
+// peer is another host, or a relay that speaks of several.
 type peer struct {
 	life   uint64
+	hosts  int
 	heard  time.Duration
 	used   map[string]float64
 	taken  map[string]float64 // taken as used since it was heard
@@ -110,11 +111,14 @@
 	a.at = now
 	share := a.bound.Rate / float64(b.hosts) * dt
 	a.level += a.bound.Rate * dt
-	a.level -= share * float64(max(0, b.hosts-1-len(b.peers)))
+	unheard := b.hosts - 1
 	for _, p := range b.peers {
-		p.taken[name] += share
-		a.level -= share
+		part := share * float64(p.hosts)
+		p.taken[name] += part
+		a.level -= part
+		unheard -= p.hosts
 	}
+	a.level -= share * float64(max(0, unheard))
 	a.clamp()
 }
 
--- a/quota/told.go
+++ b/quota/told.go
@@ -17,9 +17,11 @@
 	learnFor = 2 * time.Second
 )
 
-// Told is what a host tells of its accounts, by workspace.
+// Told is what a host tells of its accounts, or a relay of those of several hosts, by workspace.
 type Told struct {
-	// Used is what it used in its life.
+	// Hosts is the number of hosts that it speaks of; 0 means 1.
+	Hosts int
+	// Used is what they used in the life of the one that tells.
 	Used map[string]float64
 	// Left is the level of those accounts that are low.
 	Left map[string]float64
@@ -42,14 +44,16 @@
 }
 
 // Heard takes what a peer told. The first tell of a life is where the counting starts.
+// After a silence, a peer's further words set right what was taken as used meanwhile.
 func (b *Book) Heard(now time.Duration, name string, life uint64, told Told) {
 	b.learn(now, told.Left)
 	p := b.peers[name]
 	if p == nil {
-		p = &peer{life: life, heard: now, used: told.Used, taken: make(map[string]float64)}
+		p = &peer{life: life, heard: now, hosts: max(1, told.Hosts), used: told.Used, taken: make(map[string]float64)}
 		b.peers[name] = p
 		return
 	}
+	p.hosts = max(1, told.Hosts)
 	for ws, a := range b.accounts {
 		b.fill(now, ws, a)
 	}
@@ -101,15 +105,15 @@
 		return
 	}
 	p.silent = true
-	heard := 2.0 // with this host and p
+	heard := 1 + float64(p.hosts) // with this host
 	for _, q := range b.peers {
 		if !q.silent {
-			heard++
+			heard += float64(q.hosts)
 		}
 	}
 	for ws, a := range b.accounts {
 		free := max(0, a.level+b.Tolerance.debt(a.bound))
-		part := free - max(0, (free+a.recent)*(heard-1)/heard-a.recent)
+		part := free - max(0, (free+a.recent)*(heard-float64(p.hosts))/heard-a.recent)
 		a.level -= part
 		p.taken[ws] += part
 	}
