feed: the revision and the list change under one lock

Cause: watch and readAll raised the revision and let go of the lock before the list to tell was renewed. A peer that was told the view in between got the new revision with the sum of the old list, took its own equal old list for proven at that revision, and passed over the change when it read the store itself: for good, until the next change. With it an endpoint's leaving could be missed.

TestViewIsWhole fails before (both ways of reading) and passes after.

Ruled out: load of the machine (the test runs on simulated time), and the time between readings (the change stayed unknown, not late).

--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -148,6 +148,7 @@
 		}
 	}
 	e.read, e.forgot, e.at = true, false, max(e.at, p.At)
+	e.tell()
 	return nil
 }
 
@@ -178,6 +179,7 @@
 		e.take(it)
 	}
 	e.at = max(e.at, p.At)
+	e.tell() // under the same lock: a peer must never get the old list with the new revision
 	return idle, nil
 }
 
--- a/feed/shared_test.go
+++ b/feed/shared_test.go
@@ -294,3 +294,37 @@
 	must.False(t, e.Proved(View{Revision: 6, Sum: 9, At: time.Minute})) // older content
 	must.True(t, e.Proved(View{Revision: 8, Sum: 9, At: time.Minute}))
 }
+
+// TestViewIsWhole holds that no peer can see a new revision with the old list: it would take
+// its own old list for proven at that revision, and pass over the change for good.
+func TestViewIsWhole(t *testing.T) {
+	cases := []struct {
+		name string
+		read func(e *Endpoints) error
+	}{
+		{"reading all", func(e *Endpoints) error { return e.readAll(t.Context()) }},
+		{"reading changes", func(e *Endpoints) error {
+			_, err := e.watch(t.Context(), e.at)
+			return err
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			store := newMemoryStore()
+			store.put("servers/a", "ready")
+			e := &Endpoints{
+				Store: store, Prefix: "servers/", Wait: 100 * time.Millisecond, LapseFor: time.Second, Parse: parseEndpoint,
+				Now: func() time.Duration { return time.Hour }, Changed: func([]Endpoint) {}, Log: logr.Discard(),
+			}
+			e.Init()
+			must.True(t, e.follow(t.Context()))
+			before, _ := e.View()
+			store.put("servers/b", "ready")
+			// What follow does after this call comes under another lock.
+			must.NoError(t, tc.read(e))
+			after, _ := e.View()
+			must.Greater(t, before.Revision, after.Revision)
+			must.NotEqOp(t, before.Sum, after.Sum)
+		})
+	}
+}
