sched, peers: claims by rate; hosts that are not heard are counted; a new relay's gaps are bridged

Claims of free places were drawn in proportion to what waits, at each free place. That fits news of 25 ms; by way of relays news is 0.45 s old, and many hosts saw the same free place for half a second. Now a host knows how old its news is, and claims are drawn at such a rate that all hosts together take the free places in twice that time. None are needed while places are plenty, where requests take less time than news (plain services), or for places that own requests left.

A host that is cut off, or has just started, heard nobody and took all endpoints for idle. It now takes each host that may be serving to have as much as itself, and learns from its own first tokens how far that holds.

A relay that has just become one knew few hosts, and its digest was taken for all: the old one is kept for up to 2 s.

TestStaleHostsDoNotOverfill fails with claims switched off.

--- a/edge/host.go
+++ b/edge/host.go
@@ -130,7 +130,7 @@
 		DialContext: (&net.Dialer{Timeout: fetchTimeout}).DialContext,
 	}}
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true}},
+		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true, Others: true}},
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		FirstStart: b.First, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
@@ -225,9 +225,18 @@
 	return listed && h.settings.Current() != nil
 }
 
+// drawEvery is the time between two draws of places, as long as changed loads take to be
+// told; what is done less often is done at each so many of them: every 0.1, 0.2 and 1 s.
+const (
+	drawEvery  = 25 * time.Millisecond
+	ticksEach  = 4
+	sharesEach = 8
+	sweepsEach = 40
+)
+
 // tick does what is due now and then.
 func (h *Host) tick(ctx context.Context) {
-	t := time.NewTicker(100 * time.Millisecond)
+	t := time.NewTicker(drawEvery)
 	defer t.Stop()
 	for n := 0; ; n++ {
 		select {
@@ -235,12 +244,15 @@
 			return
 		case <-t.C:
 		}
-		h.ingress.Tick()
-		if n%2 == 0 {
+		h.ingress.Draw()
+		if n%ticksEach == 0 {
+			h.ingress.Tick()
+		}
+		if n%sharesEach == 0 {
 			h.shareLoads()
 			h.shareHosts()
 		}
-		if n%10 == 0 {
+		if n%sweepsEach == 0 {
 			h.ingress.Sweep()
 		}
 	}
--- a/edge/share.go
+++ b/edge/share.go
@@ -150,8 +150,7 @@
 
 // shareLoads gives the ingress what the other hosts told of their requests.
 func (h *Host) shareLoads() {
-	load, waiting := h.agent.Others()
-	h.ingress.SetOthers(load, waiting)
+	h.ingress.SetOthers(h.agent.Others())
 }
 
 // shareHosts tells the ingress which hosts share amounts and endpoints with this one.
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -180,16 +180,17 @@
 }
 
 // setOthers takes what all other hosts together have running and waiting.
-func (b *balancer) setOthers(now time.Duration, load map[string]peers.Load, waiting map[string][]int) {
+func (b *balancer) setOthers(now time.Duration, o peers.Others) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for name, t := range b.targets {
-		l := load[name]
+		l := o.Load[name]
 		l.Step = cmp.Or(l.Step, t.others.Step) // it stays known
 		t.others = l
 	}
 	b.report(now)
-	b.sched.SetOthersWaiting(now, waiting)
+	b.sched.SetUnheard(o.Unheard)
+	b.sched.SetNews(sched.News{Waiting: o.Waiting, Age: o.Age})
 	b.poll(now)
 }
 
@@ -252,6 +253,15 @@
 	}
 }
 
+// draw draws which places may be filled, and fills them.
+func (b *balancer) draw(now time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sched.DrawClaims(now)
+	b.sched.Wake()
+	b.poll(now)
+}
+
 // tick lets time pass.
 func (b *balancer) tick(now time.Duration) {
 	b.mu.Lock()
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -215,6 +215,9 @@
 // Connections counts the connections opened to endpoints.
 func (s *Server) Connections() int64 { return s.pool.Opened() }
 
+// Draw lets the host take its part of the free places; call it every 25 ms or so.
+func (s *Server) Draw() { s.balance.draw(s.Now()) }
+
 // Tick does what is due now and then; call it about ten times a second.
 func (s *Server) Tick() { s.balance.tick(s.Now()) }
 
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -16,8 +16,5 @@
 	return s.balance.changes()
 }
 
-// SetOthers takes what all other hosts together have running, by endpoint, and how many
-// requests wait there, by service and tier.
-func (s *Server) SetOthers(load map[string]peers.Load, waiting map[string][]int) {
-	s.balance.setOthers(s.Now(), load, waiting)
-}
+// SetOthers takes what all other hosts together have running and waiting.
+func (s *Server) SetOthers(o peers.Others) { s.balance.setOthers(s.Now(), o) }
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -34,8 +34,8 @@
 	// others it knows, with each such heartbeat, so that parts that lost sight of each
 	// other meet again; as many are drawn from the hosts' entries in the store.
 	gossipFanout = 2
-	// mostGreeted bounds the hosts that are answered at once because they were heard for
-	// the first time, with a heartbeat: some 200 KB.
+	// mostGreeted bounds the hosts that are answered with a heartbeat because they know few
+	// others: some 200 KB.
 	mostGreeted = 64
 	// largestBeat bounds a datagram, in bytes.
 	largestBeat = 60 << 10
@@ -99,7 +99,7 @@
 	mu     sync.Mutex
 	heard  bool // loads of others were heard since the last look
 	extra  []string
-	greet  []string // addresses of hosts that were heard for the first time
+	greet  []string // addresses of hosts that know few others
 	kick   chan struct{}
 	ticks  int
 	live   map[string]bool
@@ -163,19 +163,43 @@
 	return out
 }
 
+// Mean ages of what is known of other hosts' loads: half an updateEvery until they are
+// told, a datagram, and half of one until it is looked at; by way of relays as measured by
+// TestFleetHearsOfEachOther.
+const (
+	directAge  = 30 * time.Millisecond
+	relayedAge = 450 * time.Millisecond
+)
+
+// Others is what the other hosts have running and waiting.
+type Others struct {
+	// Load is what runs, by endpoint, and Waiting the number of requests that wait, by
+	// service and tier.
+	Load    map[string]Load
+	Waiting map[string][]int
+	// Age is how old that is in the mean.
+	Age time.Duration
+	// Unheard is the number of hosts that may be serving and whose words are not in it.
+	Unheard int
+}
+
 // Others sums up what the other hosts have running and waiting.
-func (a *Agent) Others() (map[string]Load, map[string][]int) {
+func (a *Agent) Others() Others {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.Now()
+	serving := a.Table.Serving(now)
 	if a.relayed() {
-		return a.uplink.others(now, &a.told)
+		o, heard := a.uplink.others(now, &a.told)
+		o.Age, o.Unheard = relayedAge, max(0, serving-heard)
+		return o
 	}
 	var sum loadSum
-	for _, m := range a.Table.Live(now) {
+	live := a.Table.Live(now)
+	for _, m := range live {
 		sum.add(&Words{Load: m.Load, Waiting: m.Waiting})
 	}
-	return sum.loads(), sum.waiting
+	return Others{Load: sum.loads(), Waiting: sum.waiting, Age: directAge, Unheard: max(0, serving-len(live))}
 }
 
 // Sources names who tells this host what the others used.
@@ -194,6 +218,15 @@
 	return out
 }
 
+// Relaying tells whether the fleet is so large that there are relays, and whether this host
+// is one.
+func (a *Agent) Relaying() (relays, self bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	relays = a.relayed()
+	return relays, relays && a.uplink.host == a.Table.Host
+}
+
 // relayed tells whether there are too many hosts to tell all of them directly; mu must be held.
 func (a *Agent) relayed() bool { return a.Table.Size() > fanout }
 
@@ -229,7 +262,7 @@
 		to = to[:min(gossipFanout, len(to))]
 	}
 	b.Seq, b.LoadSeq = a.Table.Next(now), a.Table.NextLoad()
-	b.Echo = a.Table.Echo(to)
+	b.Echo, b.Size = a.Table.Echo(to), a.Table.Size()
 	turn := a.ticks%knownEvery == 0
 	if turn || (relayed && !told) {
 		b.Known = a.Table.KnownRows(now, "")
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -17,8 +17,10 @@
 	Echo map[string]uint32 `json:"e,omitempty"`
 	// Row is what the sender tells of itself.
 	Row Row `json:"r"`
-	// Known are other hosts that the sender heard of lately.
+	// Known are other hosts that the sender heard of lately, and Size the number of those
+	// that it knows.
 	Known []Known `json:"k,omitempty"`
+	Size  int     `json:"m,omitempty"`
 	Words
 }
 
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -69,14 +70,13 @@
 	}
 }
 
-// welcome answers a host that is heard for the first time at once, so that it learns of
-// the others; mu must be held.
+// welcome answers a host with the next heartbeat that knows less than half of the hosts that this one
+// knows, so that it learns of the others; mu must be held.
 func (a *Agent) welcome(b *Beat) {
-	if b.Row.Address == "" || a.Table.Knows(b.Host) {
+	if b.Row.Address == "" || 2*b.Size >= a.Table.Size() || slices.Contains(a.greet, b.Row.Address) {
 		return
 	}
 	a.greet = append(a.greet, b.Row.Address)
-	a.Kick()
 }
 
 // hearUpdate takes changed loads.
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -10,9 +10,13 @@
 	"time"
 )
 
-// sourceLife is the silence after which what a host or a relay told is left out of sums:
-// three heartbeats and a part of one.
-const sourceLife = 700 * time.Millisecond
+// sourceLife is the silence after which what a host told is left out of sums: three
+// heartbeats and a part of one. What a relay told counts for two heartbeats more, since a
+// whole zone would be missing.
+const (
+	sourceLife = 700 * time.Millisecond
+	relayLife  = 1100 * time.Millisecond
+)
 
 // Relay adds up what hosts tell it. In fleets where not every host can be told by every
 // other one, the hosts of a zone send their heartbeats to one of them, the relay; relays
@@ -132,7 +136,7 @@
 			r.lost[name] = now
 		}
 	}
-	maps.DeleteFunc(r.relays, func(_ string, s *source) bool { return now-s.heard > sourceLife })
+	maps.DeleteFunc(r.relays, func(_ string, s *source) bool { return now-s.heard > relayLife })
 	maps.DeleteFunc(r.lost, func(_ string, at time.Duration) bool { return now-at > lostFor })
 }
 
--- a/peers/table.go
+++ b/peers/table.go
@@ -100,9 +100,6 @@
 	return out
 }
 
-// Knows tells whether a host was heard of.
-func (t *Table) Knows(host string) bool { return t.members[host] != nil }
-
 // Hear takes a heartbeat. The proof is valid if the peer told an age and had
 // heard of a heartbeat whose sending time is still known: the peer's words were
 // written after that time, so its age can only be counted from there.
@@ -259,6 +256,18 @@
 	return t.within(now, t.forget())
 }
 
+// Serving counts the members that may be serving: those that may still run and did not say
+// that they stop.
+func (t *Table) Serving(now time.Duration) int {
+	n := 0
+	for _, m := range t.members {
+		if m.Row.Ready && now-m.Heard <= t.forget() {
+			n++
+		}
+	}
+	return n
+}
+
 // within returns the members heard of within a time, and drops those that are to be forgotten.
 func (t *Table) within(now, limit time.Duration) []*Member {
 	out := make([]*Member, 0, len(t.members))
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -13,15 +13,16 @@
 	relayPatience = 700 * time.Millisecond
 	// suspectFor is the time for which a relay that sent no digest is not taken again.
 	suspectFor = 2500 * time.Millisecond
-	// digestLife is the age at which a digest tells nothing of loads any more, as that of a
-	// silent host.
-	digestLife = DefaultSilent
+	// digestLife is the age at which a digest tells nothing of loads any more: until then
+	// another relay can be taken and have heard of all hosts.
+	digestLife = 2 * time.Second
 )
 
 // uplink is the relay that passes on what this host tells, and what it told last.
 type uplink struct {
 	host     string
 	since    time.Duration // when this host began to use it
+	heard    time.Duration // when it last sent a digest
 	suspects map[string]time.Duration
 	digest   *Digest
 	at       time.Duration // when the digest came
@@ -33,7 +34,7 @@
 	if u.suspects == nil {
 		u.suspects = make(map[string]time.Duration)
 	}
-	if u.host != "" && u.host != self && now-max(u.since, u.at) > relayPatience {
+	if u.host != "" && u.host != self && now-max(u.since, u.heard) > relayPatience {
 		u.suspects[u.host] = now
 	}
 	for _, c := range candidates {
@@ -64,7 +65,12 @@
 	if d.Part || d.Host != u.host || (old != nil && old.Host == d.Host && old.Life == d.Life && d.Seq <= old.Seq) {
 		return Usage{}, false
 	}
-	u.digest, u.at = d, now
+	u.heard = now
+	// A relay that has just become one knows of some hosts only; what was known before is
+	// better for a while.
+	if old == nil || d.Host == old.Host || 10*d.Hosts >= 9*old.Hosts || now-u.at > digestLife {
+		u.digest, u.at = d, now
+	}
 	own, ok := told.at(d.Echo)
 	if !ok {
 		return Usage{}, false
@@ -77,13 +83,18 @@
 }
 
 // others gives what the other hosts have running and waiting by the last digest: the sum
-// of all but what this host had told of itself.
-func (u *uplink) others(now time.Duration, told *history) (map[string]Load, map[string][]int) {
+// of all but what this host had told of itself; and the number of these hosts.
+func (u *uplink) others(now time.Duration, told *history) (o Others, hosts int) {
 	load, waiting := make(map[string]Load), make(map[string][]int)
+	o = Others{Load: load, Waiting: waiting}
 	if u.digest == nil || now-u.at > digestLife {
-		return load, waiting
+		return o, 0
+	}
+	own, ok := told.at(u.digest.Echo)
+	hosts = u.digest.Hosts
+	if ok {
+		hosts--
 	}
-	own, _ := told.at(u.digest.Echo)
 	for name, l := range u.digest.Load {
 		mine := own.Load[name]
 		l.Running = max(0, l.Running-mine.Running)
@@ -100,7 +111,7 @@
 		}
 		waiting[service] = rest
 	}
-	return load, waiting
+	return o, hosts
 }
 
 // history holds what this host told in its last heartbeats; the zero value holds nothing.
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -4,63 +4,127 @@
 
 package sched
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Hosts that share endpoints hear of a free place at about the same time. If each sent a
-// waiting request there, the endpoint would get one from every host. So while requests of
-// the same or a higher tier wait at other hosts, a host fills a place only
+// Hosts that share endpoints hear of a free place at about the same time, and some time
+// after it got free. If each sent a request there, the endpoint would get one from every
+// host, and more until the news of it comes back. So while free places are scarce, a host
+// fills a place only
 //
-//   - where one of its own requests has just ended, which leaves the number there as it was, or
-//   - by a claim: at each news of the others it draws for every endpoint how many of the free
-//     places it may take, on average its share of all that waits, so that about one host
-//     takes each place.
-
-// SetOthersWaiting takes the number of requests that wait at the other hosts, by model and
-// tier, and draws the claims anew.
-func (s *Scheduler) SetOthersWaiting(now time.Duration, waiting map[string][]int) {
-	s.othersWaiting = waiting
+//   - where one of its own requests ended lately: the others take that place for filled; or
+//   - by a claim. Claims are drawn so that all hosts together take the free places of an
+//     endpoint in about twice the time that news takes, each in proportion to what it has
+//     to place: faster, they would take the same places again and again.
+//
+// Places are scarce when those free at all endpoints are fewer than a few times the
+// requests that come to all hosts until news of them is heard. Where requests take less
+// time than news, as at plain services, news tells nothing of the places that are free now,
+// and none are claimed.
+
+// Figures of claims.
+const (
+	// claimDelays is the number of delays of news in which free places are claimed. With 1
+	// engines are overfilled for twice as long in TestStaleHostsDoNotOverfill; played days
+	// show no difference.
+	claimDelays = 2
+	// scarceFactor is how many times the requests that come in a delay may exceed the
+	// free places before these are not scarce.
+	scarceFactor = 4
+	// freshNews is the delay of news up to which few hosts can have seen the same place:
+	// then a request needs a claim only while others wait elsewhere, and none once it has
+	// waited as long as it may.
+	freshNews = 50 * time.Millisecond
+	// rateHalf is the time in which the rate of arrivals forgets half of what it saw.
+	rateHalf = time.Second
+)
+
+// News is what a host knows of the others' requests.
+type News struct {
+	// Waiting counts the requests that wait at other hosts, by model and tier.
+	Waiting map[string][]int
+	// Age is the mean age of what is known of the others.
+	Age time.Duration
+}
+
+// SetNews takes what was heard of the other hosts.
+func (s *Scheduler) SetNews(n News) { s.news = n }
+
+// DrawClaims draws which free places this host may take; call it every 25 ms or so.
+func (s *Scheduler) DrawClaims(now time.Duration) {
+	dt := now - s.drawnAt
+	s.drawnAt = now
 	for _, p := range s.pools {
-		s.drawClaims(now, p)
+		p.arrivals.fade(dt)
+		s.drawPool(now, dt, p)
 	}
 }
 
-// drawClaims draws how many free places of each endpoint of a pool this host may take.
-func (s *Scheduler) drawClaims(now time.Duration, p *pool) {
-	others := 0
-	for _, n := range s.othersWaiting[p.model] {
-		others += n
+// drawPool draws the claims of one pool.
+func (s *Scheduler) drawPool(now, dt time.Duration, p *pool) {
+	free, takes, known := 0.0, time.Duration(0), 0
+	for _, e := range p.members {
+		if e.usable(now) {
+			free += max(0, s.free(now, e))
+		}
+		if e.service > 0 {
+			takes += e.service
+			known++
+		}
+	}
+	newsHelps := known == 0 || takes/time.Duration(known) > s.news.Age
+	// What comes to this host, and to all, in the delay of the news.
+	coming := p.arrivals.rate() * s.news.Age.Seconds()
+	p.scarce = newsHelps && s.Peers > 1 && !s.cfg.Off.Claims && free < scarceFactor*coming*float64(s.Peers)
+	if !p.scarce {
+		return
 	}
-	if others == 0 {
-		return // nobody contends; claims are not looked at
+	others := coming * float64(s.Peers-1)
+	for _, n := range s.news.Waiting[p.model] {
+		others += float64(n)
 	}
-	own := max(1, p.waiting) // a request that comes before the next draw has a share too
-	share := float64(own) / float64(own+others)
+	own := coming + float64(max(1, p.waiting))
+	delay := claimDelays * s.news.Age
+	part := own / (own + others) * min(1, dt.Seconds()/delay.Seconds())
 	for _, e := range p.members {
-		free := max(0, float64(e.slots())-s.load(now, e))
-		mean := free * share
-		e.claims = int(mean)
-		if s.Rand.Float64() < mean-float64(e.claims) {
-			e.claims++
-		}
-		e.vacated = 0
+		s.drawEndpoint(now, e, part)
 	}
 }
 
-// contended reports whether other hosts have requests waiting that go before r or beside it.
-func (s *Scheduler) contended(r *Request) bool {
-	waiting := s.othersWaiting[r.pool.model]
-	for _, n := range waiting[:min(len(waiting), r.rank()+1)] {
-		if n > 0 {
-			return true
-		}
+// drawEndpoint draws the claims on one endpoint, of which this host is to take a part of
+// the free places. Claims that were not used are given up after some time.
+func (s *Scheduler) drawEndpoint(now time.Duration, e *endpointState, part float64) {
+	free := s.free(now, e)
+	if free <= 0 || now-e.claimedAt > claimDelays*s.news.Age {
+		e.claims = 0
 	}
-	return false
+	if now-e.vacatedAt > s.news.Age {
+		e.vacated = 0
+	}
+	mean := max(0, free) * part
+	n := int(mean)
+	if s.Rand.Float64() < mean-float64(n) {
+		n++
+	}
+	if n > 0 {
+		e.claims = min(e.claims+n, max(1, int(free)))
+		e.claimedAt = now
+	}
+}
+
+// free is the number of places of an endpoint that nobody is known to have.
+func (s *Scheduler) free(now time.Duration, e *endpointState) float64 {
+	return float64(e.slots()) - float64(e.own) - s.fade(now, e)*float64(e.others)
 }
 
-// mayFill reports whether a request may take a place of an endpoint beside the requests
-// that wait at other hosts. One that has waited as long as it may does not hold back.
+// mayFill reports whether a request may take a place of an endpoint.
 func (s *Scheduler) mayFill(r *Request, e *endpointState) bool {
-	return r.last || s.cfg.Off.Claims || e.vacated > 0 || e.claims > 0 || !s.contended(r)
+	if !r.pool.scarce || e.vacated > 0 || e.claims > 0 {
+		return true
+	}
+	return s.news.Age <= freshNews && (r.last || !s.contended(r))
 }
 
 // fill counts a place as taken.
@@ -72,6 +136,19 @@
 	e.claims = max(0, e.claims-1)
 }
 
+// arrivals follows the rate of requests that come to a pool at this host. The zero value
+// has seen none.
+type arrivals struct{ sum float64 }
+
+// add counts a request.
+func (a *arrivals) add() { a.sum++ }
+
+// fade lets time pass.
+func (a *arrivals) fade(dt time.Duration) { a.sum *= math.Exp2(-dt.Seconds() / rateHalf.Seconds()) }
+
+// rate is in requests a second: a sum that halves in a time T rests at rate·T/ln 2.
+func (a *arrivals) rate() float64 { return a.sum * math.Ln2 / rateHalf.Seconds() }
+
 // OwnWaiting gives the number of requests that wait at this host, by model and tier; models
 // for which none waits are left out.
 func (s *Scheduler) OwnWaiting() map[string][]int {
@@ -89,3 +166,14 @@
 	}
 	return out
 }
+
+// contended reports whether other hosts have requests waiting that go before r or beside it.
+func (s *Scheduler) contended(r *Request) bool {
+	waiting := s.news.Waiting[r.pool.model]
+	for _, n := range waiting[:min(len(waiting), r.rank()+1)] {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
--- a/sched/config.go
+++ b/sched/config.go
@@ -75,6 +75,8 @@
 	Transfer bool
 	// Share lets a host fill its own share of an endpoint whatever reports say.
 	Share bool
+	// Unheard is the guess of what hosts that are not heard have running.
+	Unheard bool
 	// Claims shares free places among hosts that have requests waiting.
 	Claims bool
 	// Late is late binding; without it, all is dispatched at once.
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -60,8 +60,10 @@
 	hasReport bool
 	downUntil time.Duration
 
-	vacated    int           // places that own requests left since the last draw of claims
-	claims     int           // free places that this host may take beside others
+	vacated    int           // places that own requests left lately
+	vacatedAt  time.Duration // when the last one did
+	claims     int           // free places that this host may take
+	claimedAt  time.Duration // when the last claim was drawn
 	own        int           // own requests there
 	ownLong    int           // long ones of them
 	ownPrefill [maxRanks]int // own prompt tokens sent and without first token
@@ -175,6 +177,7 @@
 func (e *endpointState) end(now time.Duration, r *Request) {
 	e.own--
 	e.vacated++
+	e.vacatedAt = now
 	if r.long {
 		e.ownLong--
 	}
--- /dev/null
+++ b/sched/hidden_test.go
@@ -0,0 +1,54 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/settings"
+)
+
+// TestUnheardHosts holds what a host takes those to have running that it does not hear, and
+// what its own first tokens make of that.
+func TestUnheardHosts(t *testing.T) {
+	const own, engines = 4, 8
+	onTime, late := 100*time.Millisecond, 500*time.Millisecond
+	cases := []struct {
+		name   string
+		lost   int
+		firsts []time.Duration // that came since
+		low    float64         // requests at each engine
+		high   float64
+	}{
+		{"all are heard", 0, nil, 0, 0},
+		{"one of six is silent", 1, nil, 0.5, 0.5},
+		{"alone", 5, nil, 2.5, 2.5},
+		{"alone, and first tokens come late", 5, []time.Duration{late, late, late, late, late, late}, 2.4, 2.5},
+		{"alone, and they come on time", 5, []time.Duration{onTime, onTime, onTime, onTime, onTime, onTime, onTime, onTime}, 0, 1.2},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newFleet(6, engines, 30*time.Millisecond, Rules{}).hosts[0]
+			for _, e := range s.endpoints {
+				s.TakeReport(0, e.Name, Report{Slots: 7, Model: "m", Fresh: true})
+			}
+			r := &Request{Settings: &settings.Effective{}, Model: "m", Aim: Aim{First: time.Second}, predicted: onTime}
+			r.pool = s.poolOf(r)
+			for i := range own {
+				s.endpoints[i].own = 1
+			}
+			s.SetUnheard(tc.lost)
+			for _, d := range tc.firsts {
+				s.observeDoubt(d, r)
+			}
+			must.Between(t, tc.low, s.hidden(r.pool), tc.high)
+			s.SetUnheard(0)
+			must.EqOp(t, 0, s.hidden(r.pool))
+		})
+	}
+}
--- a/sched/order.go
+++ b/sched/order.go
@@ -11,6 +11,7 @@
 // endpoint, whether waiting can end in time, and room to wait.
 func (s *Scheduler) Submit(now time.Duration, r *Request) Decision {
 	r.pool = s.poolOf(r)
+	r.pool.arrivals.add()
 	s.estimate(r)
 	if ok, wait := s.limits.takeRate(now, r.Settings, s.hosts(r)); !ok {
 		return s.refuse(now, r, ReasonRate, wait)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -22,9 +22,14 @@
 	members []*endpointState
 	tiers   [maxRanks]tierQueue
 	waiting int
-	mean    float64 // mean cost of a request, in steps
-	floor   floor
-	dirty   bool
+	// arrivals is the rate of requests of this host, and scarce says that places may be
+	// filled by right only; see DrawClaims.
+	arrivals arrivals
+	scarce   bool
+	doubt    float64 // how far unheard hosts are taken to serve on, 0 to 1
+	mean     float64 // mean cost of a request, in steps
+	floor    floor
+	dirty    bool
 }
 
 // poolRef finds the pool of a request quickly.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -24,8 +24,11 @@
 	Hosts func(workspace string) int
 
 	cfg Config
-	// othersWaiting counts requests that wait at other hosts, by model and tier.
-	othersWaiting map[string][]int
+	// news is what is known of other hosts, and drawnAt when claims were drawn last.
+	news    News
+	drawnAt time.Duration
+	// missing counts the hosts that may be serving and are not heard.
+	missing int
 
 	endpoints []*endpointState
 	byName    map[string]*endpointState
@@ -111,6 +114,13 @@
 	}
 }
 
+// Wake makes the next Poll look at all that waits.
+func (s *Scheduler) Wake() {
+	for _, p := range s.pools {
+		p.dirty = p.dirty || p.waiting > 0
+	}
+}
+
 // wake marks the pools of an endpoint for a look at what waits.
 func (s *Scheduler) wake(e *endpointState) {
 	for _, p := range s.pools {
@@ -128,6 +138,7 @@
 	r.at.prefilled(now, r)
 	r.firstAt = max(now, 1)
 	s.observeFirst(now, r)
+	s.observeDoubt(now, r)
 	for _, b := range r.Blocks {
 		s.prefixes.add(b, r.at.index)
 	}
@@ -211,8 +222,8 @@
 	}
 	for _, p := range s.pools {
 		s.ease(now, p)
-		p.dirty = p.dirty || p.waiting > 0
 	}
+	s.Wake()
 }
 
 // Withdraw takes a waiting request out, because its caller went away; it
--- a/sched/value.go
+++ b/sched/value.go
@@ -112,14 +112,14 @@
 	s.matchPrefix(r)
 	s.cands = s.cands[:0]
 	due := s.due(now, r)
-	best, ideal := math.Inf(-1), 0.0
+	best, ideal, hidden := math.Inf(-1), 0.0, s.hidden(r.pool)
 	for _, e := range r.pool.members {
 		if !e.usable(now) {
 			continue
 		}
 		idle := e.prefillTime(r.PromptTokens) + e.step()
 		ideal = max(ideal, s.worth(now, r, e, 0, idle, due))
-		load := s.load(now, e)
+		load := s.load(now, e) + hidden
 		if e == r.avoid || !s.admits(now, r, e, load) {
 			continue
 		}
