feed, edge, peers: in fleets with relays, the relays read the store first

Now the relays read first, and their words reach all hosts of a zone at once. The entries of all hosts are listed with the first three renewals and then each fourth.

TestEntryCalls, TestFleetHearsOfEachOther (one relay a zone, none in small fleets).

--- a/edge/share.go
+++ b/edge/share.go
@@ -135,9 +135,14 @@
 	return true
 }
 
-// turn is this host's place among the live hosts in an order drawn from their names, in
-// which they read the store for each other.
+// turn is this host's place in the order in which hosts read the store for each other: in
+// small fleets that of a value drawn from their names, in those with relays the relays
+// come first, whose words reach all hosts of their zone soonest.
 func (h *Host) turn() int {
+	relays, relaying := h.agent.Relaying()
+	if relaying {
+		return 0
+	}
 	own := xxhash.Sum64String(h.Boot.Host)
 	before := 0
 	for _, m := range h.agent.Live() {
@@ -145,6 +150,9 @@
 			before++
 		}
 	}
+	if relays {
+		before += feed.Readers
+	}
 	return before
 }
 
--- a/feed/entry.go
+++ b/feed/entry.go
@@ -33,17 +33,26 @@
 
 // Run keeps the entry until ctx ends. Nothing depends on any single call.
 func (e *Entry) Run(ctx context.Context) {
-	for ctx.Err() == nil {
+	for n := 0; ctx.Err() == nil; n++ {
 		if err := e.keep(ctx); err != nil {
 			e.Log.V(1).Info("entry not kept", "cause", err.Error())
 		}
-		if p, err := e.list(ctx); err == nil {
-			e.Found(p.Items)
+		if n < firstLists || n%listEvery == 0 {
+			if p, err := e.list(ctx); err == nil {
+				e.Found(p.Items)
+			}
 		}
 		sleep(ctx, e.Life/3)
 	}
 }
 
+// The entries of all hosts are read with each of the first renewals of the own one, when
+// hosts may know few others, and then with each so many of them.
+const (
+	firstLists = 3
+	listEvery  = 4
+)
+
 // list reads the entries of all hosts.
 func (e *Entry) list(ctx context.Context) (Page, error) {
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -349,3 +349,42 @@
 		})
 	}
 }
+
+// entryStore counts the calls that a host makes for its entry.
+type entryStore struct {
+	Store
+	lists, renewals int
+}
+
+func (s *entryStore) Range(context.Context, string, bool) (Page, error) {
+	s.lists++
+	return Page{}, nil
+}
+
+func (s *entryStore) Grant(context.Context, time.Duration) (uint64, error) { return 1, nil }
+
+func (s *entryStore) Put(context.Context, string, []byte, uint64) error { return nil }
+
+func (s *entryStore) Renew(context.Context, uint64) error {
+	s.renewals++
+	return nil
+}
+
+// TestEntryCalls holds that a host reads all entries often while it may know few others,
+// and seldom then: the cost of a reading grows with the hosts, and so does their number.
+func TestEntryCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := &entryStore{}
+		e := &Entry{Store: s, Prefix: "hosts/", Key: "hosts/a", Life: 6 * time.Second, Found: func([]Item) {}, Log: logr.Discard()}
+		go e.Run(ctx)
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, firstLists, s.lists)
+		time.Sleep(24 * time.Second)
+		must.EqOp(t, firstLists+3, s.lists)
+		must.EqOp(t, 14, s.renewals)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -83,10 +83,6 @@
 	}
 }
 
-// watchers is the number of hosts that always watch: one more than needed, so that the
-// loss of one delays no change.
-const watchers = 2
-
 // untilTurn is the time until this host has to watch: the first hosts always do, and are
 // told of changes at once; the others do while nobody proves the settings to them.
 func (s *Settings) untilTurn() time.Duration {
@@ -95,10 +91,10 @@
 		return 0
 	}
 	turn := s.Turn()
-	if turn < watchers {
+	if turn < Readers {
 		return 0
 	}
-	return Turns(s.Wait, turn-watchers+1) - age
+	return Turns(s.Wait, turn-Readers+1) - age
 }
 
 // read reads the key anew.
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -26,6 +26,10 @@
 	lastTurn  = 4
 )
 
+// Readers is the number of hosts, those with the first turns, that always watch the
+// settings: one more than needed, so that the loss of one delays no change.
+const Readers = 2
+
 // Turns is the age of a view at which a host with a turn of 1 or more reads it itself.
 func Turns(every time.Duration, turn int) time.Duration {
 	part := 1 + proofShare + turnShare*float64(min(turn, lastTurn)-1)
--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -221,8 +221,11 @@
 						sum, worst, known = sum+s, max(worst, w), known+len(watched)-1
 					}
 				}
-				bytes, most, packets := 0, 0, 0
+				bytes, most, packets, relaying := 0, 0, 0, 0
 				for _, n := range nodes {
+					if _, self := n.agent.Relaying(); self {
+						relaying++
+					}
 					o := n.agent.Others()
 					load, waiting := o.Load, o.Waiting
 					must.Zero(t, o.Unheard)
@@ -231,6 +234,11 @@
 					must.Len(t, tc.hosts-1, n.agent.Live())
 					bytes, most, packets = bytes+n.conn.bytes, max(most, n.conn.bytes), packets+n.conn.packets
 				}
+				if tc.hosts > fanout+1 {
+					must.EqOp(t, tc.zones, relaying)
+				} else {
+					must.Zero(t, relaying)
+				}
 				span := rounds * 0.31
 				mean := sum / time.Duration(known)
 				t.Logf("hosts %d: loads known after %v in the mean, %v at most; a host sends and hears %.0f datagrams and %.1f KB a second, the busiest %.1f KB",
