feed: in large fleets, hosts with a late turn ask a failing store less often

The first 8 hosts by turn ask as before, the others up to four times less often (1.2 to 1.6 s); they learn of the store's return from the first ones. A host that hears nobody has turn 0 and asks as before. Since the last failed call may now lie 1.6 s before the store's return, the store is taken to have been in trouble until one usual pause before the first call that succeeds, so that entries which lapsed are kept as long as before.

Ruled out: fewer hosts that ask at all, since the store may serve some machines and not others.

--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -66,7 +66,7 @@
 		}
 		pause := e.Every
 		if !e.follow(ctx) {
-			pause = e.Pause
+			pause = pauseAfterFailure(e.Pause, e.Turn)
 		}
 		sleep(ctx, pause)
 	}
@@ -105,10 +105,16 @@
 	if errors.Is(err, ErrHistory) {
 		e.forgot = true
 	}
-	if err == nil {
-		e.proven = max(e.proven, sent+idle)
-	} else {
+	switch {
+	case err != nil:
 		e.trouble = sent
+	case e.bad:
+		// The store may have failed until shortly before this call, however long ago the
+		// last one was.
+		e.trouble = max(e.trouble, sent-e.Pause)
+		fallthrough
+	default:
+		e.proven = max(e.proven, sent+idle)
 	}
 	e.note(err)
 	e.tell()
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -79,7 +79,7 @@
 			continue
 		}
 		s.unhealthy(err)
-		sleep(ctx, s.Pause)
+		sleep(ctx, pauseAfterFailure(s.Pause, s.Turn))
 	}
 }
 
@@ -131,7 +131,7 @@
 		sent += s.Wait
 	default:
 		// The store cut the watch; asking again at once would be a storm.
-		sleep(ctx, s.Pause)
+		sleep(ctx, pauseAfterFailure(s.Pause, s.Turn))
 	}
 	s.prove(sent)
 	return max(at, p.At), nil
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -24,8 +24,24 @@
 	// wait alike.
 	turnShare = 0.06
 	lastTurn  = 4
+	// triers is the number of hosts that ask a failing store again after the usual pause;
+	// with later turns the pause grows up to longestPause times that, 1.2 to 1.6 s, so that
+	// a store that comes back is not kept down by a large fleet. The others learn of
+	// its return from those that go first, within a second.
+	triers       = 8
+	longestPause = 4
 )
 
+// pauseAfterFailure is the time before a host with a turn asks a failing store again. A host
+// that hears no other has turn 0.
+func pauseAfterFailure(pause time.Duration, turn func() int) time.Duration {
+	if turn == nil {
+		return pause
+	}
+	times := min(max(1, float64(turn())/triers), longestPause)
+	return time.Duration(times * float64(pause))
+}
+
 // Readers is the number of hosts, those with the first turns, that always watch the
 // settings: one more than needed, so that the loss of one delays no change.
 const Readers = 2
