peers: test of a workspace's amount in fleets with relays (6, 63, 87 hosts; 300 by hand)

Real agents and books on simulated time, three zones, loss, restarts of some hosts, of all relays each 2 s, of half of all at once.

--- /dev/null
+++ b/peers/amounts_test.go
@@ -0,0 +1,267 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/quota"
+)
+
+// payer is a host that shares the amount of a workspace with the other hosts of its fleet.
+type payer struct {
+	*node
+	book *quota.Book
+}
+
+func (p *payer) Fill(b *Beat) {
+	p.node.Fill(b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	told := p.book.Tell(p.now())
+	b.Used, b.Left = told.Used, told.Left
+}
+
+func (p *payer) Heard(u Usage) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Heard(p.now(), u.Source, u.Life, quota.Told{Hosts: u.Hosts, Used: u.Used, Left: u.Left})
+}
+
+// begin starts a life of the host.
+func (p *payer) begin(ctx context.Context, i int, seed string, tol quota.Tolerance, full bool) {
+	p.mu.Lock()
+	p.book = quota.NewBook(p.now())
+	p.book.Tolerance, p.book.Full = tol, full
+	p.mu.Unlock()
+	ctx, p.cancel = context.WithCancel(ctx)
+	p.agent = &Agent{
+		Table: &Table{Host: fmt.Sprintf("h%03d", i), Life: uint64(p.now()) + 1}, Conn: p.conn, Seeds: []string{seed}, Host: p, Now: p.now,
+		Rand: rand.New(rand.NewPCG(7, uint64(i))), Log: logr.Discard(),
+	}
+	p.agent.Init()
+	go p.agent.Run(ctx)
+}
+
+// count tells the book how many hosts there are, as a host does five times a second.
+func (p *payer) count() {
+	sources, n := p.agent.Sources(), 1+len(p.agent.Counted())
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.book.Keep(sources)
+	p.book.SetHosts(n, Interval(n))
+}
+
+// take asks for an amount.
+func (p *payer) take(bound quota.Bound, amount float64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ok, _ := p.book.Take(p.now(), "w", bound, amount)
+	return ok
+}
+
+// payers are a fleet of them.
+type payers struct {
+	net     *network
+	all     []*payer
+	tol     quota.Tolerance
+	stopped map[int]time.Duration // since when a host's process is down
+}
+
+// startTime is the time from a process's end to the start of the next.
+const startTime = 500 * time.Millisecond
+
+// newPayers starts n hosts in three zones.
+func newPayers(ctx context.Context, n int, loss float64, tol quota.Tolerance) *payers {
+	start := time.Now()
+	f := &payers{
+		net: &network{rand: rand.New(rand.NewPCG(1, 2)), loss: loss, conns: make(map[string]*endConn)},
+		tol: tol, stopped: make(map[int]time.Duration),
+	}
+	for i := range n {
+		p := &payer{node: &node{now: func() time.Duration { return time.Since(start) }, conn: f.net.open(i), heard: make(map[string]Usage)}}
+		p.row = Row{
+			Address: p.conn.address.String(), Front: fmt.Sprintf("10.0.0.%d:80", i), Control: fmt.Sprintf("10.0.0.%d:81", i),
+			Zone: fmt.Sprint("z", i%3), Region: "r", Capacity: []float64{0.2, 0.8}[i%2], Ready: true, Fresh: true,
+		}
+		f.all = append(f.all, p)
+	}
+	for i, p := range f.all {
+		p.begin(ctx, i, f.all[0].row.Address, tol, true)
+	}
+	return f
+}
+
+// stop ends a host's process.
+func (f *payers) stop(i int) {
+	f.all[i].cancel()
+	f.all[i].conn.off = true
+	f.stopped[i] = f.all[i].now()
+}
+
+// revive starts the processes that have been down for long enough.
+func (f *payers) revive(ctx context.Context) {
+	for i, at := range f.stopped {
+		p := f.all[i]
+		if p.now()-at < startTime {
+			continue
+		}
+		delete(f.stopped, i)
+		p.conn = f.net.open(i)
+		p.begin(ctx, i, f.all[1].row.Address, f.tol, false)
+	}
+}
+
+// count lets all hosts count each other.
+func (f *payers) count() {
+	for i, p := range f.all {
+		if _, off := f.stopped[i]; !off {
+			p.count()
+		}
+	}
+}
+
+// ask asks random hosts for an amount in small parts, and tells how much was asked of hosts
+// that run and how much they let through.
+func (f *payers) ask(random *rand.Rand, bound quota.Bound, amount float64) (asked, passed float64) {
+	for amount > 0 {
+		part := float64(1 + random.IntN(60))
+		amount -= part
+		i := random.IntN(len(f.all))
+		if _, off := f.stopped[i]; off {
+			continue
+		}
+		asked += part
+		if f.all[i].take(bound, part) {
+			passed += part
+		}
+	}
+	return asked, passed
+}
+
+// relays are the hosts that are relays.
+func (f *payers) relays() []int {
+	var out []int
+	for i, p := range f.all {
+		if _, self := p.agent.Relaying(); self {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// mostIn is the largest sum of so many neighbours.
+func mostIn(values []float64, n int) float64 {
+	most, sum := 0.0, 0.0
+	for i, v := range values {
+		sum += v
+		if i >= n {
+			sum -= values[i-n]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// TestAmountsOfFleets holds what fleets let through of a workspace's amount: never more than
+// its bound and tolerance in any 8 s, whatever hosts are lost, and nearly all that is
+// asked below the bound in calm.
+func TestAmountsOfFleets(t *testing.T) {
+	const (
+		window = 8 * time.Second
+		warmup = 6 * time.Second // in which the hosts find each other; asked from its half on
+		span   = 14 * time.Second
+		tick   = 20 * time.Millisecond
+		counts = 10  // ticks from one count of hosts to the next
+		rounds = 100 // ticks from one strike to the next
+	)
+	bound := quota.Bound{Rate: 20000, Burst: 20000}
+	tol := quota.Tolerance{Window: window, Overshoot: 0.1, Slack: bound.Rate}
+	some := func(round int, f *payers) []int {
+		n := len(f.all)
+		return []int{7 * round % n, (7*round + 3) % n, (7*round + 30) % n}
+	}
+	half := func(round int, f *payers) []int {
+		var out []int
+		for i := 0; round == 1 && i < len(f.all); i += 2 {
+			out = append(out, i)
+		}
+		return out
+	}
+	cases := []struct {
+		name  string
+		hosts int
+		load  float64 // asked, as a part of the rate
+		loss  float64
+		// strike names the hosts whose processes end, each 2 s.
+		strike func(round int, f *payers) []int
+		least  float64 // part of what could pass that must
+		big    bool
+	}{
+		{"calm below the bound", 6, 0.9, 0, nil, 0.98, false},
+		{"calm below the bound", 63, 0.9, 0, nil, 0.98, false},
+		{"calm below the bound", 87, 0.9, 0, nil, 0.98, false},
+		{"calm below the bound", 300, 0.9, 0, nil, 0.98, true},
+		{"calm far beyond", 6, 5, 0, nil, 0.9, false},
+		{"calm far beyond", 87, 5, 0, nil, 0.9, false},
+		{"calm far beyond", 300, 5, 0, nil, 0.8, true},
+		{"words are lost", 63, 5, 0.1, nil, 0.5, false},
+		{"hosts restart", 63, 5, 0, some, 0.5, false},
+		{"hosts restart", 300, 5, 0.02, some, 0.5, true},
+		{"relays restart", 63, 5, 0, func(_ int, f *payers) []int { return f.relays() }, 0.3, false},
+		{"half of all restart", 63, 5, 0.02, half, 0.3, false},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprint(tc.name, " ", tc.hosts), func(t *testing.T) {
+			if tc.big && os.Getenv("HEATHKEEL_TEST_BIG") == "" {
+				t.Skip("set HEATHKEEL_TEST_BIG to run it")
+			}
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := newPayers(ctx, tc.hosts, tc.loss, tol)
+				random := rand.New(rand.NewPCG(3, 4))
+				var passed []float64 // in each tick
+				asked, let := 0.0, 0.0
+				time.Sleep(warmup / 2)
+				for n := range int((warmup/2 + span) / tick) {
+					time.Sleep(tick)
+					f.revive(ctx)
+					if n%counts == 0 {
+						f.count()
+					}
+					calm := n < int(warmup/2/tick)
+					if !calm && n%rounds == 0 && tc.strike != nil {
+						for _, i := range tc.strike(n/rounds, f) {
+							f.stop(i)
+						}
+					}
+					a, l := f.ask(random, bound, tc.load*bound.Rate*tick.Seconds())
+					passed = append(passed, l)
+					if !calm {
+						asked, let = asked+a, let+l
+					}
+				}
+				most := mostIn(passed, int(window/tick))
+				limit := (1+tol.Overshoot)*(bound.Burst+bound.Rate*window.Seconds()) + tol.Slack
+				possible := min(asked, bound.Rate*span.Seconds())
+				t.Logf("%.3f of the bound with its tolerance in a window, %.3f of what could pass", most/limit, let/possible)
+				must.LessEq(t, limit, most)
+				must.GreaterEq(t, tc.least*possible, let)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
