--- a/edge/host.go
+++ b/edge/host.go
@@ -25,7 +25,6 @@
 	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/quota"
 	"github.com/heathkeel/heathkeel/route"
-	"github.com/heathkeel/heathkeel/sched"
 )
 
 // Parts of the platform's bounds that the host keeps.
@@ -39,8 +38,12 @@
 	// trustShare even if some heartbeats are lost.
 	watchShare = 0.2
 	// listShare is the part of the drain time between two readings of the endpoints by the
-	// host that reads for all; the others read at 0.7 of it, see feed.Turns.
+	// host that reads for all; the others read at 0.64 to 0.72 of it, see feed.Turns.
 	listShare = 0.4
+	// settingsPause and endpointsPause are the times between two tries while the store
+	// fails: a few in the time after its return in which hosts are to be in touch again.
+	settingsPause  = 300 * time.Millisecond
+	endpointsPause = 400 * time.Millisecond
 	// listWait is how long a reading of the endpoints' changes waits for some. Endpoints
 	// write all the time, so that there mostly are.
 	listWait = 100 * time.Millisecond
@@ -130,14 +133,14 @@
 		DialContext: (&net.Dialer{Timeout: fetchTimeout}).DialContext,
 	}}
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: sched.Config{Overcommit: 0.4, FarCost: 0.6, Reserve: 0.05, Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true, Others: true}},
+		Headers: platform.Headers, Now: h.now, Zone: b.Zone, Policy: policy(),
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		FirstStart: b.First, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
-		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: 300 * time.Millisecond, Turn: h.turn,
+		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: settingsPause, Turn: h.turn,
 		Changed: h.newTable, Log: h.Log.WithName("settings"),
 	}
 	h.ingress.Settings = h.settings
@@ -145,7 +148,7 @@
 	h.ingress.SetAges(ages(b))
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
-		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: listWait, Pause: 400 * time.Millisecond, Turn: h.turn,
+		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: listWait, Pause: endpointsPause, Turn: h.turn,
 		LapseFor: time.Duration(lapseShare * float64(b.ContactTime)), Changed: h.newEndpoints, Log: h.Log.WithName("endpoints"),
 	}
 	h.endpoints.Init()
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -70,8 +70,8 @@
 	}
 }
 
-// welcome answers a host with the next heartbeat that knows less than half of the hosts that this one
-// knows, so that it learns of the others; mu must be held.
+// welcome lets a host be answered with the next heartbeat that knows less than half of the
+// hosts that this one knows, so that it learns of the others; mu must be held.
 func (a *Agent) welcome(b *Beat) {
 	if b.Row.Address == "" || 2*b.Size >= a.Table.Size() || slices.Contains(a.greet, b.Row.Address) {
 		return
