quota, edge, feed: a host that starts among many keeps to one share

A host that has just started may use a share of what may be left until it has heard of all others. With no peer known "all others were heard" held at each look, so that its count began anew at each request: it used all of it, and each of 63 hosts did. Also it counted itself alone, or as many as the file has seeds, until heartbeats came.

Now the count does not begin anew while a host is young and has heard nobody, and the entries of hosts in the store, read first at the start, tell for 2 s how many share the amount.

Open: the same while the store is down.

--- a/edge/host.go
+++ b/edge/host.go
@@ -14,6 +14,7 @@
 	"os"
 	"reflect"
 	"runtime/debug"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -76,6 +77,7 @@
 	ingress   *ingress.Server
 	agent     *peers.Agent
 	entry     *feed.Entry
+	found     atomic.Int64 // entries of hosts in the store
 	peerHTTP  *http.Client
 	wanted    chan wanted
 	stopping  chan struct{}
@@ -188,6 +190,8 @@
 		seeds = append(seeds, string(it.Value))
 	}
 	h.agent.AddSeeds(seeds)
+	h.found.Store(int64(len(items)))
+	h.shareHosts()
 }
 
 // listenPeers opens the socket for heartbeats.
--- a/edge/share.go
+++ b/edge/share.go
@@ -161,6 +161,12 @@
 	h.ingress.SetOthers(h.agent.Others())
 }
 
+// foundFor is the time after its start for which a host counts the entries in the store among
+// the hosts: those of hosts that ended stay there for some seconds, but until heartbeats have
+// come, a host that counts itself alone takes all of an amount, and so does each other one that
+// starts at that moment. It is as long as a book takes levels from peers.
+const foundFor = 2 * time.Second
+
 // shareHosts tells the ingress which hosts share amounts and endpoints with this one.
 func (h *Host) shareHosts() {
 	h.ingress.KeepHosts(h.agent.Sources())
@@ -168,6 +174,9 @@
 	if n == 1 && len(h.Boot.Seeds) > 1 {
 		n = len(h.Boot.Seeds)
 	}
+	if h.now() < foundFor {
+		n = max(n, int(h.found.Load()))
+	}
 	h.ingress.SetHosts(n, peers.Interval(n))
 }
 
--- a/feed/entry.go
+++ b/feed/entry.go
@@ -31,17 +31,18 @@
 	lease uint64
 }
 
-// Run keeps the entry until ctx ends. Nothing depends on any single call.
+// Run keeps the entry until ctx ends. Nothing depends on any single call. The others' entries
+// are read first: a host that starts is to know how many there are before it serves.
 func (e *Entry) Run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		if err := e.keep(ctx); err != nil {
-			e.Log.V(1).Info("entry not kept", "cause", err.Error())
-		}
 		if n < firstLists || n%listEvery == 0 {
 			if p, err := e.list(ctx); err == nil {
 				e.Found(p.Items)
 			}
 		}
+		if err := e.keep(ctx); err != nil {
+			e.Log.V(1).Info("entry not kept", "cause", err.Error())
+		}
 		sleep(ctx, e.Life/3)
 	}
 }
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -354,6 +354,7 @@
 type entryStore struct {
 	Store
 	lists, renewals int
+	known           int // lists read before the own entry was written
 }
 
 func (s *entryStore) Range(context.Context, string, bool) (Page, error) {
@@ -361,7 +362,10 @@
 	return Page{}, nil
 }
 
-func (s *entryStore) Grant(context.Context, time.Duration) (uint64, error) { return 1, nil }
+func (s *entryStore) Grant(context.Context, time.Duration) (uint64, error) {
+	s.known = s.lists
+	return 1, nil
+}
 
 func (s *entryStore) Put(context.Context, string, []byte, uint64) error { return nil }
 
@@ -380,6 +384,7 @@
 		e := &Entry{Store: s, Prefix: "hosts/", Key: "hosts/a", Life: 6 * time.Second, Found: func([]Item) {}, Log: logr.Discard()}
 		go e.Run(ctx)
 		time.Sleep(5 * time.Second)
+		must.EqOp(t, 1, s.known)
 		must.EqOp(t, firstLists, s.lists)
 		time.Sleep(24 * time.Second)
 		must.EqOp(t, firstLists+3, s.lists)
--- a/peers/amounts_test.go
+++ b/peers/amounts_test.go
@@ -22,7 +22,9 @@
 // payer is a host that shares the amount of a workspace with the other hosts of its fleet.
 type payer struct {
 	*node
-	book *quota.Book
+	book  *quota.Book
+	found int           // hosts that the store named at the start
+	since time.Duration // of this life
 }
 
 func (p *payer) Fill(b *Beat) {
@@ -42,7 +44,8 @@
 // begin starts a life of the host.
 func (p *payer) begin(ctx context.Context, i int, seed string, tol quota.Tolerance, full bool) {
 	p.mu.Lock()
-	p.book = quota.NewBook(p.now())
+	p.book, p.since = quota.NewBook(p.now()), p.now()
+	p.book.SetHosts(max(1, p.found), Interval(p.found))
 	p.book.Tolerance, p.book.Full = tol, full
 	p.mu.Unlock()
 	ctx, p.cancel = context.WithCancel(ctx)
@@ -57,6 +60,9 @@
 // count tells the book how many hosts there are, as a host does five times a second.
 func (p *payer) count() {
 	sources, n := p.agent.Sources(), 1+len(p.agent.Counted())
+	if p.now()-p.since < 2*time.Second {
+		n = max(n, p.found)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.book.Keep(sources)
@@ -90,7 +96,7 @@
 		tol: tol, stopped: make(map[int]time.Duration),
 	}
 	for i := range n {
-		p := &payer{node: &node{now: func() time.Duration { return time.Since(start) }, conn: f.net.open(i), heard: make(map[string]Usage)}}
+		p := &payer{node: &node{now: func() time.Duration { return time.Since(start) }, conn: f.net.open(i), heard: make(map[string]Usage)}, found: n}
 		p.row = Row{
 			Address: p.conn.address.String(), Front: fmt.Sprintf("10.0.0.%d:80", i), Control: fmt.Sprintf("10.0.0.%d:81", i),
 			Zone: fmt.Sprint("z", i%3), Region: "r", Capacity: []float64{0.2, 0.8}[i%2], Ready: true, Fresh: true,
@@ -199,6 +205,13 @@
 		}
 		return out
 	}
+	all := func(round int, f *payers) []int {
+		var out []int
+		for i := 0; (round == 1 || round == 3) && i < len(f.all); i++ {
+			out = append(out, i)
+		}
+		return out
+	}
 	cases := []struct {
 		name  string
 		hosts int
@@ -220,6 +233,8 @@
 		{"hosts restart", 63, 5, 0, some, 0.5, false},
 		{"hosts restart", 300, 5, 0.02, some, 0.5, true},
 		{"relays restart", 63, 5, 0, func(_ int, f *payers) []int { return f.relays() }, 0.3, false},
+		{"all restart, and once more", 6, 5, 0, all, 0.3, false},
+		{"all restart, and once more", 63, 5, 0, all, 0.3, false},
 		{"half of all restart", 63, 5, 0.02, half, 0.3, false},
 	}
 	for _, tc := range cases {
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -366,3 +366,21 @@
 		})
 	}
 }
+
+// TestStartAmongMany holds that a host which starts among others that start, too, and has
+// heard nobody uses one share of what may be left, however often it is asked.
+func TestStartAmongMany(t *testing.T) {
+	const hosts = 60
+	bound := Bound{Rate: 1000, Burst: 2000}
+	tol := Tolerance{Slack: 100000}
+	b := NewBook(0)
+	b.Tolerance = tol
+	b.SetHosts(hosts, 0)
+	sum := 0.0
+	for now := time.Duration(0); now < time.Second; now += 20 * time.Millisecond {
+		sum += passes(b, now, bound, 10)
+	}
+	share := ((1+startShare)*tol.debt(bound) + bound.Rate) / hosts
+	must.LessEq(t, share+10, sum)
+	must.GreaterEq(t, share/2, sum)
+}
--- a/quota/told.go
+++ b/quota/told.go
@@ -69,7 +69,7 @@
 	}
 	clear(p.taken)
 	p.heard, p.used, p.told, p.silent = now, told.Used, true, false
-	b.refresh()
+	b.refresh(now)
 }
 
 // learn takes the levels that peers tell while the book is young: what was used before
@@ -95,7 +95,7 @@
 			b.lose(p)
 		}
 	}
-	b.refresh()
+	b.refresh(now)
 }
 
 // lose takes a peer that is not heard any more to use its equal share of what was left
@@ -119,8 +119,12 @@
 	}
 }
 
-// refresh begins the count of recent use anew once all others have been heard.
-func (b *Book) refresh() {
+// refresh begins the count of recent use anew once all others have been heard. A host that has
+// just started and heard nobody knows nothing of the others' use, and keeps to one share.
+func (b *Book) refresh(now time.Duration) {
+	if len(b.peers) == 0 && b.hosts > 1 && b.young(now) {
+		return
+	}
 	for _, p := range b.peers {
 		if !p.told && !p.silent {
 			return
