--- a/feed/doc.go
+++ b/feed/doc.go
@@ -4,5 +4,6 @@
 
 // Package feed keeps a host's view of the configuration and of the endpoints
 // in step with a key-value service that is slow, dark or forgetful at times, and
-// knows how old that view may be.
+// knows how old that view may be. Hosts read for each other: shared.go says whose turn it
+// is, and what a peer's word is worth.
 package feed
