feed: one host's trouble with the store is not that of the others

A host now keeps lapsed entries of a peer's list only if it had trouble with the store itself. An outage that is long enough for entries to lapse (three heartbeats) is seen by every host, as the proofs of the host that reads get too old after half of that. A host that cannot reach the store when it is given a list takes the trouble to have lasted until one pause before, as after an own call.

TestTroubleOfOneHost fails before. Of TestOfferedEndpoints the case "lapsed in the trouble of now" held what was wrong (a peer's trouble taken over); two cases in its place hold the own trouble, one that the peer's alone does not count.

--- a/feed/shared.go
+++ b/feed/shared.go
@@ -56,8 +56,6 @@
 type EndpointList struct {
 	// Revision is the store's revision that they speak of.
 	Revision uint64 `json:"revision"`
-	// TroubleMS is the time since the last call to the store failed, in milliseconds.
-	TroubleMS int64 `json:"trouble_ms"`
 	// Endpoints are sorted by instance.
 	Endpoints []Endpoint `json:"endpoints"`
 }
@@ -83,7 +81,7 @@
 func (e *Endpoints) List() (EndpointList, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return EndpointList{Revision: e.at, TroubleMS: (e.Now() - e.trouble).Milliseconds(), Endpoints: e.told}, e.read
+	return EndpointList{Revision: e.at, Endpoints: e.told}, e.read
 }
 
 // Proved takes what a peer knows, and reports whether its list is to be asked for: the
@@ -98,14 +96,19 @@
 	return !e.read || v.Revision > e.at
 }
 
-// Offer puts a peer's list in force if it is newer.
+// Offer puts a peer's list in force if it is newer. Entries that lapsed are kept only if this
+// host had trouble with the store itself: the peer may be the only one that the store turned
+// away, and an endpoint whose entry goes while the store serves has left. In an outage that is
+// long enough for entries to lapse every host finds the store failing.
 func (e *Endpoints) Offer(l EndpointList) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.read && l.Revision <= e.at {
 		return
 	}
-	e.trouble = max(e.trouble, e.Now()-time.Duration(l.TroubleMS)*time.Millisecond)
+	if e.bad {
+		e.trouble = max(e.trouble, e.Now()-e.Pause) // as after an own call that succeeds
+	}
 	known := make(map[string]Endpoint, len(l.Endpoints))
 	for _, n := range l.Endpoints {
 		if old, ok := e.known[n.Instance]; ok && old.Leaving && !old.Lapsed {
--- a/feed/shared_test.go
+++ b/feed/shared_test.go
@@ -247,27 +247,33 @@
 // TestOfferedEndpoints holds what a host takes from a peer's list.
 func TestOfferedEndpoints(t *testing.T) {
 	list := func(revision uint64, names ...Endpoint) EndpointList {
-		return EndpointList{Revision: revision, TroubleMS: 60000, Endpoints: names}
+		return EndpointList{Revision: revision, Endpoints: names}
 	}
 	ready, leaving, lapsed := Endpoint{Instance: "a"}, Endpoint{Instance: "a", Leaving: true}, Endpoint{Instance: "a", Lapsed: true}
+	const now, long = time.Hour, time.Minute
 	cases := []struct {
-		name   string
-		offers []EndpointList
-		want   []Endpoint
+		name string
+		// trouble is when this host's last call to the store failed, bad whether none succeeded since.
+		trouble time.Duration
+		bad     bool
+		offers  []EndpointList
+		want    []Endpoint
 	}{
-		{"newer", []EndpointList{list(5, ready), list(6, leaving)}, []Endpoint{leaving}},
-		{"older", []EndpointList{list(5, leaving), list(4, ready)}, []Endpoint{leaving}},
-		{"what was leaving stays so", []EndpointList{list(5, leaving), list(6, ready)}, []Endpoint{leaving}},
-		{"gone", []EndpointList{list(5, ready), list(6)}, []Endpoint{}},
-		{"lapsed long ago", []EndpointList{list(5, lapsed)}, []Endpoint{}},
-		{"lapsed in the trouble of now", []EndpointList{{Revision: 5, TroubleMS: 100, Endpoints: []Endpoint{lapsed}}}, []Endpoint{lapsed}},
+		{"newer", long, false, []EndpointList{list(5, ready), list(6, leaving)}, []Endpoint{leaving}},
+		{"older", long, false, []EndpointList{list(5, leaving), list(4, ready)}, []Endpoint{leaving}},
+		{"what was leaving stays so", long, false, []EndpointList{list(5, leaving), list(6, ready)}, []Endpoint{leaving}},
+		{"gone", long, false, []EndpointList{list(5, ready), list(6)}, []Endpoint{}},
+		{"lapsed, and only the peer had trouble", long, false, []EndpointList{list(5, lapsed)}, []Endpoint{}},
+		{"lapsed, and this host had trouble just now", now - 100*time.Millisecond, false, []EndpointList{list(5, lapsed)}, []Endpoint{lapsed}},
+		{"lapsed, and this host still cannot reach the store", now - 3*time.Second, true, []EndpointList{list(5, lapsed)}, []Endpoint{lapsed}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			e := &Endpoints{
-				Now: func() time.Duration { return time.Hour }, LapseFor: 2 * time.Second, Changed: func([]Endpoint) {}, Log: logr.Discard(),
+				Now: func() time.Duration { return now }, Pause: 400 * time.Millisecond, LapseFor: 2 * time.Second, Changed: func([]Endpoint) {}, Log: logr.Discard(),
 			}
 			e.Init()
+			e.trouble, e.bad = tc.trouble, tc.bad
 			for _, o := range tc.offers {
 				e.Offer(o)
 			}
@@ -412,3 +418,30 @@
 		}
 	}
 }
+
+// TestTroubleOfOneHost holds that an endpoint whose entry goes while the store serves is dropped
+// by all hosts but the one that could not reach the store lately, although that one reads first.
+func TestTroubleOfOneHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := share(ctx, 6)
+		time.Sleep(3 * time.Second)
+		for round := range 6 {
+			s.store.put("servers/c", fmt.Sprint("ready", round))
+			time.Sleep(4 * time.Second)
+			s.store.set(func() { s.cut[0] = true })
+			time.Sleep(5 * time.Second)
+			s.store.set(func() { s.cut[0] = false })
+			time.Sleep(time.Duration(round) * 100 * time.Millisecond)
+			s.store.remove("servers/c")
+			time.Sleep(1400 * time.Millisecond)
+			for i := 1; i < 6; i++ {
+				l, _ := s.ends[i].List()
+				must.Len(t, 2, l.Endpoints)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
