--- /dev/null
+++ b/feed/outage_test.go
@@ -0,0 +1,127 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+)
+
+// TestOutageCalls holds that a large fleet asks a failing store little more than a small one
+// does, and that all its hosts know of changes soon after the store's return.
+func TestOutageCalls(t *testing.T) {
+	const outage = 10 * time.Second
+	cases := []struct {
+		hosts int
+		most  float64 // calls a second of all hosts
+	}{
+		{1, 6}, {6, 36}, {40, 130}, {120, 250},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprint(tc.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				s := share(ctx, tc.hosts)
+				time.Sleep(3 * time.Second)
+				s.store.set(func() { s.store.dark = true })
+				time.Sleep(2 * time.Second)
+				before := s.store.count()
+				time.Sleep(outage)
+				must.LessEq(t, tc.most, float64(s.store.count()-before)/outage.Seconds())
+				s.store.put("servers/c", "ready")
+				s.store.put("op/config", "two")
+				s.store.set(func() { s.store.dark = false })
+				time.Sleep(2 * time.Second)
+				for i := range tc.hosts {
+					l, _ := s.ends[i].List()
+					must.Len(t, 3, l.Endpoints)
+					must.EqOp(t, "two", s.sets[i].Current().Table.Document.Routes[0].Name)
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestLapseAfterLongPause holds that entries which went in an outage are kept as long after its
+// end by a host that asks seldom as by one that asks often.
+func TestLapseAfterLongPause(t *testing.T) {
+	cases := []struct {
+		name string
+		turn int
+	}{
+		{"asks often", 0}, {"asks seldom", 100},
+	}
+	for _, tc := range cases {
+		// The store returns at several moments of a pause.
+		for outage := 8 * time.Second; outage < 9600*time.Millisecond; outage += 200 * time.Millisecond {
+			t.Run(fmt.Sprint(tc.name, outage), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					start := time.Now()
+					store := newMemoryStore()
+					store.put("servers/a", "ready")
+					e := &Endpoints{
+						Store: store, Prefix: "servers/", Every: 800 * time.Millisecond, Wait: 100 * time.Millisecond, Pause: 400 * time.Millisecond,
+						Turn: func() int { return tc.turn }, LapseFor: 2100 * time.Millisecond, Parse: parseEndpoint,
+						Now: func() time.Duration { return time.Since(start) }, Changed: func([]Endpoint) {}, Log: logr.Discard(),
+					}
+					e.Init()
+					go e.Run(ctx)
+					time.Sleep(time.Second)
+					store.set(func() { store.dark = true })
+					time.Sleep(outage)
+					store.remove("servers/a")
+					store.set(func() { store.dark = false })
+					// The entry is gone at the store; the endpoint may live and be back in 2 s.
+					time.Sleep(1650 * time.Millisecond)
+					l, _ := e.List()
+					must.Len(t, 1, l.Endpoints)
+					time.Sleep(3 * time.Second)
+					l, _ = e.List()
+					must.Len(t, 0, l.Endpoints)
+					cancel()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
+
+// TestTroubleOfOneHost holds that an endpoint whose entry goes while the store serves is dropped
+// by all hosts but the one that could not reach the store lately, although that one reads first.
+func TestTroubleOfOneHost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s := share(ctx, 6)
+		time.Sleep(3 * time.Second)
+		for round := range 6 {
+			s.store.put("servers/c", fmt.Sprint("ready", round))
+			time.Sleep(4 * time.Second)
+			s.store.set(func() { s.cut[0] = true })
+			time.Sleep(5 * time.Second)
+			s.store.set(func() { s.cut[0] = false })
+			time.Sleep(time.Duration(round) * 100 * time.Millisecond)
+			s.store.remove("servers/c")
+			time.Sleep(1400 * time.Millisecond)
+			for i := 1; i < 6; i++ {
+				l, _ := s.ends[i].List()
+				must.Len(t, 2, l.Endpoints)
+			}
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/peers/amounts_test.go
+++ b/peers/amounts_test.go
@@ -180,18 +180,46 @@
 	return most
 }
 
+// Times of a play.
+const (
+	warmup = 6 * time.Second // in which the hosts find each other; asked from its half on
+	span   = 14 * time.Second
+	tick   = 20 * time.Millisecond
+	counts = 10  // ticks from one count of hosts to the next
+	rounds = 100 // ticks from one strike to the next
+)
+
+// play asks for a part of the rate while strikes end processes. It gives what passed in each
+// tick, and what was asked and passed after the warm-up.
+func (f *payers) play(ctx context.Context, bound quota.Bound, load float64, strike func(int, *payers) []int) (passed []float64, asked, let float64) {
+	random := rand.New(rand.NewPCG(3, 4))
+	time.Sleep(warmup / 2)
+	for n := range int((warmup/2 + span) / tick) {
+		time.Sleep(tick)
+		f.revive(ctx)
+		if n%counts == 0 {
+			f.count()
+		}
+		calm := n < int(warmup/2/tick)
+		if !calm && n%rounds == 0 && strike != nil {
+			for _, i := range strike(n/rounds, f) {
+				f.stop(i)
+			}
+		}
+		a, l := f.ask(random, bound, load*bound.Rate*tick.Seconds())
+		passed = append(passed, l)
+		if !calm {
+			asked, let = asked+a, let+l
+		}
+	}
+	return passed, asked, let
+}
+
 // TestAmountsOfFleets holds what fleets let through of a workspace's amount: never more than
 // its bound and tolerance in any 8 s, whatever hosts are lost, and nearly all that is
 // asked below the bound in calm.
 func TestAmountsOfFleets(t *testing.T) {
-	const (
-		window = 8 * time.Second
-		warmup = 6 * time.Second // in which the hosts find each other; asked from its half on
-		span   = 14 * time.Second
-		tick   = 20 * time.Millisecond
-		counts = 10  // ticks from one count of hosts to the next
-		rounds = 100 // ticks from one strike to the next
-	)
+	const window = 8 * time.Second
 	bound := quota.Bound{Rate: 20000, Burst: 20000}
 	tol := quota.Tolerance{Window: window, Overshoot: 0.1, Slack: bound.Rate}
 	some := func(round int, f *payers) []int {
@@ -246,28 +274,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				f := newPayers(ctx, tc.hosts, tc.loss, tol)
-				random := rand.New(rand.NewPCG(3, 4))
-				var passed []float64 // in each tick
-				asked, let := 0.0, 0.0
-				time.Sleep(warmup / 2)
-				for n := range int((warmup/2 + span) / tick) {
-					time.Sleep(tick)
-					f.revive(ctx)
-					if n%counts == 0 {
-						f.count()
-					}
-					calm := n < int(warmup/2/tick)
-					if !calm && n%rounds == 0 && tc.strike != nil {
-						for _, i := range tc.strike(n/rounds, f) {
-							f.stop(i)
-						}
-					}
-					a, l := f.ask(random, bound, tc.load*bound.Rate*tick.Seconds())
-					passed = append(passed, l)
-					if !calm {
-						asked, let = asked+a, let+l
-					}
-				}
+				passed, asked, let := f.play(ctx, bound, tc.load, tc.strike)
 				most := mostIn(passed, int(window/tick))
 				limit := (1+tol.Overshoot)*(bound.Burst+bound.Rate*window.Seconds()) + tol.Slack
 				possible := min(asked, bound.Rate*span.Seconds())
