--- a/edge/vars.go
+++ b/edge/vars.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net/http"
 
+	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/metrics"
 )
 
@@ -26,6 +27,11 @@
 	SettingsRevision uint64 `json:"settings_revision"`
 	SettingsAgeMS    int64  `json:"settings_age_ms"`
 	SettingsRefused  int64  `json:"settings_refused"`
+	// Endpoints counts the endpoints by what this host takes them for; EndpointsRevision and
+	// EndpointsAgeMS tell which list is in force and how old it may be, -1 for none.
+	Endpoints         map[feed.Belief]int `json:"endpoints"`
+	EndpointsRevision uint64              `json:"endpoints_revision"`
+	EndpointsAgeMS    int64               `json:"endpoints_age_ms"`
 	// PeersLive and PeersCounted are the other hosts heard of lately, and those that may run.
 	PeersLive    int `json:"peers_live"`
 	PeersCounted int `json:"peers_counted"`
@@ -47,6 +53,10 @@
 	if age, ok := h.settings.Age.At(h.now()); ok {
 		v.SettingsAgeMS = age.Milliseconds()
 	}
+	v.Endpoints, v.EndpointsAgeMS = h.endpoints.Beliefs(), -1
+	if view, ok := h.endpoints.View(); ok {
+		v.EndpointsRevision, v.EndpointsAgeMS = view.Revision, (h.now() - view.At).Milliseconds()
+	}
 	return v
 }
 
--- /dev/null
+++ b/feed/belief_test.go
@@ -0,0 +1,35 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestTurnovers(t *testing.T) {
+	ready := func(name string) Endpoint { return Endpoint{Instance: name} }
+	leaving := func(name string) Endpoint { return Endpoint{Instance: name, Leaving: true} }
+	lapsed := func(name string) Endpoint { return Endpoint{Instance: name, Lapsed: true} }
+	cases := []struct {
+		name     string
+		old, now []Endpoint
+		want     []Turnover
+	}{
+		{"nothing", nil, nil, nil},
+		{"the same", []Endpoint{ready("a")}, []Endpoint{ready("a")}, nil},
+		{"a new place or pace alone", []Endpoint{ready("a")}, []Endpoint{{Instance: "a", Slots: 9}}, nil},
+		{"the first list", nil, []Endpoint{ready("a"), ready("b")}, []Turnover{{Unknown, Ready, []string{"a", "b"}}}},
+		{"one leaves", []Endpoint{ready("a"), ready("b")}, []Endpoint{ready("a"), leaving("b")}, []Turnover{{Ready, Leaving, []string{"b"}}}},
+		{
+			"one each", []Endpoint{ready("a"), leaving("b"), lapsed("c"), lapsed("d")}, []Endpoint{lapsed("a"), ready("c"), ready("e")},
+			[]Turnover{{Ready, Lapsed, []string{"a"}}, {Leaving, Unknown, []string{"b"}}, {Lapsed, Ready, []string{"c"}}, {Lapsed, Unknown, []string{"d"}}, {Unknown, Ready, []string{"e"}}},
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) { must.Eq(t, tc.want, turnovers(tc.old, tc.now)) })
+	}
+}
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -241,8 +241,19 @@
 		list = append(list, n)
 	}
 	slices.SortFunc(list, func(a, b Endpoint) int { return strings.Compare(a.Instance, b.Instance) })
-	if !slices.Equal(list, e.told) {
-		e.told = list
-		e.Changed(list)
+	if slices.Equal(list, e.told) {
+		return
+	}
+	e.logBeliefs(list)
+	e.told = list
+	e.Changed(list)
+}
+
+// logBeliefs writes a line for each kind of change between the list in force and the next
+// one; mu must be held. Lines are few: entries change when endpoints come, leave or lapse.
+func (e *Endpoints) logBeliefs(next []Endpoint) {
+	for _, t := range turnovers(e.told, next) {
+		e.Log.Info("endpoints changed", "was", t.Was, "now", t.Now, "instances", t.Instances, "revision", e.at,
+			"proven_ms", (e.Now() - e.proven).Milliseconds(), "store_failed_ms", (e.Now() - e.trouble).Milliseconds(), "failing", e.bad)
 	}
 }
--- /dev/null
+++ b/feed/lapse_test.go
@@ -0,0 +1,80 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// contact is the time after the end of a trouble from which a host is held to the drain time
+// again: an endpoint that left during the trouble must not be in its list any more.
+const contact = 3 * time.Second
+
+// TestLeftInTrouble holds that an endpoint which left while the store was in trouble is in no
+// host's list from the contact time after the trouble's end on, whenever the trouble ends.
+func TestLeftInTrouble(t *testing.T) {
+	const leaver = "servers/c"
+	all := func(s *sharers) {
+		for i := range s.cut {
+			s.cut[i] = true
+		}
+	}
+	cases := []struct {
+		name  string
+		hosts int
+		begin func(s *sharers)
+		// end is done at the moment of the trouble's end.
+		end func(s *sharers)
+	}{
+		{"the store fails, one host", 1, all, func(*sharers) {}},
+		{"the store fails, six hosts", 6, all, func(*sharers) {}},
+		{"the store fails, forty hosts", 40, all, func(*sharers) {}},
+		{"the store turns the first reader away", 6, func(s *sharers) { s.cut[0] = true }, func(*sharers) {}},
+		{"the store turns two away", 6, func(s *sharers) { s.cut[0], s.cut[1] = true, true }, func(*sharers) {}},
+		{"the store turns one away that hears nobody", 6, func(s *sharers) { s.cut[3], s.silent[3] = true, true }, func(*sharers) {}},
+		{"the store fails and forgets, one host", 1, all, forget},
+		{"the store fails and forgets, six hosts", 6, all, forget},
+		{"the store fails and forgets, forty hosts", 40, all, forget},
+	}
+	for _, tc := range cases {
+		for late := time.Duration(0); late < 1200*time.Millisecond; late += 50 * time.Millisecond {
+			t.Run(fmt.Sprint(tc.name, " ", late), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					defer cancel()
+					s := share(ctx, tc.hosts)
+					s.store.put(leaver, "ready")
+					time.Sleep(3 * time.Second)
+					s.store.set(func() { tc.begin(s) })
+					// By now no watch of before waits any more.
+					time.Sleep(2500 * time.Millisecond)
+					s.store.remove(leaver)
+					time.Sleep(6500*time.Millisecond + late)
+					s.store.set(func() {
+						clear(s.cut)
+						tc.end(s)
+					})
+					time.Sleep(contact)
+					for i := range tc.hosts {
+						l, _ := s.ends[i].List()
+						must.SliceNotContainsFunc(t, l.Endpoints, "c", func(e Endpoint, name string) bool { return e.Instance == name },
+							must.Sprintf("host %d", i))
+					}
+					cancel()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
+
+// forget makes the store forget its history.
+func forget(s *sharers) { s.store.log, s.store.forgotten = nil, s.store.at }
