--- a/edge/host.go
+++ b/edge/host.go
@@ -48,8 +48,14 @@
 	// listWait is how long a reading of the endpoints' changes waits for some. Endpoints
 	// write all the time, so that there mostly are.
 	listWait = 100 * time.Millisecond
-	// lapseShare is the part of the contact time for which lapsed endpoints are kept.
-	lapseShare = 0.7
+	// lapseBeats is the number of heartbeats of an endpoint that an outage must last for its
+	// entry to lapse: it goes with the third that is missing, and the outage may begin just before the first.
+	lapseBeats = 2
+	// backTime is the time after the store's return in which endpoints' entries are back (the
+	// platform's pages: within about two seconds).
+	backTime = 2 * time.Second
+	// lapseShare is the part of the contact time for which lapsed endpoints are kept at most.
+	lapseShare = 0.9
 	// retryShare is the part of the retry bound that hosts use.
 	retryShare = 0.7
 	// bodyShare is the part of the memory for bodies of requests.
@@ -151,7 +157,10 @@
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
 		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: listWait, Pause: endpointsPause, Turn: h.turn,
-		LapseFor: time.Duration(lapseShare * float64(b.ContactTime)), Changed: h.newEndpoints, Log: h.Log.WithName("endpoints"),
+		Lapses: feed.Lapses{
+			After: lapseBeats * b.Heartbeat, Back: backTime, Keep: time.Duration(lapseShare * float64(b.ContactTime)),
+		},
+		Changed: h.newEndpoints, Log: h.Log.WithName("endpoints"),
 	}
 	h.endpoints.Init()
 	h.entry = &feed.Entry{
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -31,34 +31,38 @@
 	Pause time.Duration
 	// Turn is this host's turn to read, see Turns; nil means that it always reads.
 	Turn func() int
-	// LapseFor is how long after the sending of the last call that failed an entry
-	// that went is still taken for an endpoint that serves. It must be shorter than
-	// the time after which the host counts as in touch again.
-	LapseFor time.Duration
+	// Lapses decides for how long entries that went are taken for endpoints that serve.
+	Lapses Lapses
 	// Changed is called with the list when it changes, sorted by instance.
 	Changed func([]Endpoint)
 	// Log takes changes of state.
 	Log logr.Logger
 
-	mu      sync.Mutex
-	known   map[string]Endpoint
-	told    []Endpoint
-	read    bool          // known is what the store, or a peer, told
-	forgot  bool          // the store does not know the changes since at any more
-	at      uint64        // the store's revision of known
-	proven  time.Duration // when known was surely the newest
-	trouble time.Duration // when the last call that failed was sent
-	bad     bool
+	mu     sync.Mutex
+	known  map[string]Endpoint
+	told   []Endpoint
+	read   bool          // known is what the store, or a peer, told
+	forgot bool          // the store does not know the changes since at any more
+	at     uint64        // the store's revision of known
+	proven time.Duration // when known was surely the newest
+	outage outage
+	left   leavers
+	expiry *time.Timer // of entries that lapsed
+	bad    bool
 }
 
 // Init makes it ready; call it before all else.
 func (e *Endpoints) Init() {
 	e.known = make(map[string]Endpoint)
-	e.trouble = -e.LapseFor
+	e.left = make(leavers)
+	e.outage = outage{Lapses: e.Lapses, Pause: e.Pause}
+	e.expiry = time.AfterFunc(time.Hour, e.expire)
+	e.expiry.Stop() // until entries lapse
 }
 
 // Run follows the store until ctx ends.
 func (e *Endpoints) Run(ctx context.Context) {
+	defer e.expiry.Stop()
 	for ctx.Err() == nil {
 		if pause := e.untilTurn(); pause > 0 {
 			sleep(ctx, pause)
@@ -94,33 +98,44 @@
 	e.mu.Unlock()
 	sent := e.Now()
 	var err error
-	var idle time.Duration
 	if changes {
-		idle, err = e.watch(ctx, at)
+		err = e.watch(ctx, at)
 	} else {
 		err = e.readAll(ctx)
 	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
 	if errors.Is(err, ErrHistory) {
-		e.forgot = true
+		// The store answered: it does not fail, and the whole list tells more than its changes.
+		e.noteForgotten(sent)
+		sent = e.Now()
+		err = e.readAll(ctx)
 	}
-	switch {
-	case err != nil:
-		e.trouble = sent
-	case e.bad:
-		// The store may have failed until shortly before this call, however long ago the
-		// last one was.
-		e.trouble = max(e.trouble, sent-e.Pause)
-		fallthrough
-	default:
-		e.proven = max(e.proven, sent+idle)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err != nil {
+		e.outage.fail(sent, e.Now())
 	}
 	e.note(err)
-	e.tell()
 	return err == nil
 }
 
+// noteForgotten notes that the store answered a call but has forgotten its history.
+func (e *Endpoints) noteForgotten(sent time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.forgot = true
+	e.answered(sent)
+	e.Log.Info("store forgot its history; all entries are read", "for", e.Prefix, "revision", e.at)
+}
+
+// answered notes that the store answered a call which was sent at a moment; mu must be held. What
+// has lapsed is dropped at its time, whether or not anything is read until then.
+func (e *Endpoints) answered(sent time.Duration) {
+	e.outage.answer(sent)
+	if left := e.outage.until - e.Now(); left > 0 {
+		e.expiry.Reset(left)
+	}
+}
+
 // note logs changes of state; mu must be held.
 func (e *Endpoints) note(err error) {
 	if bad := err != nil; bad != e.bad {
@@ -137,12 +152,18 @@
 func (e *Endpoints) readAll(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	sent := e.Now()
 	p, err := e.Store.Range(cctx, e.Prefix, false)
 	if err != nil {
 		return err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.answered(sent)
+	if e.read && p.At < e.at {
+		e.forgot = false
+		return nil // a peer has told of newer entries meanwhile
+	}
 	here := make(map[string]bool, len(p.Items))
 	for _, it := range p.Items {
 		here[strings.TrimPrefix(it.Key, e.Prefix)] = true
@@ -154,26 +175,28 @@
 		}
 	}
 	e.read, e.forgot, e.at = true, false, max(e.at, p.At)
+	e.proven = max(e.proven, sent)
 	e.tell()
 	return nil
 }
 
-// watch takes the changes since a revision. It returns the time from its start in which
-// there were surely none: all of it, if it was idle to its end.
-func (e *Endpoints) watch(ctx context.Context, since uint64) (time.Duration, error) {
+// watch takes the changes since a revision. A watch that was idle to its end proves
+// that there were none in all of that time.
+func (e *Endpoints) watch(ctx context.Context, since uint64) error {
 	cctx, cancel := context.WithTimeout(ctx, e.Wait+storeTimeout)
 	defer cancel()
-	sent, wait := e.Now(), e.idle()
-	p, err := e.Store.Watch(cctx, e.Prefix, since, wait)
+	sent := e.Now()
+	p, err := e.Store.Watch(cctx, e.Prefix, since, e.Wait)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	idle := time.Duration(0)
-	if len(p.Items) == 0 && e.Now()-sent >= wait {
-		idle = wait
+	proven := sent
+	if len(p.Items) == 0 && e.Now()-sent >= e.Wait {
+		proven += e.Wait
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.answered(sent)
 	for _, it := range p.Items {
 		if it.Revision <= e.at && e.at > since {
 			continue // a peer has told of it meanwhile
@@ -185,45 +208,29 @@
 		e.take(it)
 	}
 	e.at = max(e.at, p.At)
+	e.proven = max(e.proven, proven)
 	e.tell() // under the same lock: a peer must never get the old list with the new revision
-	return idle, nil
-}
-
-// idle is how long a watch may wait for changes: not long while entries that
-// lapsed are to be dropped.
-func (e *Endpoints) idle() time.Duration {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, n := range e.known {
-		if n.Lapsed {
-			return min(e.Wait, e.Every/4)
-		}
-	}
-	return e.Wait
+	return nil
 }
 
-// take notes an entry; mu must be held. What once was leaving stays so: entries may be
-// written late.
+// take notes an entry; mu must be held.
 func (e *Endpoints) take(it Item) {
 	n, err := e.Parse(it.Key, it.Value)
 	if err != nil {
 		e.Log.Error(err, "endpoint entry refused", "key", it.Key)
 		return
 	}
-	if old, ok := e.known[n.Instance]; ok && old.Leaving && !old.Lapsed {
-		n.Leaving = true
-	}
-	e.known[n.Instance] = n
+	e.known[n.Instance] = e.left.mark(n, e.Now())
 }
 
-// gone notes that an entry went; mu must be held. While the store is in trouble, and a
-// while after, entries go although their endpoints serve.
+// gone notes that an entry went; mu must be held. In an outage of the store, and a while
+// after, entries go although their endpoints serve.
 func (e *Endpoints) gone(name string) {
 	n, ok := e.known[name]
 	if !ok {
 		return
 	}
-	if n.Leaving || e.Now()-e.trouble > e.LapseFor {
+	if n.Leaving || !e.outage.mayLapse(e.Now()) {
 		delete(e.known, name)
 		return
 	}
@@ -231,9 +238,18 @@
 	e.known[name] = n
 }
 
+// expire drops the entries that lapsed and did not come back in time.
+func (e *Endpoints) expire() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.tell()
+}
+
 // tell drops what lapsed for good and passes the list on if it changed; mu must be held.
 func (e *Endpoints) tell() {
-	if e.Now()-e.trouble > e.LapseFor {
+	now := e.Now()
+	e.left.prune(now)
+	if !e.outage.mayLapse(now) {
 		maps.DeleteFunc(e.known, func(_ string, n Endpoint) bool { return n.Lapsed })
 	}
 	list := make([]Endpoint, 0, len(e.known))
@@ -252,8 +268,10 @@
 // logBeliefs writes a line for each kind of change between the list in force and the next
 // one; mu must be held. Lines are few: entries change when endpoints come, leave or lapse.
 func (e *Endpoints) logBeliefs(next []Endpoint) {
+	now := e.Now()
 	for _, t := range turnovers(e.told, next) {
 		e.Log.Info("endpoints changed", "was", t.Was, "now", t.Now, "instances", t.Instances, "revision", e.at,
-			"proven_ms", (e.Now() - e.proven).Milliseconds(), "store_failed_ms", (e.Now() - e.trouble).Milliseconds(), "failing", e.bad)
+			"proven_ms", (now - e.proven).Milliseconds(), "answered_ms", (now - e.outage.answered).Milliseconds(),
+			"failed_ms", (now - e.outage.failed).Milliseconds(), "failing", e.bad)
 	}
 }
--- a/feed/lapse_test.go
+++ b/feed/lapse_test.go
@@ -18,6 +18,9 @@
 // again: an endpoint that left during the trouble must not be in its list any more.
 const contact = 3 * time.Second
 
+// testLapses are the times for endpoints with a heartbeat each 1.2 s and a contact time of 3 s.
+var testLapses = Lapses{After: 2400 * time.Millisecond, Back: 2 * time.Second, Keep: 2700 * time.Millisecond}
+
 // TestLeftInTrouble holds that an endpoint which left while the store was in trouble is in no
 // host's list from the contact time after the trouble's end on, whenever the trouble ends.
 func TestLeftInTrouble(t *testing.T) {
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -58,6 +58,9 @@
 	Revision uint64 `json:"revision"`
 	// Endpoints are sorted by instance.
 	Endpoints []Endpoint `json:"endpoints"`
+	// Left are the instances that said lately that they leave, and how long ago that was last
+	// seen, in nanoseconds. A host that takes a list now and then may have missed it.
+	Left map[string]time.Duration `json:"left,omitempty"`
 }
 
 // View names what a host knows of the endpoints.
@@ -81,7 +84,7 @@
 func (e *Endpoints) List() (EndpointList, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return EndpointList{Revision: e.at, Endpoints: e.told}, e.read
+	return EndpointList{Revision: e.at, Endpoints: e.told, Left: e.left.ages(e.Now())}, e.read
 }
 
 // Proved takes what a peer knows, and reports whether its list is to be asked for: the
@@ -89,6 +92,7 @@
 func (e *Endpoints) Proved(v View) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.answered(v.At)
 	if e.read && v.Sum == checksum(e.told) {
 		e.at, e.proven = max(e.at, v.Revision), max(e.proven, v.At)
 		return false
@@ -96,25 +100,20 @@
 	return !e.read || v.Revision > e.at
 }
 
-// Offer puts a peer's list in force if it is newer. Entries that lapsed are kept only if this
-// host had trouble with the store itself: the peer may be the only one that the store turned
-// away, and an endpoint whose entry goes while the store serves has left. In an outage that is
-// long enough for entries to lapse every host finds the store failing.
+// Offer puts a peer's list in force if it is newer. Entries that lapsed are kept only if the
+// store failed for this host too: the peer may be the only one that the store turned away, and
+// an endpoint whose entry goes while the store serves has left.
 func (e *Endpoints) Offer(l EndpointList) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.read && l.Revision <= e.at {
 		return
 	}
-	if e.bad {
-		e.trouble = max(e.trouble, e.Now()-e.Pause) // as after an own call that succeeds
-	}
+	now := e.Now()
+	e.left.add(l.Left, now)
 	known := make(map[string]Endpoint, len(l.Endpoints))
 	for _, n := range l.Endpoints {
-		if old, ok := e.known[n.Instance]; ok && old.Leaving && !old.Lapsed {
-			n.Leaving = true
-		}
-		known[n.Instance] = n
+		known[n.Instance] = e.left.mark(n, now)
 	}
 	e.known, e.read, e.at = known, true, l.Revision
 	e.forgot = false
