--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -67,6 +67,8 @@
 	Header http.Header
 	// After is the last event that the sender had, or 0.
 	After int
+	// At is when it came, and Ended when the endpoint stopped working on it, zero while it works.
+	At, Ended time.Time
 }
 
 // Endpoint is a model runner or a plain service.
@@ -223,12 +225,14 @@
 	}
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	e.mu.Lock()
-	e.runs = append(e.runs, Run{id, r.Method, r.RequestURI, body, r.Header, after})
+	n := len(e.runs)
+	e.runs = append(e.runs, Run{Attempt: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, After: after, At: time.Now()})
 	e.open++
 	e.mu.Unlock()
 	defer func() {
 		e.mu.Lock()
 		e.open--
+		e.runs[n].Ended = time.Now()
 		e.mu.Unlock()
 	}()
 	switch f {
