--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -268,14 +268,17 @@
 func (c *chaos) hup() func() {
 	h, broken := c.pick(), c.rand.IntN(3) == 0
 	return func() {
-		text := h.boot
+		h.mu.Lock()
+		boot := h.boot
+		h.mu.Unlock()
+		text := boot
 		if broken {
 			text = "no settings at all"
 		}
 		_ = os.WriteFile(h.path, []byte(text), 0o600)
 		h.signal(syscall.SIGHUP)
 		time.Sleep(300 * time.Millisecond)
-		_ = os.WriteFile(h.path, []byte(h.boot), 0o600)
+		_ = os.WriteFile(h.path, []byte(boot), 0o600)
 	}
 }
 
@@ -303,7 +306,7 @@
 	m, how, span := c.member(), c.rand.IntN(4), c.between(300*time.Millisecond, 3*time.Second)
 	return func() {
 		defer m.trouble()()
-		harm(m.link, how, span)
+		harm(m.Link, how, span)
 	}
 }
 
@@ -311,7 +314,7 @@
 func (c *chaos) endpointSilent() func() {
 	m := c.member()
 	return func() {
-		m.link.Silence()
+		m.Link.Silence()
 		m.trouble()()
 	}
 }
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -95,11 +95,10 @@
 	started   int
 }
 
-// member is an endpoint and the link to it.
+// member is an endpoint and what disturbs the link to it.
 type member struct {
 	*site.Endpoint
 	service string
-	link    *link.Proxy
 
 	mu       sync.Mutex
 	left     time.Time // when its leaving was acknowledged, zero while it stays
@@ -167,7 +166,6 @@
 	}
 	for _, h := range f.hosts {
 		h.boot = strings.ReplaceAll(h.boot, "SEEDS", f.seeds())
-		must.NoError(t, os.WriteFile(h.path, []byte(h.boot), 0o600))
 		must.NoError(t, f.start(h))
 	}
 	return f
@@ -245,6 +243,9 @@
 	if err != nil {
 		return err
 	}
+	if err := os.WriteFile(h.path, []byte(h.boot), 0o600); err != nil {
+		return err
+	}
 	h.process = exec.Command(f.program)
 	h.process.Env = append(os.Environ(), platform.BootVariable+"="+h.path, "GOMAXPROCS=1")
 	h.process.Stderr = log
@@ -252,6 +253,8 @@
 		return err
 	}
 	h.ended, h.stopping, h.calmFrom = make(chan struct{}), time.Time{}, time.Now()
+	// The file says so only while the whole system starts for the first time.
+	h.boot = strings.ReplaceAll(h.boot, "Bootstrap=true", "Bootstrap=false")
 	go func(p *exec.Cmd, ended chan struct{}) {
 		_ = p.Wait()
 		_ = log.Close()
@@ -292,17 +295,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started++
-	m := &member{Endpoint: &site.Endpoint{Instance: fmt.Sprintf("%s-%d", service, f.started), Pace: 20 * time.Millisecond}, service: service}
+	m := &member{Endpoint: &site.Endpoint{Instance: fmt.Sprintf("%s-%d", service, f.started), Pace: 20 * time.Millisecond, Link: &link.Proxy{}}, service: service}
 	if service == site.Engines {
 		m.Events = events
 	}
 	if err := m.Start(); err != nil {
 		return err
 	}
-	m.link = &link.Proxy{Listen: "127.0.0.1:0", Target: m.Address}
-	if err := m.link.Start(); err != nil {
-		return err
-	}
 	f.endpoints = append(f.endpoints, m)
 	f.store.Put(platform.PrefixEndpoints+m.Instance, f.entry(m, "ready"))
 	return nil
@@ -310,7 +309,7 @@
 
 // entry is an endpoint's entry in the store.
 func (f *fleet) entry(m *member, state string) site.EndpointEntry {
-	return site.EndpointEntry{Service: m.service, Address: m.link.Listen, Zone: "zone-1", Slots: 8, State: state}
+	return site.EndpointEntry{Service: m.service, Address: m.Address, Zone: "zone-1", Slots: 8, State: state}
 }
 
 // staying are the endpoints of a service that do not leave.
@@ -348,7 +347,7 @@
 	}
 	for _, m := range f.all() {
 		m.Stop()
-		m.link.Stop()
+		m.Link.Stop()
 	}
 	_ = f.server.Close()
 }
