--- a/edge/share.go
+++ b/edge/share.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -121,6 +122,9 @@
 	resp, err := h.peerHTTP.Do(req)
 	if err != nil {
 		h.Log.V(1).Info("peer not reached", "peer", control, "path", path, "cause", err.Error())
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			h.peerHTTP.CloseIdleConnections() // they may have fallen silent with this one
+		}
 		return false
 	}
 	defer resp.Body.Close()
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -45,7 +45,9 @@
 	req       *sched.Request
 	at        feed.Endpoint
 	firstSeen bool
-	times     times
+	// mute says that the newest send has brought nothing yet.
+	mute  bool
+	times times
 	// failedAnswer says that the endpoint's newest answer was a failure of its own.
 	failedAnswer bool
 	header       http.Header
@@ -276,12 +278,18 @@
 	c.header.Set(c.s.Headers.Expect, c.at.Instance)
 	unwatch := context.AfterFunc(ctx, func() { conn.Close() })
 	c.account.Send()
+	c.mute = true
+	began := c.s.Now()
 	watch := newSilence(c.patience(), conn.Close)
 	end, hold := c.exchange(ctx, conn, watch)
-	if watch.stop() && end == lost {
+	tired := watch.stop()
+	if tired && end == lost {
 		hold = holdUnreachable
 	}
 	clean := unwatch()
+	if tired || (!clean && c.mute && c.s.Now()-began >= silentFor) {
+		c.s.pool.Distrust(conn)
+	}
 	switch {
 	case !clean && end != whole:
 		end = given
@@ -313,6 +321,7 @@
 		return lost, holdLost
 	}
 	defer resp.Body.Close()
+	c.mute = false
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.account.NotRun()
 		drain(resp)
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -23,6 +23,10 @@
 	// plainObjectives is the silence, in objectives, after which a plain request that
 	// may be repeated is sent elsewhere.
 	plainObjectives = 2.5
+	// silentFor is the time without any answer to a send, ended by its deadline or its caller, from which
+	// the other connections to that endpoint are not trusted: many times a plain service's
+	// usual 15 to 30 ms.
+	silentFor = 500 * time.Millisecond
 	// longRead is the prompt from which the first event may take longer.
 	longRead = 8000
 )
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -14,6 +14,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/heathkeel/heathkeel/internal/link"
 )
 
 // Fault is what an endpoint does wrong with its next request.
@@ -79,7 +81,9 @@
 	Events int
 	// Pace is the time between events, and before the first; set it with SetPace once it runs.
 	Pace time.Duration
-	// Address is where it listens.
+	// Link is what all connections to it go over, or nil; it is started with the endpoint.
+	Link *link.Proxy
+	// Address is where it is reached.
 	Address string
 
 	mu     sync.Mutex
@@ -97,6 +101,13 @@
 		return err
 	}
 	e.l, e.Address = l, l.Addr().String()
+	if e.Link != nil {
+		e.Link.Listen, e.Link.Target = "127.0.0.1:0", e.Address
+		if err := e.Link.Start(); err != nil {
+			return err
+		}
+		e.Address = e.Link.Listen
+	}
 	go func() {
 		for {
 			c, err := l.Accept()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -17,6 +17,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/heathkeel/heathkeel/edge"
+	"github.com/heathkeel/heathkeel/internal/link"
 	"github.com/heathkeel/heathkeel/platform"
 )
 
@@ -43,6 +44,8 @@
 	Trace bool
 	// Lenient starts hosts that take keys whatever the age of their settings.
 	Lenient bool
+	// Links puts a link before each endpoint of the scene.
+	Links bool
 	// Store is the platform's store.
 	Store *Store
 	// StoreAddress is where it listens.
@@ -117,6 +120,9 @@
 	for i := range 2 {
 		plain[i] = &Endpoint{Instance: fmt.Sprintf("p-%d", i)}
 		engines[i] = &Endpoint{Instance: fmt.Sprintf("e-%d", i), Events: events, Pace: pace}
+		if s.Links {
+			plain[i].Link, engines[i].Link = &link.Proxy{}, &link.Proxy{}
+		}
 		if err := s.AddEndpoint(Plain, plain[i]); err != nil {
 			return plain, engines, err
 		}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -29,6 +29,7 @@
 	br      *bufio.Reader
 	rest    time.Duration // how long it may rest unused
 	idleAt  time.Duration
+	takenAt time.Duration // when it was last taken for a request
 	over    atomic.Bool
 	dirty   bool
 	writing chan error
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -44,7 +44,8 @@
 		if c == nil {
 			break
 		}
-		if p.Now()-c.idleAt < c.rest && c.sound() {
+		if now := p.Now(); now-c.idleAt < c.rest && c.sound() {
+			c.takenAt = now
 			return c, true, nil
 		}
 		c.Close()
@@ -60,7 +61,7 @@
 	}
 	p.open[address]++
 	p.opened++
-	return &Conn{pool: p, address: address, net: nc, br: bufio.NewReaderSize(nc, bufferBytes), rest: defaultRest}, false, nil
+	return &Conn{pool: p, address: address, net: nc, br: bufio.NewReaderSize(nc, bufferBytes), rest: defaultRest, takenAt: p.Now()}, false, nil
 }
 
 // take removes the newest idle connection to an address.
@@ -76,6 +77,13 @@
 	return c
 }
 
+// Distrust closes the resting connections to the address of a connection on which an endpoint was
+// silent for too long, if they rest since before it was taken: what made one silent has mostly silenced
+// the others, and none of them tells. Those used since then have answered.
+func (p *Pool) Distrust(c *Conn) {
+	p.drop(func(address string, o *Conn) bool { return address == c.address && o.idleAt <= c.takenAt })
+}
+
 // SetIdle bounds the idle connections of an address, so that all hosts together stay
 // well under what an endpoint takes.
 func (p *Pool) SetIdle(n int) {
@@ -129,16 +137,21 @@
 // Sweep closes connections that rested too long; call it about once a second.
 func (p *Pool) Sweep() {
 	now := p.Now()
-	var old []*Conn
+	p.drop(func(_ string, c *Conn) bool { return now-c.idleAt >= c.rest })
+}
+
+// drop closes the resting connections that a function names.
+func (p *Pool) drop(old func(address string, c *Conn) bool) {
+	var dropped []*Conn
 	p.mu.Lock()
 	for address, list := range p.idle {
 		keep := list[:0]
 		for _, c := range list {
-			if now-c.idleAt < c.rest {
-				keep = append(keep, c)
+			if old(address, c) {
+				dropped = append(dropped, c)
 				continue
 			}
-			old = append(old, c)
+			keep = append(keep, c)
 		}
 		if len(keep) == 0 {
 			delete(p.idle, address)
@@ -147,7 +160,7 @@
 		p.idle[address] = keep
 	}
 	p.mu.Unlock()
-	for _, c := range old {
+	for _, c := range dropped {
 		c.Close()
 	}
 }
--- /dev/null
+++ b/upstream/silent_test.go
@@ -0,0 +1,68 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestDistrust holds that after a connection was silent for too long, those that rest since
+// before it was taken are not used again, and those that answered since are.
+func TestDistrust(t *testing.T) {
+	cases := []struct {
+		name string
+		// rests is when each of the other connections was given back, in milliseconds; the
+		// silent one is taken at 100 ms.
+		rests  []int
+		reused int
+	}{
+		{"alone", nil, 0},
+		{"rest since before", []int{0, 0, 0}, 0},
+		{"answered since", []int{200, 200}, 2},
+		{"some of both", []int{0, 0, 200}, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			address, _ := listen(t)
+			now := time.Duration(0)
+			p := &Pool{Now: func() time.Duration { return now }, DialTimeout: time.Minute}
+			get := func() (*Conn, bool) {
+				c, reused, err := p.Get(t.Context(), address)
+				must.NoError(t, err)
+				return c, reused
+			}
+			now = 100 * time.Millisecond
+			silent, _ := get()
+			now = 0
+			var others []*Conn
+			for range tc.rests {
+				c, _ := get()
+				others = append(others, c)
+			}
+			for i, at := range tc.rests {
+				if at == 0 {
+					others[i].Done()
+				}
+			}
+			now = 200 * time.Millisecond
+			for i, at := range tc.rests {
+				if at != 0 {
+					others[i].Done()
+				}
+			}
+			p.Distrust(silent)
+			silent.Close()
+			for range tc.reused {
+				_, reused := get()
+				must.True(t, reused)
+			}
+			_, reused := get()
+			must.False(t, reused)
+		})
+	}
+}
