--- a/feed/lapse_test.go
+++ b/feed/lapse_test.go
@@ -30,6 +30,8 @@
 			s.cut[i] = true
 		}
 	}
+	hang := func(s *sharers) { s.store.dark, s.store.hang = true, time.Minute }
+	light := func(s *sharers) { s.store.dark = false }
 	cases := []struct {
 		name  string
 		hosts int
@@ -38,6 +40,12 @@
 		end func(s *sharers)
 	}{
 		{"the store fails, one host", 1, all, func(*sharers) {}},
+		{"the store hangs, one host", 1, hang, light},
+		{"the store hangs, six hosts", 6, hang, light},
+		{"the store hangs and forgets, one host", 1, hang, func(s *sharers) {
+			light(s)
+			forget(s)
+		}},
 		{"the store fails, six hosts", 6, all, func(*sharers) {}},
 		{"the store fails, forty hosts", 40, all, func(*sharers) {}},
 		{"the store turns the first reader away", 6, func(s *sharers) { s.cut[0] = true }, func(*sharers) {}},
