--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -34,14 +34,23 @@
 	return "hkedge is one host of heathkeel. SIGTERM stops it within its grace; SIGHUP reads the settings file again."
 }
 
+// Exit codes, see docs/OPERATIONS.md.
+const (
+	exitFailed = 1
+	exitUsage  = 2
+)
+
 func main() {
 	var a args
-	p := arg.MustParse(&a)
+	arg.MustParse(&a)
+	log, lines := logs.Open("hkedge", version.Version, os.Stderr)
 	boot, err := platform.ReadBoot(a.Settings)
 	if err != nil {
-		p.Fail(err.Error())
+		// A line of the log like any other: a host that does not start is looked for there.
+		log.Error(err, "not started", "settings", a.Settings)
+		_ = lines.Sync()
+		os.Exit(exitUsage)
 	}
-	log, lines := logs.Open("hkedge", version.Version, os.Stderr)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
 	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: log.WithValues("host", boot.Host)}
@@ -51,6 +60,6 @@
 	}
 	_ = lines.Sync()
 	if err != nil {
-		os.Exit(1)
+		os.Exit(exitFailed)
 	}
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -218,13 +218,24 @@
 	}
 }
 
-// restart starts a host that ended.
+// restart starts a host that ended, as the platform does again and again if it ends by itself: its
+// settings file may be broken at that moment.
 func (c *chaos) restart(h *host) {
-	if err := c.f.start(h); err != nil {
-		panic(err)
+	for {
+		if err := c.f.start(h); err != nil {
+			panic(err)
+		}
+		select {
+		case <-h.over():
+		case <-time.After(startTime):
+			return
+		}
 	}
 }
 
+// startTime is the time after which a process that runs has read its settings file.
+const startTime = 500 * time.Millisecond
+
 // stop stops a host's process as planned and starts it again; at times it is killed meanwhile.
 func (c *chaos) stop() func() {
 	h, early := c.claim(), c.rand.IntN(4) == 0
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -248,7 +248,7 @@
 	}
 	h.process = exec.Command(f.program)
 	h.process.Env = append(os.Environ(), platform.BootVariable+"="+h.path, "GOMAXPROCS=1")
-	h.process.Stderr = log
+	h.process.Stdout, h.process.Stderr = log, log
 	if err := h.process.Start(); err != nil {
 		return err
 	}
