--- a/cmd/hkdev/main.go
+++ b/cmd/hkdev/main.go
@@ -76,9 +76,7 @@
 	}
 	log := logr.Discard()
 	if a.Logs {
-		if log, err = logs.New("hkdev", version.Version); err != nil {
-			return 1, err
-		}
+		log = logs.New("hkdev", version.Version)
 	}
 	if a.Site {
 		return runSite(a, log)
--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -12,10 +12,8 @@
 	"os"
 	"os/signal"
 
-	"github.com/alexflint/go-arg"
-
 	"github.com/heathkeel/heathkeel/edge"
-	"github.com/heathkeel/heathkeel/internal/logs"
+	"github.com/heathkeel/heathkeel/internal/program"
 	"github.com/heathkeel/heathkeel/internal/version"
 	"github.com/heathkeel/heathkeel/platform"
 )
@@ -34,32 +32,15 @@
 	return "hkedge is one host of heathkeel. SIGTERM stops it within its grace; SIGHUP reads the settings file again."
 }
 
-// Exit codes, see docs/OPERATIONS.md.
-const (
-	exitFailed = 1
-	exitUsage  = 2
-)
-
 func main() {
 	var a args
-	arg.MustParse(&a)
-	log, lines := logs.Open("hkedge", version.Version, os.Stderr)
+	p := program.Start("hkedge", &a)
 	boot, err := platform.ReadBoot(a.Settings)
 	if err != nil {
-		// A line of the log like any other: a host that does not start is looked for there.
-		log.Error(err, "not started", "settings", a.Settings)
-		_ = lines.Sync()
-		os.Exit(exitUsage)
+		p.Refuse(err, "settings", a.Settings)
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: log.WithValues("host", boot.Host)}
-	err = h.Run(context.Background(), signals)
-	if err != nil {
-		h.Log.Error(err, "stopped")
-	}
-	_ = lines.Sync()
-	if err != nil {
-		os.Exit(exitFailed)
-	}
+	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: p.Log.WithValues("host", boot.Host)}
+	p.End(h.Run(context.Background(), signals))
 }
--- a/cmd/hkplacer/main.go
+++ b/cmd/hkplacer/main.go
@@ -11,16 +11,14 @@
 	"errors"
 	"net/http"
 	"net/netip"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
-	"github.com/alexflint/go-arg"
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/endpoint"
-	"github.com/heathkeel/heathkeel/internal/logs"
+	"github.com/heathkeel/heathkeel/internal/program"
 	"github.com/heathkeel/heathkeel/internal/version"
 	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
@@ -61,18 +59,14 @@
 
 func main() {
 	var a args
-	p := arg.MustParse(&a)
+	p := program.Start("hkplacer", &a)
 	if err := a.check(); err != nil {
-		p.Fail(err.Error())
-	}
-	log, err := logs.New("hkplacer", version.Version)
-	if err != nil {
-		p.Fail(err.Error())
+		p.Refuse(err)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	run(ctx, a, log.WithValues("host", a.Name))
-	os.Exit(0)
+	run(ctx, a, p.Log.WithValues("host", a.Name))
+	p.End(nil)
 }
 
 // askTimeout bounds a question to the router.
--- a/cmd/hkrouter/main.go
+++ b/cmd/hkrouter/main.go
@@ -9,12 +9,9 @@
 import (
 	"errors"
 	"net/netip"
-	"os"
 	"time"
 
-	"github.com/alexflint/go-arg"
-
-	"github.com/heathkeel/heathkeel/internal/logs"
+	"github.com/heathkeel/heathkeel/internal/program"
 	"github.com/heathkeel/heathkeel/internal/version"
 )
 
@@ -54,16 +51,9 @@
 
 func main() {
 	var a args
-	p := arg.MustParse(&a)
+	p := program.Start("hkrouter", &a)
 	if err := a.check(); err != nil {
-		p.Fail(err.Error())
-	}
-	log, err := logs.New("hkrouter", version.Version)
-	if err != nil {
-		p.Fail(err.Error())
-	}
-	if err := run(a, log.WithValues("host", a.Name)); err != nil {
-		log.Error(err, "stopped")
-		os.Exit(1)
+		p.Refuse(err)
 	}
+	p.End(run(a, p.Log.WithValues("host", a.Name)))
 }
--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -14,6 +14,8 @@
 	"net"
 	"net/http"
 	"strconv"
+
+	"github.com/heathkeel/heathkeel/internal/jsoncall"
 )
 
 // The paths and fields below are the whole wire format of engines; the stand-in
@@ -305,15 +307,7 @@
 
 // plain sends a request with JSON in and out.
 func (c *Client) plain(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return err
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	req, err := jsoncall.Request(ctx, method, c.Base+path, in)
 	if err != nil {
 		return err
 	}
--- a/internal/logs/logs.go
+++ b/internal/logs/logs.go
@@ -16,9 +16,9 @@
 
 // New returns a logger that writes JSON lines of a program to standard error, and
 // never waits for it.
-func New(program, version string) (logr.Logger, error) {
+func New(program, version string) logr.Logger {
 	log, _ := Open(program, version, os.Stderr)
-	return log, nil
+	return log
 }
 
 // Open returns a logger that writes JSON lines of a program to out, and its writer,
--- a/keyval/http.go
+++ b/keyval/http.go
@@ -5,15 +5,15 @@
 package keyval
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/heathkeel/heathkeel/internal/jsoncall"
 )
 
 // The paths and fields below are the whole wire format of the platform; both
@@ -96,15 +96,7 @@
 
 // call sends one request and decodes a JSON answer into out, if out is not nil.
 func (c *Client) call(ctx context.Context, method, path string, in, out any) error {
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return err
-		}
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, body)
+	req, err := jsoncall.Request(ctx, method, c.Base+path, in)
 	if err != nil {
 		return err
 	}
--- a/router/peers.go
+++ b/router/peers.go
@@ -5,7 +5,6 @@
 package router
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -15,6 +14,7 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/fleet"
+	"github.com/heathkeel/heathkeel/internal/jsoncall"
 	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
 	"github.com/heathkeel/heathkeel/problem"
@@ -37,19 +37,11 @@
 
 // call sends one request with a JSON body and returns the answer's content.
 func (c *peerClient) call(ctx context.Context, method, address, path string, in any) ([]byte, error) {
-	var body io.Reader
-	if in != nil {
-		b, err := json.Marshal(in)
-		if err != nil {
-			return nil, err
-		}
-		c.bytes.Add(int64(len(b)))
-		body = bytes.NewReader(b)
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
+	req, err := jsoncall.Request(ctx, method, "http://"+address+path, in)
 	if err != nil {
 		return nil, err
 	}
+	c.bytes.Add(req.ContentLength)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, err
