--- a/cmd/hkctl/main.go
+++ b/cmd/hkctl/main.go
@@ -34,6 +34,13 @@
 	Dir string `arg:"positional,required" help:"directory of declarations"`
 }
 
+// checkArgs are the arguments of check.
+type checkArgs struct {
+	Dir           string `arg:"positional" help:"directory of declarations"`
+	HostFile      string `arg:"--host-file" help:"settings file of an hkedge"`
+	Configuration string `arg:"--configuration" help:"configuration of routes, services and keys, as written to the platform"`
+}
+
 // applyArgs are the arguments of apply.
 type applyArgs struct {
 	Dir     string `arg:"positional,required" help:"directory of declarations"`
@@ -70,7 +77,7 @@
 
 // args are the command line.
 type args struct {
-	Check    *dirArgs      `arg:"subcommand:check" help:"check a directory"`
+	Check    *checkArgs    `arg:"subcommand:check" help:"check a directory, a settings file of hkedge or a configuration"`
 	Diff     *dirArgs      `arg:"subcommand:diff" help:"compare a directory with the tree in force; exit 1 if they differ"`
 	Apply    *applyArgs    `arg:"subcommand:apply" help:"put a directory in force"`
 	Get      *getArgs      `arg:"subcommand:get" help:"show or write the tree in force"`
--- a/cmd/hkctl/tree.go
+++ b/cmd/hkctl/tree.go
@@ -52,9 +52,30 @@
 	return p, nil
 }
 
-// check checks a directory.
+// check checks what is named, one thing after the other.
 func (t *tool) check() error {
-	p, err := load(t.Check.Dir)
+	c := t.Check
+	if c.Dir == "" && c.HostFile == "" && c.Configuration == "" {
+		return fmt.Errorf("%w: give a directory, --host-file or --configuration", errUsage)
+	}
+	checks := []struct {
+		path string
+		do   func(string) error
+	}{{c.Dir, t.checkDir}, {c.HostFile, t.checkHostFile}, {c.Configuration, t.checkConfiguration}}
+	for _, k := range checks {
+		if k.path == "" {
+			continue
+		}
+		if err := k.do(k.path); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkDir checks a directory.
+func (t *tool) checkDir(dir string) error {
+	p, err := load(dir)
 	var faults settings.Faults
 	if t.JSON && errors.As(err, &faults) {
 		_ = t.printJSON(faults)
--- /dev/null
+++ b/route/check.go
@@ -0,0 +1,146 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package route
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is something wrong with a configuration.
+type Fault struct {
+	// Where names the part, such as `route "ask"`.
+	Where string `json:"where"`
+	// What is wrong, and Remedy what to write instead.
+	What   string `json:"what"`
+	Remedy string `json:"remedy"`
+}
+
+// String gives the fault as a line.
+func (f Fault) String() string { return f.Where + ": " + f.What + "; " + f.Remedy }
+
+// checker collects faults.
+type checker struct {
+	d      *Document
+	faults []Fault
+}
+
+// add notes a fault.
+func (c *checker) add(where, what, remedy string) {
+	c.faults = append(c.faults, Fault{where, what, remedy})
+}
+
+// Check returns what is wrong with a configuration that could be read: what a host would take, and
+// then treat otherwise than its author meant.
+func Check(d *Document) []Fault {
+	c := &checker{d: d}
+	c.services()
+	c.routes()
+	c.workspaces()
+	return c.faults
+}
+
+func (c *checker) services() {
+	seen := make(map[string]bool)
+	for i := range c.d.Services {
+		s := &c.d.Services[i]
+		where := fmt.Sprintf("service %q", s.Name)
+		c.name(where, s.Name, seen)
+		if s.Connections < 0 || s.Slots < 0 || s.Memory < 0 || s.EventTokens < 0 {
+			c.add(where, "a figure is below 0", "write 0 for unknown")
+		}
+	}
+}
+
+// name checks that a name is given and stands once.
+func (c *checker) name(where, name string, seen map[string]bool) {
+	switch {
+	case name == "":
+		c.add(where, "it has no name", "give it one")
+	case seen[name]:
+		c.add(where, "its name stands twice", "rename one or take it out")
+	}
+	seen[name] = true
+}
+
+func (c *checker) routes() {
+	names, places := make(map[string]bool), make(map[string]string)
+	for i := range c.d.Routes {
+		r := &c.d.Routes[i]
+		where := fmt.Sprintf("route %q", r.Name)
+		c.name(where, r.Name, names)
+		c.route(where, r)
+		place := r.Host + r.Prefix
+		if other, ok := places[place]; ok {
+			c.add(where, fmt.Sprintf("route %q has the same host and prefix", other), "keep one of them")
+		}
+		places[place] = r.Name
+	}
+}
+
+// route checks one route.
+func (c *checker) route(where string, r *Route) {
+	if r.Host == "" {
+		c.add(where, "it has no host", "write the host name that callers send")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		c.add(where, fmt.Sprintf("prefix %q", r.Prefix), "begin and end it with a slash")
+	}
+	if r.Timeout < 0 || r.Objective < 0 || r.Gap < 0 || r.Rank < 0 {
+		c.add(where, "a figure is below 0", "write 0 for no bound, and ranks from 0")
+	}
+	if r.Timeout > 0 && r.Objective > r.Timeout {
+		c.add(where, "its objective is longer than its time-out", "raise the time-out; no answer in time could be late otherwise")
+	}
+	if r.Resumable && r.Kind != Stream {
+		c.add(where, "it is resumable and no stream", "take that out, or make it a stream")
+	}
+	c.targets(where, r)
+}
+
+// targets checks which services a route goes to.
+func (c *checker) targets(where string, r *Route) {
+	sum := 0.0
+	for _, t := range r.Targets {
+		sum += max(0, t.Weight)
+		if t.Weight < 0 {
+			c.add(where, fmt.Sprintf("service %q has a weight below 0", t.Service), "write 0 or more")
+		}
+		if !c.known(t.Service) {
+			c.add(where, fmt.Sprintf("service %q is not declared", t.Service), "declare it, or correct its name")
+		}
+	}
+	if sum <= 0 {
+		c.add(where, "no service gets its requests", "name a service, or give one a weight above 0")
+	}
+}
+
+// known reports whether a service is declared.
+func (c *checker) known(name string) bool {
+	for i := range c.d.Services {
+		if c.d.Services[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *checker) workspaces() {
+	names, keys := make(map[string]bool), make(map[string]string)
+	for i := range c.d.Workspaces {
+		w := &c.d.Workspaces[i]
+		where := fmt.Sprintf("workspace %q", w.Name)
+		c.name(where, w.Name, names)
+		if w.Rate < 0 || w.Burst < 0 || w.PlainTokens < 0 || w.Rank < 0 {
+			c.add(where, "a figure is below 0", "write 0 for no bound, and ranks from 0")
+		}
+		for _, k := range w.Keys {
+			if other, ok := keys[k]; ok {
+				c.add(where, fmt.Sprintf("it shares a key with workspace %q", other), "give each a key of its own; hosts cannot tell them apart")
+			}
+			keys[k] = w.Name
+		}
+	}
+}
