--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -23,6 +23,11 @@
 	Repeated, Resumed atomic.Int64
 	// Cut counts answers broken off, Gone callers that left.
 	Cut, Gone atomic.Int64
+	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host ended while an endpoint may
+	// have been at work on them: because their caller had left, because their deadline had
+	// passed, and because the endpoint had been silent for so long that another one was
+	// asked. WorkLostMS is the time, in milliseconds, from their sending to that end.
+	LeftAtWork, LateAtWork, MuteAtWork, WorkLostMS atomic.Int64
 	// LinesDropped counts lines on requests that were beyond the bound on logs.
 	LinesDropped atomic.Int64
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -290,6 +290,9 @@
 	if tired || (!clean && c.mute && c.s.Now()-began >= silentFor) {
 		c.s.pool.Distrust(conn)
 	}
+	if end != whole && (tired || !clean) {
+		c.countLostWork(tired, c.s.Now()-began)
+	}
 	switch {
 	case !clean && end != whole:
 		end = given
@@ -309,6 +312,20 @@
 	return end, hold
 }
 
+// countLostWork counts a send that this host ended, by its cause.
+func (c *call) countLostWork(tired bool, took time.Duration) {
+	n := &c.s.Count
+	switch {
+	case c.r.Context().Err() != nil:
+		n.LeftAtWork.Add(1)
+	case tired:
+		n.MuteAtWork.Add(1)
+	default:
+		n.LateAtWork.Add(1)
+	}
+	n.WorkLostMS.Add(took.Milliseconds())
+}
+
 // exchange sends the request on a connection and reads the answer.
 func (c *call) exchange(ctx context.Context, conn *upstream.Conn, watch *silence) (ending, time.Duration) {
 	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: c.header, Body: c.body, HasBody: c.hasBody}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -5,6 +5,7 @@
 package site
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -44,6 +45,8 @@
 	Trace bool
 	// Lenient starts hosts that take keys whatever the age of their settings.
 	Lenient bool
+	// Grace is the hosts' time from SIGTERM to their end; 0 is 8 s.
+	Grace time.Duration
 	// Links puts a link before each endpoint of the scene.
 	Links bool
 	// Store is the platform's store.
@@ -106,7 +109,7 @@
 		Host: fmt.Sprintf("host-%d", n), Zone: fmt.Sprintf("zone-%d", n%2), Region: "local", IP: ip,
 		Front: at(0), Ready: at(1), Control: at(2), Directory: at(3), PeerPort: s.ports + 4, Store: s.StoreAddress, First: true,
 		MemoryMB: 256, ConfigTime: 2 * time.Second, RevokeTime: 5 * time.Second, StrictRevoke: !s.Lenient, ContactTime: 3 * time.Second,
-		DrainTime: 2 * time.Second, Grace: 8 * time.Second, Heartbeat: time.Second, AnswerLife: 5 * time.Second,
+		DrainTime: 2 * time.Second, Grace: cmp.Or(s.Grace, 8*time.Second), Heartbeat: time.Second, AnswerLife: 5 * time.Second,
 		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
 	}
 	for _, h := range s.Hosts {
