--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -74,6 +74,9 @@
 		return ctx.Err()
 	}
 	sleep(ctx, hang)
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	return errDark
 }
 
--- a/feed/lapse_test.go
+++ b/feed/lapse_test.go
@@ -89,3 +89,39 @@
 
 // forget makes the store forget its history.
 func forget(s *sharers) { s.store.log, s.store.forgotten = nil, s.store.at }
+
+// TestLeftWhileConnectionsSilent lets the connections of all hosts to the store fall silent at one moment, while the
+// store and new connections work. That is no outage: an endpoint that leaves then has left, and is in no host's list
+// from the contact time on.
+func TestLeftWhileConnectionsSilent(t *testing.T) {
+	for _, hosts := range []int{1, 6, 12} {
+		for late := time.Duration(0); late < 1200*time.Millisecond; late += 50 * time.Millisecond {
+			for leaves := time.Duration(0); leaves <= 900*time.Millisecond; leaves += 300 * time.Millisecond {
+				t.Run(fmt.Sprint(hosts, " ", late, " ", leaves), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						ctx, cancel := context.WithCancel(t.Context())
+						defer cancel()
+						s := share(ctx, hosts)
+						s.store.put("servers/c", "ready")
+						time.Sleep(3*time.Second + late)
+						s.store.set(func() {
+							for i := range s.stale {
+								s.stale[i] = true
+							}
+						})
+						time.Sleep(leaves)
+						s.store.remove("servers/c")
+						time.Sleep(contact - leaves)
+						for i := range hosts {
+							l, _ := s.ends[i].List()
+							must.SliceNotContainsFunc(t, l.Endpoints, "c", func(e Endpoint, name string) bool { return e.Instance == name },
+								must.Sprintf("host %d", i))
+						}
+						cancel()
+						synctest.Wait()
+					})
+				})
+			}
+		}
+	}
+}
--- a/feed/shared_test.go
+++ b/feed/shared_test.go
@@ -22,6 +22,7 @@
 	store  *memoryStore
 	cut    []bool // from the store
 	silent []bool // from the other hosts
+	stale  []bool // its connection to the store says nothing more; the next one works
 	ends   []*Endpoints
 	sets   []*Settings
 	now    func() time.Duration
@@ -30,25 +31,34 @@
 // cutStore is the store as a host sees it that may be cut from it.
 type cutStore struct {
 	*memoryStore
-	cut *bool
+	cut, stale *bool
 }
 
-func (c cutStore) dark() bool {
+// enter fails a call of a host that is cut off, and lets one on a stale connection hang.
+func (c cutStore) enter(ctx context.Context) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	return *c.cut
+	cut, stale := *c.cut, *c.stale
+	*c.stale = false
+	c.mu.Unlock()
+	if cut {
+		return errDark
+	}
+	if stale {
+		<-ctx.Done()
+	}
+	return ctx.Err()
 }
 
 func (c cutStore) Range(ctx context.Context, prefix string, stale bool) (Page, error) {
-	if c.dark() {
-		return Page{}, errDark
+	if err := c.enter(ctx); err != nil {
+		return Page{}, err
 	}
 	return c.memoryStore.Range(ctx, prefix, stale)
 }
 
 func (c cutStore) Watch(ctx context.Context, prefix string, since uint64, wait time.Duration) (Page, error) {
-	if c.dark() {
-		return Page{}, errDark
+	if err := c.enter(ctx); err != nil {
+		return Page{}, err
 	}
 	return c.memoryStore.Watch(ctx, prefix, since, wait)
 }
@@ -56,12 +66,12 @@
 // share starts n hosts that tell each other every 0.2 s what they know, as heartbeats do.
 func share(ctx context.Context, n int) *sharers {
 	start := time.Now()
-	s := &sharers{store: newMemoryStore(), cut: make([]bool, n), silent: make([]bool, n), now: func() time.Duration { return time.Since(start) }}
+	s := &sharers{store: newMemoryStore(), cut: make([]bool, n), silent: make([]bool, n), stale: make([]bool, n), now: func() time.Duration { return time.Since(start) }}
 	s.store.put("servers/a", "ready")
 	s.store.put("servers/b", "ready")
 	s.store.put("op/config", "one")
 	for i := range n {
-		store := cutStore{s.store, &s.cut[i]}
+		store := cutStore{s.store, &s.cut[i], &s.stale[i]}
 		turn := func() int {
 			if s.isSilent(i) {
 				return 0 // a host that hears nobody always reads
@@ -74,7 +84,7 @@
 		}
 		e.Init()
 		set := &Settings{
-			Store: store, Prefix: "op/", Key: "op/config", Parse: parseVersion, Wait: time.Second, Pause: 300 * time.Millisecond, Turn: turn,
+			Store: cutStore{s.store, &s.cut[i], new(bool)}, Prefix: "op/", Key: "op/config", Parse: parseVersion, Wait: time.Second, Pause: 300 * time.Millisecond, Turn: turn,
 			Now: s.now, Changed: func(*route.Table) {}, Log: logr.Discard(),
 		}
 		s.ends, s.sets = append(s.ends, e), append(s.sets, set)
@@ -231,7 +241,7 @@
 		time.Sleep(2 * time.Second)
 		s.store.set(func() { s.cut[0], s.cut[1] = true, true })
 		e := &Endpoints{
-			Store: cutStore{s.store, &s.cut[1]}, Prefix: "servers/", Every: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Lapses: testLapses,
+			Store: cutStore{s.store, &s.cut[1], &s.stale[1]}, Prefix: "servers/", Every: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Lapses: testLapses,
 			Now: s.now, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
 		}
 		e.Init()
