--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -93,6 +93,21 @@
 
 // follow reads once and reports whether that succeeded.
 func (e *Endpoints) follow(ctx context.Context) bool {
+	err := e.ask(ctx)
+	if errors.Is(err, ErrHistory) || errors.Is(err, context.DeadlineExceeded) {
+		// At once: what the store forgot is to be read anew, and a call without any answer may have met a
+		// connection that fell silent, while new ones work. That is told from an outage
+		// by how soon there is an answer.
+		err = e.ask(ctx)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.note(err)
+	return err == nil
+}
+
+// ask does one call and notes what it tells of the store.
+func (e *Endpoints) ask(ctx context.Context) error {
 	e.mu.Lock()
 	changes, at := e.read && !e.forgot, e.at
 	e.mu.Unlock()
@@ -103,19 +118,15 @@
 	} else {
 		err = e.readAll(ctx)
 	}
-	if errors.Is(err, ErrHistory) {
-		// The store answered: it does not fail, and the whole list tells more than its changes.
+	switch {
+	case errors.Is(err, ErrHistory):
 		e.noteForgotten(sent)
-		sent = e.Now()
-		err = e.readAll(ctx)
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if err != nil {
+	case err != nil:
+		e.mu.Lock()
+		defer e.mu.Unlock()
 		e.outage.fail(sent, e.Now())
 	}
-	e.note(err)
-	return err == nil
+	return err
 }
 
 // noteForgotten notes that the store answered a call but has forgotten its history.
