--- a/spec/once.pml
+++ b/spec/once.pml
@@ -11,7 +11,7 @@
  * (ONCE), and once a caller was told "not run" it was not and is not sent
  * (NOTRUN). Checked without faults by LTL: the request is answered.
  *
- * Each MUT_ symbol takes one guard of the protocol away; spec/mutations.txt
+ * Each MUT_ symbol takes one guard of the protocol away; spec/once.mutations
  * lists them and spec/check shows that each is caught.
  */
 
