--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -259,7 +259,7 @@
 // tell drops what lapsed for good and passes the list on if it changed; mu must be held.
 func (e *Endpoints) tell() {
 	now := e.Now()
-	e.left.prune(now)
+	e.left.prune(now, e.known)
 	if !e.outage.mayLapse(now) {
 		maps.DeleteFunc(e.known, func(_ string, n Endpoint) bool { return n.Lapsed })
 	}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -303,6 +303,8 @@
 		want   int
 	}{
 		{"it says that it leaves", []step{{time.Second, leave}}, 700 * time.Millisecond, 1},
+		{"an old entry comes very late", []step{{time.Second, leave}, {time.Minute, stale}}, 2 * time.Second, 1},
+		{"its entry goes very late, and an old one comes", []step{{time.Second, leave}, {time.Minute, vanish}, {time.Second, stale}}, 2 * time.Second, 1},
 		{"its entry goes without a word", []step{{time.Second, vanish}}, 700 * time.Millisecond, 1},
 		{"an old entry comes late", []step{{time.Second, leave}, {time.Second, stale}}, 2 * time.Second, 1},
 		{"the store is dark and entries lapse", []step{{time.Second, dark}, {time.Second, vanish}}, 2 * time.Second, 2},
--- a/feed/leavers.go
+++ b/feed/leavers.go
@@ -45,9 +45,13 @@
 	}
 }
 
-// prune forgets those not seen for long.
-func (l leavers) prune(now time.Duration) {
+// prune forgets those not seen for long. Those whose entries still stand are seen now.
+func (l leavers) prune(now time.Duration, known map[string]Endpoint) {
 	for name, seen := range l {
+		if _, ok := known[name]; ok {
+			l[name] = now
+			continue
+		}
 		if now-seen > leftFor {
 			delete(l, name)
 		}
