--- a/internal/soak/processes_test.go
+++ b/internal/soak/processes_test.go
@@ -48,7 +48,7 @@
 // restart starts a host that ended, as the platform does again and again if it ends by itself: its
 // settings file may be broken at that moment.
 func (c *chaos) restart(h *host) {
-	for {
+	for range mostStarts {
 		if err := c.f.start(h); err != nil {
 			panic(err)
 		}
@@ -58,8 +58,12 @@
 			return
 		}
 	}
+	panic(h.name + " ends at each start; is another run's process at its address? See its last log")
 }
 
+// mostStarts bounds the starts of a process that ends by itself: a settings file is broken for 0.3 s.
+const mostStarts = 100
+
 // startTime is the time after which a process that runs has read its settings file.
 const startTime = 500 * time.Millisecond
 
