--- a/cmd/hkbench/main.go
+++ b/cmd/hkbench/main.go
@@ -23,6 +23,7 @@
 
 // args are the process settings.
 type args struct {
+	Bound   *boundArgs    `arg:"subcommand:bound" help:"what the requests of a played day could earn at most, beside what they earned"`
 	Site    string        `arg:"--site,env:HEATHKEEL_SITE" default:"fjordkanal" help:"fjordkanal or litoral"`
 	Cases   string        `arg:"--cases" default:"." help:"regular expression of cases to run"`
 	Compare bool          `arg:"--compare" help:"run the baselines beside the project's own policy"`
@@ -44,6 +45,16 @@
 func main() {
 	var a args
 	p := arg.MustParse(&a)
+	if a.Bound != nil {
+		if wrong := a.Bound.check(); wrong != "" {
+			p.Fail(wrong)
+		}
+		if err := a.Bound.run(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "hkbench:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if a.Site != "fjordkanal" && a.Site != "litoral" {
 		p.Fail("--site must be fjordkanal or litoral")
 	}
--- a/outcome/account.go
+++ b/outcome/account.go
@@ -90,7 +90,7 @@
 	spans := make(map[int64]*Share)
 	for _, name := range slices.Sorted(maps.Keys(byRoute)) {
 		es := byRoute[name]
-		weight := weigher(es)
+		weight := Weigher(es)
 		a.Routes = append(a.Routes, bandShares(name, es, weight)...)
 		for i := range es {
 			at := int64(time.Duration((es[i].Time-final[0].Time)*float64(time.Second)) / window)
@@ -110,8 +110,8 @@
 // size is the work that a request names, in tokens of a prompt.
 func (e *Event) size() int { return e.TokensIn + outWeight*e.TokensOut }
 
-// weigher returns the weight of requests of one route.
-func weigher(es []Event) func(*Event) float64 {
+// Weigher returns the weight of requests of one route, by the sizes of some of them.
+func Weigher(es []Event) func(*Event) float64 {
 	sum := 0
 	for i := range es {
 		sum += es[i].size()
--- a/outcome/story.go
+++ b/outcome/story.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"slices"
 	"strings"
+
+	"github.com/rotisserie/eris"
 )
 
 // mostLine bounds a line of a log, in bytes.
@@ -22,10 +24,25 @@
 // Lines that are no events, or not whole, are passed over; what stands before the first
 // brace of a line is too, so that logs with prefixes of a collector can be read as they are.
 func Read(r io.Reader, id string) ([]Event, error) {
-	var out []Event
+	out, _, err := read(r, id)
+	return out, err
+}
+
+// ReadStrict finds the events of all requests and refuses a log with a damaged line of a request.
+func ReadStrict(r io.Reader) ([]Event, error) {
+	out, damaged, err := read(r, "")
+	if err == nil && damaged > 0 {
+		err = eris.Errorf("line %d is cut or damaged; give the whole log", damaged)
+	}
+	return out, err
+}
+
+// read finds the events of a request, or of all if id is empty, and the number of the first line
+// that begins as one of a request and cannot be read, or 0.
+func read(r io.Reader, id string) (out []Event, damaged int, err error) {
 	sc := bufio.NewScanner(r)
 	sc.Buffer(nil, mostLine)
-	for sc.Scan() {
+	for n := 1; sc.Scan(); n++ {
 		line := sc.Bytes()
 		at := bytes.IndexByte(line, '{')
 		if at < 0 || !bytes.Contains(line, []byte(id)) {
@@ -35,11 +52,15 @@
 			Event
 			Message string `json:"msg"`
 		}
-		if json.Unmarshal(line[at:], &e) == nil && e.Message == Message && (id == "" || e.ID == id) {
+		err := json.Unmarshal(line[at:], &e)
+		switch {
+		case err != nil && damaged == 0 && bytes.Contains(line, []byte(`"msg":"`+Message+`"`)):
+			damaged = n
+		case err == nil && e.Message == Message && (id == "" || e.ID == id):
 			out = append(out, e.Event)
 		}
 	}
-	return out, sc.Err()
+	return out, damaged, sc.Err()
 }
 
 // Sort orders events by time.
