sched: while places are short, a share of a tier is taken, the shortest expected answers first

Change: sched/ration.go ranks an answer's expected length among those of its service; the share taken of a tier follows how many of those taken wait in vain. Beyond it a request goes only where there is room to spare.

--- a/cmd/hkbench/bound.go
+++ b/cmd/hkbench/bound.go
@@ -59,13 +59,14 @@
 // tables prints what each kind of request and each span of time earned and could earn.
 func (a *boundArgs) tables(w io.Writer, d *bound.Day) error {
 	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	guessed := d.Guessed()
 	row := func(name string, counts func(*bound.Request) bool) {
-		res := d.Most(counts)
-		if res.Worth > 0 {
-			fmt.Fprintf(tw, "%s\t%.0f\t%.3f\t%.3f\t%.3f\n", name, res.Worth, res.Earned/res.Worth, res.Most/res.Worth, (res.Most-res.Earned)/res.Worth)
+		known := d.Most(counts)
+		if known.Worth > 0 {
+			fmt.Fprintf(tw, "%s\t%.0f\t%.3f\t%.3f\t%.3f\n", name, known.Worth, known.Earned/known.Worth, guessed.Most(counts).Most/known.Worth, known.Most/known.Worth)
 		}
 	}
-	fmt.Fprintln(tw, "requests\tworth\tearned\tbound\tmissing")
+	fmt.Fprintln(tw, "requests\tworth\tearned\tbound, lengths as guessed\tbound, lengths known")
 	row("all", nil)
 	kinds := make(map[string]bool)
 	windows := make(map[int]bool)
--- a/internal/bound/bound.go
+++ b/internal/bound/bound.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -16,8 +17,8 @@
 	// Arrived is when its first try came, Objective the time to its first token and Deadline
 	// the time to its whole answer from then.
 	Arrived, Objective, Deadline time.Duration
-	// Prompt and Output are its lengths in tokens.
-	Prompt, Output int
+	// Prompt and Output are its lengths in tokens, and Guess is its caller's guess of Output.
+	Prompt, Output, Guess int
 	// Worth is what an answer in time is worth, and Late a late one.
 	Worth, Late float64
 	// Earned is what the hosts earned of it.
@@ -34,6 +35,25 @@
 	Requests []Request
 }
 
+// Guessed is the day as one who knows only the callers' guesses of lengths expects it: each answer has
+// the mean length of those with its guess, taken as a multiple of it.
+func (d *Day) Guessed() *Day {
+	out := &Day{Model: d.Model, Engines: d.Engines, Requests: slices.Clone(d.Requests)}
+	actual, guessed := 0, 0
+	for i := range d.Requests {
+		actual += d.Requests[i].Output
+		guessed += d.Requests[i].Guess
+	}
+	if guessed == 0 {
+		return out
+	}
+	for i := range out.Requests {
+		r := &out.Requests[i]
+		r.Output = max(1, int(float64(r.Guess)*float64(actual)/float64(guessed)))
+	}
+	return out
+}
+
 // Result is a bound on what requests could earn.
 type Result struct {
 	// Most is the bound, Worth what all requests are worth and Earned what hosts earned of it.
--- a/internal/bound/requests.go
+++ b/internal/bound/requests.go
@@ -194,7 +194,7 @@
 	first, last := &tries[0], &tries[len(tries)-1]
 	r := Request{
 		Route: k.Name, Arrived: arrived(first) - zero, Objective: k.Objective, Deadline: k.Deadline,
-		Prompt: last.TokensIn, Output: max(1, min(last.TokensGuess, last.TokensOut)), Worth: weight * k.Worth, Late: weight * k.Late,
+		Prompt: last.TokensIn, Output: max(1, min(last.TokensGuess, last.TokensOut)), Guess: max(1, min(last.TokensGuess, last.TokensOut)), Worth: weight * k.Worth, Late: weight * k.Late,
 	}
 	if last.Outcome != outcome.Served {
 		return r
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -38,6 +38,9 @@
 // admits reports whether an endpoint has room for a request.
 func (s *Scheduler) admits(now time.Duration, r *Request, e *endpointState, load float64) bool {
 	limit := s.limitFor(r.rank(), e)
+	if r.spare {
+		limit *= spareFill
+	}
 	if !e.usable(now) || (load >= limit && !s.withinShare(e, limit)) {
 		return false
 	}
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -19,8 +19,8 @@
 //     endpoint in about twice the time that news takes, each in proportion to what it has
 //     to place: faster, they would take the same places again and again.
 //
-// Places are scarce when those free at all endpoints are fewer than a few times the
-// requests that come to all hosts until news of them is heard. Where requests take less
+// Places are scarce while a tier is rationed, and when those free at all endpoints are fewer than
+// a few times the requests that come to all hosts until news of them is heard. Where requests take less
 // time than news, as at plain services, news tells nothing of the places that are free now,
 // and none are claimed.
 
@@ -34,8 +34,8 @@
 	// free places before these are not scarce.
 	scarceFactor = 4
 	// freshNews is the delay of news up to which few hosts can have seen the same place:
-	// then a request needs a claim only while others wait elsewhere, and none once it has
-	// waited as long as it may.
+	// then a request needs a claim only while its tier is rationed or others wait elsewhere, and
+	// without a ration none once it has waited as long as it may.
 	freshNews = 50 * time.Millisecond
 	// rateHalf is the time in which the rate of arrivals forgets half of what it saw.
 	rateHalf = time.Second
@@ -77,7 +77,7 @@
 	newsHelps := known == 0 || takes/time.Duration(known) > s.news.Age
 	// What comes to this host, and to all, in the delay of the news.
 	coming := p.arrivals.rate() * s.news.Age.Seconds()
-	p.scarce = newsHelps && s.Peers > 1 && !s.cfg.Off.Claims && free < scarceFactor*coming*float64(s.Peers)
+	p.scarce = newsHelps && s.Peers > 1 && !s.cfg.Off.Claims && (free < scarceFactor*coming*float64(s.Peers) || p.rationed())
 	if !p.scarce {
 		return
 	}
@@ -124,7 +124,8 @@
 	if !r.pool.scarce || e.vacated > 0 || e.claims > 0 {
 		return true
 	}
-	return s.news.Age <= freshNews && (r.last || !s.contended(r))
+	rationed := r.pool.rations[r.rank()].cut > 0
+	return s.news.Age <= freshNews && !rationed && (r.last || !s.contended(r))
 }
 
 // fill counts a place as taken.
--- a/sched/claim_test.go
+++ b/sched/claim_test.go
@@ -29,6 +29,11 @@
 	steps    int
 	served   int
 	refused  int
+	// ask draws a request and lasts is how long one takes; nil means all alike.
+	ask   func() *Request
+	lasts func(*Request) time.Duration
+	// ended is called with each decision that ends a request or sends it; nil is allowed.
+	ended func(Decision)
 }
 
 // running is a request at an engine.
@@ -74,7 +79,11 @@
 	}
 	for range coming {
 		h := f.rand.IntN(len(f.hosts))
-		f.take(h, takes, f.hosts[h].Submit(f.now, f.request(takes)))
+		r := f.request(takes)
+		if f.ask != nil {
+			r = f.ask()
+		}
+		f.take(h, takes, f.hosts[h].Submit(f.now, r))
 	}
 	for h, s := range f.hosts {
 		s.DrawClaims(f.now)
@@ -121,12 +130,18 @@
 
 // take notes a decision.
 func (f *hostFleet) take(h int, takes time.Duration, d Decision) {
+	if f.ended != nil && d.Verdict != Wait {
+		f.ended(d)
+	}
 	switch d.Verdict {
 	case Run:
 		f.served++
 		f.running[h][d.Endpoint]++
 		f.hosts[h].FirstToken(f.now, d.Request)
 		at := f.now + takes/2 + time.Duration(f.rand.IntN(int(takes/fleetStep)))*fleetStep
+		if f.lasts != nil {
+			at = f.now + fleetStep + f.lasts(d.Request)
+		}
 		at -= at % fleetStep
 		f.ends[at] = append(f.ends[at], running{h, d.Request})
 	case Refuse:
--- a/sched/config.go
+++ b/sched/config.go
@@ -79,6 +79,8 @@
 	Unheard bool
 	// Claims shares free places among hosts that have requests waiting.
 	Claims bool
+	// Ration is the taking of the shortest answers first while places are short.
+	Ration bool
 	// Late is late binding; without it, all is dispatched at once.
 	Late bool
 }
--- a/sched/order.go
+++ b/sched/order.go
@@ -13,6 +13,7 @@
 	r.pool = s.poolOf(r)
 	r.pool.arrivals.add()
 	s.estimate(r)
+	s.rankLength(r)
 	if ok, wait := s.limits.takeRate(now, r.Settings, s.hosts(r)); !ok {
 		return s.refuse(now, r, ReasonRate, wait)
 	}
@@ -33,11 +34,15 @@
 	if s.hopeless(now, r) {
 		return s.refuse(now, r, ReasonDeadline, s.wait(now, r))
 	}
+	r.spare = s.rationed(r)
 	if !s.before(r) {
 		if d, ok := s.start(now, r); ok {
 			return d
 		}
 	}
+	if r.spare {
+		return s.refuse(now, r, ReasonLength, s.rationAfter(now, r))
+	}
 	if d, ok := s.makeRoom(now, r); !ok {
 		return d
 	}
@@ -116,6 +121,7 @@
 	r.at, r.sentAt, r.predicted = c.e, now, c.first
 	r.step, r.load = c.e.step(), c.load
 	r.avoid = nil
+	s.notePlaced(r)
 	c.e.fill()
 	c.e.start(now, r)
 	r.pool.tiers[r.rank()].charge(r)
@@ -127,6 +133,9 @@
 func (s *Scheduler) refuse(now time.Duration, r *Request, why Reason, after time.Duration) Decision {
 	if why.Overload() && why != ReasonFloor {
 		s.refusedFor(now, r.pool, r.rank())
+		if why != ReasonLength {
+			s.noteVain(now, r)
+		}
 	}
 	d := Decision{Request: r, Verdict: Refuse, Reason: why, RetryAfter: max(after, minRetryAfter)}
 	s.remember(now, d, nil)
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -29,6 +29,7 @@
 	doubt    float64 // how far unheard hosts are taken to serve on, 0 to 1
 	mean     float64 // mean cost of a request, in steps
 	floor    floor
+	rations  [maxRanks]ration
 	dirty    bool
 }
 
--- a/sched/request.go
+++ b/sched/request.go
@@ -43,7 +43,10 @@
 	seq      uint64
 	heapAt   int
 	waiting  bool
-	last     bool // it has waited as long as it may
+	last     bool    // it has waited as long as it may
+	length   float64 // the part of its service's requests with a shorter expected answer
+	lucky    bool    // it is taken whatever its length
+	spare    bool    // it is taken only where there is room to spare
 
 	at        *endpointState
 	sentAt    time.Duration
@@ -104,12 +107,13 @@
 	ReasonFloor       Reason = "tier is being shed"
 	ReasonRate        Reason = "rate limit"
 	ReasonRetryBudget Reason = "retry budget"
+	ReasonLength      Reason = "long answer while places are short"
 )
 
 // Overload reports whether the reason is a lack of capacity rather than a limit
 // that operators set.
 func (r Reason) Overload() bool {
-	return r == ReasonDeadline || r == ReasonQueueFull || r == ReasonShed || r == ReasonFloor
+	return r == ReasonDeadline || r == ReasonQueueFull || r == ReasonShed || r == ReasonFloor || r == ReasonLength
 }
 
 // Decision is the scheduler's word on one request.
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -37,6 +37,7 @@
 	prefixes  prefixIndex
 	limits    limits
 	lengths   lengths
+	guesses   map[string]*guesses // by service
 	deadlines deadlineHeap
 	waitingOf map[string]int
 	waiting   int
@@ -57,6 +58,7 @@
 	s.pools = make(map[uint64]*pool)
 	s.poolRefs = make(map[poolRef]*pool)
 	s.lengths = make(lengths)
+	s.guesses = make(map[string]*guesses)
 	s.limits = newLimits()
 	s.waitingOf = make(map[string]int)
 }
