--- a/edge/host.go
+++ b/edge/host.go
@@ -83,7 +83,8 @@
 	ingress   *ingress.Server
 	agent     *peers.Agent
 	entry     *feed.Entry
-	found     atomic.Int64 // entries of hosts in the store
+	keeping   bool         // this host keeps an entry; of entry.Run only
+	found     atomic.Int64 // hosts that there are by their entries in the store
 	peerHTTP  *http.Client
 	wanted    chan wanted
 	stopping  chan struct{}
@@ -118,7 +119,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.settings.Run, h.endpoints.Run, h.agent.Run, h.entry.Run, h.tick, h.watchFile, h.fetchWanted} {
+	for _, run := range []func(context.Context){h.follow, h.agent.Run, h.tick, h.watchFile, h.fetchWanted} {
 		go run(ctx)
 	}
 	h.Log.Info("started", "front", h.Boot.Front, "zone", h.Boot.Zone, "life", h.life)
@@ -148,7 +149,7 @@
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
-		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: settingsPause, Turn: h.turn,
+		Wait: time.Duration(watchShare * float64(b.RevokeTime)), Pause: settingsPause, Turn: h.turn, Far: h.far,
 		Changed: h.newTable, Log: h.Log.WithName("settings"),
 	}
 	h.ingress.Settings = h.settings
@@ -156,7 +157,7 @@
 	h.ingress.SetAges(ages(b))
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
-		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: listWait, Pause: endpointsPause, Turn: h.turn,
+		Every: time.Duration(listShare * float64(b.DrainTime)), Wait: listWait, Pause: endpointsPause, Turn: h.turn, Far: h.far,
 		Lapses: feed.Lapses{
 			After: lapseBeats * b.Heartbeat, Back: backTime, Keep: time.Duration(lapseShare * float64(b.ContactTime)),
 		},
@@ -164,8 +165,8 @@
 	}
 	h.endpoints.Init()
 	h.entry = &feed.Entry{
-		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixHosts, Value: []byte(h.peerAddress()),
-		Life: 10 * time.Second, Found: h.foundHosts, Log: h.Log.WithName("entry"),
+		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixHosts, Value: h.entryValue,
+		Kept: h.keepsEntry, Hosts: h.knownHosts, Life: 10 * time.Second, Found: h.foundHosts, Log: h.Log.WithName("entry"),
 	}
 }
 
@@ -192,17 +193,6 @@
 // peerAddress is where this host hears heartbeats.
 func (h *Host) peerAddress() string { return fmt.Sprintf("%s:%d", h.Boot.IP, h.Boot.PeerPort) }
 
-// foundHosts takes the hosts' entries in the store.
-func (h *Host) foundHosts(items []feed.Item) {
-	var seeds []string
-	for _, it := range items {
-		seeds = append(seeds, string(it.Value))
-	}
-	h.agent.AddSeeds(seeds)
-	h.found.Store(int64(len(items)))
-	h.shareHosts()
-}
-
 // listenPeers opens the socket for heartbeats.
 func (h *Host) listenPeers(ctx context.Context) error {
 	var lc net.ListenConfig
--- a/edge/share.go
+++ b/edge/share.go
@@ -11,8 +11,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/quota"
@@ -51,7 +49,7 @@
 // Proved implements peers.Host: settings and endpoints that a peer knows to be newest are
 // so here too, and newer ones are asked for.
 func (h *Host) Proved(p peers.Proof) {
-	w := wanted{control: p.Control}
+	w := wanted{proof: p}
 	if v := p.Settings; v.Known {
 		switch have := h.settings.Age.Revision(); {
 		case v.Revision == have:
@@ -61,7 +59,7 @@
 		}
 	}
 	if v := p.Endpoints; v.Known {
-		w.endpoints = h.endpoints.Proved(feed.View{Revision: v.Revision, Sum: v.Sum, At: v.At})
+		w.endpoints = h.endpoints.Proved(viewOf(v))
 	}
 	if !w.settings && !w.endpoints {
 		return
@@ -72,9 +70,12 @@
 	}
 }
 
-// wanted is what is to be asked of a peer.
+// viewOf names the endpoints that a peer proved.
+func viewOf(v peers.Version) feed.View { return feed.View{Revision: v.Revision, Sum: v.Sum, At: v.At} }
+
+// wanted is what is to be asked of a peer, and what it proved.
 type wanted struct {
-	control             string
+	proof               peers.Proof
 	settings, endpoints bool
 }
 
@@ -100,14 +101,16 @@
 	defer cancel()
 	if w.settings {
 		var b settingsBody
-		if h.ask(ctx, w.control, pathSettings, &b) {
+		if h.ask(ctx, w.proof.Control, pathSettings, &b) {
 			h.settings.Offer(b.Value, b.Revision)
+			h.settings.Age.Prove(w.proof.Settings.Revision, w.proof.Settings.At)
 		}
 	}
 	if w.endpoints {
 		var l feed.EndpointList
-		if h.ask(ctx, w.control, pathEndpoints, &l) {
+		if h.ask(ctx, w.proof.Control, pathEndpoints, &l) {
 			h.endpoints.Offer(l)
+			h.endpoints.Proved(viewOf(w.proof.Endpoints))
 		}
 	}
 }
@@ -139,27 +142,6 @@
 	return true
 }
 
-// turn is this host's place in the order in which hosts read the store for each other: in
-// small fleets that of a value drawn from their names, in those with relays the relays
-// come first, whose words reach all hosts of their zone soonest.
-func (h *Host) turn() int {
-	relays, relaying := h.agent.Relaying()
-	if relaying {
-		return 0
-	}
-	own := xxhash.Sum64String(h.Boot.Host)
-	before := 0
-	for _, m := range h.agent.Live() {
-		if xxhash.Sum64String(m.Host) < own {
-			before++
-		}
-	}
-	if relays {
-		before += feed.Readers
-	}
-	return before
-}
-
 // shareLoads gives the ingress what the other hosts told of their requests.
 func (h *Host) shareLoads() {
 	h.ingress.SetOthers(h.agent.Others())
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -31,6 +31,8 @@
 	Pause time.Duration
 	// Turn is this host's turn to read, see Turns; nil means that it always reads.
 	Turn func() int
+	// Far tells whether proofs of peers reach this host by way of relays; nil means not.
+	Far func() bool
 	// Lapses decides for how long entries that went are taken for endpoints that serve.
 	Lapses Lapses
 	// Changed is called with the list when it changes, sorted by instance.
@@ -88,7 +90,7 @@
 	if turn == 0 {
 		return 0
 	}
-	return e.proven + Turns(e.Every, turn) - e.Now()
+	return e.proven + Turns(e.Every, turn, e.Far != nil && e.Far()) - e.Now()
 }
 
 // follow reads once and reports whether that succeeded.
--- a/feed/entry.go
+++ b/feed/entry.go
@@ -5,22 +5,52 @@
 package feed
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"time"
 
 	"github.com/go-logr/logr"
 )
 
-// Entry keeps this host's entry in the store and reads the others' now and then,
-// so that hosts find each other when no address that they were given answers.
+// HostEntry is what a host tells of itself in the store.
+type HostEntry struct {
+	// Address is where it hears heartbeats.
+	Address string `json:"address"`
+	// Hosts is about the number of hosts that it knows, itself included.
+	Hosts int `json:"hosts"`
+}
+
+// ParseHostEntry reads an entry. One that holds nothing but an address is taken too, with one host.
+func ParseHostEntry(value []byte) HostEntry {
+	var e HostEntry
+	if json.Unmarshal(value, &e) != nil || e.Address == "" {
+		e = HostEntry{Address: string(value)}
+	}
+	e.Hosts = max(1, e.Hosts)
+	return e
+}
+
+// Bytes writes an entry.
+func (e HostEntry) Bytes() []byte {
+	b, _ := json.Marshal(e) // a string and a number are always written
+	return b
+}
+
+// Entry reads the hosts' entries in the store now and then, and keeps this host's if it is one of
+// those that do, so that hosts find each other when no address that they were given answers.
 type Entry struct {
 	// Store is where the entries lie, below Prefix.
 	Store  Store
 	Prefix string
-	// Key and Value are this host's entry.
+	// Key is where this host's entry is and Value gives what it is to hold.
 	Key   string
-	Value []byte
+	Value func() []byte
+	// Kept tells whether this host keeps an entry; nil means that it does.
+	Kept func() bool
+	// Hosts is about the number of hosts, of which all read the entries; nil means 1.
+	Hosts func() int
 	// Life is the time to live of the entry.
 	Life time.Duration
 	// Found is called with the entries of all hosts.
@@ -28,56 +58,86 @@
 	// Log takes changes of state.
 	Log logr.Logger
 
-	lease uint64
+	lease   uint64
+	written []byte
 }
 
+// settleTime is the time after a start after which a host knows of others, if any can be heard, so
+// that it can tell whether it is one of those that keep entries: a few heartbeats.
+const settleTime = time.Second
+
 // Run keeps the entry until ctx ends. Nothing depends on any single call. The others' entries
 // are read first: a host that starts is to know how many there are before it serves.
 func (e *Entry) Run(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
-		if n < firstLists || n%listEvery == 0 {
-			if p, err := e.list(ctx); err == nil {
-				e.Found(p.Items)
-			}
+	e.List(ctx)
+	sleep(ctx, settleTime)
+	for n := 1; ctx.Err() == nil; n++ {
+		if n%e.listEvery() == 0 {
+			e.List(ctx)
 		}
-		if err := e.keep(ctx); err != nil {
-			e.Log.V(1).Info("entry not kept", "cause", err.Error())
+		if e.Kept == nil || e.Kept() {
+			if err := e.keep(ctx); err != nil {
+				e.Log.V(1).Info("entry not kept", "cause", err.Error())
+			}
+		} else {
+			e.lease = 0 // what was written goes with its lease
 		}
 		sleep(ctx, e.Life/3)
 	}
 }
 
-// The entries of all hosts are read with each of the first renewals of the own one, when
-// hosts may know few others, and then with each so many of them.
+// listed is the number of hosts that read the entries with each fourth renewal; of more hosts each
+// reads more seldom, so that the calls of all do not grow with them.
 const (
-	firstLists = 3
-	listEvery  = 4
+	listEvery = 4
+	listed    = 8
 )
 
-// list reads the entries of all hosts.
-func (e *Entry) list(ctx context.Context) (Page, error) {
+// listEvery is the number of renewals between two readings of all entries. A host that hears no
+// other reads them each time.
+func (e *Entry) listEvery() int {
+	if e.Hosts == nil || e.Hosts() <= 1 {
+		return 1
+	}
+	return listEvery * max(1, e.Hosts()/listed)
+}
+
+// List reads the entries of all hosts.
+func (e *Entry) List(ctx context.Context) {
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	return e.Store.Range(cctx, e.Prefix, true)
+	p, err := e.Store.Range(cctx, e.Prefix, true)
+	if err != nil {
+		e.Log.V(1).Info("entries not read", "cause", err.Error())
+		return
+	}
+	e.Found(p.Items)
 }
 
-// keep renews the lease, or writes the entry under a new one.
+// keep renews the lease, or writes the entry under a new one, or anew if its value changed.
 func (e *Entry) keep(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if e.lease != 0 {
-		err := e.Store.Renew(cctx, e.lease)
-		if !errors.Is(err, ErrLease) {
+	value := e.Value()
+	lease := e.lease
+	if lease != 0 {
+		err := e.Store.Renew(cctx, lease)
+		switch {
+		case errors.Is(err, ErrLease):
+			lease = 0
+		case err != nil || bytes.Equal(value, e.written):
 			return err
 		}
 	}
-	lease, err := e.Store.Grant(cctx, e.Life)
-	if err != nil {
-		return err
+	if lease == 0 {
+		var err error
+		if lease, err = e.Store.Grant(cctx, e.Life); err != nil {
+			return err
+		}
 	}
-	if err := e.Store.Put(cctx, e.Key, e.Value, lease); err != nil {
+	if err := e.Store.Put(cctx, e.Key, value, lease); err != nil {
 		return err
 	}
-	e.lease = lease
+	e.lease, e.written = lease, value
 	return nil
 }
--- /dev/null
+++ b/feed/entry_test.go
@@ -0,0 +1,136 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+)
+
+// entryStore counts the calls that a host makes for its entry.
+type entryStore struct {
+	Store
+	lists, grants, puts, renewals int
+	known                         int // lists read before the own entry was written
+	over                          bool
+	value                         string
+}
+
+func (s *entryStore) Range(context.Context, string, bool) (Page, error) {
+	s.lists++
+	return Page{}, nil
+}
+
+func (s *entryStore) Grant(context.Context, time.Duration) (uint64, error) {
+	if s.grants == 0 {
+		s.known = s.lists
+	}
+	s.grants++
+	s.over = false
+	return 1, nil
+}
+
+func (s *entryStore) Put(_ context.Context, _ string, value []byte, _ uint64) error {
+	s.puts++
+	s.value = string(value)
+	return nil
+}
+
+func (s *entryStore) Renew(context.Context, uint64) error {
+	s.renewals++
+	if s.over {
+		return ErrLease
+	}
+	return nil
+}
+
+// TestEntryCalls counts the calls of one host in half a minute: what all hosts make must not grow with
+// their number, and a host that knows no other must look for them all the time.
+func TestEntryCalls(t *testing.T) {
+	cases := []struct {
+		name                          string
+		hosts                         int
+		kept                          func(at time.Duration) bool
+		lists, grants, puts, renewals int
+	}{
+		{"alone", 1, nil, 16, 1, 1, 14},
+		{"few hosts", 6, nil, 4, 1, 1, 14},
+		{"many hosts, one of those that keep entries", 300, nil, 1, 1, 1, 14},
+		{"many hosts, not one of them", 300, func(time.Duration) bool { return false }, 1, 0, 0, 0},
+		{"becomes one of them", 300, func(at time.Duration) bool { return at > 16*time.Second }, 1, 1, 1, 6},
+		{"is one no more", 300, func(at time.Duration) bool { return at < 16*time.Second }, 1, 1, 1, 7},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				start := time.Now()
+				s := &entryStore{}
+				e := &Entry{
+					Store: s, Prefix: "hosts/", Key: "hosts/a", Life: 6 * time.Second, Found: func([]Item) {}, Log: logr.Discard(),
+					Value: func() []byte { return []byte("a") }, Hosts: func() int { return tc.hosts },
+				}
+				if tc.kept != nil {
+					e.Kept = func() bool { return tc.kept(time.Since(start)) }
+				}
+				go e.Run(ctx)
+				time.Sleep(30 * time.Second)
+				if s.grants > 0 {
+					must.GreaterEq(t, 1, s.known)
+				}
+				must.Eq(t, fmt.Sprint(tc.lists, tc.grants, tc.puts, tc.renewals), fmt.Sprint(s.lists, s.grants, s.puts, s.renewals))
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// TestEntryChanges holds that a value that changed, and an entry whose lease is over, are written anew.
+func TestEntryChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		s, value := &entryStore{}, "one"
+		e := &Entry{
+			Store: s, Prefix: "hosts/", Key: "hosts/a", Life: 6 * time.Second, Found: func([]Item) {}, Log: logr.Discard(),
+			Value: func() []byte { return []byte(value) }, Hosts: func() int { return 300 },
+		}
+		go e.Run(ctx)
+		time.Sleep(4 * time.Second)
+		value = "two"
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, "two", s.value)
+		must.EqOp(t, 1, s.grants)
+		s.over = true
+		time.Sleep(3 * time.Second)
+		must.EqOp(t, 2, s.grants)
+		must.EqOp(t, 3, s.puts)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+func TestParseHostEntry(t *testing.T) {
+	cases := []struct {
+		name, value string
+		want        HostEntry
+	}{
+		{"whole", string(HostEntry{Address: "10.0.0.1:7600", Hosts: 295}.Bytes()), HostEntry{"10.0.0.1:7600", 295}},
+		{"of a version that wrote the address alone", "10.0.0.1:7600", HostEntry{"10.0.0.1:7600", 1}},
+		{"no number", `{"address":"10.0.0.1:7600"}`, HostEntry{"10.0.0.1:7600", 1}},
+		{"bad number", `{"address":"10.0.0.1:7600","hosts":-4}`, HostEntry{"10.0.0.1:7600", 1}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) { must.Eq(t, tc.want, ParseHostEntry([]byte(tc.value))) })
+	}
+}
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -30,6 +30,8 @@
 	Pause time.Duration
 	// Turn is this host's turn to watch, see Turns; nil means that it always watches.
 	Turn func() int
+	// Far tells whether proofs of peers reach this host by way of relays; nil means not.
+	Far func() bool
 	// Changed is called with each new table.
 	Changed func(*route.Table)
 	// Log takes changes of state.
@@ -94,7 +96,7 @@
 	if turn < Readers {
 		return 0
 	}
-	return Turns(s.Wait, turn-Readers+1) - age
+	return Turns(s.Wait, turn-Readers+1, s.Far != nil && s.Far()) - age
 }
 
 // read reads the key anew.
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -24,12 +24,16 @@
 	// wait alike.
 	turnShare = 0.06
 	lastTurn  = 4
-	// triers is the number of hosts that ask a failing store again after the usual pause;
-	// with later turns the pause grows up to longestPause times that, 1.2 to 1.6 s, so that
-	// a store that comes back is not kept down by a large fleet. The others learn of
-	// its return from those that go first, within a second.
+	// triers is the number of hosts that ask a failing store again after the usual pause. With
+	// later turns the pause grows with the square of the turn up to longestPause, so that all hosts
+	// together ask about as often in a fleet of 1,000 as of 30, and one that the store turns most hosts
+	// away from is still asked by some host each 20 ms. The others learn of its return from
+	// those that go first, within a second.
 	triers       = 8
-	longestPause = 4
+	longestPause = 5 * time.Second
+	// farProof is the time in which a proof reaches a host by way of relays: three heartbeats
+	// until it is told, and half of that besides, so that a lost one makes no call.
+	farProof = 900 * time.Millisecond
 )
 
 // pauseAfterFailure is the time before a host with a turn asks a failing store again. A host
@@ -38,18 +42,23 @@
 	if turn == nil {
 		return pause
 	}
-	times := min(max(1, float64(turn())/triers), longestPause)
-	return time.Duration(times * float64(pause))
+	times := max(1, float64(turn())/triers)
+	return min(time.Duration(times*times*float64(pause)), max(pause, longestPause))
 }
 
 // Readers is the number of hosts, those with the first turns, that always watch the
 // settings: one more than needed, so that the loss of one delays no change.
 const Readers = 2
 
-// Turns is the age of a view at which a host with a turn of 1 or more reads it itself.
-func Turns(every time.Duration, turn int) time.Duration {
+// Turns is the age of a view at which a host with a turn of 1 or more reads it itself; far says that proofs
+// reach it by way of relays.
+func Turns(every time.Duration, turn int, far bool) time.Duration {
 	part := 1 + proofShare + turnShare*float64(min(turn, lastTurn)-1)
-	return time.Duration(part * float64(every))
+	age := time.Duration(part * float64(every))
+	if far {
+		age = max(age, every+farProof)
+	}
+	return age
 }
 
 // EndpointList is the endpoints as one host passes them on.
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -8,9 +8,11 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 )
 
@@ -21,6 +23,9 @@
 	// fanout is the number of members that get a heartbeat directly. In larger fleets
 	// heartbeats go to a relay.
 	fanout = 8
+	// leastEvery is the least time between two heartbeats: when all hosts start at once, each seed is
+	// asked by all of them within 0.3 s.
+	leastEvery = 20 * time.Millisecond
 	// updateEvery is the time between two looks for loads that changed: about the time in
 	// which a request more or less comes to an endpoint of a busy fleet, and more than the
 	// datagrams of a zone take.
@@ -99,15 +104,19 @@
 	mu     sync.Mutex
 	heard  bool // loads of others were heard since the last look
 	extra  []string
-	greet  []string // addresses of hosts that know few others
+	greet  []greeted // hosts that know few others
 	kick   chan struct{}
 	ticks  int
 	live   map[string]bool
+	row    Row     // what this host told last of itself
 	relay  Relay   // what this host passes on
 	uplink uplink  // the relay that passes on what this host tells
 	told   history // what this host told
 }
 
+// greeted is a host that is to be told of the others.
+type greeted struct{ host, address string }
+
 // Init makes the agent ready; call it before Run.
 func (a *Agent) Init() {
 	a.kick = make(chan struct{}, 1)
@@ -227,6 +236,52 @@
 	return relays, relays && a.uplink.host == a.Table.Host
 }
 
+// Turn is this host's place in the order in which hosts read the store for each other, and far tells
+// whether proofs reach it by way of relays. In small fleets the order is drawn from names. In those with relays these
+// come first, whose words reach all hosts of their zone soonest. A host that hears no other has turn 0.
+func (a *Agent) Turn() (turn int, far bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Now()
+	live := a.Table.Live(now)
+	if len(live) == 0 {
+		return 0, false
+	}
+	self := &Member{Host: a.Table.Host, Life: a.Table.Life, Row: a.row}
+	if !a.relayed() {
+		return before(live, self.Host), false
+	}
+	all := append(live, self)
+	var relays []*Member
+	for _, zone := range zonesOf(all) {
+		if first := preferred(all, zone); len(first) > 0 {
+			relays = append(relays, first[0])
+		}
+	}
+	if slices.Contains(relays, self) {
+		return before(relays, self.Host), true
+	}
+	return len(relays) + before(live, self.Host), true
+}
+
+// before counts the members before a host in an order drawn from names.
+func before(ms []*Member, host string) int {
+	own, n := xxhash.Sum64String(host), 0
+	for _, m := range ms {
+		if xxhash.Sum64String(m.Host) < own {
+			n++
+		}
+	}
+	return n
+}
+
+// Order is this host's place among all in an order drawn from names.
+func (a *Agent) Order() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return before(a.Table.Live(a.Now()), a.Table.Host)
+}
+
 // relayed tells whether there are too many hosts to tell all of them directly; mu must be held.
 func (a *Agent) relayed() bool { return a.Table.Size() > fanout }
 
@@ -238,11 +293,14 @@
 	defer t.Stop()
 	for {
 		a.send()
+		sent := a.Now()
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		case <-a.kick:
+			// A series of causes makes one heartbeat, not one each.
+			time.Sleep(leastEvery - (a.Now() - sent))
 		}
 	}
 }
@@ -253,6 +311,7 @@
 	b := Beat{Host: a.Table.Host, Life: a.Table.Life}
 	a.Host.Fill(&b)
 	a.mu.Lock()
+	a.row = b.Row
 	now := a.Now()
 	relayed := a.relayed()
 	// Without a relay that tells of the others, hosts find each other as in small fleets.
@@ -276,7 +335,12 @@
 		addresses = append(addresses, a.someExtra()...)
 	}
 	if n := min(mostGreeted, len(a.greet)); n > 0 {
-		addresses = append(addresses, a.greet[:n]...)
+		for _, g := range a.greet[:n] {
+			addresses = append(addresses, g.address)
+			if seq := a.Table.heardSeq(g.host); seq > 0 {
+				b.Echo[g.host] = seq // without it, the words prove nothing to the host
+			}
+		}
 		a.greet = a.greet[n:]
 		b.Known = a.Table.KnownRows(now, "")
 	}
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -73,10 +73,12 @@
 // welcome lets a host be answered with the next heartbeat that knows less than half of the
 // hosts that this one knows, so that it learns of the others; mu must be held.
 func (a *Agent) welcome(b *Beat) {
-	if b.Row.Address == "" || 2*b.Size >= a.Table.Size() || slices.Contains(a.greet, b.Row.Address) {
+	g := greeted{b.Host, b.Row.Address}
+	if g.address == "" || 2*b.Size >= a.Table.Size() || slices.Contains(a.greet, g) {
 		return
 	}
-	a.greet = append(a.greet, b.Row.Address)
+	a.greet = append(a.greet, g)
+	a.Kick()
 }
 
 // hearUpdate takes changed loads.
--- a/peers/table.go
+++ b/peers/table.go
@@ -335,5 +335,13 @@
 	return Known{m.Host, m.Life, m.Row, (now - m.Heard).Milliseconds()}
 }
 
+// heardSeq is the number of the newest heartbeat heard of a host, 0 for none.
+func (t *Table) heardSeq(host string) uint32 {
+	if m := t.members[host]; m != nil {
+		return m.lastSeq
+	}
+	return 0
+}
+
 // Size is the number of members that may still run, as of the last look at them.
 func (t *Table) Size() int { return len(t.members) }
