--- a/sched/claim.go
+++ b/sched/claim.go
@@ -19,8 +19,8 @@
 //     endpoint in about twice the time that news takes, each in proportion to what it has
 //     to place: faster, they would take the same places again and again.
 //
-// Places are scarce while a tier is rationed, and when those free at all endpoints are fewer than
-// a few times the requests that come to all hosts until news of them is heard. Where requests take less
+// Places are scarce when those free at all endpoints are fewer than a few times the
+// requests that come to all hosts until news of them is heard, or few while a tier is rationed. Where requests take less
 // time than news, as at plain services, news tells nothing of the places that are free now,
 // and none are claimed.
 
@@ -33,6 +33,11 @@
 	// scarceFactor is how many times the requests that come in a delay may exceed the
 	// free places before these are not scarce.
 	scarceFactor = 4
+	// shortFree is the part of all places up to which free ones are scarce while a tier is rationed: what
+	// tiers leave to those above them counts as free, too. With all places scarce whatever is free, hosts
+	// choose among the few engines that they have claims on, and 76 of 1,316 long requests were late in
+	// place of 61.
+	shortFree = 0.25
 	// freshNews is the delay of news up to which few hosts can have seen the same place:
 	// then a request needs a claim only while its tier is rationed or others wait elsewhere, and
 	// without a ration none once it has waited as long as it may.
@@ -64,10 +69,11 @@
 
 // drawPool draws the claims of one pool.
 func (s *Scheduler) drawPool(now, dt time.Duration, p *pool) {
-	free, takes, known := 0.0, time.Duration(0), 0
+	free, places, takes, known := 0.0, 0.0, time.Duration(0), 0
 	for _, e := range p.members {
 		if e.usable(now) {
 			free += max(0, s.free(now, e))
+			places += float64(e.slots())
 		}
 		if e.service > 0 {
 			takes += e.service
@@ -77,7 +83,11 @@
 	newsHelps := known == 0 || takes/time.Duration(known) > s.news.Age
 	// What comes to this host, and to all, in the delay of the news.
 	coming := p.arrivals.rate() * s.news.Age.Seconds()
-	p.scarce = newsHelps && s.Peers > 1 && !s.cfg.Off.Claims && (free < scarceFactor*coming*float64(s.Peers) || p.rationed())
+	enough := scarceFactor * coming * float64(s.Peers)
+	if p.rationed() {
+		enough = max(enough, shortFree*places)
+	}
+	p.scarce = newsHelps && s.Peers > 1 && !s.cfg.Off.Claims && free < enough
 	if !p.scarce {
 		return
 	}
