--- a/edge/policy.go
+++ b/edge/policy.go
@@ -12,8 +12,6 @@
 	// overcommit is the part of an endpoint's places by which the top tier may exceed them:
 	// a short wait at the endpoint costs it less than a longer one here.
 	overcommit = 0.4
-	// reserve is the part of the places that each lower tier leaves free, at least one.
-	reserve = 0.05
 	// farCost is the part by which an endpoint of another zone counts as fuller than it is:
 	// bytes between zones are priced.
 	farCost = 0.6
@@ -21,10 +19,11 @@
 
 // policy is how hosts on the platform decide. Rules are off that need reports of engines
 // (Slow, Others: here hosts tell each other what they have running, and paces are learned
-// from streams) or that earned nothing or cost worth in trials (Floor, LongCap, Share).
+// from streams) or that earned nothing or cost worth in trials (Floor, LongCap, Share; Reserve, since the top tier
+// may exceed the places anyway, and one of 7 left free was a seventh of all work).
 func policy() sched.Config {
 	return sched.Config{
-		Overcommit: overcommit, Reserve: reserve, FarCost: farCost,
-		Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true, Others: true},
+		Overcommit: overcommit, FarCost: farCost,
+		Off: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true, Others: true, Reserve: true},
 	}
 }
