--- a/sched/ration.go
+++ b/sched/ration.go
@@ -104,12 +104,12 @@
 		s.guesses[r.Settings.Service] = g
 	}
 	r.length = g.rank(r.outGuess, s.Rand.Float64())
-	r.lucky = s.Rand.Float64() < rationChance
+	r.taken = s.Rand.Float64() < rationChance
 }
 
 // rationed reports whether a request is beyond the share of its tier that is taken now.
 func (s *Scheduler) rationed(r *Request) bool {
-	return !r.lucky && r.length > 1-r.pool.rations[r.rank()].cut
+	return !r.taken && r.length > 1-r.pool.rations[r.rank()].cut
 }
 
 // rationAfter is when a request that is refused by a ration is to come back: a shortage that has
@@ -120,13 +120,13 @@
 
 // noteVain and notePlaced tell the ration of a request's tier what became of it.
 func (s *Scheduler) noteVain(now time.Duration, r *Request) {
-	if r.length > 0 && !r.lucky {
+	if r.length > 0 && !r.taken {
 		r.pool.rations[r.rank()].vain(now)
 	}
 }
 
 func (s *Scheduler) notePlaced(r *Request) {
-	if r.length > 0 && !r.lucky {
+	if r.length > 0 && !r.taken {
 		r.pool.rations[r.rank()].placed()
 	}
 }
--- a/sched/ration_test.go
+++ b/sched/ration_test.go
@@ -178,3 +178,26 @@
 	}
 	must.Between(t, 0.4, x.cut, 0.75)
 }
+
+// TestRationSparesRepeats holds that a request whose endpoint did not run it is not given up for
+// its length: its caller has waited, and its place is free again.
+func TestRationSparesRepeats(t *testing.T) {
+	f := newFleet(1, 2, 0, Rules{})
+	s := f.hosts[0]
+	for range guessesKept {
+		s.Submit(0, &Request{Settings: &settings.Effective{Service: "s", Rank: 1}, Model: "none", MaxTokens: 100, LikelyTokens: 1})
+	}
+	f.step(0, time.Second)
+	r := f.request(time.Second)
+	d := s.Submit(f.now, r)
+	must.EqOp(t, Run, d.Verdict)
+	for range 1000 {
+		r.pool.rations[1].vain(f.now)
+	}
+	for range 6 { // fill the other endpoint
+		s.byName["e0"].own++
+		s.byName["e1"].own++
+	}
+	must.EqOp(t, ReasonLength, s.Submit(f.now, f.request(time.Second)).Reason)
+	must.NotEq(t, ReasonLength, s.Again(f.now, r, 0).Reason)
+}
--- a/sched/request.go
+++ b/sched/request.go
@@ -45,7 +45,7 @@
 	waiting  bool
 	last     bool    // it has waited as long as it may
 	length   float64 // the part of its service's requests with a shorter expected answer
-	lucky    bool    // it is taken whatever its length
+	taken    bool    // it is taken whatever its length
 	spare    bool    // it is taken only where there is room to spare
 
 	at        *endpointState
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -213,6 +213,7 @@
 	r.at = nil
 	r.firstAt = 0
 	r.tokens = 0
+	r.taken = true // the caller has waited for it once
 	r.avoid = e
 	return s.place(now, r)
 }
