--- a/internal/bound/requests.go
+++ b/internal/bound/requests.go
@@ -64,8 +64,10 @@
 	if !served {
 		return nil, Counts{}, ErrUntraced
 	}
-	outcome.Sort(final)
-	zero := time.Duration(final[0].Time * float64(time.Second))
+	zero := arrived(&final[0])
+	for i := range final {
+		zero = min(zero, arrived(&final[i]))
+	}
 	kinds, err := kindsOf(site, final)
 	if err != nil {
 		return nil, Counts{}, err
