--- a/peers/agent.go
+++ b/peers/agent.go
@@ -8,11 +8,9 @@
 	"context"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 )
 
@@ -172,45 +170,6 @@
 	return out
 }
 
-// Mean ages of what is known of other hosts' loads: half an updateEvery until they are
-// told, a datagram, and half of one until it is looked at; by way of relays as measured by
-// TestFleetHearsOfEachOther.
-const (
-	directAge  = 30 * time.Millisecond
-	relayedAge = 450 * time.Millisecond
-)
-
-// Others is what the other hosts have running and waiting.
-type Others struct {
-	// Load is what runs, by endpoint, and Waiting the number of requests that wait, by
-	// service and tier.
-	Load    map[string]Load
-	Waiting map[string][]int
-	// Age is how old that is in the mean.
-	Age time.Duration
-	// Unheard is the number of hosts that may be serving and whose words are not in it.
-	Unheard int
-}
-
-// Others sums up what the other hosts have running and waiting.
-func (a *Agent) Others() Others {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.Now()
-	serving := a.Table.Serving(now)
-	if a.relayed() {
-		o, heard := a.uplink.others(now, &a.told)
-		o.Age, o.Unheard = relayedAge, max(0, serving-heard)
-		return o
-	}
-	var sum loadSum
-	live := a.Table.Live(now)
-	for _, m := range live {
-		sum.add(&Words{Load: m.Load, Waiting: m.Waiting})
-	}
-	return Others{Load: sum.loads(), Waiting: sum.waiting, Age: directAge, Unheard: max(0, serving-len(live))}
-}
-
 // Sources names who tells this host what the others used.
 func (a *Agent) Sources() map[string]bool {
 	a.mu.Lock()
@@ -227,61 +186,6 @@
 	return out
 }
 
-// Relaying tells whether the fleet is so large that there are relays, and whether this host
-// is one.
-func (a *Agent) Relaying() (relays, self bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	relays = a.relayed()
-	return relays, relays && a.uplink.host == a.Table.Host
-}
-
-// Turn is this host's place in the order in which hosts read the store for each other, and far tells
-// whether proofs reach it by way of relays. In small fleets the order is drawn from names. In those with relays these
-// come first, whose words reach all hosts of their zone soonest. A host that hears no other has turn 0.
-func (a *Agent) Turn() (turn int, far bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.Now()
-	live := a.Table.Live(now)
-	if len(live) == 0 {
-		return 0, false
-	}
-	self := &Member{Host: a.Table.Host, Life: a.Table.Life, Row: a.row}
-	if !a.relayed() {
-		return before(live, self.Host), false
-	}
-	all := append(live, self)
-	var relays []*Member
-	for _, zone := range zonesOf(all) {
-		if first := preferred(all, zone); len(first) > 0 {
-			relays = append(relays, first[0])
-		}
-	}
-	if slices.Contains(relays, self) {
-		return before(relays, self.Host), true
-	}
-	return len(relays) + before(live, self.Host), true
-}
-
-// before counts the members before a host in an order drawn from names.
-func before(ms []*Member, host string) int {
-	own, n := xxhash.Sum64String(host), 0
-	for _, m := range ms {
-		if xxhash.Sum64String(m.Host) < own {
-			n++
-		}
-	}
-	return n
-}
-
-// Order is this host's place among all in an order drawn from names.
-func (a *Agent) Order() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return before(a.Table.Live(a.Now()), a.Table.Host)
-}
-
 // relayed tells whether there are too many hosts to tell all of them directly; mu must be held.
 func (a *Agent) relayed() bool { return a.Table.Size() > fanout }
 
