--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -131,6 +131,15 @@
 	}
 }
 
+// Relaying tells whether the fleet is so large that there are relays, and whether this host
+// is one.
+func (a *Agent) Relaying() (relays, self bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	relays = a.relayed()
+	return relays, relays && a.uplink.host == a.Table.Host
+}
+
 // fleet starts n hosts in some zones, each of which knows the first.
 func fleet(ctx context.Context, n, zones int, loss float64) []*node {
 	start := time.Now()
--- a/peers/turn.go
+++ b/peers/turn.go
@@ -10,15 +10,6 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Relaying tells whether the fleet is so large that there are relays, and whether this host
-// is one.
-func (a *Agent) Relaying() (relays, self bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	relays = a.relayed()
-	return relays, relays && a.uplink.host == a.Table.Host
-}
-
 // Turn is this host's place in the order in which hosts read the store for each other, and far tells
 // whether proofs reach it by way of relays. In small fleets the order is drawn from names. In those with relays these
 // come first, whose words reach all hosts of their zone soonest. A host that hears no other has turn 0.
