feed, platform, ingress: one life of an endpoint; entries that another program wrote

Cause: an endpoint may start again under the ID that it had, and `born` tells its lives apart. The list took an ID for one life: an endpoint that had said that it leaves was kept out for as long as its entry stood, an older life's late write was news of the newer one, and speeds, failures, loads and holds went on. An entry of another writer was used: an unknown state counted as ready, an empty address was dialled.

Change: (ID, born) names a life in the list, to peers, in the loads that hosts tell and in the scheduler. Lives are ordered by born, the entries of one by revision. An entry of an older life is held back: while it stands, the newer one's is not there, so the endpoint counts as gone until its next heartbeat; one that stands for 5 s is the newest (its clock was set back). Sends to a life that is over are ended, so that a stream goes on elsewhere and what may not be repeated is told at once. ParseEndpoint wants all eight fields of their types; other entries name no endpoint.

Test entries in internal/site lacked fields that every endpoint writes; they have them now.

--- a/edge/vars.go
+++ b/edge/vars.go
@@ -32,6 +32,8 @@
 	Endpoints         map[feed.Belief]int `json:"endpoints"`
 	EndpointsRevision uint64              `json:"endpoints_revision"`
 	EndpointsAgeMS    int64               `json:"endpoints_age_ms"`
+	// EndpointsForeign counts the entries that another program wrote in the place of endpoints'.
+	EndpointsForeign int `json:"endpoints_foreign"`
 	// PeersLive and PeersCounted are the other hosts heard of lately, and those that may run.
 	PeersLive    int `json:"peers_live"`
 	PeersCounted int `json:"peers_counted"`
@@ -54,6 +56,7 @@
 		v.SettingsAgeMS = age.Milliseconds()
 	}
 	v.Endpoints, v.EndpointsAgeMS = h.endpoints.Beliefs(), -1
+	v.EndpointsForeign = h.endpoints.Foreign()
 	if view, ok := h.endpoints.View(); ok {
 		v.EndpointsRevision, v.EndpointsAgeMS = view.Revision, (h.now() - view.At).Milliseconds()
 	}
--- a/feed/belief.go
+++ b/feed/belief.go
@@ -17,6 +17,8 @@
 	Leaving Belief = "leaving"
 	// Lapsed is an endpoint whose entry went while the store was in trouble; it gets new work.
 	Lapsed Belief = "lapsed"
+	// Reborn is an endpoint that started again under its name; it is told of the change only.
+	Reborn Belief = "started again"
 )
 
 // Belief tells what an endpoint in a list is taken for.
@@ -74,6 +76,9 @@
 		case len(old) == 0 || now[0].Instance < old[0].Instance:
 			add(Unknown, now[0].Belief(), now[0].Instance)
 			now = now[1:]
+		case old[0].Born != now[0].Born:
+			add(old[0].Belief(), Reborn, now[0].Instance)
+			old, now = old[1:], now[1:]
 		default:
 			add(old[0].Belief(), now[0].Belief(), now[0].Instance)
 			old, now = old[1:], now[1:]
--- a/feed/endpoint.go
+++ b/feed/endpoint.go
@@ -4,13 +4,20 @@
 
 package feed
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Endpoint is an endpoint as it tells of itself.
 type Endpoint struct {
-	// Instance names one life of the endpoint; Service is what it serves.
+	// Instance names the endpoint; Service is what it serves. An endpoint that starts again may keep
+	// its name.
 	Instance string `json:"instance"`
 	Service  string `json:"service"`
+	// Born tells the lives of an instance apart: the Unix time of its start in milliseconds by
+	// its own clock, or 0 if it does not tell.
+	Born int64 `json:"born,omitempty"`
 	// Address is its IP number and port, Zone its availability zone.
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
@@ -23,3 +30,12 @@
 	// Lapsed says that its entry went while the store was in trouble.
 	Lapsed bool `json:"lapsed,omitempty"`
 }
+
+// Life names one life of the endpoint: what was learned of another life of the same instance does
+// not hold for it, and what ran there has ended.
+func (e *Endpoint) Life() string {
+	if e.Born == 0 {
+		return e.Instance
+	}
+	return e.Instance + "@" + strconv.FormatInt(e.Born, 10)
+}
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -21,7 +21,7 @@
 	// Store is where they lie, below Prefix.
 	Store  Store
 	Prefix string
-	// Parse reads an entry.
+	// Parse reads an entry; it fails for one that no endpoint of ours can have written.
 	Parse func(key string, value []byte) (Endpoint, error)
 	// Now is the steady clock.
 	Now func() time.Duration
@@ -40,23 +40,27 @@
 	// Log takes changes of state.
 	Log logr.Logger
 
-	mu     sync.Mutex
-	known  map[string]Endpoint
-	told   []Endpoint
-	read   bool          // known is what the store, or a peer, told
-	forgot bool          // the store does not know the changes since at any more
-	at     uint64        // the store's revision of known
-	proven time.Duration // when known was surely the newest
-	outage outage
-	left   leavers
-	expiry *time.Timer // of entries that lapsed
-	bad    bool
+	mu      sync.Mutex
+	known   map[string]Endpoint
+	told    []Endpoint
+	read    bool          // known is what the store, or a peer, told
+	forgot  bool          // the store does not know the changes since at any more
+	at      uint64        // the store's revision of known
+	proven  time.Duration // when known was surely the newest
+	outage  outage
+	left    leavers
+	lives   lives
+	foreign foreign
+	expiry  *time.Timer // of entries that lapsed
+	bad     bool
 }
 
 // Init makes it ready; call it before all else.
 func (e *Endpoints) Init() {
 	e.known = make(map[string]Endpoint)
 	e.left = make(leavers)
+	e.lives = make(lives)
+	e.foreign = make(foreign)
 	e.outage = outage{Lapses: e.Lapses, Pause: e.Pause}
 	e.expiry = time.AfterFunc(time.Hour, e.expire)
 	e.expiry.Stop() // until entries lapse
@@ -83,6 +87,9 @@
 func (e *Endpoints) untilTurn() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if len(e.lives.holds(e.Now())) > 0 {
+		e.tell() // one may have stood for long enough
+	}
 	if e.Turn == nil || !e.read {
 		return 0
 	}
@@ -179,7 +186,7 @@
 	}
 	here := make(map[string]bool, len(p.Items))
 	for _, it := range p.Items {
-		here[strings.TrimPrefix(it.Key, e.Prefix)] = true
+		here[e.instance(it)] = true
 		e.take(it)
 	}
 	for name := range e.known {
@@ -187,6 +194,8 @@
 			e.gone(name)
 		}
 	}
+	e.foreign.keep(here)
+	e.lives.keep(here)
 	e.read, e.forgot, e.at = true, false, max(e.at, p.At)
 	e.proven = max(e.proven, sent)
 	e.tell()
@@ -215,7 +224,8 @@
 			continue // a peer has told of it meanwhile
 		}
 		if it.Gone {
-			e.gone(strings.TrimPrefix(it.Key, e.Prefix))
+			e.gone(e.instance(it))
+			e.foreign.forget(e.instance(it))
 			continue
 		}
 		e.take(it)
@@ -226,19 +236,40 @@
 	return nil
 }
 
-// take notes an entry; mu must be held.
+// instance names the endpoint that an item speaks of.
+func (e *Endpoints) instance(it Item) string { return strings.TrimPrefix(it.Key, e.Prefix) }
+
+// take notes an entry; mu must be held. One that no endpoint of ours wrote names none to use: an
+// endpoint that was known under its key is taken for one whose entry went.
 func (e *Endpoints) take(it Item) {
 	n, err := e.Parse(it.Key, it.Value)
 	if err != nil {
-		e.Log.Error(err, "endpoint entry refused", "key", it.Key)
+		if e.foreign.note(e.instance(it), err) {
+			e.Log.Error(err, "endpoint entry refused", "key", it.Key, "bytes", len(it.Value), "revision", it.Revision)
+		}
+		e.gone(e.instance(it))
+		return
+	}
+	e.foreign.forget(n.Instance)
+	now := e.Now()
+	n, ok := e.lives.admit(n, now)
+	if !ok {
+		e.Log.Info("endpoint entry of an older life held back", "instance", n.Instance, "born", n.Born, "revision", it.Revision)
+		e.drop(n.Instance)
 		return
 	}
-	e.known[n.Instance] = e.left.mark(n, e.Now())
+	e.known[n.Instance] = e.left.mark(n, now)
 }
 
 // gone notes that an entry went; mu must be held. In an outage of the store, and a while
 // after, entries go although their endpoints serve.
 func (e *Endpoints) gone(name string) {
+	e.lives.gone(name)
+	e.drop(name)
+}
+
+// drop takes an endpoint whose entry is not there out of what is known, or for one that lapsed; mu must be held.
+func (e *Endpoints) drop(name string) {
 	n, ok := e.known[name]
 	if !ok {
 		return
@@ -261,6 +292,10 @@
 // tell drops what lapsed for good and passes the list on if it changed; mu must be held.
 func (e *Endpoints) tell() {
 	now := e.Now()
+	for _, n := range e.lives.due(now, e.proven, e.known) {
+		e.Log.Info("endpoint's clock was set back before its last start", "instance", n.Instance, "born", n.Born)
+		e.known[n.Instance] = e.left.mark(n, now)
+	}
 	e.left.prune(now, e.known)
 	if !e.outage.mayLapse(now) {
 		maps.DeleteFunc(e.known, func(_ string, n Endpoint) bool { return n.Lapsed })
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -244,9 +245,22 @@
 	must.EqOp(t, 4, a.Revision())
 }
 
-// parseEndpoint reads entries that hold "leaving" or anything else.
+// parseEndpoint reads entries that hold "foreign", "leaving" or anything else, and behind an @ the time of
+// the start.
 func parseEndpoint(key string, value []byte) (Endpoint, error) {
-	return Endpoint{Instance: strings.TrimPrefix(key, "servers/"), Leaving: string(value) == "leaving"}, nil
+	state, start, _ := strings.Cut(string(value), "@")
+	if state == "foreign" {
+		return Endpoint{}, errors.New("another program's")
+	}
+	n := Endpoint{Instance: strings.TrimPrefix(key, "servers/"), Leaving: state == "leaving"}
+	if start != "" {
+		born, err := strconv.ParseInt(start, 10, 64)
+		if err != nil {
+			return Endpoint{}, err
+		}
+		n.Born = born
+	}
+	return n, nil
 }
 
 // listen starts an Endpoints on a store; the newest list is read with the returned function.
--- a/feed/leavers.go
+++ b/feed/leavers.go
@@ -4,10 +4,13 @@
 
 package feed
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
-// leavers remembers the instances that said that they leave, and when that was last
-// seen. An instance never comes back from that: each start of an endpoint has a name of its own. An
+// leavers remembers the lives of endpoints that said that they leave, and when that was last
+// seen. A life never comes back from that; the same instance may start again. An
 // entry may be written late, after the one that said so, and also after that one went.
 type leavers map[string]time.Duration
 
@@ -15,13 +18,14 @@
 // times the 6 s by which the store may do a write late.
 const leftFor = 30 * time.Second
 
-// mark returns an entry as leaving if its instance ever said that it leaves.
+// mark returns an entry as leaving if its life ever said that it leaves.
 func (l leavers) mark(n Endpoint, now time.Duration) Endpoint {
-	if _, ok := l[n.Instance]; ok {
+	name := n.Life()
+	if _, ok := l[name]; ok {
 		n.Leaving = true
 	}
 	if n.Leaving {
-		l[n.Instance] = now
+		l[name] = now
 	}
 	return n
 }
@@ -47,13 +51,10 @@
 
 // prune forgets those not seen for long. Those whose entries still stand are seen now.
 func (l leavers) prune(now time.Duration, known map[string]Endpoint) {
-	for name, seen := range l {
-		if _, ok := known[name]; ok {
-			l[name] = now
-			continue
-		}
-		if now-seen > leftFor {
-			delete(l, name)
+	for _, n := range known {
+		if _, ok := l[n.Life()]; ok {
+			l[n.Life()] = now
 		}
 	}
+	maps.DeleteFunc(l, func(_ string, seen time.Duration) bool { return now-seen > leftFor })
 }
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -67,9 +67,11 @@
 	Revision uint64 `json:"revision"`
 	// Endpoints are sorted by instance.
 	Endpoints []Endpoint `json:"endpoints"`
-	// Left are the instances that said lately that they leave, and how long ago that was last
+	// Left are the lives of endpoints that said lately that they leave, and how long ago that was last
 	// seen, in nanoseconds. A host that takes a list now and then may have missed it.
 	Left map[string]time.Duration `json:"left,omitempty"`
+	// Held are entries that name older lives than were known.
+	Held []Held `json:"held,omitempty"`
 }
 
 // View names what a host knows of the endpoints.
@@ -86,14 +88,14 @@
 func (e *Endpoints) View() (View, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return View{Revision: e.at, Sum: checksum(e.told), At: e.proven}, e.read
+	return View{Revision: e.at, Sum: e.sum(), At: e.proven}, e.read
 }
 
 // List gives the endpoints to pass on, and false if none are known.
 func (e *Endpoints) List() (EndpointList, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return EndpointList{Revision: e.at, Endpoints: e.told, Left: e.left.ages(e.Now())}, e.read
+	return EndpointList{Revision: e.at, Endpoints: e.told, Left: e.left.ages(e.Now()), Held: e.lives.holds(e.Now())}, e.read
 }
 
 // Proved takes what a peer knows, and reports whether its list is to be asked for: the
@@ -102,7 +104,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.answered(v.At)
-	if e.read && v.Sum == checksum(e.told) {
+	if e.read && v.Sum == e.sum() {
+		if v.Revision > e.at {
+			clear(e.foreign) // the view does not tell of them
+		}
 		e.at, e.proven = max(e.at, v.Revision), max(e.proven, v.At)
 		return false
 	}
@@ -122,13 +127,25 @@
 	e.left.add(l.Left, now)
 	known := make(map[string]Endpoint, len(l.Endpoints))
 	for _, n := range l.Endpoints {
+		e.lives.adopt(n, now)
 		known[n.Instance] = e.left.mark(n, now)
 	}
+	e.lives.adoptHeld(l.Held, now)
+	clear(e.foreign)
 	e.known, e.read, e.at = known, true, l.Revision
 	e.forgot = false
 	e.tell()
 }
 
+// sum tells views of different content apart; mu must be held.
+func (e *Endpoints) sum() uint64 {
+	list := e.told
+	for _, h := range e.lives.holds(e.Now()) {
+		list = append(list[:len(list):len(list)], h.Endpoint)
+	}
+	return checksum(list)
+}
+
 // checksum sums up what tells lists apart that matter: how long an endpoint stays slow
 // after its start changes all the time and is left out.
 func checksum(list []Endpoint) uint64 {
@@ -136,7 +153,7 @@
 	var slots [8]byte
 	for i := range list {
 		n := &list[i]
-		for _, s := range []string{n.Instance, n.Service, n.Address, n.Zone} {
+		for _, s := range []string{n.Life(), n.Service, n.Address, n.Zone} {
 			_, _ = d.WriteString(s) // never fails
 			_, _ = d.Write([]byte{0})
 		}
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -26,7 +26,7 @@
 
 	mu      sync.Mutex
 	sched   *sched.Scheduler
-	targets map[string]*target
+	targets map[string]*target // by life
 	table   *route.Table
 	prefill map[string]*sched.Quantile // by service: prompt tokens read in a step
 	values  map[valueRef]*settings.Effective
@@ -116,25 +116,33 @@
 	return v
 }
 
-// setEndpoints takes a new list of endpoints.
+// setEndpoints takes a new list of endpoints. Sends to an earlier life of an endpoint that has started again are
+// ended: nothing works on them any more, and the connection may not tell.
 func (b *balancer) setEndpoints(now time.Duration, list []feed.Endpoint) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	here := make(map[string]bool, len(list))
+	born := make(map[string]int64, len(list))
 	for _, e := range list {
-		here[e.Instance] = true
-		t := b.targets[e.Instance]
+		life := e.Life()
+		here[life], born[e.Instance] = true, e.Born
+		t := b.targets[life]
 		if t == nil {
-			t = &target{}
-			b.targets[e.Instance] = t
+			t = &target{sends: make(map[*call]func())}
+			b.targets[life] = t
 		}
 		t.Endpoint = e
 	}
-	for name, t := range b.targets {
-		if !here[name] && t.own.Running == 0 {
-			delete(b.targets, name)
-		} else if !here[name] {
-			t.Leaving = true
+	for life, t := range b.targets {
+		if here[life] {
+			continue
+		}
+		if t.Born < born[t.Instance] {
+			t.endSends()
+		}
+		t.Leaving = true
+		if t.own.Running == 0 {
+			delete(b.targets, life)
 		}
 	}
 	b.setList(now)
@@ -145,7 +153,7 @@
 func (b *balancer) setList(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Instance, Engine: true, Slots: t.Slots, Leaving: t.Leaving, Far: t.Zone != b.zone})
+		list = append(list, sched.Endpoint{Name: t.Life(), Engine: true, Slots: t.Slots, Leaving: t.Leaving, Far: t.Zone != b.zone})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -287,7 +295,7 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	b.left(c)
-	if t := b.targets[c.at.Instance]; t != nil {
+	if t := b.targets[c.at.Life()]; t != nil {
 		t.downUntil = max(t.downUntil, now+hold)
 	}
 	c.req.Start = c.latestStart(now)
@@ -299,11 +307,11 @@
 
 // left counts a send out of the host's own; mu must be held.
 func (b *balancer) left(c *call) {
-	t := b.targets[c.at.Instance]
+	t := b.targets[c.at.Life()]
 	if t == nil {
 		return
 	}
-	b.changed[c.at.Instance] = true
+	b.changed[c.at.Life()] = true
 	t.own.Running--
 	if !c.firstSeen {
 		t.own.Prefill -= c.req.PromptTokens
@@ -311,6 +319,23 @@
 	c.firstSeen = false
 }
 
+// sending notes that a request is at its endpoint, and what ends that; it returns what is to be called once it
+// is over, and false if the endpoint has started again since it was chosen.
+func (b *balancer) sending(c *call, end func()) (over func(), ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	t := b.targets[c.at.Life()]
+	if t == nil || t.ended {
+		return func() {}, false
+	}
+	t.sends[c] = end
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(t.sends, c)
+	}, true
+}
+
 // first notes the first sign of an answer to what was sent at a time.
 func (b *balancer) first(c *call, sent time.Duration) {
 	b.mu.Lock()
@@ -319,9 +344,9 @@
 		return
 	}
 	c.firstSeen = true
-	if t := b.targets[c.at.Instance]; t != nil {
+	if t := b.targets[c.at.Life()]; t != nil {
 		t.own.Prefill -= c.req.PromptTokens
-		b.changed[c.at.Instance] = true
+		b.changed[c.at.Life()] = true
 		b.learnPrefill(t, c.req.PromptTokens, b.now()-sent)
 	}
 	b.sched.FirstToken(b.now(), c.req)
@@ -333,7 +358,7 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	b.left(c)
-	if t := b.targets[c.at.Instance]; t != nil {
+	if t := b.targets[c.at.Life()]; t != nil {
 		t.step.Observe(float64(took), plainShare)
 	}
 	b.sched.Done(now, c.req, res, tokens)
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -28,6 +28,8 @@
 	// passed, and because the endpoint had been silent for so long that another one was
 	// asked. WorkLostMS is the time, in milliseconds, from their sending to that end.
 	LeftAtWork, LateAtWork, MuteAtWork, WorkLostMS atomic.Int64
+	// LifeOver counts sends that this host ended because their endpoint had started again.
+	LifeOver atomic.Int64
 	// LinesDropped counts lines on requests that were beyond the bound on logs.
 	LinesDropped atomic.Int64
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -274,6 +274,15 @@
 		conn.Done()
 		return given, 0
 	}
+	over, ok := c.s.balance.sending(c, func() {
+		c.s.Count.LifeOver.Add(1)
+		conn.Close()
+	})
+	defer over()
+	if !ok {
+		conn.Done()
+		return unsent, 0
+	}
 	c.header.Set(c.s.Headers.Deadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	c.header.Set(c.s.Headers.Expect, c.at.Instance)
 	unwatch := context.AfterFunc(ctx, func() { conn.Close() })
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -20,6 +20,17 @@
 	step      sched.Quantile // time of a token with little beside it, or of a request at a plain service
 	downUntil time.Duration
 	failing   failing
+	// sends are the requests that are there now, with what ends each.
+	sends map[*call]func()
+	ended bool // a later life has taken its place
+}
+
+// endSends ends all requests that are there, since a later life has taken the endpoint's place.
+func (t *target) endSends() {
+	t.ended = true
+	for _, end := range t.sends {
+		end()
+	}
 }
 
 // pace is the time of a token as this host saw it, else as others did, or 0.
@@ -93,7 +104,7 @@
 func (b *balancer) paced(c *call, token time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[c.at.Instance]; t != nil {
+	if t := b.targets[c.at.Life()]; t != nil {
 		t.step.Observe(float64(token), stepShare)
 	}
 }
@@ -102,7 +113,7 @@
 func (b *balancer) judge(c *call, failed bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if t := b.targets[c.at.Instance]; t != nil {
+	if t := b.targets[c.at.Life()]; t != nil {
 		t.failing.observe(b.now(), failed)
 	}
 }
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -75,8 +75,9 @@
 
 // Endpoint is a model runner or a plain service.
 type Endpoint struct {
-	// Instance is its name in this life.
+	// Instance is its name, and Born the Unix time of the start of this life in milliseconds, 0 if it does not tell.
 	Instance string
+	Born     int64
 	// Events is the number of events of its streams; 0 makes it a plain service.
 	Events int
 	// Pace is the time between events, and before the first; set it with SetPace once it runs.
--- a/internal/site/life_test.go
+++ b/internal/site/life_test.go
@@ -69,7 +69,7 @@
 func TestEndpointLeaves(t *testing.T) {
 	s := start(t, 1)
 	e := s.plain[0]
-	s.Store.Put(platform.PrefixEndpoints+e.Instance, EndpointEntry{Service: Plain, Address: e.Address, Slots: 8, State: "draining", Seq: 2})
+	s.Tell(Plain, e, "draining")
 	s.await(t, "all goes to the other", func() bool {
 		before := len(e.Runs())
 		for i := range 10 {
@@ -83,7 +83,7 @@
 func TestReusedAddress(t *testing.T) {
 	s := start(t, 1)
 	for i := range 2 {
-		s.Store.Put(platform.PrefixEndpoints+fmt.Sprint("old-", i), EndpointEntry{Service: Plain, Address: s.engines[i].Address, Slots: 8, State: "ready"})
+		s.Tell(Plain, &Endpoint{Instance: fmt.Sprint("old-", i), Address: s.engines[i].Address}, "ready")
 	}
 	time.Sleep(time.Second) // let the host read the entries; whether it has does not decide the verdict
 	for i := range 40 {
--- a/internal/site/silent_test.go
+++ b/internal/site/silent_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/heathkeel/heathkeel/internal/logs"
 	"github.com/heathkeel/heathkeel/outcome"
-	"github.com/heathkeel/heathkeel/platform"
 )
 
 // TestSilentEndpoint lets the connections to the only endpoint of a service fall silent: the first
@@ -25,7 +24,7 @@
 		s.Log, _ = logs.Open("test", "0", &out)
 	})
 	front, e, other := s.Hosts[0].Boot.Front, s.plain[0], s.plain[1]
-	s.Store.Put(platform.PrefixEndpoints+other.Instance, EndpointEntry{Service: Plain, Address: other.Address, Slots: 8, State: "draining", Seq: 2})
+	s.Tell(Plain, other, "draining")
 	s.await(t, "the other one has left", func() bool {
 		n := len(other.Runs())
 		var wg sync.WaitGroup
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -170,14 +170,24 @@
 	if err := e.Start(); err != nil {
 		return err
 	}
-	s.Store.Put(platform.PrefixEndpoints+e.Instance, EndpointEntry{Service: service, Address: e.Address, Zone: "zone-1", Slots: 8, State: "ready"})
+	s.Tell(service, e, "ready")
 	return nil
 }
 
+// Tell writes the entry of an endpoint in a state.
+func (s *Site) Tell(service string, e *Endpoint, state string) {
+	s.Store.Put(platform.PrefixEndpoints+e.Instance, EndpointEntry{
+		Service: service, Address: e.Address, Zone: "zone-1", Version: "v1", Slots: 8, State: state, Born: e.Born,
+	})
+}
+
 // EndpointEntry is an endpoint's entry in the store.
 type EndpointEntry struct {
-	Service, Address, Zone, State string
-	Slots, Seq                    int
+	Service, Address, Zone, State, Version string
+	Slots, Seq                             int
+	ColdLeftMs                             float64
+	// Born is the Unix time of its start in milliseconds, 0 to leave it out.
+	Born int64 `json:"born,omitempty"`
 }
 
 // Resolve asks a host where callers may connect.
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -309,7 +309,7 @@
 
 // entry is an endpoint's entry in the store.
 func (f *fleet) entry(m *member, state string) site.EndpointEntry {
-	return site.EndpointEntry{Service: m.service, Address: m.Address, Zone: "zone-1", Slots: 8, State: state}
+	return site.EndpointEntry{Service: m.service, Address: m.Address, Zone: "zone-1", Version: "v1", Slots: 8, State: state}
 }
 
 // staying are the endpoints of a service that do not leave.
