--- a/cmd/hkbench/main.go
+++ b/cmd/hkbench/main.go
@@ -24,6 +24,7 @@
 // args are the process settings.
 type args struct {
 	Bound   *boundArgs    `arg:"subcommand:bound" help:"what the requests of a played day could earn at most, beside what they earned"`
+	Pairs   *pairsArgs    `arg:"subcommand:pairs" help:"the days that two versions have played, compared in pairs"`
 	Site    string        `arg:"--site,env:HEATHKEEL_SITE" default:"fjordkanal" help:"fjordkanal or litoral"`
 	Cases   string        `arg:"--cases" default:"." help:"regular expression of cases to run"`
 	Compare bool          `arg:"--compare" help:"run the baselines beside the project's own policy"`
@@ -55,6 +56,13 @@
 		}
 		return
 	}
+	if a.Pairs != nil {
+		if err := a.Pairs.run(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, "hkbench:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if a.Site != "fjordkanal" && a.Site != "litoral" {
 		p.Fail("--site must be fjordkanal or litoral")
 	}
