--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
@@ -170,12 +171,9 @@
 func (b *balancer) report(now time.Duration) {
 	mean := b.meanPace()
 	for name, t := range b.targets {
-		if now < t.downUntil {
-			continue
-		}
 		b.sched.TakeReport(now, name, sched.Report{
 			At: now, Running: t.own.Running + t.others.Running, PrefillTokens: t.own.Prefill + t.others.Prefill,
-			Failing: t.failing.at(now), Slots: t.Slots, Step: cmp.Or(t.pace(), mean[t.Service]), PrefillPerStep: b.prefillOf(t.Service), Model: t.Service, Fresh: true,
+			Reckoned: true, Slots: t.Slots, Step: cmp.Or(t.pace(), mean[t.Service]), PrefillPerStep: b.prefillOf(t.Service), Model: t.Service, Fresh: true,
 		})
 	}
 }
@@ -195,6 +193,7 @@
 		l := o.Load[name]
 		l.Step = cmp.Or(l.Step, t.others.Step) // it stays known
 		t.others = l
+		b.sched.HearEvidence(now, name, t.evidence())
 	}
 	b.report(now)
 	b.sched.SetUnheard(o.Unheard)
@@ -207,9 +206,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]peers.Load)
+	now := b.now()
 	for name, t := range b.targets {
-		if t.own.Running > 0 {
-			out[name] = t.load()
+		if l := t.load(b.sched.Evidence(now, name)); l.Running > 0 || l.Bad > 0 {
+			out[name] = l
 		}
 	}
 	return out, b.sched.OwnWaiting()
@@ -229,7 +229,7 @@
 	for name := range b.changed {
 		out[name] = peers.Load{}
 		if t := b.targets[name]; t != nil {
-			out[name] = t.load()
+			out[name] = t.load(b.sched.Evidence(b.now(), name))
 		}
 	}
 	clear(b.changed)
@@ -290,21 +290,33 @@
 }
 
 // again asks for another place after a send that ended without an answer.
-func (b *balancer) again(c *call, hold time.Duration) sched.Decision {
+func (b *balancer) again(c *call) sched.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	b.left(c)
-	if t := b.targets[c.at.Life()]; t != nil {
-		t.downUntil = max(t.downUntil, now+hold)
-	}
 	c.req.Start = c.latestStart(now)
-	d := b.sched.Again(now, c.req, hold)
+	d := b.sched.Again(now, c.req)
 	b.note(d)
 	b.poll(now)
 	return d
 }
 
+// failed notes that an endpoint failed what was sent.
+func (b *balancer) failed(c *call, f outlier.Failure) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sched.Failed(b.now(), c.req, f)
+	b.changed[c.at.Life()] = true
+}
+
+// hold leaves the endpoint of a send alone for a time.
+func (b *balancer) hold(c *call, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sched.Hold(b.now(), c.req, d)
+}
+
 // left counts a send out of the host's own; mu must be held.
 func (b *balancer) left(c *call) {
 	t := b.targets[c.at.Life()]
--- a/ingress/balance_test.go
+++ b/ingress/balance_test.go
@@ -7,12 +7,14 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
@@ -60,19 +62,6 @@
 	must.EqOp(t, 2*time.Millisecond, b.targets["e0"].pace())
 }
 
-// TestFailing checks how failures count, and that they are forgotten.
-func TestFailing(t *testing.T) {
-	var f failing
-	must.EqOp(t, 0, f.at(time.Hour))
-	for range 30 {
-		f.observe(time.Second, true)
-	}
-	must.Between(t, 0.99, f.at(time.Second), 1)
-	must.Between(t, 0.49, f.at(time.Second+failingHalf), 0.5)
-	f.observe(time.Second, false)
-	must.Between(t, 0.79, f.at(time.Second), 0.8)
-}
-
 // TestFailuresReachTheChoice checks that an endpoint that fails its requests is left
 // to the others, unless all do.
 func TestFailuresReachTheChoice(t *testing.T) {
@@ -87,24 +76,29 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			b, now := engines(2)
-			for _, name := range tc.failing {
-				for range 10 {
-					b.judge(&call{at: feed.Endpoint{Instance: name}}, true)
-				}
-			}
-			b.tick(*now)
-			b.setOthers(*now, peers.Others{})
-			got := make(map[string]bool)
-			for range 40 {
+			// send sends a request that may be repeated and lets it fail where endpoints do.
+			send := func() string {
 				c := &call{
-					route: &route.Route{Name: "r"}, service: &route.Service{Name: "s", Engine: true},
+					route: &route.Route{Name: "r", Kind: route.Repeatable}, service: &route.Service{Name: "s", Engine: true},
 					req: &sched.Request{Model: "s", PromptTokens: 100, MaxTokens: 50, LikelyTokens: 50, Deadline: 10 * time.Second, Aim: sched.Aim{First: time.Second}},
 				}
 				d := b.submit(c)
 				must.EqOp(t, sched.Run, d.Verdict)
-				got[d.Endpoint] = true
 				c.at = feed.Endpoint{Instance: d.Endpoint}
+				if slices.Contains(tc.failing, d.Endpoint) {
+					b.failed(c, outlier.Unanswered)
+				}
 				b.done(c, sched.Dropped, 0, 0)
+				return d.Endpoint
+			}
+			for range 20 {
+				send()
+			}
+			b.tick(*now)
+			b.setOthers(*now, peers.Others{})
+			got := make(map[string]bool)
+			for range 40 {
+				got[send()] = true
 			}
 			must.Eq(t, tc.want, got)
 		})
@@ -157,5 +151,5 @@
 	b.done(c, sched.Whole, 1, 0)
 	load, _, ok = b.changes()
 	must.True(t, ok)
-	must.Eq(t, map[string]peers.Load{d.Endpoint: {}}, load)
+	must.Eq(t, map[string]peers.Load{d.Endpoint: {Good: 10}}, load)
 }
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -50,7 +50,11 @@
 		return failed, 0
 	}
 	c.s.balance.first(c, sent)
-	c.s.balance.done(c, sched.Whole, 1, c.s.Now()-sent)
+	if c.failedAnswer {
+		c.s.balance.done(c, sched.Errored, 0, 0)
+	} else {
+		c.s.balance.done(c, sched.Whole, 1, c.s.Now()-sent)
+	}
 	c.pass(a)
 	return whole, 0
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -14,6 +14,7 @@
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/upstream"
@@ -112,7 +113,8 @@
 	given
 )
 
-// Holds are the times for which an endpoint is left alone after a failure.
+// Holds are the times for which a caller is told to stay away after a send that was not run, and, if the endpoint said so, the
+// endpoint is left alone.
 const (
 	holdUnreachable = time.Second
 	holdForeign     = 3 * time.Second
@@ -177,7 +179,7 @@
 		if end != unsent {
 			c.s.Count.Repeated.Add(1)
 		}
-		d = c.s.balance.again(c, hold)
+		d = c.s.balance.again(c)
 	}
 }
 
@@ -267,6 +269,7 @@
 		if ctx.Err() != nil {
 			return given, 0
 		}
+		c.s.balance.failed(c, outlier.Unreachable)
 		return unsent, holdUnreachable
 	}
 	left := c.deadline - c.s.Now()
@@ -310,9 +313,7 @@
 	case clean:
 		conn.Done()
 	}
-	if end == whole || end == failed || end == lost {
-		c.s.balance.judge(c, end != whole || c.failedAnswer)
-	}
+	c.judge(end, hold)
 	if end == lost {
 		c.account.Lost()
 		c.s.Count.Lost.Add(1)
@@ -321,6 +322,24 @@
 	return end, hold
 }
 
+// judge tells the scheduler of a send that did not end well. What ended whole, or was given up, was told as it
+// ended.
+func (c *call) judge(end ending, hold time.Duration) {
+	switch {
+	case end == lost && c.mute:
+		c.s.balance.failed(c, outlier.Unanswered)
+	case end == lost:
+		c.s.balance.failed(c, outlier.Broken)
+	case end == failed:
+		c.s.balance.failed(c, outlier.Errored)
+	case end == notRun:
+		c.s.balance.hold(c, hold)
+		if hold == holdFull {
+			c.s.balance.failed(c, outlier.Rejected)
+		}
+	}
+}
+
 // countLostWork counts a send that this host ended, by its cause.
 func (c *call) countLostWork(tired bool, took time.Duration) {
 	n := &c.s.Count
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -5,9 +5,11 @@
 package ingress
 
 import (
+	"math"
 	"time"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/sched"
 )
@@ -15,11 +17,9 @@
 // target is an endpoint as the host knows it.
 type target struct {
 	feed.Endpoint
-	own       peers.Load
-	others    peers.Load
-	step      sched.Quantile // time of a token with little beside it, or of a request at a plain service
-	downUntil time.Duration
-	failing   failing
+	own    peers.Load
+	others peers.Load
+	step   sched.Quantile // time of a token with little beside it, or of a request at a plain service
 	// sends are the requests that are there now, with what ends each.
 	sends map[*call]func()
 	ended bool // a later life has taken its place
@@ -42,12 +42,21 @@
 }
 
 // load is what the host tells others of its own requests there.
-func (t *target) load() peers.Load {
+func (t *target) load(ev outlier.Evidence) peers.Load {
 	l := t.own
 	l.Step = time.Duration(t.step.Value).Microseconds()
+	l.Good, l.Bad = int(math.Round(evidenceUnit*ev.Good)), int(math.Round(evidenceUnit*ev.Bad))
 	return l
 }
 
+// evidenceUnit is the number of units of peers.Load in one request.
+const evidenceUnit = 10
+
+// evidence is what others tell of the latest requests there.
+func (t *target) evidence() outlier.Evidence {
+	return outlier.Evidence{Good: float64(t.others.Good) / evidenceUnit, Bad: float64(t.others.Bad) / evidenceUnit}
+}
+
 // Figures of the learning of speeds.
 const (
 	// prefillPerStep is the number of prompt tokens that an engine is taken to read in a
@@ -108,12 +117,3 @@
 		t.step.Observe(float64(token), stepShare)
 	}
 }
-
-// judge notes whether an endpoint failed a request that it had.
-func (b *balancer) judge(c *call, failed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if t := b.targets[c.at.Life()]; t != nil {
-		t.failing.observe(b.now(), failed)
-	}
-}
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -76,6 +76,10 @@
 	Prefill int `json:"p,omitempty"`
 	// Step is the seen time of a token, or of a request at a plain service, in microseconds; 0 is unknown.
 	Step int64 `json:"s,omitempty"`
+	// Good and Bad are the latest requests that it answered well, and that it failed, in tenths, as outlier.Evidence
+	// counts them.
+	Good int `json:"g,omitempty"`
+	Bad  int `json:"b,omitempty"`
 }
 
 // Stamp names a version of something and its age when it was sent.
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -200,6 +200,8 @@
 		sum.Running += l.Running
 		sum.Prefill += l.Prefill
 		sum.Step += l.Step
+		sum.Good += l.Good
+		sum.Bad += l.Bad
 		s.load[name] = sum
 		if l.Step > 0 {
 			s.steps[name]++
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -99,6 +99,8 @@
 		mine := own.Load[name]
 		l.Running = max(0, l.Running-mine.Running)
 		l.Prefill = max(0, l.Prefill-mine.Prefill)
+		l.Good = max(0, l.Good-mine.Good)
+		l.Bad = max(0, l.Bad-mine.Bad)
 		load[name] = l
 	}
 	for service, tiers := range u.digest.Waiting {
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -41,7 +41,7 @@
 	if r.spare {
 		limit *= spareFill
 	}
-	if !e.usable(now) || (load >= limit && !s.withinShare(e, limit)) {
+	if !s.trusts(now, r, e) || (load >= limit && !s.withinShare(e, limit)) {
 		return false
 	}
 	if !s.mayFill(r, e) {
@@ -85,7 +85,7 @@
 			c.whole += time.Duration(s.cfg.FarCost * float64(c.whole))
 		}
 		// A failure costs at least one more try.
-		c.whole = time.Duration(float64(c.whole) / max(leastSound, 1-e.report.Failing))
+		c.whole = time.Duration(float64(c.whole) / max(leastSound, 1-e.health.Failing(now)))
 		best = min(best, c.whole)
 		s.cands = append(s.cands, c)
 	}
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -71,7 +71,7 @@
 func (s *Scheduler) drawPool(now, dt time.Duration, p *pool) {
 	free, places, takes, known := 0.0, 0.0, time.Duration(0), 0
 	for _, e := range p.members {
-		if e.usable(now) {
+		if p.usable(now, e) {
 			free += max(0, s.free(now, e))
 			places += float64(e.slots())
 		}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -6,6 +6,8 @@
 
 import (
 	"time"
+
+	"github.com/heathkeel/heathkeel/outlier"
 )
 
 // Report is what the scheduler takes from an endpoint's account.
@@ -21,8 +23,8 @@
 	PrefillPerStep int
 	// Model is the model held, or empty.
 	Model string
-	// Failing is the part of the latest requests there that failed, 0 to 1.
-	Failing float64
+	// Reckoned says that the host worked it out itself: it does not tell that the endpoint is there.
+	Reckoned bool
 	// Fresh says that prompts may begin here: the role is not "decode".
 	Fresh bool
 }
@@ -58,7 +60,8 @@
 
 	report    Report
 	hasReport bool
-	downUntil time.Duration
+	downUntil time.Duration // it is known to be of no use until then
+	health    outlier.Record
 
 	vacated    int           // places that own requests left lately
 	vacatedAt  time.Duration // when the last one did
@@ -152,11 +155,15 @@
 	e.atReport = e.ownAt(rep.At)
 	e.others = max(0, rep.Running+rep.Waiting-e.atReport.outstanding)
 	e.othersPrefill = max(0, rep.PrefillTokens-e.atReport.prefill)
-	e.downUntil = min(e.downUntil, now)
+	if !rep.Reckoned {
+		e.downUntil = min(e.downUntil, now)
+		e.health.Reached()
+	}
 }
 
 // start counts a dispatch.
 func (e *endpointState) start(now time.Duration, r *Request) {
+	e.health.Begin(now)
 	e.own++
 	e.sent++
 	if r.long {
@@ -175,6 +182,7 @@
 
 // end counts the end of a request.
 func (e *endpointState) end(now time.Duration, r *Request) {
+	e.health.Ended()
 	e.own--
 	e.vacated++
 	e.vacatedAt = now
--- a/sched/order.go
+++ b/sched/order.go
@@ -158,7 +158,7 @@
 	}
 	steps := 0.0 // of all slots, a second
 	for _, e := range r.pool.members {
-		if e.usable(now) {
+		if r.pool.usable(now, e) {
 			steps += float64(e.slots()) / (e.step().Seconds() * s.slowness(now, e))
 		}
 	}
@@ -230,7 +230,7 @@
 func (s *Scheduler) meanWhole(now time.Duration, r *Request) time.Duration {
 	sum, slots := 0.0, 0.0
 	for _, e := range r.pool.members {
-		if !e.usable(now) {
+		if !r.pool.usable(now, e) {
 			continue
 		}
 		n := float64(e.slots())
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -6,7 +6,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -31,6 +30,7 @@
 	floor    floor
 	rations  [maxRanks]ration
 	dirty    bool
+	panics   bool // so many endpoints fail that ejections do not count
 }
 
 // poolRef finds the pool of a request quickly.
@@ -100,8 +100,3 @@
 		s.fill(p)
 	}
 }
-
-// usable reports whether an endpoint may get new work now.
-func (e *endpointState) usable(now time.Duration) bool {
-	return e.present && !e.Leaving && now >= e.downUntil
-}
--- a/sched/ration_test.go
+++ b/sched/ration_test.go
@@ -199,5 +199,5 @@
 		s.byName["e1"].own++
 	}
 	must.EqOp(t, ReasonLength, s.Submit(f.now, f.request(time.Second)).Reason)
-	must.NotEq(t, ReasonLength, s.Again(f.now, r, 0).Reason)
+	must.NotEq(t, ReasonLength, s.Again(f.now, r).Reason)
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -9,6 +9,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/heathkeel/heathkeel/outlier"
 )
 
 // Scheduler holds the state of one host's decisions. Set the exported fields,
@@ -47,8 +49,10 @@
 	cands   []candidate
 	matches [maxMatches]match
 	matched int
-	log     [logSize]entry
-	logNext int
+	// ejections counts those of this host.
+	ejections int
+	log       [logSize]entry
+	logNext   int
 }
 
 // Init makes the scheduler ready.
@@ -137,6 +141,7 @@
 	if r.at == nil || r.firstAt != 0 {
 		return
 	}
+	s.Answered(r)
 	r.at.prefilled(now, r)
 	r.firstAt = max(now, 1)
 	s.observeFirst(now, r)
@@ -168,8 +173,10 @@
 const (
 	// Whole means that the whole answer came.
 	Whole Result = iota
-	// Broken means that the endpoint failed it.
+	// Broken means that its answer broke off.
 	Broken
+	// Errored means that the endpoint answered with a failure of its own.
+	Errored
 	// Dropped means that the caller went away.
 	Dropped
 )
@@ -180,19 +187,24 @@
 	if e == nil {
 		return
 	}
+	switch res {
+	case Whole:
+		e.health.Succeed(now)
+	case Broken:
+		s.Failed(now, r, outlier.Broken)
+	case Errored:
+		s.Failed(now, r, outlier.Errored)
+	}
 	e.end(now, r)
 	s.limits.leave(r.Settings)
 	r.at = nil
-	switch res {
-	case Whole:
+	if res == Whole {
 		s.lengths.learn(lengthKey{r.Settings.Workspace, r.Settings.Service}, tokens)
 		took := now - r.sentAt
 		if e.service == 0 {
 			e.service = took
 		}
 		e.service += time.Duration(lengthGain * float64(took-e.service))
-	case Broken:
-		e.downUntil = now + s.cfg.DownHold
 	}
 	s.wake(e)
 }
@@ -200,16 +212,16 @@
 // Unsent takes back a dispatch that the endpoint surely did not run, such as
 // one whose connection was refused, and decides again without that endpoint.
 func (s *Scheduler) Unsent(now time.Duration, r *Request) Decision {
-	return s.Again(now, r, s.cfg.DownHold)
+	s.Failed(now, r, outlier.Unreachable)
+	return s.Again(now, r)
 }
 
 // Again ends a dispatch whose request is to go to another endpoint, and decides
-// again; the endpoint it was at is left alone for hold.
-func (s *Scheduler) Again(now time.Duration, r *Request, hold time.Duration) Decision {
+// again.
+func (s *Scheduler) Again(now time.Duration, r *Request) Decision {
 	e := r.at
 	e.end(now, r)
 	s.limits.leave(r.Settings)
-	e.downUntil = max(e.downUntil, now+hold)
 	r.at = nil
 	r.firstAt = 0
 	r.tokens = 0
@@ -226,6 +238,7 @@
 	for _, p := range s.pools {
 		s.ease(now, p)
 	}
+	s.survey(now)
 	s.Wake()
 }
 
--- a/sched/value.go
+++ b/sched/value.go
@@ -69,7 +69,7 @@
 	if s.stalls(r, e, step, ahead) {
 		inTime *= gapWorth
 	}
-	w := done * (lateWorth + (1-lateWorth)*inTime) * (1 - e.report.Failing)
+	w := done * (lateWorth + (1-lateWorth)*inTime) * (1 - e.health.Failing(now))
 	if s.stalls(r, e, step, ahead+r.PromptTokens) {
 		w -= min(mostStall, stallWorth*load)
 	}
@@ -94,7 +94,7 @@
 	due := r.Arrived + r.Aim.First
 	least := time.Duration(math.MaxInt64)
 	for _, e := range r.pool.members {
-		if e.usable(now) {
+		if r.pool.usable(now, e) {
 			least = min(least, e.prefillTime(r.PromptTokens)+e.step())
 		}
 	}
@@ -114,7 +114,7 @@
 	due := s.due(now, r)
 	best, ideal, hidden := math.Inf(-1), 0.0, s.hidden(r.pool)
 	for _, e := range r.pool.members {
-		if !e.usable(now) {
+		if !e.serves(now) {
 			continue
 		}
 		idle := e.prefillTime(r.PromptTokens) + e.step()
--- a/sched/value_test.go
+++ b/sched/value_test.go
@@ -155,7 +155,8 @@
 			}
 			first := ask(time.Second)
 			must.EqOp(t, Run, s.Submit(0, first).Verdict)
-			must.EqOp(t, Wait, s.Again(0, first, 60*time.Millisecond).Verdict) // its endpoint is left alone
+			s.Hold(0, first, 60*time.Millisecond)
+			must.EqOp(t, Wait, s.Again(0, first).Verdict) // its endpoint is left alone
 			s.Withdraw(first)
 			must.EqOp(t, Wait, s.Submit(0, ask(min(66*time.Millisecond, tc.poll))).Verdict)
 			out := s.Poll(tc.poll)
