--- a/outlier/record.go
+++ b/outlier/record.go
@@ -70,11 +70,16 @@
 	if r.streak == 0 && r.row[f] < inRow[f] {
 		return false
 	}
+	r.eject(now, draw)
+	return true
+}
+
+// eject leaves the endpoint alone for a time that doubles with each ejection in a row.
+func (r *Record) eject(now time.Duration, draw float64) {
 	hold := min(firstEjection<<min(r.streak, 8), longestEjection)
 	r.row = [failures]int{}
 	r.streak++
 	r.since, r.until = now, now+time.Duration((1+ejectionSpread*draw)*float64(hold))
-	return true
 }
 
 // Answered notes the first sign of an answer: the endpoint is there.
@@ -100,8 +105,21 @@
 // Ended notes the end of a request that tells nothing of the endpoint, such as one whose caller left.
 func (r *Record) Ended() { r.probe = false }
 
-// Hear takes the sum of what other hosts tell.
-func (r *Record) Hear(now time.Duration, e Evidence) { r.others, r.heard = e, now }
+// Hear takes the sum of what other hosts tell: they may eject the endpoint for this host, too, and a good answer that
+// one of them had while it was half open is as good as an own one.
+func (r *Record) Hear(now time.Duration, e Evidence) {
+	r.others, r.heard = e, now
+	all := r.all(now)
+	switch r.State(now) {
+	case Open:
+	case Closed, HalfOpen:
+		if all.Bad >= leastBad && all.failing() >= deadFrom {
+			r.eject(now, 0)
+		} else if r.streak > 0 && e.Good >= 1 && all.failing() < riskyFrom {
+			r.row, r.streak, r.probe = [failures]int{}, 0, false
+		}
+	}
+}
 
 // Told is what this host tells others.
 func (r *Record) Told(now time.Duration) Evidence { return r.own.fade(now - r.at).bounded() }
@@ -120,9 +138,6 @@
 	if now < r.until {
 		return Open
 	}
-	if all := r.all(now); all.Bad >= leastBad && all.failing() >= deadFrom {
-		return Open
-	}
 	if r.streak > 0 {
 		return HalfOpen
 	}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -85,7 +85,7 @@
 			c.whole += time.Duration(s.cfg.FarCost * float64(c.whole))
 		}
 		// A failure costs at least one more try.
-		c.whole = time.Duration(float64(c.whole) / max(leastSound, 1-e.health.Failing(now)))
+		c.whole = time.Duration(float64(c.whole) / max(leastSound, 1-s.risk(now, r, e)))
 		best = min(best, c.whole)
 		s.cands = append(s.cands, c)
 	}
--- a/sched/health.go
+++ b/sched/health.go
@@ -104,6 +104,15 @@
 	return e.serves(now) && (p.panics || e.health.State(now) != outlier.Open)
 }
 
+// risk is the part of its worth that a request is expected to lose at an endpoint that fails some. A probe of one that is
+// half open is to be sent while others have room, too, or it would not be used again until they have none.
+func (s *Scheduler) risk(now time.Duration, r *Request, e *endpointState) float64 {
+	if r.Settings.Repeatable && e.health.State(now) == outlier.HalfOpen && !r.pool.panics {
+		return 0
+	}
+	return e.health.Failing(now)
+}
+
 // trusts reports whether a request may be risked at an endpoint that may have failed others lately. One that has run
 // and for which nothing better has come is: its caller has an answer in part, or has waited for one.
 func (s *Scheduler) trusts(now time.Duration, r *Request, e *endpointState) bool {
--- a/sched/value.go
+++ b/sched/value.go
@@ -69,7 +69,7 @@
 	if s.stalls(r, e, step, ahead) {
 		inTime *= gapWorth
 	}
-	w := done * (lateWorth + (1-lateWorth)*inTime) * (1 - e.health.Failing(now))
+	w := done * (lateWorth + (1-lateWorth)*inTime) * (1 - s.risk(now, r, e))
 	if s.stalls(r, e, step, ahead+r.PromptTokens) {
 		w -= min(mostStall, stallWorth*load)
 	}
