outlier, sched, ingress, peers: ejection of endpoints that fail, by one owner, with what all hosts see

A lost answer held it for 30 ms; one that may not be repeated held it not at all; any later report took the hold back; failures were known to one host and forgotten by half in 3 s. A 5xx was learned as a fast answer.

Change: outlier.Record owns it: failures in a row by kind, ejection for 1 s that doubles up to 8 s, half-open probes by requests that may be repeated, and the part of failures of all hosts, told in heartbeats with a bounded weight a host. Ejections do not count while half of a pool fails. Requests that may not be repeated stay away from an endpoint that fails half of its requests. What was under way and has no other place may go there. The second hold in ingress is gone.

--- a/edge/vars.go
+++ b/edge/vars.go
@@ -34,6 +34,10 @@
 	EndpointsAgeMS    int64               `json:"endpoints_age_ms"`
 	// EndpointsForeign counts the entries that another program wrote in the place of endpoints'.
 	EndpointsForeign int `json:"endpoints_foreign"`
+	// EndpointsEjected counts the endpoints that get no work now because they fail, Ejections how often this host ejected
+	// one for failures of its own requests.
+	EndpointsEjected int `json:"endpoints_ejected"`
+	Ejections        int `json:"ejections"`
 	// PeersLive and PeersCounted are the other hosts heard of lately, and those that may run.
 	PeersLive    int `json:"peers_live"`
 	PeersCounted int `json:"peers_counted"`
@@ -56,6 +60,7 @@
 		v.SettingsAgeMS = age.Milliseconds()
 	}
 	v.Endpoints, v.EndpointsAgeMS = h.endpoints.Beliefs(), -1
+	v.EndpointsEjected, v.Ejections = h.ingress.Ejected()
 	v.EndpointsForeign = h.endpoints.Foreign()
 	if view, ok := h.endpoints.View(); ok {
 		v.EndpointsRevision, v.EndpointsAgeMS = view.Revision, (h.now() - view.At).Milliseconds()
--- a/ingress/state.go
+++ b/ingress/state.go
@@ -16,5 +16,13 @@
 	return s.balance.changes()
 }
 
+// Ejected counts the endpoints that get no work now because they fail, and the ejections since the start.
+func (s *Server) Ejected() (now, ever int) {
+	b := s.balance
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sched.Ejected(b.now()), b.sched.Ejections()
+}
+
 // SetOthers takes what all other hosts together have running and waiting.
 func (s *Server) SetOthers(o peers.Others) { s.balance.setOthers(s.Now(), o) }
--- a/sched/health_test.go
+++ b/sched/health_test.go
@@ -56,6 +56,9 @@
 					PromptTokens: 100, MaxTokens: 20, LikelyTokens: 20, Arrived: now, Deadline: now + 10*time.Second, Aim: Aim{First: time.Second},
 				}
 			}
+			first := request(0)
+			must.EqOp(t, Run, s.Submit(0, first).Verdict)
+			s.Done(0, first, Dropped, 0)
 			for _, i := range tc.failing {
 				for range tc.times {
 					r := request(0)
