--- a/edge/host.go
+++ b/edge/host.go
@@ -204,7 +204,9 @@
 		Table: &peers.Table{Host: h.Boot.Host, Life: h.life}, Conn: conn, Seeds: h.seeds(h.Boot.Seeds), Host: h, Now: h.now,
 		Rand: rand.New(rand.NewPCG(h.life, 1)), Log: h.Log.WithName("peers"),
 	}
+	h.agent.Places = h.ingress
 	h.agent.Init()
+	h.ingress.SetKick(h.agent.KickAsks)
 	return nil
 }
 
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -14,6 +14,7 @@
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/settings"
@@ -34,6 +35,8 @@
 	ranks   map[string][]rankOf // by service, sorted
 	changed map[string]bool     // endpoints whose own load changed since it was told
 	waited  bool                // something waited when it was told last
+	owner   owner
+	kick    func() // asks for places soon
 }
 
 // valueRef names the values in force for a workspace on a route.
@@ -53,6 +56,7 @@
 	return &balancer{
 		zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefill: make(map[string]*sched.Quantile), values: make(map[valueRef]*settings.Effective), ranks: make(map[string][]rankOf), changed: make(map[string]bool),
+		owner: owner{books: make(map[string]*places.Book), told: make(map[string]places.Ask), returned: make(map[string]bool), rand: r}, kick: func() {},
 	}
 }
 
@@ -146,6 +150,7 @@
 			delete(b.targets, life)
 		}
 	}
+	b.sweepBooks()
 	b.setList(now)
 	b.poll(now)
 }
@@ -258,6 +263,7 @@
 		t.own.Running++
 		t.own.Prefill += d.Request.PromptTokens
 		b.changed[d.Endpoint] = true
+		b.kick()
 	}
 }
 
@@ -285,6 +291,9 @@
 	c.req.Settings = b.value(c)
 	d := b.sched.Submit(b.now(), c.req)
 	b.note(d)
+	if d.Verdict == sched.Wait {
+		b.kick()
+	}
 	b.poll(b.now())
 	return d
 }
@@ -324,6 +333,7 @@
 		return
 	}
 	b.changed[c.at.Life()] = true
+	b.kick()
 	t.own.Running--
 	if !c.firstSeen {
 		t.own.Prefill -= c.req.PromptTokens
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -123,6 +123,9 @@
 	}
 }
 
+// SetKick gives what makes the host ask for places soon; call it before the first request.
+func (s *Server) SetKick(kick func()) { s.balance.kick = kick }
+
 // SetEndpoints is called with each new list of endpoints.
 func (s *Server) SetEndpoints(list []feed.Endpoint) { s.balance.setEndpoints(s.Now(), list) }
 
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -90,6 +90,8 @@
 	Seeds []string
 	// Host is the program.
 	Host Host
+	// Places is the program as an owner of places and one that asks for them, or nil.
+	Places PlaceHost
 	// Now is the steady clock.
 	Now func() time.Duration
 	// Every is the time between heartbeats; 0 means DefaultEvery.
@@ -110,6 +112,9 @@
 	relay  Relay   // what this host passes on
 	uplink uplink  // the relay that passes on what this host tells
 	told   history // what this host told
+	asking chan struct{}
+	askSeq uint32
+	owners owners
 }
 
 // greeted is a host that is to be told of the others.
@@ -118,6 +123,7 @@
 // Init makes the agent ready; call it before Run.
 func (a *Agent) Init() {
 	a.kick = make(chan struct{}, 1)
+	a.asking = make(chan struct{}, 1)
 	a.live = make(map[string]bool)
 	a.relay = Relay{Host: a.Table.Host, Life: a.Table.Life}
 	if a.Every == 0 {
@@ -193,6 +199,9 @@
 func (a *Agent) Run(ctx context.Context) {
 	go a.receive(ctx)
 	go a.tellChanges(ctx)
+	if a.Places != nil {
+		go a.ask(ctx)
+	}
 	t := time.NewTicker(a.Every)
 	defer t.Stop()
 	for {
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -29,12 +29,14 @@
 	kindMember = 'm' // the same, to be passed on by the receiver
 	kindDigest = 'd' // deflated JSON of a Digest
 	kindUpdate = 'u' // JSON of an Update, too short to be worth deflating
+	kindAsks   = 'a' // JSON of Asks
+	kindGrants = 'g' // JSON of Grants
 )
 
 // member is a heartbeat to a relay, which is to pass on its words.
 type member struct{ Beat }
 
-// encode writes a *Beat, *member, *Digest or *Update.
+// encode writes a *Beat, *member, *Digest, *Update, *Asks or *Grants.
 func encode(msg any) ([]byte, error) {
 	switch msg := msg.(type) {
 	case *Beat:
@@ -44,12 +46,21 @@
 	case *Digest:
 		return deflate(kindDigest, msg)
 	case *Update:
-		b, err := json.Marshal(msg)
-		return append([]byte{kindUpdate}, b...), err
+		return plain(kindUpdate, msg)
+	case *Asks:
+		return plain(kindAsks, msg)
+	case *Grants:
+		return plain(kindGrants, msg)
 	}
 	return nil, errKind
 }
 
+// plain writes JSON.
+func plain(kind byte, msg any) ([]byte, error) {
+	b, err := json.Marshal(msg)
+	return append([]byte{kind}, b...), err
+}
+
 // deflate writes deflated JSON: bytes between zones are paid for.
 func deflate(kind byte, msg any) ([]byte, error) {
 	var out bytes.Buffer
@@ -72,7 +83,7 @@
 // errKind means that a datagram is of no known kind.
 var errKind = eris.New("datagram is of no known kind; its sender may run another version")
 
-// decode reads a datagram: a *Beat, *member, *Digest or *Update.
+// decode reads a datagram: a *Beat, *member, *Digest, *Update, *Asks or *Grants.
 func decode(data []byte) (any, error) {
 	if len(data) == 0 {
 		return nil, errKind
@@ -90,6 +101,12 @@
 	case kindUpdate:
 		var u Update
 		return &u, json.Unmarshal(data, &u)
+	case kindAsks:
+		var m Asks
+		return &m, json.Unmarshal(data, &m)
+	case kindGrants:
+		var m Grants
+		return &m, json.Unmarshal(data, &m)
 	}
 	return nil, errKind
 }
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -48,6 +48,14 @@
 		a.hearDigest(msg)
 	case *Update:
 		a.hearUpdate(msg)
+	case *Asks:
+		if a.Places != nil && msg.Host != a.Table.Host {
+			a.answerAsks(a.Places.Asked(msg.Host, msg.Seq, msg.Asks))
+		}
+	case *Grants:
+		if a.Places != nil && msg.To == a.Table.Life {
+			a.Places.Granted(msg.Grants)
+		}
 	}
 }
 
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -44,7 +44,7 @@
 	if !s.trusts(now, r, e) || (load >= limit && !s.withinShare(e, limit)) {
 		return false
 	}
-	if !s.mayFill(r, e) {
+	if !s.mayFill(now, r, e) {
 		return false
 	}
 	if e.eased && (e.own > 0 || r.rank() == 0) {
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -106,6 +106,13 @@
 // drawEndpoint draws the claims on one endpoint, of which this host is to take a part of
 // the free places. Claims that were not used are given up after some time.
 func (s *Scheduler) drawEndpoint(now time.Duration, e *endpointState, part float64) {
+	if s.owned(now) {
+		if now-e.claimedAt > grantFor {
+			e.claims = 0
+		}
+		e.vacated = 0
+		return
+	}
 	free := s.free(now, e)
 	if free <= 0 || now-e.claimedAt > claimDelays*s.news.Age {
 		e.claims = 0
@@ -130,8 +137,14 @@
 }
 
 // mayFill reports whether a request may take a place of an endpoint.
-func (s *Scheduler) mayFill(r *Request, e *endpointState) bool {
-	if !r.pool.scarce || e.vacated > 0 || e.claims > 0 {
+func (s *Scheduler) mayFill(now time.Duration, r *Request, e *endpointState) bool {
+	if !r.pool.scarce || e.claims > 0 {
+		return true
+	}
+	if s.owned(now) {
+		return false
+	}
+	if e.vacated > 0 {
 		return true
 	}
 	rationed := r.pool.rations[r.rank()].cut > 0
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -63,6 +63,7 @@
 	downUntil time.Duration // it is known to be of no use until then
 	health    outlier.Record
 
+	exactAt    time.Duration // when the owner of its places told of other hosts' requests
 	vacated    int           // places that own requests left lately
 	vacatedAt  time.Duration // when the last one did
 	claims     int           // free places that this host may take
@@ -153,7 +154,9 @@
 	}
 	e.report, e.hasReport = rep, true
 	e.atReport = e.ownAt(rep.At)
-	e.others = max(0, rep.Running+rep.Waiting-e.atReport.outstanding)
+	if e.exactAt == 0 || now-e.exactAt > exactFor {
+		e.others = max(0, rep.Running+rep.Waiting-e.atReport.outstanding)
+	}
 	e.othersPrefill = max(0, rep.PrefillTokens-e.atReport.prefill)
 	if !rep.Reckoned {
 		e.downUntil = min(e.downUntil, now)
--- /dev/null
+++ b/sched/grant.go
@@ -0,0 +1,116 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/heathkeel/heathkeel/places"
+)
+
+// In large fleets one host owns the places of an endpoint and gives them, see package places. While places are scarce a
+// host then fills one only by a grant; where no owner answers, it goes on by claims.
+
+const (
+	// asksPerRequest is the number of endpoints that are asked for a place for each request that waits: with one, a
+	// request waits for that endpoint's next free place; with many, most places that are granted are given back.
+	asksPerRequest = 3
+	// mostAsked bounds the requests for which is asked at a time.
+	mostAsked = 4
+	// ownedFor is the time after an owner's answer in which a host relies on owners: several of its asks.
+	ownedFor = 300 * time.Millisecond
+	// grantFor is the time in which a granted place may be taken, well within the time after which its owner gives it to
+	// another host.
+	grantFor = 50 * time.Millisecond
+	// exactFor is the time for which what an owner told of other hosts' requests is better than what comes by way of
+	// relays.
+	exactFor = 400 * time.Millisecond
+	// askBlur is the part of an endpoint's places by which its load is blurred in the choice whom to ask, so that hosts with the
+	// same news do not all ask the same.
+	askBlur = 0.5
+)
+
+// owned reports whether owners of places answer.
+func (s *Scheduler) owned(now time.Duration) bool {
+	return s.ownerAt > 0 && now-s.ownerAt < ownedFor
+}
+
+// Wants names the endpoints at which this host wants a place, and the highest tier for which.
+func (s *Scheduler) Wants(now time.Duration) map[string]int {
+	out := make(map[string]int)
+	for _, p := range s.pools {
+		if p.waiting == 0 || !p.scarce {
+			continue
+		}
+		rank := 0
+		for rank < maxRanks-1 && p.tiers[rank].waiting == 0 {
+			rank++
+		}
+		for _, e := range s.asked(now, p, asksPerRequest*min(mostAsked, p.waiting)) {
+			out[e.Name] = rank
+		}
+	}
+	return out
+}
+
+// asked picks the endpoints of a pool to ask: those with most room as far as is known.
+func (s *Scheduler) asked(now time.Duration, p *pool, n int) []*endpointState {
+	type one struct {
+		e    *endpointState
+		load float64
+	}
+	list := make([]one, 0, len(p.members))
+	for _, e := range p.members {
+		if p.usable(now, e) && (p.panics || e.health.Sound(now)) {
+			list = append(list, one{e, s.load(now, e)/float64(e.slots()) + askBlur*s.Rand.Float64()})
+		}
+	}
+	slices.SortFunc(list, func(a, b one) int { return cmp.Compare(a.load, b.load) })
+	out := make([]*endpointState, 0, n)
+	for _, o := range list[:min(n, len(list))] {
+		out = append(out, o.e)
+	}
+	return out
+}
+
+// Granted takes what the owner of an endpoint's places answers, and reports whether a place that was granted is of use.
+func (s *Scheduler) Granted(now time.Duration, name string, g places.Grant) bool {
+	s.ownerAt = max(now, 1)
+	e := s.byName[name]
+	if e == nil {
+		return g.Places == 0
+	}
+	e.others, e.exactAt = g.Running, max(now, 1)
+	if g.Places == 0 {
+		return true
+	}
+	e.claims, e.claimedAt = g.Places, now
+	s.wake(e)
+	for _, p := range s.pools {
+		if p.waiting > 0 && slices.Contains(p.members, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// LimitOf gives the number of requests up to which a tier may fill an endpoint.
+func (s *Scheduler) LimitOf(now time.Duration, name string) func(rank int) int {
+	e := s.byName[name]
+	if e == nil || !e.serves(now) {
+		return func(int) int { return 0 }
+	}
+	return func(rank int) int { return int(s.limitFor(rank, e)) }
+}
+
+// Own is the number of this host's requests at an endpoint.
+func (s *Scheduler) Own(name string) int {
+	if e := s.byName[name]; e != nil {
+		return e.own
+	}
+	return 0
+}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -49,6 +49,8 @@
 	cands   []candidate
 	matches [maxMatches]match
 	matched int
+	// ownerAt is when an owner of places answered last, or 0.
+	ownerAt time.Duration
 	// ejections counts those of this host.
 	ejections int
 	log       [logSize]entry
