--- a/ingress/places.go
+++ b/ingress/places.go
@@ -48,14 +48,15 @@
 	}
 	out := make(map[string]places.Ask)
 	for life := range b.targets {
-		ask := places.Ask{Running: b.sched.Own(life), Rank: -1}
+		ask := places.Ask{Running: b.sched.Own(life), Rank: -1, Back: b.owner.returned[life]}
 		rank, wanted := wants[life]
 		if wanted {
 			ask.Rank = rank
 		}
 		known, told := b.owner.told[life]
-		if wanted || b.owner.returned[life] || (told && known != ask) || (!told && ask.Running > 0) || (all && ask.Running > 0) {
+		if wanted || ask.Back || (told && known != ask) || (!told && ask.Running > 0) || (all && ask.Running > 0) {
 			out[life] = ask
+			ask.Back = false
 			b.owner.told[life] = ask
 		}
 	}
@@ -69,7 +70,7 @@
 }
 
 // Asked implements peers.PlaceHost.
-func (s *Server) Asked(host string, seq uint32, asks map[string]places.Ask) map[string]map[string]places.Grant {
+func (s *Server) Asked(host string, run uint64, seq uint32, asks map[string]places.Ask) map[string]map[string]places.Grant {
 	b := s.balance
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -84,7 +85,7 @@
 			book = &places.Book{}
 			b.owner.books[life] = book
 		}
-		book.Hear(now, host, seq, ask)
+		book.Hear(now, host, run, seq, ask)
 		for _, to := range book.Give(now, b.sched.LimitOf(now, life), b.owner.rand) {
 			add(out, to, life, places.Grant{Places: 1, Running: book.Others(now, to)})
 		}
--- a/peers/places.go
+++ b/peers/places.go
@@ -48,7 +48,7 @@
 	// Asks gives what is to be told to owners, and whether something waits.
 	Asks() (asks map[string]places.Ask, waits bool)
 	// Asked takes what a host tells this one as an owner and returns the grants, by host.
-	Asked(host string, seq uint32, asks map[string]places.Ask) map[string]map[string]places.Grant
+	Asked(host string, life uint64, seq uint32, asks map[string]places.Ask) map[string]map[string]places.Grant
 	// Granted takes what an owner answers.
 	Granted(grants map[string]places.Grant)
 }
@@ -145,7 +145,7 @@
 	a.mu.Unlock()
 	for name, part := range by {
 		if name == a.Table.Host {
-			a.answerAsks(a.Places.Asked(name, seq, part))
+			a.answerAsks(a.Places.Asked(name, a.Table.Life, seq, part))
 		} else if to[name] != "" {
 			a.write(&Asks{Host: a.Table.Host, Life: a.Table.Life, Seq: seq, Asks: part}, []string{to[name]})
 		}
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -50,7 +50,7 @@
 		a.hearUpdate(msg)
 	case *Asks:
 		if a.Places != nil && msg.Host != a.Table.Host {
-			a.answerAsks(a.Places.Asked(msg.Host, msg.Seq, msg.Asks))
+			a.answerAsks(a.Places.Asked(msg.Host, msg.Life, msg.Seq, msg.Asks))
 		}
 	case *Grants:
 		if a.Places != nil && msg.To == a.Table.Life {
--- a/places/book.go
+++ b/places/book.go
@@ -27,6 +27,9 @@
 	Running int `json:"r"`
 	// Rank is the highest tier for which it wants a place, 0 the highest, -1 for none.
 	Rank int `json:"k"`
+	// Back says that a place which was granted is not taken. A host that wants none may have one granted all the same, on its
+	// way.
+	Back bool `json:"b,omitempty"`
 }
 
 // Grant is what the owner answers.
@@ -44,6 +47,7 @@
 
 // row is what a host told.
 type row struct {
+	life    uint64
 	seq     uint32
 	running int
 	rank    int
@@ -52,22 +56,22 @@
 	until   time.Duration // until when what was granted may be taken
 }
 
-// Hear takes what a host told. Words that were overtaken do not count. Requests that it has begun since took what
-// was granted; a host that wants nothing gives it back.
-func (b *Book) Hear(now time.Duration, host string, seq uint32, a Ask) {
+// Hear takes what a host told in a life of its process. Words that were overtaken do not count. Requests that it has begun since took what
+// was granted.
+func (b *Book) Hear(now time.Duration, host string, life uint64, seq uint32, a Ask) {
 	if b.rows == nil {
 		b.rows = make(map[string]*row)
 	}
 	r := b.rows[host]
-	if r == nil || now-r.heard > rowLife {
-		r = &row{}
+	if r == nil || r.life != life || now-r.heard > rowLife {
+		r = &row{life: life}
 		b.rows[host] = r
 	}
 	if seq <= r.seq && r.seq != 0 && r.seq-seq < 1<<31 {
 		return
 	}
 	r.granted = max(0, r.granted-max(0, a.Running-r.running))
-	if a.Rank < 0 {
+	if a.Back {
 		r.granted = 0
 	}
 	r.seq, r.running, r.rank, r.heard = seq, a.Running, a.Rank, now
--- /dev/null
+++ b/places/places_test.go
@@ -0,0 +1,141 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package places
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const ms = time.Millisecond
+
+// candidates are n hosts in zones a, b and c.
+func candidates(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i] = Candidate{Host: fmt.Sprint("h", i), Zone: string(rune('a' + i%3))}
+	}
+	return out
+}
+
+// TestOwner holds that owners stand in the endpoint's zone, own about as much as each other, and that the loss of a
+// host moves only what it owned.
+func TestOwner(t *testing.T) {
+	hosts := candidates(30)
+	owned := make(map[string]int)
+	const endpoints = 3000
+	for e := range endpoints {
+		name, zone := fmt.Sprint("e", e), string(rune('a'+e%3))
+		first := Owner(name, zone, hosts)
+		owned[first]++
+		for i, h := range hosts {
+			if h.Host == first {
+				must.EqOp(t, zone, h.Zone)
+			}
+			left := append(append([]Candidate(nil), hosts[:i]...), hosts[i+1:]...)
+			if h.Host != first && e < 30 {
+				must.EqOp(t, first, Owner(name, zone, left))
+			}
+		}
+	}
+	for _, n := range owned {
+		must.Between(t, 60, n, 140)
+	}
+	must.EqOp(t, "", Owner("e", "a", nil))
+	must.NotEq(t, "", Owner("e", "elsewhere", hosts)) // a zone without hosts
+}
+
+// TestBook plays words of hosts to the owner of an endpoint with two places, of which the top tier may have three.
+func TestBook(t *testing.T) {
+	type word struct {
+		at   time.Duration
+		host string
+		seq  uint32
+		ask  Ask
+		want []string // who gets a place for it
+		life uint64   // of the host, 0 for the first
+	}
+	cases := []struct {
+		name  string
+		words []word
+	}{
+		{"free places", []word{{0, "x", 1, Ask{0, 1, false}, []string{"x"}, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}}},
+		{"the top tier may have one more", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}, {0, "z", 1, Ask{0, 0, false}, []string{"z"}, 0}}},
+		{"what was granted is taken", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {0, "y", 2, Ask{1, -1, false}, nil, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}}},
+		{"what was granted is given back", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}, {0, "y", 2, Ask{0, -1, true}, []string{"z"}, 0}}},
+		{"what was granted is not taken in its time", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {grantLife, "z", 1, Ask{0, 1, false}, []string{"z"}, 0}}},
+		{"a request ends", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}, {50 * ms, "x", 2, Ask{1, -1, false}, []string{"y"}, 0}}},
+		{"who waits for a higher tier goes first", []word{{0, "x", 1, Ask{3, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 2, false}, nil, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}, {0, "x", 2, Ask{1, -1, false}, []string{"z"}, 0}}},
+		{"who waits says so", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}, {askLife + 1, "x", 2, Ask{1, -1, false}, nil, 0}}},
+		{"words that were overtaken", []word{{0, "x", 5, Ask{2, -1, false}, nil, 0}, {0, "x", 4, Ask{0, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}}},
+		{"words that are told twice", []word{{0, "x", 5, Ask{1, 1, false}, []string{"x"}, 0}, {0, "x", 5, Ask{1, 1, false}, nil, 0}}},
+		{"a host that fell silent", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {rowLife + 1, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}}},
+		{"a host that starts again", []word{{0, "x", 900, Ask{2, -1, false}, nil, 0}, {ms, "x", 1, Ask{0, 1, false}, []string{"x"}, 2}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			var b Book
+			r := rand.New(rand.NewPCG(1, 1))
+			limit := func(rank int) int {
+				if rank == 0 {
+					return 3
+				}
+				return 2
+			}
+			for i, w := range tc.words {
+				b.Hear(w.at, w.host, cmp.Or(w.life, 1), w.seq, w.ask)
+				must.Eq(t, w.want, b.Give(w.at, limit, r), must.Sprint("word ", i))
+			}
+		})
+	}
+}
+
+// TestBookHolds plays random hosts whose words are lost, late and doubled: the places that are taken, and those granted
+// and not returned, are never more than there are but for those whose words were lost, and no grant is made
+// while as many are known to be taken.
+func TestBookHolds(t *testing.T) {
+	const hosts, places = 12, 9
+	for seed := range uint64(200) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		var b Book
+		var running, allowed [hosts]int
+		var seq [hosts]uint32
+		limit := func(int) int { return places }
+		for now := time.Duration(0); now < 3*time.Second; now += 2 * ms {
+			h := r.IntN(hosts)
+			switch {
+			case allowed[h] > 0 && r.IntN(2) == 0:
+				allowed[h]--
+				running[h]++
+			case running[h] > 0 && r.IntN(4) == 0:
+				running[h]--
+			}
+			seq[h]++
+			rank := r.IntN(3) - 1
+			back := rank < 0 && r.IntN(2) == 0
+			if back {
+				allowed[h] = 0
+			}
+			b.Hear(now, fmt.Sprint(h), 1, seq[h], Ask{Running: running[h], Rank: rank, Back: back})
+			for _, to := range b.Give(now, limit, r) {
+				var i int
+				_, err := fmt.Sscan(to, &i)
+				must.NoError(t, err)
+				allowed[i] = 1
+			}
+			total := 0
+			for i := range running {
+				total += running[i]
+			}
+			must.LessEq(t, places+hosts/2, total, must.Sprint("seed ", seed)) // a place taken after its time, before its host says so
+			must.LessEq(t, places+hosts, b.Running(now))
+		}
+	}
+}
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -22,7 +22,7 @@
 // Places are scarce when those free at all endpoints are fewer than a few times the
 // requests that come to all hosts until news of them is heard, or few while a tier is rationed. Where requests take less
 // time than news, as at plain services, news tells nothing of the places that are free now,
-// and none are claimed.
+// and none are claimed. Where a host owns an endpoint's places and answers, its grants take the place of claims; see grant.go.
 
 // Figures of claims.
 const (
@@ -106,7 +106,7 @@
 // drawEndpoint draws the claims on one endpoint, of which this host is to take a part of
 // the free places. Claims that were not used are given up after some time.
 func (s *Scheduler) drawEndpoint(now time.Duration, e *endpointState, part float64) {
-	if s.owned(now) {
+	if s.owned(now, e) {
 		if now-e.claimedAt > grantFor {
 			e.claims = 0
 		}
@@ -141,7 +141,7 @@
 	if !r.pool.scarce || e.claims > 0 {
 		return true
 	}
-	if s.owned(now) {
+	if s.owned(now, e) {
 		return false
 	}
 	if e.vacated > 0 {
--- a/sched/claim_test.go
+++ b/sched/claim_test.go
@@ -257,7 +257,7 @@
 			r.pool.scarce = tc.scarce
 			e := s.byName["e0"]
 			e.vacated, e.claims = tc.vacated, tc.claims
-			must.EqOp(t, tc.want, s.mayFill(r, e))
+			must.EqOp(t, tc.want, s.mayFill(0, r, e))
 		})
 	}
 }
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -64,6 +64,8 @@
 	health    outlier.Record
 
 	exactAt    time.Duration // when the owner of its places told of other hosts' requests
+	askedAt    time.Duration // since when the owner was asked without an answer, or 0
+	askedLast  time.Duration // when it was asked last
 	vacated    int           // places that own requests left lately
 	vacatedAt  time.Duration // when the last one did
 	claims     int           // free places that this host may take
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -18,11 +18,14 @@
 const (
 	// asksPerRequest is the number of endpoints that are asked for a place for each request that waits: with one, a
 	// request waits for that endpoint's next free place; with many, most places that are granted are given back.
-	asksPerRequest = 3
+	asksPerRequest = 6
 	// mostAsked bounds the requests for which is asked at a time.
 	mostAsked = 4
 	// ownedFor is the time after an owner's answer in which a host relies on owners: several of its asks.
 	ownedFor = 300 * time.Millisecond
+	// deafFor is the time without an answer of an endpoint's owner after which the host goes on by claims there: three asks.
+	// A host that has died is known to have after 0.7 s and more.
+	deafFor = 150 * time.Millisecond
 	// grantFor is the time in which a granted place may be taken, well within the time after which its owner gives it to
 	// another host.
 	grantFor = 50 * time.Millisecond
@@ -34,9 +37,20 @@
 	askBlur = 0.5
 )
 
-// owned reports whether owners of places answer.
-func (s *Scheduler) owned(now time.Duration) bool {
-	return s.ownerAt > 0 && now-s.ownerAt < ownedFor
+// owned reports whether owners of places answer, and that of an endpoint does.
+func (s *Scheduler) owned(now time.Duration, e *endpointState) bool {
+	if s.ownerAt == 0 || now-s.ownerAt >= ownedFor {
+		return false
+	}
+	return e.askedAt == 0 || now-e.askedAt < deafFor
+}
+
+// noteAsked notes that the owner of an endpoint's places is asked, and since when without an answer.
+func (e *endpointState) noteAsked(now time.Duration) {
+	if e.askedAt == 0 || now-e.askedLast > deafFor {
+		e.askedAt = max(now, 1)
+	}
+	e.askedLast = now
 }
 
 // Wants names the endpoints at which this host wants a place, and the highest tier for which.
@@ -52,6 +66,7 @@
 		}
 		for _, e := range s.asked(now, p, asksPerRequest*min(mostAsked, p.waiting)) {
 			out[e.Name] = rank
+			e.noteAsked(now)
 		}
 	}
 	return out
@@ -84,7 +99,7 @@
 	if e == nil {
 		return g.Places == 0
 	}
-	e.others, e.exactAt = g.Running, max(now, 1)
+	e.others, e.exactAt, e.askedAt = g.Running, max(now, 1), 0
 	if g.Places == 0 {
 		return true
 	}
