--- a/edge/vars.go
+++ b/edge/vars.go
@@ -34,6 +34,8 @@
 	EndpointsAgeMS    int64               `json:"endpoints_age_ms"`
 	// EndpointsForeign counts the entries that another program wrote in the place of endpoints'.
 	EndpointsForeign int `json:"endpoints_foreign"`
+	// PlacesOwned counts the endpoints whose places this host gives, or gave lately.
+	PlacesOwned int `json:"places_owned"`
 	// EndpointsEjected counts the endpoints that get no work now because they fail, Ejections how often this host ejected
 	// one for failures of its own requests.
 	EndpointsEjected int `json:"endpoints_ejected"`
@@ -60,6 +62,7 @@
 		v.SettingsAgeMS = age.Milliseconds()
 	}
 	v.Endpoints, v.EndpointsAgeMS = h.endpoints.Beliefs(), -1
+	v.PlacesOwned = h.ingress.PlacesOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.Ejected()
 	v.EndpointsForeign = h.endpoints.Foreign()
 	if view, ok := h.endpoints.View(); ok {
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -96,6 +96,14 @@
 	return out
 }
 
+// PlacesOwned counts the endpoints about whose places other hosts asked this one.
+func (s *Server) PlacesOwned() int {
+	b := s.balance
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.owner.books)
+}
+
 // add notes a grant for a host.
 func add(out map[string]map[string]places.Grant, host, life string, g places.Grant) {
 	if out[host] == nil {
--- /dev/null
+++ b/ingress/places_test.go
@@ -0,0 +1,61 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/places"
+	"github.com/heathkeel/heathkeel/route"
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// TestAsks holds what a host tells the owners of places, and when.
+func TestAsks(t *testing.T) {
+	b, now := engines(2)
+	s := &Server{balance: b}
+	asks, waits := s.Asks()
+	must.MapEmpty(t, asks)
+	must.False(t, waits)
+	c := &call{
+		route: &route.Route{Name: "r"}, service: &route.Service{Name: "s", Engine: true},
+		req: &sched.Request{Model: "s", PromptTokens: 100, MaxTokens: 50, Deadline: 10 * time.Second, Aim: sched.Aim{First: time.Second}},
+	}
+	d := b.submit(c)
+	must.EqOp(t, sched.Run, d.Verdict)
+	c.at = feed.Endpoint{Instance: d.Endpoint}
+	one := map[string]places.Ask{d.Endpoint: {Running: 1, Rank: -1}}
+	asks, _ = s.Asks()
+	must.Eq(t, one, asks)
+	asks, _ = s.Asks()
+	must.MapEmpty(t, asks) // it is told
+	*now += refreshAsks
+	asks, _ = s.Asks()
+	must.Eq(t, one, asks) // told again
+	s.Granted(map[string]places.Grant{d.Endpoint: {Places: 1}})
+	asks, _ = s.Asks()
+	must.Eq(t, map[string]places.Ask{d.Endpoint: {Running: 1, Rank: -1, Back: true}}, asks) // nothing waits for it
+	b.done(c, sched.Whole, 10, 0)
+	asks, _ = s.Asks()
+	must.Eq(t, map[string]places.Ask{d.Endpoint: {Rank: -1}}, asks)
+}
+
+// TestAsked holds what an owner answers to hosts that ask for the ten places of an endpoint.
+func TestAsked(t *testing.T) {
+	b, _ := engines(1)
+	s := &Server{balance: b}
+	got := s.Asked("x", 1, 1, map[string]places.Ask{"e0": {Running: 9, Rank: -1}, "unknown": {Running: 1, Rank: 0}})
+	must.MapEmpty(t, got)
+	got = s.Asked("y", 1, 1, map[string]places.Ask{"e0": {Rank: 1}})
+	must.Eq(t, map[string]map[string]places.Grant{"y": {"e0": {Running: 9}}}, got) // the last one is the top tier's
+	got = s.Asked("x", 1, 2, map[string]places.Ask{"e0": {Running: 5, Rank: -1}})
+	must.Eq(t, map[string]map[string]places.Grant{"y": {"e0": {Places: 1, Running: 5}}}, got) // who waits is told when places get free
+	b.setEndpoints(0, nil)
+	must.MapEmpty(t, b.owner.books)
+}
--- a/peers/codec_test.go
+++ b/peers/codec_test.go
@@ -10,6 +10,8 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/places"
 )
 
 // fullBeat is a heartbeat with n hosts and endpoints.
@@ -52,6 +54,17 @@
 	text, err := encode(&Update{Host: "h", LoadSeq: 1, Load: map[string]Load{"e": {Running: 1}}})
 	must.NoError(f, err)
 	f.Add(text)
+	for _, msg := range []any{
+		&Asks{Host: "h", Life: 1, Seq: 2, Asks: map[string]places.Ask{"e": {Running: 1, Rank: -1, Back: true}}},
+		&Grants{Host: "h", To: 1, Grants: map[string]places.Grant{"e": {Places: 1, Running: 3}}},
+	} {
+		data, err := encode(msg)
+		must.NoError(f, err)
+		got, err := decode(data)
+		must.NoError(f, err)
+		must.Eq(f, msg, got)
+		f.Add(data)
+	}
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		table := &Table{Host: "x"}
 		msg, err := decode(data)
--- a/places/book.go
+++ b/places/book.go
@@ -70,6 +70,7 @@
 	if seq <= r.seq && r.seq != 0 && r.seq-seq < 1<<31 {
 		return
 	}
+	a.Running = max(0, a.Running)
 	r.granted = max(0, r.granted-max(0, a.Running-r.running))
 	if a.Back {
 		r.granted = 0
