quarantine, ingress, outcome: lost sends are logged with what tells a request again

Cause: hosts log sends that were lost by the attempt's ID, and callers send a new one with each attempt, to any host: whether the same request was under endpoints that died one after the other can't be told from logs (docs/incidents/crashing-request.md, hypotheses 1 and 3).

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -341,6 +341,16 @@
 	c.firstSeen = false
 }
 
+// beside counts the other requests that are known to be at a call's endpoint, those of other hosts included.
+func (b *balancer) beside(c *call) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t := b.targets[c.at.Life()]; t != nil {
+		return max(0, t.own.Running+t.others.Running-1)
+	}
+	return 0
+}
+
 // sending notes that a request is at its endpoint, and what ends that; it returns what is to be called once it
 // is over, and false if the endpoint has started again since it was chosen.
 func (b *balancer) sending(c *call, end func()) (over func(), ok bool) {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -91,6 +91,7 @@
 // times are the moments and spans of a call that its log line tells.
 type times struct {
 	sent    time.Duration // when it was first sent to an endpoint, 0 for never
+	newest  time.Duration // when it was last sent
 	first   time.Duration // when the first event or answer went to the caller, 0 for never
 	longest time.Duration // the longest pause between two events
 }
@@ -292,6 +293,7 @@
 	c.account.Send()
 	c.mute = true
 	began := c.s.Now()
+	c.times.newest = began
 	watch := newSilence(c.patience(), conn.Close)
 	end, hold := c.exchange(ctx, conn, watch)
 	tired := watch.stop()
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/quarantine"
 )
 
 // tell logs what became of a request, or of a send of it, that did not go well; requests
@@ -20,6 +21,9 @@
 	}
 	e := c.event(now)
 	e.Outcome, e.Status, e.Why, e.RetryAfterMS = kind, status, why, after.Milliseconds()
+	if kind == outcome.SendLost {
+		e.Fingerprint, e.SentMS, e.Beside = c.fingerprint().String(), (now - c.times.newest).Milliseconds(), c.s.balance.beside(c)
+	}
 	c.s.Log.Info(outcome.Message, e.Fields()...)
 }
 
@@ -43,6 +47,15 @@
 	return true
 }
 
+// fingerprint tells the request from others, and not from later attempts at it.
+func (c *call) fingerprint() quarantine.Fingerprint {
+	r := quarantine.Request{Method: c.r.Method, Host: c.r.Host, URI: c.uri, Body: c.body}
+	if c.workspace != nil {
+		r.Workspace = c.workspace.Name
+	}
+	return r.Fingerprint()
+}
+
 // event gives what is known of the request.
 func (c *call) event(now time.Duration) outcome.Event {
 	e := outcome.Event{
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -49,6 +49,12 @@
 	Endpoint string `json:"endpoint"`
 	Sends    int    `json:"sends"`
 	Events   int    `json:"events"`
+	// Fingerprint is the same for all attempts at one request, whoever they came to, SentMS the time since the newest
+	// send, and Beside the number of other requests that were known to be at that endpoint; only lines of sends that
+	// were lost tell them.
+	Fingerprint string `json:"fingerprint,omitempty"`
+	SentMS      int64  `json:"sent_ms,omitempty"`
+	Beside      int    `json:"beside,omitempty"`
 	// HeldMS is the time since its arrival, PredictedMS the predicted time to the first
 	// event at that endpoint, and LeftMS what was left to its deadline.
 	HeldMS      int64 `json:"held_ms"`
@@ -82,7 +88,7 @@
 
 // Fields gives the event as keys and values for a logger, without time and host.
 func (e *Event) Fields() []any {
-	return []any{
+	fields := []any{
 		"id", e.ID, "workspace", e.Workspace, "route", e.Route, "service", e.Service,
 		"outcome", e.Outcome, "status", e.Status, "why", e.Why,
 		"endpoint", e.Endpoint, "sends", e.Sends, "events", e.Events,
@@ -93,4 +99,8 @@
 		"held_ms", e.HeldMS, "predicted_ms", e.PredictedMS, "left_ms", e.LeftMS,
 		"retry_after_ms", e.RetryAfterMS, "revision", e.Revision, "settings_age_ms", e.SettingsAgeMS,
 	}
+	if e.Outcome == SendLost {
+		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.Beside)
+	}
+	return fields
 }
--- /dev/null
+++ b/quarantine/fingerprint_test.go
@@ -0,0 +1,44 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestFingerprint checks that each part of a request counts, and that parts do not run into each other.
+func TestFingerprint(t *testing.T) {
+	base := Request{Workspace: "w", Method: "POST", Host: "h", URI: "/a?b", Body: []byte("text")}
+	cases := []struct {
+		name string
+		req  Request
+		same bool
+	}{
+		{"the same", Request{"w", "POST", "h", "/a?b", []byte("text")}, true},
+		{"another workspace", Request{"v", "POST", "h", "/a?b", []byte("text")}, false},
+		{"another method", Request{"w", "PUT", "h", "/a?b", []byte("text")}, false},
+		{"another host", Request{"w", "POST", "g", "/a?b", []byte("text")}, false},
+		{"another query", Request{"w", "POST", "h", "/a?c", []byte("text")}, false},
+		{"one byte of the body", Request{"w", "POST", "h", "/a?b", []byte("texu")}, false},
+		{"no body", Request{"w", "POST", "h", "/a?b", nil}, false},
+		{"a boundary moved", Request{"w", "POST", "h/", "a?b", []byte("text")}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			must.EqOp(t, c.same, base.Fingerprint() == c.req.Fingerprint())
+		})
+	}
+}
+
+// BenchmarkFingerprint hashes a body of 4 KB.
+func BenchmarkFingerprint(b *testing.B) {
+	r := Request{Workspace: "w", Method: "POST", Host: "h", URI: "/a", Body: make([]byte, 4<<10)}
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Fingerprint()
+	}
+}
