feed: a host that is told of an entry held back learns which newer life it is held back for

Traced: its list came from a peer, in which the entry of a life was held back for a newer one; the peer told what it held back, and not for which life. The host kept the life that it had known before both as the newest, and took a late write of that one for news. Which host's list is passed on first differs by the order of goroutines.

Change: entries that are held back are told with the life that is taken for the newest.

--- a/feed/lives.go
+++ b/feed/lives.go
@@ -5,6 +5,7 @@
 package feed
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -81,6 +82,9 @@
 	// Endpoint is what it says, and Age for how long it has stood, in nanoseconds.
 	Endpoint Endpoint      `json:"endpoint"`
 	Age      time.Duration `json:"age"`
+	// Newest is the time of the start of the life that is taken for the newest. A host that is told of the entry alone
+	// would take a late write of a life it knew before, older than both, for the newest.
+	Newest int64 `json:"newest"`
 }
 
 // holds gives the entries that are held back.
@@ -88,7 +92,7 @@
 	var out []Held
 	for _, known := range l {
 		if known.held != nil {
-			out = append(out, Held{*known.held, now - known.since})
+			out = append(out, Held{*known.held, now - known.since, known.born})
 		}
 	}
 	slices.SortFunc(out, func(a, b Held) int { return strings.Compare(a.Endpoint.Instance, b.Endpoint.Instance) })
@@ -106,7 +110,7 @@
 			known = &life{seen: now}
 			l[h.Endpoint.Instance] = known
 		}
-		known.held, known.since = &h.Endpoint, now-h.Age
+		known.held, known.since, known.born = &h.Endpoint, now-h.Age, cmp.Or(h.Newest, known.born)
 	}
 }
 
--- a/feed/lives_test.go
+++ b/feed/lives_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 )
 
@@ -97,6 +98,41 @@
 	}
 }
 
+// TestHeldLifeIsLearned tells a host by a peer's list that an entry is held back, since a newer life is known: a late write of the
+// life that the host itself knew last is then no news either.
+func TestHeldLifeIsLearned(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		m := newMemoryStore()
+		start := time.Now()
+		newEndpoints := func() *Endpoints {
+			e := &Endpoints{
+				Store: m, Prefix: "servers/", Every: 800 * time.Millisecond, Wait: 100 * time.Millisecond, Pause: 400 * time.Millisecond,
+				Lapses: testLapses, Now: func() time.Duration { return time.Since(start) }, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
+			}
+			e.Init()
+			return e
+		}
+		reads, hears := newEndpoints(), newEndpoints()
+		pass := func() {
+			must.NoError(t, reads.ask(ctx))
+			l, ok := reads.List()
+			must.True(t, ok)
+			hears.Offer(l)
+		}
+		m.put("servers/a", "ready@5")
+		pass()
+		m.put("servers/a", "ready@9")
+		m.put("servers/a", "ready@7")
+		pass()
+		m.put("servers/a", "ready@5")
+		must.NoError(t, hears.ask(ctx))
+		l, _ := hears.List()
+		must.SliceEmpty(t, l.Endpoints)
+	})
+}
+
 // TestForeignEntries holds that an entry which no endpoint wrote names none to use: it goes the way of one
 // that was removed, is counted, and touches no other.
 func TestForeignEntries(t *testing.T) {
