placer, fleet, router: leases, membership and the scheduler's time count suspensions of the host

hkrouter and hkplacer measured them by the steady clock as well: a lease looked held after a suspension longer than its time to live. TestHolderSuspendedPastItsLease fails with that clock.

--- a/fleet/agent.go
+++ b/fleet/agent.go
@@ -13,6 +13,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
 )
@@ -55,13 +56,14 @@
 	SetFloors func([]Floor)
 	// Listed is told of each reading of the platform's list; nil means nobody.
 	Listed func([]keyval.ListEntry)
+	// Clock is the host's clock; nil means one that counts suspensions.
+	Clock *clock.Clock
 	// Seed seeds the choice of suspects to probe.
 	Seed uint64
 	// Log takes changes of state.
 	Log logr.Logger
 
 	mu      sync.Mutex
-	start   time.Time
 	table   *Table
 	outbox  map[once.Incarnation][]Host
 	missed  map[once.Incarnation]int
@@ -87,7 +89,9 @@
 	if a.table != nil {
 		return
 	}
-	a.start = time.Now()
+	if a.Clock == nil {
+		a.Clock = clock.New()
+	}
 	a.table = NewTable(a.Self)
 	a.outbox = make(map[once.Incarnation][]Host)
 	a.missed = make(map[once.Incarnation]int)
@@ -97,8 +101,8 @@
 	a.kick = make(chan struct{}, 1)
 }
 
-// now is the time since the agent began; mu must be held.
-func (a *Agent) now() time.Duration { return time.Since(a.start) + 1 }
+// now is the time of the host's clock, never 0; mu must be held.
+func (a *Agent) now() time.Duration { return a.Clock.Now() + 1 }
 
 // View calls fn with the table; fn must not keep it or block.
 func (a *Agent) View(fn func(*Table)) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -15,6 +15,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/fleet"
 	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/once"
@@ -81,6 +82,7 @@
 		Fleet: m.size,
 	}
 	n.Agent = &fleet.Agent{
+		Clock: clock.NewSteady(),
 		Self:  fleet.Host{Name: n.Name, Incarnation: once.Incarnation(i + 1), Address: n.Name, Zone: n.Zone},
 		Peers: n, List: m.List, Interval: m.Interval, Seed: uint64(i), Log: logr.Discard(),
 		Revision: n.Follower.Revision,
--- a/placer/faults_test.go
+++ b/placer/faults_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/internal/fake"
 	"github.com/heathkeel/heathkeel/keyval"
@@ -91,7 +92,8 @@
 func (b *bay) add(kv keyval.KV) *Placer {
 	b.n++
 	p := &Placer{
-		Name: fmt.Sprint("p", b.n), Zone: "z", KV: kv, Weights: b.store, Settings: b.snap.Load,
+		Clock: clock.NewSteady(),
+		Name:  fmt.Sprint("p", b.n), Zone: "z", KV: kv, Weights: b.store, Settings: b.snap.Load,
 		Engine: b.reach, Log: logr.Discard(),
 	}
 	ctx, cancel := context.WithCancel(b.ctx)
@@ -290,7 +292,7 @@
 
 func TestGuardTimeOfUnfencedEngines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		l := Lease{KV: &fake.KV{}, Key: "k", Holder: "a"}
+		l := Lease{KV: &fake.KV{}, Key: "k", Holder: "a", Clock: clock.NewSteady()}
 		must.NoError(t, l.Step(t.Context()))
 		must.True(t, l.MayOrder(true))
 		must.False(t, l.MayOrder(false))
@@ -307,6 +309,27 @@
 	})
 }
 
+// TestHolderSuspendedPastItsLease checks that a holder whose host was suspended knows that its lease may be over, although no time has
+// passed for its process.
+func TestHolderSuspendedPastItsLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var asleep time.Duration
+		c := clock.NewSteady().Skewed(func() time.Duration { return asleep })
+		l := Lease{KV: &fake.KV{}, Key: "k", Holder: "a", Clock: c}
+		must.NoError(t, l.Step(t.Context()))
+		time.Sleep(DefaultTTL - time.Second)
+		must.NoError(t, l.Step(t.Context()))
+		time.Sleep(time.Second)
+		must.True(t, l.MayOrder(false))
+		asleep = DefaultTTL / 2
+		must.True(t, l.Held())
+		must.False(t, l.MayOrder(false))
+		asleep = DefaultTTL
+		must.False(t, l.Held())
+		must.False(t, l.MayOrder(true))
+	})
+}
+
 func TestSettingsChangeReachesEighteenEngines(t *testing.T) {
 	inBay(t, 18, true, true, func(b *bay) {
 		b.add(b.kv)
--- a/placer/guard.go
+++ b/placer/guard.go
@@ -26,6 +26,7 @@
 	if fenced {
 		return true
 	}
-	early := time.Since(l.renewed) < time.Duration(earlyPart*float64(l.ttl()))
-	return early && time.Since(l.since) >= guardTimes*l.ttl()
+	now := l.Clock.Now()
+	early := now-l.renewed < time.Duration(earlyPart*float64(l.ttl()))
+	return early && now-l.since >= guardTimes*l.ttl()
 }
--- a/placer/lease.go
+++ b/placer/lease.go
@@ -9,6 +9,7 @@
 	"errors"
 	"time"
 
+	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/keyval"
 )
 
@@ -32,11 +33,13 @@
 	Holder string
 	// TTL is the time to live; 0 means DefaultTTL.
 	TTL time.Duration
+	// Clock is the host's clock. It counts suspensions, as the key-value service does.
+	Clock *clock.Clock
 
 	id      keyval.Lease
 	token   uint64
-	renewed time.Time // when the last renewal that was answered was sent
-	since   time.Time // when the shard was acquired
+	renewed time.Duration // when the last renewal that was answered was sent
+	since   time.Duration // when the shard was acquired
 }
 
 // ttl returns TTL or its default.
@@ -48,8 +51,8 @@
 }
 
 // Held reports whether the host may believe that it holds the shard, by its own
-// monotonic clock, counted from when the last answered renewal was sent.
-func (l *Lease) Held() bool { return l.token != 0 && time.Since(l.renewed) < l.ttl() }
+// clock, counted from when the last answered renewal was sent.
+func (l *Lease) Held() bool { return l.token != 0 && l.Clock.Now()-l.renewed < l.ttl() }
 
 // Token is the fencing token: the version of the key's write, which only rises.
 func (l *Lease) Token() uint64 { return l.token }
@@ -65,12 +68,12 @@
 // renew extends the lease. An answer that was lost changes nothing: the holder
 // counts on the last answered renewal only.
 func (l *Lease) renew(ctx context.Context) error {
-	sent := time.Now()
+	sent := l.Clock.Now()
 	err := l.KV.Renew(ctx, l.id)
 	switch {
 	case err == nil:
 		l.renewed = sent
-	case errors.Is(err, keyval.ErrLeaseGone), time.Since(l.renewed) >= l.ttl():
+	case errors.Is(err, keyval.ErrLeaseGone), l.Clock.Now()-l.renewed >= l.ttl():
 		l.token, l.id = 0, 0
 	}
 	return err
@@ -85,7 +88,7 @@
 	if !errors.Is(err, keyval.ErrNotFound) {
 		return err
 	}
-	sent := time.Now()
+	sent := l.Clock.Now()
 	if l.id == 0 {
 		if l.id, err = l.KV.Grant(ctx, l.ttl()); err != nil {
 			return err
@@ -99,7 +102,7 @@
 		// With a lost answer the next step finds the key with this holder's name.
 		return err
 	}
-	l.token, l.renewed, l.since = token, sent, time.Now()
+	l.token, l.renewed, l.since = token, sent, l.Clock.Now()
 	return nil
 }
 
@@ -112,6 +115,7 @@
 	if string(it.Value) != l.Holder || l.id == 0 {
 		return errHeld
 	}
-	l.token, l.since, l.renewed = it.Version, time.Now(), time.Time{}
+	now := l.Clock.Now()
+	l.token, l.since, l.renewed = it.Version, now, now-l.ttl()
 	return nil
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/keyval"
 	"github.com/heathkeel/heathkeel/settings"
@@ -52,15 +53,16 @@
 	// TTL and Sweep default to the constants above.
 	TTL   time.Duration
 	Sweep time.Duration
+	// Clock is the host's clock; nil means one that counts suspensions.
+	Clock *clock.Clock
 	// Log takes changes of state.
 	Log logr.Logger
 
 	mu      sync.Mutex
 	lease   Lease
-	start   time.Time
 	failed  map[string]failure
 	loading map[string]*endpoint.Holding
-	drains  map[string]time.Time // when an engine was first seen to drain
+	drains  map[string]time.Duration // when an engine was first seen to drain
 	demand  demands
 	counts  Counts
 }
@@ -99,12 +101,14 @@
 // Run holds the lease and orders engines until ctx ends.
 func (p *Placer) Run(ctx context.Context) {
 	p.mu.Lock()
-	p.start = time.Now()
+	if p.Clock == nil {
+		p.Clock = clock.New()
+	}
 	p.failed = make(map[string]failure)
 	p.loading = make(map[string]*endpoint.Holding)
-	p.drains = make(map[string]time.Time)
+	p.drains = make(map[string]time.Duration)
 	p.demand = make(demands)
-	p.lease = Lease{KV: p.KV, Key: KeyShard + p.Zone, Holder: p.Name, TTL: p.TTL}
+	p.lease = Lease{KV: p.KV, Key: KeyShard + p.Zone, Holder: p.Name, TTL: p.TTL, Clock: p.Clock}
 	if p.Sweep == 0 {
 		p.Sweep = DefaultSweep
 	}
@@ -174,7 +178,7 @@
 	wishes := Wishes(snap, p.Zone)
 	p.holdBack(wishes)
 	p.demand.note(wishes, states)
-	orders := Plan(time.Since(p.start), append(wishes, p.demand.extras(wishes)...), states, p.Limits)
+	orders := Plan(p.Clock.Now(), append(wishes, p.demand.extras(wishes)...), states, p.Limits)
 	p.noteUnplaced(wishes, states)
 	for _, o := range orders {
 		i := slices.IndexFunc(specs, func(e settings.Endpoint) bool { return e.Name == o.Engine })
@@ -272,10 +276,11 @@
 		delete(p.drains, name)
 		return 0
 	}
-	if p.drains[name].IsZero() {
-		p.drains[name] = time.Now()
+	now := p.Clock.Now()
+	if _, known := p.drains[name]; !known {
+		p.drains[name] = now
 	}
-	return time.Since(p.drains[name])
+	return now - p.drains[name]
 }
 
 // noteLoad compares a report with the load ordered before. A failed load holds
@@ -288,7 +293,7 @@
 		return
 	}
 	key := want.Model + "@" + want.Version
-	now := time.Since(p.start)
+	now := p.Clock.Now()
 	switch {
 	case same(rep.Holding, want):
 		delete(p.loading, name)
--- a/router/admit.go
+++ b/router/admit.go
@@ -30,7 +30,7 @@
 	ownID   bool   // the caller brought the ID and can resume
 	req     *sched.Request
 	grant   chan sched.Decision
-	arrived time.Time
+	arrived time.Duration
 	body    []byte
 	held    int64
 }
@@ -50,7 +50,7 @@
 // body. On a problem the ID, if the request has one, is refused for good, so
 // that "not run" stays true. A nil job without a problem was answered elsewhere.
 func (r *Router) begin(w http.ResponseWriter, req *http.Request, service string) (*job, *problem.Problem) {
-	arrived := time.Now()
+	arrived := r.now()
 	id, own, p := r.requestID(req)
 	if p != nil {
 		return nil, p
@@ -278,7 +278,7 @@
 	j.req.Settings = j.eff
 	j.req.Data = j
 	r.mu.Lock()
-	j.req.Arrived = j.arrived.Sub(r.start)
+	j.req.Arrived = j.arrived
 	j.req.Deadline = j.req.Arrived + j.eff.Deadline
 	d := r.sched.Submit(r.now(), j.req)
 	r.pump()
@@ -303,7 +303,7 @@
 	if d.Verdict == sched.Refuse {
 		return d, r.refuse(j, refusal(d))
 	}
-	r.metrics.Record(j.key(), metrics.QueueWait, time.Since(j.arrived))
+	r.metrics.Record(j.key(), metrics.QueueWait, r.now()-j.arrived)
 	return d, nil
 }
 
--- a/router/completions.go
+++ b/router/completions.go
@@ -139,8 +139,8 @@
 		case err != nil:
 			return s.Want, err
 		}
-		now := time.Now()
-		r.noteToken(a, p.Seq, now.Sub(last))
+		now := r.now()
+		r.noteToken(a, p.Seq, now-last)
 		last = now
 		if out(p) != nil || ctx.Err() != nil {
 			return s.Want, errCaller
--- a/router/dispatch.go
+++ b/router/dispatch.go
@@ -139,7 +139,7 @@
 	delete(r.active, j.id())
 	r.onceMu.Unlock()
 	r.leave(j)
-	took := time.Since(j.arrived)
+	took := r.now() - j.arrived
 	switch {
 	case res != sched.Whole:
 		r.metrics.Count(j.key(), string(problem.Unknown))
--- a/router/router.go
+++ b/router/router.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/endpoint"
 	"github.com/heathkeel/heathkeel/fleet"
 	"github.com/heathkeel/heathkeel/keyval"
@@ -76,9 +77,10 @@
 	Trace func(s Stage, id string)
 	// Log takes changes of state.
 	Log logr.Logger
+	// Clock is the host's clock; nil means one that counts suspensions.
+	Clock *clock.Clock
 
 	once     sync.Once
-	start    time.Time
 	agent    *fleet.Agent
 	follower *revision.Follower
 	metrics  metrics.Set
@@ -125,7 +127,9 @@
 		def(&r.CancelGrace, DefaultCancelGrace)
 		def(&r.Memory, DefaultMemory)
 		def(&r.Watched, DefaultWatched)
-		r.start = time.Now()
+		if r.Clock == nil {
+			r.Clock = clock.New()
+		}
 		seed := uint64(r.Self.Incarnation)
 		r.rnd = rand.New(rand.NewPCG(seed, seed>>1))
 		r.owner = once.NewOwner(r.Self.Incarnation, 0, 0)
@@ -143,7 +147,7 @@
 			KV: r.KV, Peers: r.peers, Relay: r.isRelay, Fleet: r.fleetSize, Taken: r.taken, Log: r.Log,
 		}
 		r.agent = &fleet.Agent{
-			Self: r.Self, Peers: r.peers, List: r.List, Interval: r.Heartbeat, Seed: seed, Log: r.Log,
+			Self: r.Self, Peers: r.peers, List: r.List, Clock: r.Clock, Interval: r.Heartbeat, Seed: seed, Log: r.Log,
 			Revision: r.follower.Revision, Behind: r.behind, Floors: r.floors, SetFloors: r.setFloors,
 			Listed: r.listed,
 		}
@@ -160,8 +164,8 @@
 	}
 }
 
-// now is the time since the router's start, the scheduler's clock.
-func (r *Router) now() time.Duration { return time.Since(r.start) }
+// now is the time of the host's clock, which is the scheduler's.
+func (r *Router) now() time.Duration { return r.Clock.Now() }
 
 // Run keeps the host going until ctx ends; serve Handler meanwhile.
 func (r *Router) Run(ctx context.Context) {
