--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -140,9 +140,14 @@
 // follow starts a Settings on a store and returns it with its clock.
 func follow(ctx context.Context, m *memoryStore) *Settings {
 	start := time.Now()
+	return followBy(ctx, m, func() time.Duration { return time.Since(start) })
+}
+
+// followBy starts a Settings on a store by a clock.
+func followBy(ctx context.Context, m *memoryStore, now func() time.Duration) *Settings {
 	s := &Settings{
 		Store: m, Prefix: "op/", Key: "op/config", Parse: parseVersion, Wait: 1200 * time.Millisecond, Pause: 300 * time.Millisecond,
-		Now: func() time.Duration { return time.Since(start) }, Changed: func(*route.Table) {}, Log: logr.Discard(),
+		Now: now, Changed: func(*route.Table) {}, Log: logr.Discard(),
 	}
 	go s.Run(ctx)
 	return s
--- a/peers/woke_test.go
+++ b/peers/woke_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/quarantine"
 )
 
 // sleeper is a host that stands still between two steps of telling what it knows.
@@ -150,3 +152,54 @@
 	}
 	return count
 }
+
+// counter counts what reaches a host of what was sent to it.
+type counter struct {
+	*node
+	crashes int
+}
+
+func (c *counter) HearCrashes(*quarantine.Told) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crashes++
+	return true
+}
+
+// TestStaleDatagrams checks that what came into a host's socket while it did not run is passed over, and what comes later is heard.
+func TestStaleDatagrams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		var c *counter
+		nodes := fleetOf(ctx, 2, 1, 0, func(n *node) Host {
+			if c == nil {
+				c = &counter{node: n}
+				return c
+			}
+			return n
+		})
+		time.Sleep(time.Second)
+		told := &Beat{Host: "h001", Life: nodes[1].agent.Table.Life, Words: Words{Crashes: quarantine.Told{Clears: []quarantine.Clear{{AgeMS: 1}}}}}
+		tell := func() {
+			told.Seq = 1000 + nodes[1].agent.Table.seq
+			nodes[1].agent.write(told, []string{nodes[0].row.Address})
+			time.Sleep(50 * time.Millisecond)
+		}
+		tell()
+		must.EqOp(t, 1, c.crashes)
+		c.agent.Woke(8 * time.Second)
+		c.conn.in <- []byte("an old datagram")
+		data, err := encode(told)
+		must.NoError(t, err)
+		for range 50 {
+			c.conn.in <- data
+		}
+		time.Sleep(20 * time.Millisecond)
+		must.EqOp(t, 1, c.crashes)
+		tell()
+		must.EqOp(t, 2, c.crashes)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -326,6 +326,26 @@
 	must.Greater(t, s.cfg.SlowAt, s.slowness(s.now, s.byName["a"]))
 }
 
+// TestWokeTakesGapOut checks that a time in which this process did not run makes no engine look slow, and no answer long.
+func TestWokeTakesGapOut(t *testing.T) {
+	for _, slept := range []bool{false, true} {
+		s := newStage(Config{}, engine{name: "a", slots: 8})
+		rs, _ := s.submit(2, "w", 0)
+		s.now += 20 * time.Millisecond
+		s.FirstToken(s.now, rs[0])
+		gap := 8 * time.Second
+		s.now += gap
+		if slept {
+			s.Woke(gap)
+		}
+		s.Tick(s.now)
+		s.end(rs...)
+		e := s.byName["a"]
+		must.EqOp(t, !slept, s.slowness(s.now, e) > s.cfg.SlowAt)
+		must.EqOp(t, !slept, e.service > time.Second)
+	}
+}
+
 func TestUnsentGoesElsewhere(t *testing.T) {
 	s := newStage(Config{}, engine{name: "a", slots: 8}, engine{name: "b", slots: 8})
 	r := s.request("w", 0)
