--- a/edge/share.go
+++ b/edge/share.go
@@ -26,7 +26,7 @@
 	b.Load, b.Waiting = h.ingress.Loads()
 	told := h.ingress.Tell()
 	b.Used, b.Left = told.Used, told.Left
-	b.Crashes = h.Crashes(false)
+	b.Crashes = h.Crashes(quarantine.Own)
 }
 
 // Stamps implements peers.Host.
@@ -48,7 +48,7 @@
 }
 
 // Crashes implements peers.Host.
-func (h *Host) Crashes(all bool) quarantine.Told { return h.ingress.Crashes(all) }
+func (h *Host) Crashes(to quarantine.Scope) quarantine.Told { return h.ingress.Crashes(to) }
 
 // HearCrashes implements peers.Host.
 func (h *Host) HearCrashes(t *quarantine.Told) bool { return h.ingress.HearCrashes(t) }
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -152,13 +152,12 @@
 // SetCrashed gives what tells the other hosts soon of endpoints that crashed; call it before the first request.
 func (s *Server) SetCrashed(tell func()) { s.crashes.tell = tell }
 
-// Crashes gives what other hosts are to be told of requests under which endpoints crashed: what this host saw, or all that it
-// knows.
-func (s *Server) Crashes(all bool) quarantine.Told {
+// Crashes gives what other hosts are to be told of requests under which endpoints crashed.
+func (s *Server) Crashes(to quarantine.Scope) quarantine.Told {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.book.Tell(k.now(), all)
+	return k.book.Tell(k.now(), to)
 }
 
 // HearCrashes takes what another host tells of requests under which endpoints crashed, and returns true if some of it is new.
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -70,8 +70,8 @@
 	LoadsHeard()
 	// Proved is called when a peer proved what it knows.
 	Proved(p Proof)
-	// Crashes tells of requests under which endpoints crashed: what this host saw of late, or also what others told it.
-	Crashes(all bool) quarantine.Told
+	// Crashes tells of requests under which endpoints crashed.
+	Crashes(to quarantine.Scope) quarantine.Told
 	// HearCrashes is called with what a peer knows of requests under which endpoints crashed. It returns true if some of it
 	// is new.
 	HearCrashes(t *quarantine.Told) bool
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -39,7 +39,8 @@
 	Used map[string]float64 `json:"u,omitempty"`
 	// Left is the level of workspaces whose amount is nearly used up.
 	Left map[string]float64 `json:"q,omitempty"`
-	// Crashes is what the sender saw of requests under which endpoints crashed; a digest holds all that the relay knows.
+	// Crashes is what the sender saw of requests under which endpoints crashed; relays tell each other all that they know, and their
+	// members what concerns all hosts.
 	Crashes quarantine.Told `json:"x,omitzero"`
 	// Settings and Endpoints tell what the sender knows of either, and its age.
 	Settings  Stamp `json:"v"`
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -88,9 +88,8 @@
 	a.hearCrashes(&b.Crashes)
 }
 
-// hearCrashes takes what a peer knows of requests under which endpoints crashed. A relay passes it on at once: its members would else
-// hear of it with the next two heartbeats. Members do not: a heartbeat more of each host for each crash doubled the processor time of 87
-// hosts on a day on which endpoints crash often.
+// hearCrashes takes what a peer knows of requests under which endpoints crashed. What concerns all hosts a relay passes on at once: its
+// members would else hear of it with the next two heartbeats.
 func (a *Agent) hearCrashes(t *quarantine.Told) {
 	if !t.Empty() && a.Host.HearCrashes(t) && a.relays() {
 		a.Kick()
--- a/peers/relayed.go
+++ b/peers/relayed.go
@@ -4,7 +4,11 @@
 
 package peers
 
-import "time"
+import (
+	"time"
+
+	"github.com/heathkeel/heathkeel/quarantine"
+)
 
 // sendRelayed gives a heartbeat to the relay of this host's zone, which may be this host,
 // and sends the digests that this host owes as a relay.
@@ -58,8 +62,7 @@
 	}
 	a.stamp(&part.Words)
 	a.stamp(&whole.Words)
-	part.Crashes = a.Host.Crashes(true)
-	whole.Crashes = part.Crashes
+	part.Crashes, whole.Crashes = a.Host.Crashes(quarantine.All), a.Host.Crashes(quarantine.Repeated)
 	a.write(&part, relays)
 	a.write(&whole, members)
 }
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -40,6 +40,7 @@
 	until   time.Duration            // until when it is held
 	times   int                      // how often it was held
 	newest  time.Duration            // when the last of its crashes was
+	wide    bool                     // two endpoints crashed under it once, so that all hosts are told
 }
 
 // news is what this host learned at a moment: the end of a life under a request, or, with an empty life, that the request
@@ -135,6 +136,10 @@
 	s := b.suspect(f)
 	s.crashes[life], s.newest = at, max(s.newest, at)
 	b.news = append(b.news, news{now, f, life, own})
+	if len(s.crashes) > 1 && !s.wide {
+		s.wide = true
+		b.repeat(now, f, s, life)
+	}
 	if (len(s.crashes) >= convictAt || s.times > 0) && now >= s.until {
 		s.times++
 		b.hold(f, s, now+min(firstHold<<min(s.times-1, 8), longestHold))
@@ -142,6 +147,15 @@
 	return true
 }
 
+// repeat tells what was known of a request before a crash once more: only some hosts were told.
+func (b *Book) repeat(now time.Duration, f Fingerprint, s *suspect, but string) {
+	for life := range s.crashes {
+		if life != but {
+			b.news = append(b.news, news{now, f, life, false})
+		}
+	}
+}
+
 // hold refuses a request until a moment. After it one more crash is enough to hold it again.
 func (b *Book) hold(f Fingerprint, s *suspect, until time.Duration) {
 	s.until = until
@@ -200,9 +214,9 @@
 	}
 }
 
-// Tell gives what is to be told: this host's own evidence of late, the newest first, and some of the requests that are held, so that
-// hosts that start learn of all of them in time. all adds the evidence that other hosts told: for hosts that pass it on.
-func (b *Book) Tell(now time.Duration, all bool) Told {
+// Tell gives what is to be told: evidence that came lately, the newest first, and some of the requests that are held, so that
+// hosts that start learn of all of them in time.
+func (b *Book) Tell(now time.Duration, to Scope) Told {
 	old := slices.IndexFunc(b.news, func(n news) bool { return now-n.at < tellFor })
 	if old < 0 {
 		old = len(b.news)
@@ -210,8 +224,9 @@
 	b.news = slices.Delete(b.news, 0, old)
 	var t Told
 	for i := len(b.news) - 1; i >= 0 && len(t.Crashes)+len(t.Clears) < mostNews; i-- {
-		if all || b.news[i].own {
-			b.tell(now, &b.news[i], &t)
+		n := &b.news[i]
+		if s := b.suspects[n.fingerprint]; s != nil && (to == All || (to == Own && n.own) || (to == Repeated && s.wide)) {
+			s.tell(now, n, &t)
 		}
 	}
 	for range min(mostHolds, len(b.held)) {
@@ -226,11 +241,7 @@
 }
 
 // tell adds one piece of news, if it still holds.
-func (b *Book) tell(now time.Duration, n *news, t *Told) {
-	s := b.suspects[n.fingerprint]
-	if s == nil {
-		return
-	}
+func (s *suspect) tell(now time.Duration, n *news, t *Told) {
 	if n.life == "" {
 		t.Clears = append(t.Clears, Clear{n.fingerprint, (now - s.cleared).Milliseconds()})
 	} else if at, ok := s.crashes[n.life]; ok {
@@ -238,15 +249,17 @@
 	}
 }
 
-// Hear takes what another host tells. It returns true if some of it is new evidence, which is then told on.
+// Hear takes what another host tells. It returns true if some of it is new and concerns all hosts.
 func (b *Book) Hear(now time.Duration, t *Told) bool {
 	fresh := false
 	for _, c := range t.Clears {
-		fresh = b.clear(now, c.Fingerprint, aged(now, c.AgeMS), false) || fresh
+		if b.clear(now, c.Fingerprint, aged(now, c.AgeMS), false) {
+			fresh = fresh || b.suspects[c.Fingerprint].wide
+		}
 	}
 	for _, c := range t.Crashes {
-		if len(c.Life) <= longestLife {
-			fresh = b.crashed(now, c.Fingerprint, c.Life, aged(now, c.AgeMS), false) || fresh
+		if len(c.Life) <= longestLife && b.crashed(now, c.Fingerprint, c.Life, aged(now, c.AgeMS), false) {
+			fresh = fresh || b.suspects[c.Fingerprint].wide
 		}
 	}
 	for _, h := range t.Holds {
@@ -269,6 +282,7 @@
 	if newest <= s.cleared || now+left < s.until+holdStep {
 		return
 	}
+	s.wide = true
 	s.times, s.newest = max(s.times, min(h.Times, mostTimes)), max(s.newest, newest)
 	b.hold(h.Fingerprint, s, now+left)
 }
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -41,6 +41,19 @@
 	Holds   []Hold  `json:"h,omitempty"`
 }
 
+// Scope says who is told, and so what.
+type Scope uint8
+
+const (
+	// Own is for hosts that are told directly, or pass on: what this host saw itself.
+	Own Scope = iota
+	// Repeated is for many hosts: what any host saw of requests under which two endpoints crashed or more. Most endpoints that
+	// crash have some ten requests, of which none comes under a crash again.
+	Repeated
+	// All is for the few hosts that pass on to many: what any host saw.
+	All
+)
+
 // Empty says that nothing is told.
 func (t *Told) Empty() bool { return len(t.Crashes) == 0 && len(t.Clears) == 0 && len(t.Holds) == 0 }
 
