--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -118,7 +118,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	defer close(q.done)
-	if q.crashed || !errors.Is(err, syscall.ECONNREFUSED) {
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	k.log.Info("endpoint asked whether it is still there", "endpoint", life, "refused", refused, "requests", len(q.under))
+	if q.crashed || !refused {
 		return
 	}
 	q.crashed = true
@@ -133,6 +135,10 @@
 	_, before := k.book.Held(k.now(), f)
 	if k.book.Crashed(k.now(), f, quarantine.End{Life: life, At: at, Ran: l.ran, Mute: l.mute, Request: l.request}) {
 		k.tell()
+		if v := k.book.Verdict(k.now(), f); v.Ends > 1 {
+			k.log.Info("endpoint ended under a request again", "fingerprint", f.String(), "endpoint", life, "ran_ms", l.ran.Milliseconds(),
+				"ends", v.Ends, "mute", v.Mute, "surprise", v.Surprise)
+		}
 	}
 	if left, held := k.book.Held(k.now(), f); held && !before {
 		k.log.Info("request held: endpoints crash under it", "fingerprint", f.String(), "request", l.request, "endpoints", k.book.Lives(f), "held_s", left.Seconds())
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -174,7 +174,7 @@
 		s.wide = true
 		b.repeat(now, f, s, life)
 	}
-	if now >= s.until && (s.times > 0 || b.crashes(now, f, s)) {
+	if now >= s.until && (s.times > 0 || b.crashes(now, f)) {
 		s.times++
 		b.hold(f, s, now+min(firstHold<<min(s.times-1, 8), longestHold))
 	}
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -44,18 +44,39 @@
 	return float64(ends) / (float64(max(1, b.Endpoints)) * rateWindow.Seconds())
 }
 
-// crashes reports whether endpoints crash under a request. What a request that is held has caused is no evidence against others
-// that were there.
-func (b *Book) crashes(now time.Duration, f Fingerprint, s *suspect) bool {
-	rate, mute, surprise := b.rate(now), 0, 0.0
+// Verdict is what is made of the ends of endpoints under a request.
+type Verdict struct {
+	// Ends is the number of endpoints that ended under it, Mute that of those which ended before a sign of an answer, as far as no other request that is
+	// held has caused them.
+	Ends, Mute int
+	// Surprise is how unlikely the ends are by chance, in nats.
+	Surprise float64
+}
+
+// Verdict gives what is made of a request now.
+func (b *Book) Verdict(now time.Duration, f Fingerprint) Verdict {
+	var v Verdict
+	s := b.suspects[f]
+	if s == nil {
+		return v
+	}
+	rate := b.rate(now)
 	for life, c := range s.crashes {
 		if d := b.deaths[life]; d.by != (Fingerprint{}) && d.by != f {
 			continue
 		}
+		v.Ends++
 		if c.mute {
-			mute++
+			v.Mute++
 		}
-		surprise += Surprise(rate, c.ran)
+		v.Surprise += Surprise(rate, c.ran)
 	}
-	return mute >= muteCrashes || surprise >= leastSurprise
+	return v
+}
+
+// crashes reports whether endpoints crash under a request. What a request that is held has caused is no evidence against others
+// that were there.
+func (b *Book) crashes(now time.Duration, f Fingerprint) bool {
+	v := b.Verdict(now, f)
+	return v.Mute >= muteCrashes || v.Surprise >= leastSurprise
 }
