--- a/internal/site/crash.go
+++ b/internal/site/crash.go
@@ -39,12 +39,13 @@
 	return e.Fatal != "" && (strings.Contains(r.RequestURI, e.Fatal) || strings.Contains(body, e.Fatal))
 }
 
-// Crash ends the endpoint as the end of its process does: its port refuses connections, and those that were open are reset.
-func (e *Endpoint) Crash() {
+// Crash ends the endpoint as the end of its process does: its port refuses connections, and those that were open are reset. It returns
+// false if it had crashed before.
+func (e *Endpoint) Crash() bool {
 	e.mu.Lock()
 	if e.dead {
 		e.mu.Unlock()
-		return
+		return false
 	}
 	e.dead = true
 	_ = e.l.Close()
@@ -55,6 +56,7 @@
 	if e.OnCrash != nil {
 		e.OnCrash()
 	}
+	return true
 }
 
 // Fragile is a service whose endpoints crash under some requests and start again under other names. The exported fields must
@@ -93,7 +95,7 @@
 	}
 	m := &f.Model
 	e := &Endpoint{
-		Instance: fmt.Sprintf("%s-%d", m.Instance, len(f.endpoints)), Events: m.Events, Pace: m.Pace, Fatal: m.Fatal, Delay: m.Delay,
+		Instance: fmt.Sprintf("%s-%d", m.Instance, len(f.endpoints)), Events: m.Events, Pace: m.Pace, Fatal: m.Fatal, Delay: m.Delay, Answers: m.Answers,
 	}
 	e.OnCrash = func() { f.crashed(e) }
 	f.endpoints = append(f.endpoints, e)
@@ -129,6 +131,18 @@
 	return false
 }
 
+// CrashNext crashes the endpoint that has run for the longest time.
+func (f *Fragile) CrashNext() {
+	f.mu.Lock()
+	all := append([]*Endpoint(nil), f.endpoints...)
+	f.mu.Unlock()
+	for _, e := range all {
+		if e.Crash() {
+			return
+		}
+	}
+}
+
 // Stop ends all endpoints.
 func (f *Fragile) Stop() {
 	f.mu.Lock()
--- a/internal/site/crash_test.go
+++ b/internal/site/crash_test.go
@@ -95,33 +95,56 @@
 	hosts []*Host
 }
 
+// fragileCase is a site with one fragile service.
+type fragileCase struct {
+	hosts, endpoints int
+	service          string
+	events           int           // of a stream
+	pace             time.Duration // between two
+	delay, back      time.Duration // until a request crashes its endpoint, and until that is back
+	answers          bool          // the endpoint answers until then
+}
+
 // newFragile starts hosts before a service of six endpoints that crash.
 func newFragile(t *testing.T, hosts int, service string) *fragileSite {
+	t.Helper()
+	return newFragileOf(t, fragileCase{hosts: hosts, endpoints: 6, service: service, events: events, pace: 5 * time.Millisecond, delay: 30 * time.Millisecond, back: 300 * time.Millisecond})
+}
+
+// newFragileOf starts hosts before a service whose endpoints crash.
+func newFragileOf(t *testing.T, c fragileCase) *fragileSite {
 	t.Helper()
 	s := &Site{Log: logr.Discard()}
 	must.NoError(t, s.Start())
 	t.Cleanup(s.Stop)
 	s.Store.Put(platform.KeyConfig, Example())
-	f := &fragileSite{Fragile: &Fragile{Site: s, Service: service, Back: 300 * time.Millisecond}}
-	f.Model = Endpoint{Instance: "f", Pace: 5 * time.Millisecond, Fatal: fatal, Delay: 30 * time.Millisecond}
-	if service == Engines {
-		f.Model.Events = events
+	f := &fragileSite{Fragile: &Fragile{Site: s, Service: c.service, Back: c.back}}
+	f.Model = Endpoint{Instance: "f", Pace: c.pace, Fatal: fatal, Delay: c.delay, Answers: c.answers}
+	if c.service == Engines {
+		f.Model.Events = c.events
 	}
-	must.NoError(t, f.Start(6))
+	must.NoError(t, f.Start(c.endpoints))
 	t.Cleanup(f.Stop)
-	for range hosts {
+	for range c.hosts {
 		h, err := s.AddHost()
 		must.NoError(t, err)
 		f.hosts = append(f.hosts, h)
 	}
 	(&scene{Site: s}).await(t, "first answers", func() bool {
+		var served atomic.Int64
+		var all sync.WaitGroup
 		for i, h := range f.hosts {
-			if Do(h.Boot.Front, Call{Path: "/draft/x", Key: Key, ID: fmt.Sprint("warm-", i), Body: "b"}).Status != 200 &&
-				Do(h.Boot.Front, Call{Path: "/ask/x", Key: Key, ID: fmt.Sprint("warm-", i), Body: "b"}).Status != 200 {
-				return false
-			}
+			all.Go(func() {
+				for _, path := range []string{"/draft/x", "/ask/x"} {
+					if Do(h.Boot.Front, Call{Path: path, Key: Key, ID: fmt.Sprint("warm-", path, i), Body: "b"}).Status == 200 {
+						served.Add(1)
+						return
+					}
+				}
+			})
 		}
-		return true
+		all.Wait()
+		return int(served.Load()) == len(f.hosts)
 	})
 	return f
 }
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -83,9 +83,10 @@
 	// Pace is the time between events, and before the first; set it with SetPace once it runs.
 	Pace time.Duration
 	// Fatal is a text that crashes the endpoint if the URI or the body of a request holds it, Delay after it began to run;
-	// empty for none.
-	Fatal string
-	Delay time.Duration
+	// empty for none. Answers says that it answers as usual until then; else it says nothing.
+	Fatal   string
+	Delay   time.Duration
+	Answers bool
 	// OnCrash is called when it has crashed, or nil.
 	OnCrash func()
 	// Link is what all connections to it go over, or nil; it is started with the endpoint.
@@ -263,7 +264,9 @@
 		e.runs[n].Ended = time.Now()
 		e.mu.Unlock()
 	}()
-	if e.kills(r, body) {
+	if e.kills(r, body) && e.Answers {
+		time.AfterFunc(e.Delay, func() { e.Crash() })
+	} else if e.kills(r, body) {
 		time.Sleep(e.Delay)
 		e.Crash()
 		return false
