quarantine, ingress, edge: a request under which three endpoints ended is sent three times more at most, each send granted by the store

What callers and operators saw: a request that runs for a while before it crashes its endpoint ended 7 to 10 endpoints, and hosts in touch sent it 5 to 7 times later than the contact time after the third; 3 are allowed.

Cause: the verdict asks how unlikely the ends are by chance. The longer a request runs and the more endpoints end, the less each end tells; what is weighed so has no bound on the ends that it takes. Logged: 10 ends of 10 were told, with a surprise of 17.6 nats at the tenth; 20 were asked for. Ruled out there: ends that were missed, clears, hosts that had not heard.

Change: from the third end on, in whatever state, a request is on trial until it is answered: each send must be granted, three in all. A grant is a write under a condition to the platform's store, made before the send, so that no two hosts make the same one and what was sent is known after the loss of any host. Without an answer of the store the request is refused with a true 503. With the last grant it is held, as before; its answer ends that. Ends of endpoints that leave, and those during a suspension of the host, count for trials (not for the verdict by chance).

Why it holds: sends on trial are counted where all hosts read the same number, and there are as many as the bound allows. Not covered: an end that no host saw (a host killed with what it saw) leaves one send more.

--- a/edge/host.go
+++ b/edge/host.go
@@ -87,6 +87,7 @@
 	ingress   *ingress.Server
 	agent     *peers.Agent
 	entry     *feed.Entry
+	records   *records
 	keeping   bool         // this host keeps an entry; of entry.Run only
 	found     atomic.Int64 // hosts that there are by their entries in the store
 	peerHTTP  *http.Client
@@ -164,6 +165,8 @@
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
+	h.records = &records{store: h.store, now: h.now, log: h.Log.WithName("records")}
+	h.ingress.SetRecords(h.records)
 	h.ingress.SetAges(ages(b))
 	h.endpoints = &feed.Endpoints{
 		Store: h.store, Prefix: platform.PrefixEndpoints, Parse: platform.ParseEndpoint, Now: h.now,
--- /dev/null
+++ b/edge/records.go
@@ -0,0 +1,115 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/quarantine"
+)
+
+// Figures of the records' leases.
+const (
+	// recordLife is the time for which a record stays that nobody writes again: the longest lease of the platform, and as long as a first hold.
+	recordLife = 10 * time.Minute
+	// leaseShared is the time for which a lease serves for further records: with it one call in place of two.
+	leaseShared = 2 * time.Minute
+)
+
+// recordStore is the part of a key-value service that keeps records.
+type recordStore interface {
+	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
+	Swap(ctx context.Context, key string, value []byte, lease, revision uint64) (bool, feed.Item, error)
+}
+
+// records keeps requests that are on trial or held where they outlast all hosts, under leases, so that what nobody needs any more goes by itself.
+type records struct {
+	store recordStore
+	now   func() time.Duration
+	log   logr.Logger
+
+	mu      sync.Mutex
+	lease   uint64 // 0 for none
+	granted time.Duration
+}
+
+// Swap implements ingress.Records.
+func (k *records) Swap(ctx context.Context, r *quarantine.Record, revision uint64) (bool, quarantine.Record, uint64, error) {
+	value, err := json.Marshal(r)
+	if err != nil {
+		return false, quarantine.Record{}, 0, eris.Wrap(err, "record cannot be written")
+	}
+	lease, err := k.leased(ctx)
+	if err != nil {
+		return false, quarantine.Record{}, 0, err
+	}
+	key := platform.PrefixRecords + r.Fingerprint.String()
+	swapped, it, err := k.store.Swap(ctx, key, value, lease, revision)
+	if errors.Is(err, feed.ErrLease) {
+		k.forget(lease)
+	}
+	if err != nil || swapped || it.Revision == 0 {
+		return swapped, quarantine.Record{}, 0, err
+	}
+	stands, err := parseRecord(it)
+	if err != nil {
+		// What cannot be read is written over: it grants and refuses nothing.
+		k.log.Info("record in the store cannot be read; it is written over", "key", it.Key, "bytes", len(it.Value), "cause", err.Error())
+		return false, quarantine.Record{Fingerprint: r.Fingerprint}, it.Revision, nil
+	}
+	return false, stands, it.Revision, nil
+}
+
+// leased gives a lease for a record that is written now.
+func (k *records) leased(ctx context.Context) (uint64, error) {
+	k.mu.Lock()
+	lease, at := k.lease, k.granted
+	k.mu.Unlock()
+	if lease != 0 && k.now()-at < leaseShared {
+		return lease, nil
+	}
+	began := k.now()
+	lease, err := k.store.Grant(ctx, recordLife)
+	if err != nil {
+		return 0, err
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.lease, k.granted = lease, began
+	return lease, nil
+}
+
+// forget drops a lease that is over.
+func (k *records) forget(lease uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.lease == lease {
+		k.lease = 0
+	}
+}
+
+// errRecord means that a record does not belong to its key.
+var errRecord = eris.New("the record is that of another request")
+
+// parseRecord reads a record.
+func parseRecord(it feed.Item) (quarantine.Record, error) {
+	var r quarantine.Record
+	if err := json.Unmarshal(it.Value, &r); err != nil {
+		return quarantine.Record{}, err
+	}
+	if platform.PrefixRecords+r.Fingerprint.String() != it.Key {
+		return quarantine.Record{}, errRecord
+	}
+	return r, nil
+}
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -21,6 +21,8 @@
 	Unproven atomic.Int64
 	// Held counts requests that were refused because endpoints crash under them.
 	Held atomic.Int64
+	// Trials counts sends of requests on trial, TrialsUnknown those that were not made since the store gave no answer.
+	Trials, TrialsUnknown atomic.Int64
 	// Rejected counts sends that endpoints did not run, Lost those without a whole answer.
 	Rejected, Lost atomic.Int64
 	// Repeated counts sends beyond the first, Resumed streams that went on elsewhere.
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -35,6 +35,8 @@
 	dial func(ctx context.Context, address string) error
 	log  logr.Logger
 	tell func() // tells the other hosts soon
+	// records keeps what outlasts all hosts, or is nil.
+	records Records
 
 	mu        sync.Mutex
 	book      quarantine.Book
@@ -54,18 +56,19 @@
 	print   quarantine.Fingerprint
 	ran     time.Duration
 	mute    bool
+	unsure  bool // the endpoint was leaving, or this process did not run for a while
 	request string
 }
 
 // lost notes that an endpoint lost a request, and asks it whether it is still there: its process has ended if its port
 // refuses connections, or if a later life of it is told soon. A connection that is reset, an answer that breaks off and a network that
-// is cut look the same on the connection that was lost; an endpoint that leaves ends without a crash. The caller may wait for done.
-func (k *crashes) lost(c *call) (done <-chan struct{}) {
-	if c.s.balance.leaving(c.at.Life()) {
-		return over
-	}
+// is cut look the same on the connection that was lost. An endpoint that leaves ends without a crash, and what was lost while this process did not run
+// may have been answered: such an end is unsure. The caller may wait for done.
+func (k *crashes) lost(c *call, slept bool) (done <-chan struct{}) {
 	now, life := k.now(), c.at.Life()
-	l := loss{print: c.fingerprint(), ran: now - c.times.newest, mute: !c.firstSeen, request: c.summary()}
+	l := loss{
+		print: c.fingerprint(), ran: now - c.times.newest, mute: !c.firstSeen, unsure: slept || c.s.balance.leaving(life), request: c.summary(),
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	q := k.inquiries[life]
@@ -86,13 +89,6 @@
 	return q.done
 }
 
-// over is a channel that is closed.
-var over = func() chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
 // reborn notes that a life of an endpoint is over, since a later one is told: what it lost a moment before it crashed under, although its
 // port took connections again when it was asked.
 func (k *crashes) reborn(life string) {
@@ -133,11 +129,11 @@
 func (k *crashes) note(l *loss, life string, at time.Duration) {
 	f := l.print
 	_, before := k.book.Held(k.now(), f)
-	if k.book.Crashed(k.now(), f, quarantine.End{Life: life, At: at, Ran: l.ran, Mute: l.mute, Request: l.request}) {
+	if k.book.Crashed(k.now(), f, quarantine.End{Life: life, At: at, Ran: l.ran, Mute: l.mute, Unsure: l.unsure, Request: l.request}) {
 		k.tell()
 		if v := k.book.Verdict(k.now(), f); v.Ends > 1 {
 			k.log.Info("endpoint ended under a request again", "fingerprint", f.String(), "endpoint", life, "ran_ms", l.ran.Milliseconds(),
-				"ends", v.Ends, "mute", v.Mute, "surprise", v.Surprise)
+				"ends", v.Ends, "mute", v.Mute, "surprise", v.Surprise, "on_trial", k.book.OnTrial(k.now(), f))
 		}
 	}
 	if left, held := k.book.Held(k.now(), f); held && !before {
@@ -154,16 +150,16 @@
 	}
 }
 
-// held tells for how long a request is refused because endpoints crash under it, and under how many did.
-func (k *crashes) held(c *call) (left time.Duration, endpoints int, held bool) {
+// held tells whether a request is refused because endpoints crash under it, after how long it may come again, and how many did.
+func (k *crashes) held(c *call) (after time.Duration, endpoints int, held bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.book.Empty() {
 		return 0, 0, false
 	}
 	f := c.fingerprint()
-	left, held = k.book.Held(k.now(), f)
-	return left, len(k.book.Lives(f)), held
+	_, held = k.book.Held(k.now(), f)
+	return k.book.After(k.now(), f), len(k.book.Lives(f)), held
 }
 
 // summary says what the request is, for operators, in at most 200 bytes.
@@ -197,13 +193,16 @@
 
 // checkHeld refuses a request under which endpoints crash.
 func (c *call) checkHeld() *refusal {
-	left, endpoints, held := c.s.crashes.held(c)
+	if c.granted {
+		return nil
+	}
+	after, endpoints, held := c.s.crashes.held(c)
 	if !held {
 		return nil
 	}
 	c.s.Count.Held.Add(1)
 	return &refusal{
-		status: http.StatusServiceUnavailable, after: left, kind: outcome.Held,
+		status: http.StatusServiceUnavailable, after: after, kind: outcome.Held,
 		why: fmt.Sprintf("%d endpoints crashed while they ran this request (%s); do not send it again unchanged", endpoints, c.fingerprint()),
 	}
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -45,6 +45,7 @@
 	print             quarantine.Fingerprint // zero until it was asked for
 
 	bar       *refusal // why the request may not be sent any more
+	granted   bool     // the send that follows was granted
 	account   attempt.Account
 	req       *sched.Request
 	at        feed.Endpoint
@@ -295,7 +296,7 @@
 		c.s.balance.failed(c, outlier.Unreachable)
 		return unsent, holdUnreachable
 	}
-	if c.bar = c.stillAllowed(); c.bar != nil {
+	if c.bar = c.checkSend(ctx); c.bar != nil {
 		conn.Done()
 		return barred, 0
 	}
@@ -350,16 +351,16 @@
 		c.account.Lost()
 		c.s.Count.Lost.Add(1)
 		c.tell(outcome.SendLost, 0, "no whole answer came", 0)
-		if !tired && !slept {
-			c.askCrashed(ctx)
+		if !tired {
+			c.askCrashed(ctx, slept)
 		}
 	}
 	return end, hold
 }
 
 // askCrashed asks the endpoint that lost a send whether it has crashed. A request that may go on elsewhere waits for the answer.
-func (c *call) askCrashed(ctx context.Context) {
-	done := c.s.crashes.lost(c)
+func (c *call) askCrashed(ctx context.Context, slept bool) {
+	done := c.s.crashes.lost(c, slept)
 	if !c.route.May() || c.account.Sends() >= c.route.Attempts {
 		return
 	}
--- a/internal/site/crash.go
+++ b/internal/site/crash.go
@@ -122,8 +122,7 @@
 	f.mu.Unlock()
 	for _, e := range all {
 		for _, r := range e.Runs() {
-			if r.Ended.IsZero() && strings.Contains(r.Body, text) {
-				e.Crash()
+			if r.Ended.IsZero() && strings.Contains(r.Body, text) && e.Crash() {
 				return true
 			}
 		}
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -298,7 +298,11 @@
 	s.expire()
 	for _, e := range b.ExpectedRev {
 		if s.items[e.TLSKey].Revision != e.Revision {
-			reply(w, http.StatusPreconditionFailed, storeAnswer{At: s.at})
+			a := storeAnswer{At: s.at}
+			if it, ok := s.items[e.TLSKey]; ok {
+				a.Items = append(a.Items, it)
+			}
+			reply(w, http.StatusPreconditionFailed, a)
 			return
 		}
 	}
--- a/quarantine/attribution_test.go
+++ b/quarantine/attribution_test.go
@@ -36,8 +36,17 @@
 }
 
 func (b *byBook) held(now time.Duration, f Fingerprint) bool {
-	_, held := b.Held(now, f)
-	return held
+	if _, held := b.Held(now, f); held {
+		return true
+	}
+	if b.OnTrial(now, f) {
+		r := b.Record(now, now.Milliseconds(), f)
+		if !r.Grant(now.Milliseconds()) {
+			return true
+		}
+		b.Restore(now, now.Milliseconds(), &r)
+	}
+	return false
 }
 
 // byCount holds a request after a number of endpoints, whatever their state.
@@ -57,6 +66,44 @@
 	return len(c.lives[f]) >= c.most
 }
 
+// byTrials lets a request run a few times more after three endpoints, and holds it if none of these is answered; after three ends that came before a sign of
+// an answer it is held at once, if mute is set.
+type byTrials struct {
+	most int
+	mute bool
+	ends map[Fingerprint]map[string]bool // by life: whether it was before a sign of an answer
+	runs map[Fingerprint]int
+}
+
+func (b *byTrials) crashed(_ time.Duration, f Fingerprint, e End, _ int) {
+	if b.ends[f] == nil {
+		b.ends[f] = make(map[string]bool)
+	}
+	b.ends[f][e.Life] = e.Mute
+}
+
+func (b *byTrials) answered(_ time.Duration, f Fingerprint) {
+	delete(b.ends, f)
+	delete(b.runs, f)
+}
+
+func (b *byTrials) held(_ time.Duration, f Fingerprint) bool {
+	mute := 0
+	for _, m := range b.ends[f] {
+		if m {
+			mute++
+		}
+	}
+	if len(b.ends[f]) < 3 {
+		return false
+	}
+	if b.mute && mute >= 3 {
+		return true
+	}
+	b.runs[f]++
+	return b.runs[f] > b.most
+}
+
 // byShare holds a request by the blame that those at an endpoint share alike.
 type byShare struct {
 	most  float64
@@ -118,8 +165,10 @@
 	lives    int
 	verdict  verdict
 	requests int
-	wronged  map[Fingerprint]bool // innocent requests that were held
-	ends     map[Fingerprint]int  // endpoints that each guilty request crashed
+	wronged  map[Fingerprint]bool          // innocent requests that were held
+	ends     map[Fingerprint]int           // endpoints that each guilty request crashed
+	third    map[Fingerprint]time.Duration // when the third ended
+	beyond   map[Fingerprint]int           // sends later than the contact time after that
 }
 
 // Figures of the plays.
@@ -127,6 +176,8 @@
 	trialSpan    = 120 * time.Second
 	trialSlots   = 10
 	trialLoad    = 5.0                   // requests a second and endpoint, of which each takes 1.2 s in the mean
+	trialContact = 3 * time.Second       // hosts hear of all in that time
+	trialBeyond  = 3                     // sends of a guilty request later than that after the third end
 	evidenceTime = 60 * time.Millisecond // until all hosts know
 )
 
@@ -170,7 +221,9 @@
 		n := len(runs)
 		w.after(evidenceTime, func() { w.verdict.crashed(w.now, r.f, e, n) })
 		if r.guilty {
-			w.ends[r.f]++
+			if w.ends[r.f]++; w.ends[r.f] == 3 {
+				w.third[r.f] = w.now
+			}
 			continue
 		}
 		next := *r
@@ -201,6 +254,9 @@
 	r.at, r.since = t, w.now
 	t.runs = append(t.runs, r)
 	if r.guilty {
+		if at, over := w.third[r.f]; over && w.now > at+trialContact {
+			w.beyond[r.f]++
+		}
 		w.after(r.whole, func() {
 			if !r.over {
 				w.crash(t, w.between(2, 4))
@@ -226,12 +282,14 @@
 	flaps     bool          // a quarter go down and up by turns
 	guilty    int           // requests that crash endpoints
 	late      time.Duration // how long after the first sign of an answer these do
+	pause     time.Duration // the least time between two tries of one
 }
 
 // play plays a case.
 func play(c trialCase, v verdict, seed uint64) *trial {
 	w := &trial{
 		rand: rand.New(rand.NewPCG(seed, 1)), lives: c.endpoints, verdict: v, wronged: make(map[Fingerprint]bool), ends: make(map[Fingerprint]int),
+		third: make(map[Fingerprint]time.Duration), beyond: make(map[Fingerprint]int),
 	}
 	for i := range c.endpoints {
 		w.targets = append(w.targets, &target{life: fmt.Sprint("first-", i)})
@@ -248,7 +306,7 @@
 				whole = first + time.Duration((0.2+0.8*w.rand.Float64())*float64(c.late))
 			}
 			w.start(&run{f: f, guilty: true, first: first, whole: whole})
-			w.after(w.between(0.1, 0.1+2*w.rand.Float64()), again)
+			w.after(c.pause+w.between(0.1, 0.1+2*w.rand.Float64()), again)
 		}
 		w.after(w.between(10, 40), again)
 	}
@@ -331,6 +389,10 @@
 		{trialCase{name: "guilty, and many at once", endpoints: 60, rate: 0.003, mass: storm, guilty: 3}, 6, 10},
 		{trialCase{name: "guilty late", endpoints: 18, guilty: 3, late: time.Second}, 12, 5},
 		{trialCase{name: "guilty late", endpoints: 160, guilty: 3, late: time.Second}, 9, 5},
+		{trialCase{name: "guilty late, and many ends", endpoints: 18, rate: 0.03, guilty: 3, late: 2 * time.Second}, 12, 10},
+		{trialCase{name: "guilty late and seldom", endpoints: 18, guilty: 3, late: 2 * time.Second, pause: trialContact}, 6, 5},
+		{trialCase{name: "guilty late and seldom, and many ends", endpoints: 18, rate: 0.1, guilty: 3, late: 2 * time.Second, pause: trialContact}, 6, 10},
+		{trialCase{name: "guilty late and seldom, and by turns", endpoints: 60, flaps: true, guilty: 3, late: 2 * time.Second, pause: trialContact}, 6, 10},
 	}
 	ways := []struct {
 		name string
@@ -339,6 +401,18 @@
 		{"kept", func(n int) verdict { return &byBook{Book{Endpoints: n}} }},
 		{"two ends", func(int) verdict { return &byCount{2, make(map[Fingerprint]map[string]bool)} }},
 		{"three ends", func(int) verdict { return &byCount{3, make(map[Fingerprint]map[string]bool)} }},
+		{"one trial", func(int) verdict {
+			return &byTrials{1, false, make(map[Fingerprint]map[string]bool), make(map[Fingerprint]int)}
+		}},
+		{"two trials", func(int) verdict {
+			return &byTrials{2, false, make(map[Fingerprint]map[string]bool), make(map[Fingerprint]int)}
+		}},
+		{"two trials, mute", func(int) verdict {
+			return &byTrials{2, true, make(map[Fingerprint]map[string]bool), make(map[Fingerprint]int)}
+		}},
+		{"three trials", func(int) verdict {
+			return &byTrials{3, false, make(map[Fingerprint]map[string]bool), make(map[Fingerprint]int)}
+		}},
 		{"shared blame 0.5", func(int) verdict { return &byShare{0.5, make(map[Fingerprint]float64)} }},
 	}
 	seeds := 1
@@ -350,17 +424,21 @@
 	for _, c := range cases {
 		for _, way := range ways {
 			t.Run(fmt.Sprintf("%s, %d endpoints, %s", c.name, c.endpoints, way.name), func(t *testing.T) {
-				requests, wronged, ends, guilty, worst := 0, 0, 0, 0, 0
+				requests, wronged, ends, guilty, worst, beyond := 0, 0, 0, 0, 0, 0
 				for seed := range uint64(seeds) {
 					w := play(c.trialCase, way.make(c.endpoints), seed)
 					requests += w.requests
 					wronged += len(w.wronged)
+					for _, n := range w.beyond {
+						beyond = max(beyond, n)
+					}
 					for _, n := range w.ends {
 						ends, guilty, worst = ends+n, guilty+1, max(worst, n)
 					}
 				}
-				t.Logf("%d of %d innocent requests held; a guilty one crashes %.2f endpoints in the mean, %d at most", wronged, requests, float64(ends)/float64(max(1, guilty)), worst)
+				t.Logf("%d of %d innocent requests held; a guilty one crashes %.2f endpoints in the mean, %d at most, %d sends beyond the contact time at most", wronged, requests, float64(ends)/float64(max(1, guilty)), worst, beyond)
 				if way.name == "kept" {
+					must.LessEq(t, trialBeyond, beyond)
 					must.LessEq(t, c.mostEnds, worst)
 					must.LessEq(t, 1+c.mostWrong*requests/100000, wronged)
 				}
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// Figures of the verdict and of what is told.
+// Figures of what is remembered, and for how long.
 const (
 	// forget is the time after which a crash counts no more: a caller may come again by the minute, and a request that
 	// is answered in the meantime is cleared by that.
@@ -20,11 +20,6 @@
 	// requests beside it, some ten.
 	firstHold   = 10 * time.Minute
 	longestHold = 24 * time.Hour
-	// tellFor is the time for which evidence is told after it came: ten heartbeats, so that a tenth of them may be lost.
-	tellFor = 2 * time.Second
-	// mostNews and mostHolds bound what is told at once, in entries of some 40 bytes; holds are told in turn.
-	mostNews  = 32
-	mostHolds = 2
 	// mostSuspects bounds the requests that are remembered, some 200 bytes each.
 	mostSuspects = 10000
 )
@@ -33,6 +28,7 @@
 type crash struct {
 	at, ran time.Duration // when it ended, and for how long it had had the request
 	mute    bool          // nothing of an answer had come
+	unsure  bool          // the endpoint may have ended for another reason that is known
 	host    string        // who saw it
 }
 
@@ -47,6 +43,9 @@
 	request string           // what it is, for operators; empty where only other hosts know
 	crashes map[string]crash // by life
 	kept    bool             // its hold stands in the store
+	onTrial bool             // it is sent only if that is granted
+	trials  int              // sends that were granted since it was answered last, by any host
+	tried   time.Duration    // when the newest of them was, 0 for never
 	cleared time.Duration    // when it was answered last, by any host
 	until   time.Duration    // until when it is held
 	times   int              // how often it was held
@@ -73,7 +72,7 @@
 
 	suspects map[Fingerprint]*suspect
 	deaths   map[string]death // by life
-	held     []Fingerprint    // those that were held, in the order in which they are told
+	watched  []Fingerprint    // those that are on trial or held, or were held, in the order in which they are told
 	turn     int
 	news     []news // what is told, in the order in which it came
 }
@@ -135,7 +134,7 @@
 // drop forgets a suspect.
 func (b *Book) drop(f Fingerprint) {
 	delete(b.suspects, f)
-	b.held = slices.DeleteFunc(b.held, func(g Fingerprint) bool { return f == g })
+	b.watched = slices.DeleteFunc(b.watched, func(g Fingerprint) bool { return f == g })
 }
 
 // End is the end of an endpoint under a request of this host.
@@ -146,13 +145,15 @@
 	// Ran is for how long it had had the request, and Mute says that nothing of an answer had come.
 	Ran  time.Duration
 	Mute bool
+	// Unsure says that it may have ended for another reason that is known: it was leaving, or this host did not run meanwhile.
+	Unsure bool
 	// Request says what the request is, for operators.
 	Request string
 }
 
 // Crashed notes that an endpoint ended while it had a request of this host. It returns true if that is new.
 func (b *Book) Crashed(now time.Duration, f Fingerprint, e End) bool {
-	if !b.crashed(now, f, e.Life, crash{e.At, e.Ran, e.Mute, b.Host}) {
+	if !b.crashed(now, f, e.Life, crash{e.At, e.Ran, e.Mute && !e.Unsure, e.Unsure, b.Host}) {
 		return false
 	}
 	b.suspects[f].request = e.Request
@@ -168,15 +169,20 @@
 	}
 	s := b.suspect(f)
 	s.crashes[life], s.newest = c, max(s.newest, c.at)
-	b.died(life, c.at)
+	if !c.unsure {
+		b.died(life, c.at)
+	}
 	b.news = append(b.news, news{now, f, life, c.host == b.Host})
 	if len(s.crashes) > 1 && !s.wide {
 		s.wide = true
 		b.repeat(now, f, s, life)
 	}
+	if len(s.crashes) >= trialEnds || s.onTrial {
+		b.watch(f, s)
+	}
 	if now >= s.until && (s.times > 0 || b.crashes(now, f)) {
 		s.times++
-		b.hold(f, s, now+min(firstHold<<min(s.times-1, 8), longestHold))
+		b.hold(f, s, now+holdTime(s.times))
 	}
 	return true
 }
@@ -200,12 +206,29 @@
 	}
 }
 
-// hold refuses a request until a moment. After it one more crash is enough to hold it again.
-func (b *Book) hold(f Fingerprint, s *suspect, until time.Duration) {
-	s.until = until
-	if !slices.Contains(b.held, f) {
-		b.held = append(b.held, f)
+// holdTime is the time for which a request is held that was held so many times, this one included.
+func holdTime(times int) time.Duration {
+	return min(firstHold<<min(max(times, 1)-1, mostDoublings), longestHold)
+}
+
+// mostDoublings is the number of doublings after which a hold is the longest.
+const mostDoublings = 8
+
+// watch puts a request on trial, and has it told before others.
+func (b *Book) watch(f Fingerprint, s *suspect) {
+	s.onTrial = true
+	i := slices.Index(b.watched, f)
+	if i < 0 {
+		i = len(b.watched)
+		b.watched = append(b.watched, f)
 	}
+	b.turn = i
+}
+
+// hold refuses a request until a moment. After it the request is on trial, with one send before it is held again.
+func (b *Book) hold(f Fingerprint, s *suspect, until time.Duration) {
+	s.until, s.trials = until, max(s.trials, mostTrials)
+	b.watch(f, s)
 	for life := range s.crashes {
 		if d := b.deaths[life]; d.by == (Fingerprint{}) {
 			b.deaths[life] = death{d.at, f}
@@ -215,8 +238,8 @@
 
 // release refuses a request no more.
 func (b *Book) release(f Fingerprint, s *suspect) {
-	s.until, s.times, s.kept = 0, 0, false
-	b.held = slices.DeleteFunc(b.held, func(g Fingerprint) bool { return f == g })
+	s.until, s.times, s.kept, s.onTrial, s.trials, s.tried = 0, 0, false, false, 0, 0
+	b.watched = slices.DeleteFunc(b.watched, func(g Fingerprint) bool { return f == g })
 	for life, d := range b.deaths {
 		if d.by == f {
 			b.deaths[life] = death{at: d.at}
@@ -256,7 +279,7 @@
 // HeldNow is the number of requests that are refused now.
 func (b *Book) HeldNow(now time.Duration) int {
 	n := 0
-	for _, f := range b.held {
+	for _, f := range b.watched {
 		if _, held := b.Held(now, f); held {
 			n++
 		}
@@ -273,96 +296,3 @@
 	}
 	maps.DeleteFunc(b.deaths, func(_ string, d death) bool { return now-d.at >= forget })
 }
-
-// Tell gives what is to be told: evidence that came lately, the newest first, and some of the requests that are held, so that
-// hosts that start learn of all of them in time.
-func (b *Book) Tell(now time.Duration, to Scope) Told {
-	old := slices.IndexFunc(b.news, func(n news) bool { return now-n.at < tellFor })
-	if old < 0 {
-		old = len(b.news)
-	}
-	b.news = slices.Delete(b.news, 0, old)
-	var t Told
-	for i := len(b.news) - 1; i >= 0 && len(t.Crashes)+len(t.Clears) < mostNews; i-- {
-		n := &b.news[i]
-		if s := b.suspects[n.fingerprint]; s != nil && (to == All || (to == Own && n.own) || (to == Repeated && s.wide)) {
-			s.tell(now, n, &t)
-		}
-	}
-	for range min(mostHolds, len(b.held)) {
-		b.turn = (b.turn + 1) % len(b.held)
-		f := b.held[b.turn]
-		if left, held := b.Held(now, f); held {
-			s := b.suspects[f]
-			t.Holds = append(t.Holds, Hold{
-				Fingerprint: f, Request: s.request, Kept: s.kept,
-				LeftMS: left.Milliseconds(), Times: s.times, AgeMS: (now - s.newest).Milliseconds(),
-			})
-		}
-	}
-	return t
-}
-
-// tell adds one piece of news, if it still holds.
-func (s *suspect) tell(now time.Duration, n *news, t *Told) {
-	if n.life == "" {
-		t.Clears = append(t.Clears, Clear{n.fingerprint, (now - s.cleared).Milliseconds()})
-	} else if c, ok := s.crashes[n.life]; ok {
-		t.Crashes = append(t.Crashes, Crash{n.fingerprint, n.life, (now - c.at).Milliseconds(), c.ran.Milliseconds(), c.mute, c.host})
-	}
-}
-
-// Hear takes what another host tells. It returns true if some of it is new and concerns all hosts.
-func (b *Book) Hear(now time.Duration, t *Told) bool {
-	fresh := false
-	for _, c := range t.Clears {
-		if b.clear(now, c.Fingerprint, aged(now, c.AgeMS), false) {
-			fresh = fresh || b.suspects[c.Fingerprint].wide
-		}
-	}
-	for _, c := range t.Crashes {
-		if len(c.Life) > longestName || len(c.Host) > longestName {
-			continue
-		}
-		if b.crashed(now, c.Fingerprint, c.Life, crash{aged(now, c.AgeMS), spent(c.RanMS), c.Mute, c.Host}) {
-			fresh = fresh || b.suspects[c.Fingerprint].wide
-		}
-	}
-	for _, h := range t.Holds {
-		b.hearHold(now, h)
-	}
-	return fresh
-}
-
-// longestName bounds the names of endpoints' lives, hosts and requests that other hosts tell, in bytes.
-const longestName = 200
-
-// hearHold takes a hold that another host tells, unless the request was answered since.
-func (b *Book) hearHold(now time.Duration, h Hold) {
-	left := time.Duration(min(h.LeftMS, longestHold.Milliseconds())) * time.Millisecond
-	if left <= 0 || h.Times <= 0 {
-		return
-	}
-	s := b.suspect(h.Fingerprint)
-	newest := aged(now, h.AgeMS)
-	if newest <= s.cleared {
-		return
-	}
-	if s.request == "" && len(h.Request) <= longestName {
-		s.request = h.Request
-	}
-	s.kept = s.kept || h.Kept
-	if now+left < s.until+holdStep {
-		return
-	}
-	s.wide = true
-	s.times, s.newest = max(s.times, min(h.Times, mostTimes)), max(s.newest, newest)
-	b.hold(h.Fingerprint, s, now+left)
-}
-
-// holdStep is the time by which another host's hold must end later than the own one to be taken: with less, the times that
-// datagrams take would add up.
-const holdStep = time.Second
-
-// mostTimes bounds the holds that another host may tell of.
-const mostTimes = 16
--- a/quarantine/book_test.go
+++ b/quarantine/book_test.go
@@ -187,7 +187,7 @@
 	f := print(1)
 	long := string(make([]byte, longestName+1))
 	b.Hear(0, &Told{
-		Crashes: []Crash{{f, "a", math.MaxInt64, math.MinInt64, true, "h"}, {f, "b", math.MinInt64, math.MaxInt64, true, "h"}, {f, long, 0, 0, true, "h"}, {f, "c", 0, 0, true, long}},
+		Crashes: []Crash{{f, "a", math.MaxInt64, math.MinInt64, true, "h", false}, {f, "b", math.MinInt64, math.MaxInt64, true, "h", false}, {f, long, 0, 0, true, "h", false}, {f, "c", 0, 0, true, long, false}},
 		Clears:  []Clear{{print(3), -1}},
 		Holds: []Hold{
 			{Fingerprint: print(2), LeftMS: math.MaxInt64, Times: math.MaxInt}, {Fingerprint: print(4), LeftMS: -1, Times: 1},
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -18,6 +18,8 @@
 	Mute bool `json:"m,omitempty"`
 	// Host is who saw it.
 	Host string `json:"h"`
+	// Unsure says that it may have ended for another reason that is known.
+	Unsure bool `json:"u,omitempty"`
 }
 
 // Clear says that a request was answered whole: what ended under it before did not end of it.
@@ -28,7 +30,7 @@
 	AgeMS int64 `json:"a"`
 }
 
-// Hold says that a request is refused for a time.
+// Hold says that a request is on trial, or refused for a time.
 type Hold struct {
 	// Fingerprint is the request.
 	Fingerprint Fingerprint `json:"f"`
@@ -41,6 +43,11 @@
 	LeftMS int64 `json:"l"`
 	Times  int   `json:"n"`
 	AgeMS  int64 `json:"a"`
+	// OnTrial says that it is sent only if that is granted. Trials is the number of sends that were granted, TriedMS the time in milliseconds since
+	// the newest.
+	OnTrial bool  `json:"o,omitempty"`
+	Trials  int   `json:"t,omitempty"`
+	TriedMS int64 `json:"d,omitempty"`
 }
 
 // Told is what a host tells others.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -10,25 +10,57 @@
 	"time"
 )
 
-// Record is a hold as it is kept where it outlasts all hosts.
+// Record is what outlasts all hosts of a request that is on trial or held.
 type Record struct {
 	// Fingerprint is the request, and Request says what it is.
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Request     string      `json:"request"`
-	// UntilMS is the end of the hold as a Unix time in milliseconds, and Times the number of holds.
+	// WrittenMS is when it was written, as a Unix time in milliseconds.
+	WrittenMS int64 `json:"written_ms"`
+	// Trials is the number of sends that were granted since it was answered last.
+	Trials int `json:"trials"`
+	// UntilMS is the end of the hold as a Unix time in milliseconds, 0 for none, and Times the number of holds.
 	UntilMS int64 `json:"until_ms"`
 	Times   int   `json:"times"`
-	// Crashes are the ends of endpoints that led to it.
+	// Crashes are the ends of endpoints that led to it, with their ages when it was written.
 	Crashes []Crash `json:"crashes"`
 }
 
+// Grant counts one more send, at a Unix time in milliseconds. It returns false if none is left: the request is held then. With the last one it is held for a time,
+// which its answer ends.
+func (r *Record) Grant(unixMS int64) bool {
+	if unixMS < r.UntilMS {
+		return false
+	}
+	r.WrittenMS = unixMS
+	r.Trials++
+	if r.Trials >= mostTrials {
+		r.Times++
+		r.UntilMS = unixMS + holdTime(r.Times).Milliseconds()
+	}
+	return true
+}
+
+// Record gives what is known of a request, as it is to be written at a Unix time in milliseconds.
+func (b *Book) Record(now time.Duration, unixMS int64, f Fingerprint) Record {
+	r := Record{Fingerprint: f, WrittenMS: unixMS}
+	s := b.suspects[f]
+	if s == nil {
+		return r
+	}
+	r.Request, r.Trials, r.Times, r.Crashes = s.request, s.trials, s.times, s.ends(now, f)
+	if left, held := b.Held(now, f); held {
+		r.UntilMS = unixMS + left.Milliseconds()
+	}
+	return r
+}
+
 // Unkept gives the holds that are not kept yet, as they are to be written at a Unix time in milliseconds.
 func (b *Book) Unkept(now time.Duration, unixMS int64) []Record {
 	var out []Record
-	for _, f := range b.held {
-		left, held := b.Held(now, f)
-		if s := b.suspects[f]; held && !s.kept {
-			out = append(out, Record{f, s.request, unixMS + left.Milliseconds(), s.times, s.ends(now, f)})
+	for _, f := range b.watched {
+		if _, held := b.Held(now, f); held && !b.suspects[f].kept {
+			out = append(out, b.Record(now, unixMS, f))
 		}
 	}
 	return out
@@ -41,13 +73,14 @@
 	}
 }
 
-// Restore takes a hold that was kept, at a Unix time in milliseconds. Times of day step: it lasts no longer than the longest one may.
+// Restore takes a record, at a Unix time in milliseconds. Times of day step: a hold lasts no longer than the longest one may.
 func (b *Book) Restore(now time.Duration, unixMS int64, r *Record) {
-	age := int64(0) // of its last crash
+	since := max(unixMS-r.WrittenMS, 0)
+	h := Hold{Fingerprint: r.Fingerprint, Request: r.Request, Kept: r.Times > 0, LeftMS: r.UntilMS - unixMS, Times: r.Times, OnTrial: true, Trials: r.Trials, TriedMS: since, AgeMS: since}
 	if len(r.Crashes) > 0 {
-		age = slices.MinFunc(r.Crashes, func(x, y Crash) int { return cmp.Compare(x.AgeMS, y.AgeMS) }).AgeMS
+		h.AgeMS += slices.MinFunc(r.Crashes, func(x, y Crash) int { return cmp.Compare(x.AgeMS, y.AgeMS) }).AgeMS
 	}
-	b.hearHold(now, Hold{Fingerprint: r.Fingerprint, Request: r.Request, Kept: true, LeftMS: r.UntilMS - unixMS, Times: r.Times, AgeMS: age})
+	b.hearHold(now, h)
 }
 
 // Entry is what a host knows of a request, for operators.
@@ -91,7 +124,7 @@
 func (s *suspect) ends(now time.Duration, f Fingerprint) []Crash {
 	out := make([]Crash, 0, len(s.crashes))
 	for life, c := range s.crashes {
-		out = append(out, Crash{f, life, (now - c.at).Milliseconds(), c.ran.Milliseconds(), c.mute, c.host})
+		out = append(out, Crash{f, life, (now - c.at).Milliseconds(), c.ran.Milliseconds(), c.mute, c.host, c.unsure})
 	}
 	slices.SortFunc(out, func(x, y Crash) int { return cmp.Or(cmp.Compare(y.AgeMS, x.AgeMS), cmp.Compare(x.Life, y.Life)) })
 	return out
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -62,6 +62,9 @@
 	}
 	rate := b.rate(now)
 	for life, c := range s.crashes {
+		if c.unsure {
+			continue
+		}
 		if d := b.deaths[life]; d.by != (Fingerprint{}) && d.by != f {
 			continue
 		}
