edge, quarantine, hkctl: requests on trial and held are kept in the platform's store, and found there by hosts that start

What operators saw: all hosts killed at once forgot which requests crash endpoints; quarantine/record.go, meant for that, was called by nothing.

Change: the host that is first in the order of hosts writes a request once, when it comes on trial or is held (the next one a second later if it has not heard of that), under a lease of ten minutes that several records share; holds are written again before it ends. A request that is answered, or that an operator releases, loses its record. Hosts read records with the entries of hosts, in the same call. hkctl quarantine list, show and release.

Ways: a write at the first end (up to ten requests for each endpoint that ends, most of them victims) against one at the third (kept: a write a request on trial); no lease and removal by whoever sees it over (keys stay where nobody does) against leases.

Not covered: fewer than three ends are known to hosts only, and forgotten if all are killed.

--- a/cmd/hkctl/main.go
+++ b/cmd/hkctl/main.go
@@ -75,20 +75,34 @@
 	Name string `arg:"positional,required" help:"host or endpoint"`
 }
 
+// quarantineArgs are the arguments of quarantine.
+type quarantineArgs struct {
+	List    *noArgs   `arg:"subcommand:list" help:"show the requests under which endpoints crashed; held ones first"`
+	Show    *heldArgs `arg:"subcommand:show" help:"show one request: the endpoints that crashed under it, when, and who saw it"`
+	Release *heldArgs `arg:"subcommand:release" help:"let a request run again, at all hosts"`
+	Host    string    `arg:"--host,env:HEATHKEEL_HOST" help:"control address of any hkedge, such as 10.1.0.25:8229"`
+}
+
+// heldArgs name a request.
+type heldArgs struct {
+	Fingerprint string `arg:"positional,required" help:"the 22 letters of list, or of a log line"`
+}
+
 // args are the command line.
 type args struct {
-	Check    *checkArgs    `arg:"subcommand:check" help:"check a directory, a settings file of hkedge or a configuration"`
-	Diff     *dirArgs      `arg:"subcommand:diff" help:"compare a directory with the tree in force; exit 1 if they differ"`
-	Apply    *applyArgs    `arg:"subcommand:apply" help:"put a directory in force"`
-	Get      *getArgs      `arg:"subcommand:get" help:"show or write the tree in force"`
-	Explain  *explainArgs  `arg:"subcommand:explain" help:"show each effective value and where it comes from"`
-	Account  *accountArgs  `arg:"subcommand:account" help:"show from the logs of hosts that trace requests where and why these were not answered in time"`
-	History  *noArgs       `arg:"subcommand:history" help:"show the last changes"`
-	Status   *noArgs       `arg:"subcommand:status" help:"show the revision in force on each host"`
-	Drain    *drainArgs    `arg:"subcommand:drain" help:"make a host or endpoint leave"`
-	Platform string        `arg:"--platform,env:HEATHKEEL_PLATFORM" help:"address of the platform, such as http://10.0.0.1:7000"`
-	JSON     bool          `arg:"--json" help:"print JSON instead of tables"`
-	Timeout  time.Duration `arg:"--timeout,env:HEATHKEEL_TIMEOUT" default:"30s" help:"longest time for the whole command"`
+	Check      *checkArgs      `arg:"subcommand:check" help:"check a directory, a settings file of hkedge or a configuration"`
+	Diff       *dirArgs        `arg:"subcommand:diff" help:"compare a directory with the tree in force; exit 1 if they differ"`
+	Apply      *applyArgs      `arg:"subcommand:apply" help:"put a directory in force"`
+	Get        *getArgs        `arg:"subcommand:get" help:"show or write the tree in force"`
+	Explain    *explainArgs    `arg:"subcommand:explain" help:"show each effective value and where it comes from"`
+	Account    *accountArgs    `arg:"subcommand:account" help:"show from the logs of hosts that trace requests where and why these were not answered in time"`
+	History    *noArgs         `arg:"subcommand:history" help:"show the last changes"`
+	Status     *noArgs         `arg:"subcommand:status" help:"show the revision in force on each host"`
+	Drain      *drainArgs      `arg:"subcommand:drain" help:"make a host or endpoint leave"`
+	Quarantine *quarantineArgs `arg:"subcommand:quarantine" help:"show and release requests that are refused because endpoints crash under them"`
+	Platform   string          `arg:"--platform,env:HEATHKEEL_PLATFORM" help:"address of the platform, such as http://10.0.0.1:7000"`
+	JSON       bool            `arg:"--json" help:"print JSON instead of tables"`
+	Timeout    time.Duration   `arg:"--timeout,env:HEATHKEEL_TIMEOUT" default:"30s" help:"longest time for the whole command"`
 }
 
 // Version gives the line that --version prints.
@@ -174,6 +188,8 @@
 		return t.status(ctx)
 	case t.Drain != nil:
 		return t.drain(ctx)
+	case t.Quarantine != nil:
+		return t.quarantine(ctx)
 	}
 	return fmt.Errorf("%w: give a command; see hkctl --help", errUsage)
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -127,7 +127,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.follow, h.agent.Run, h.tick, h.watchFile, h.fetchWanted} {
+	for _, run := range []func(context.Context){h.follow, h.agent.Run, h.tick, h.watchFile, h.fetchWanted, h.keepRecords} {
 		go run(ctx)
 	}
 	if !h.Clock.Whole() {
@@ -178,8 +178,8 @@
 	}
 	h.endpoints.Init()
 	h.entry = &feed.Entry{
-		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixHosts, Value: h.entryValue,
-		Kept: h.keepsEntry, Hosts: h.knownHosts, Life: 10 * time.Second, Found: h.foundHosts, Log: h.Log.WithName("entry"),
+		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixOwn, Value: h.entryValue,
+		Kept: h.keepsEntry, Hosts: h.knownHosts, Life: 10 * time.Second, Found: h.foundOwn, Log: h.Log.WithName("entry"),
 	}
 }
 
--- a/edge/join_test.go
+++ b/edge/join_test.go
@@ -116,7 +116,7 @@
 }
 
 func (s *firstCall) Range(_ context.Context, prefix string, _ bool) (feed.Page, error) {
-	if prefix != platform.PrefixHosts && s.at.IsZero() {
+	if prefix != platform.PrefixOwn && s.at.IsZero() {
 		s.at = time.Now()
 	}
 	return feed.Page{}, fmt.Errorf("the store fails")
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -146,6 +146,8 @@
 	m := mux.NewRouter()
 	m.HandleFunc(pathSettings, h.answerSettings).Methods(http.MethodGet)
 	m.HandleFunc(pathEndpoints, h.answerEndpoints).Methods(http.MethodGet)
+	m.HandleFunc(PathQuarantine, h.showSuspects).Methods(http.MethodGet)
+	m.HandleFunc(PathQuarantine+"/{fingerprint}", h.release).Methods(http.MethodDelete)
 	m.HandleFunc("/debug/vars", h.showVars).Methods(http.MethodGet)
 	return m
 }
--- a/edge/records.go
+++ b/edge/records.go
@@ -19,12 +19,12 @@
 	"github.com/heathkeel/heathkeel/quarantine"
 )
 
-// Figures of the records' leases.
+// Figures of the records' writes.
 const (
-	// recordLife is the time for which a record stays that nobody writes again: the longest lease of the platform, and as long as a first hold.
-	recordLife = 10 * time.Minute
 	// leaseShared is the time for which a lease serves for further records: with it one call in place of two.
-	leaseShared = 2 * time.Minute
+	leaseShared = time.Minute
+	// mostKeeps bounds the writes that are tried for one hold.
+	mostKeeps = 3
 )
 
 // recordStore is the part of a key-value service that keeps records.
@@ -71,6 +71,25 @@
 	return false, stands, it.Revision, nil
 }
 
+// keep writes a hold, unless one stands that was written no earlier and ends no earlier. It returns what stands then.
+func (k *records) keep(ctx context.Context, r quarantine.Record) (quarantine.Record, error) {
+	revision := uint64(0)
+	for range mostKeeps {
+		swapped, stands, at, err := k.Swap(ctx, &r, revision)
+		if err != nil || swapped {
+			return r, err
+		}
+		if at != 0 && stands.Keeps(&r) {
+			return stands, nil
+		}
+		revision = at
+	}
+	return r, errContended
+}
+
+// errContended means that others wrote a record each time.
+var errContended = eris.New("others write the same record; it is tried again")
+
 // leased gives a lease for a record that is written now.
 func (k *records) leased(ctx context.Context) (uint64, error) {
 	k.mu.Lock()
@@ -80,7 +99,7 @@
 		return lease, nil
 	}
 	began := k.now()
-	lease, err := k.store.Grant(ctx, recordLife)
+	lease, err := k.store.Grant(ctx, quarantine.RecordLife)
 	if err != nil {
 		return 0, err
 	}
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -233,3 +233,43 @@
 	defer k.mu.Unlock()
 	return k.book.Suspects(), k.book.HeldNow(k.now())
 }
+
+// Unkept gives the requests on trial and held that are to be written where they outlast all hosts.
+func (s *Server) Unkept() []quarantine.Record {
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Unkept(k.now(), time.Now().UnixMilli())
+}
+
+// FreedRecords gives the requests whose records this host is to remove, each once.
+func (s *Server) FreedRecords() []quarantine.Fingerprint {
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.Freed()
+}
+
+// Restore takes a record that was written.
+func (s *Server) Restore(r *quarantine.Record) { s.crashes.restore(r) }
+
+// Suspects gives what is known of requests under which endpoints crashed, for operators.
+func (s *Server) Suspects() []quarantine.Entry {
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.List(k.now())
+}
+
+// Release lets a request run again, at all hosts, as an answer would. It returns false if nothing is known of it.
+func (s *Server) Release(f quarantine.Fingerprint) bool {
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.book.Answered(k.now(), f) {
+		return false
+	}
+	k.log.Info("request released by an operator", "fingerprint", f.String())
+	k.tell()
+	return true
+}
--- a/internal/site/crash_test.go
+++ b/internal/site/crash_test.go
@@ -130,7 +130,14 @@
 		must.NoError(t, err)
 		f.hosts = append(f.hosts, h)
 	}
-	(&scene{Site: s}).await(t, "first answers", func() bool {
+	f.awaitServing(t)
+	return f
+}
+
+// awaitServing waits until all hosts serve.
+func (f *fragileSite) awaitServing(t *testing.T) {
+	t.Helper()
+	(&scene{Site: f.Site}).await(t, "first answers", func() bool {
 		var served atomic.Int64
 		var all sync.WaitGroup
 		for i, h := range f.hosts {
@@ -146,7 +153,6 @@
 		all.Wait()
 		return int(served.Load()) == len(f.hosts)
 	})
-	return f
 }
 
 // goOn sends other requests, one after the other, until it is stopped.
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -142,6 +142,32 @@
 	s.write(StoreItem{TLSKey: key, Value: b})
 }
 
+// Has tells whether there is a key below a prefix.
+func (s *Store) Has(prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire()
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// CountWrites counts the writes of keys below a prefix that the history holds.
+func (s *Store) CountWrites(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, it := range s.log {
+		if strings.HasPrefix(it.TLSKey, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Remove removes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -26,9 +26,17 @@
 	mu    sync.Mutex
 	rand  *rand.Rand
 	loss  float64
+	cut   func(from, to string) bool // loses what it names, or nil
 	conns map[string]*endConn
 }
 
+// setCut parts hosts from each other.
+func (n *network) setCut(cut func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut = cut
+}
+
 // endConn is an agent's socket. Datagrams beyond its queue are lost.
 type endConn struct {
 	net.PacketConn
@@ -60,7 +68,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	other := n.conns[to.String()]
-	if c.off || c.dozes || other == nil || other.off {
+	if c.off || c.dozes || other == nil || other.off || (n.cut != nil && n.cut(c.address.String(), to.String())) {
 		return len(b), nil
 	}
 	c.packets, c.bytes = c.packets+1, c.bytes+len(b)
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -42,7 +42,7 @@
 type suspect struct {
 	request string           // what it is, for operators; empty where only other hosts know
 	crashes map[string]crash // by life
-	kept    bool             // its hold stands in the store
+	keptAt  time.Duration    // when its hold was written where it outlasts all hosts, 0 if it was not
 	onTrial bool             // it is sent only if that is granted
 	trials  int              // sends that were granted since it was answered last, by any host
 	tried   time.Duration    // when the newest of them was, 0 for never
@@ -74,7 +74,8 @@
 	deaths   map[string]death // by life
 	watched  []Fingerprint    // those that are on trial or held, or were held, in the order in which they are told
 	turn     int
-	news     []news // what is told, in the order in which it came
+	news     []news        // what is told, in the order in which it came
+	freed    []Fingerprint // those whose records are to be removed by this host
 }
 
 // Empty says that no request is known: none need be looked up.
@@ -238,7 +239,7 @@
 
 // release refuses a request no more.
 func (b *Book) release(f Fingerprint, s *suspect) {
-	s.until, s.times, s.kept, s.onTrial, s.trials, s.tried = 0, 0, false, false, 0, 0
+	s.until, s.times, s.keptAt, s.onTrial, s.trials, s.tried = 0, 0, 0, false, 0, 0
 	b.watched = slices.DeleteFunc(b.watched, func(g Fingerprint) bool { return f == g })
 	for life, d := range b.deaths {
 		if d.by == f {
@@ -262,6 +263,9 @@
 	b.news = append(b.news, news{at: now, fingerprint: f, own: own})
 	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return c.at <= at })
 	if s.newest <= at {
+		if own && (s.keptAt > 0 || s.trials > 0) {
+			b.freed = append(b.freed, f)
+		}
 		b.release(f, s)
 	}
 	return true
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -36,8 +36,8 @@
 	Fingerprint Fingerprint `json:"f"`
 	// Request says what it is, for operators.
 	Request string `json:"q,omitempty"`
-	// Kept says that it stands in the store.
-	Kept bool `json:"k,omitempty"`
+	// KeptMS is the time in milliseconds since the hold was written where it outlasts all hosts, 0 if it was not.
+	KeptMS int64 `json:"k,omitempty"`
 	// LeftMS is the time in milliseconds that is left, Times the number of times that it was held, and AgeMS the time in
 	// milliseconds since the last crash under it.
 	LeftMS int64 `json:"l"`
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -55,28 +55,52 @@
 	return r
 }
 
-// Unkept gives the holds that are not kept yet, as they are to be written at a Unix time in milliseconds.
+// Keeps tells whether a record that stands says what another one is to say, and will for a while.
+func (r *Record) Keeps(o *Record) bool {
+	return r.UntilMS+holdStep.Milliseconds() >= o.UntilMS && r.Trials >= o.Trials && o.WrittenMS-r.WrittenMS < renewAfter.Milliseconds()
+}
+
+// RecordLife is the time for which a record stays that nobody writes again.
+const RecordLife = 10 * time.Minute
+
+// renewAfter is the age from which the record of a hold is written again: two minutes of outage before its end are borne.
+const renewAfter = RecordLife - 2*time.Minute
+
+// keptFor is the time since a hold was written, 0 if it was not.
+func (s *suspect) keptFor(now time.Duration) time.Duration {
+	if s.keptAt == 0 {
+		return 0
+	}
+	return max(now-s.keptAt, time.Millisecond)
+}
+
+// Unkept gives the requests on trial and held that are to be written, as of a Unix time in milliseconds. Only holds are written again.
 func (b *Book) Unkept(now time.Duration, unixMS int64) []Record {
 	var out []Record
 	for _, f := range b.watched {
-		if _, held := b.Held(now, f); held && !b.suspects[f].kept {
+		s := b.suspects[f]
+		_, held := b.Held(now, f)
+		if s.onTrial && s.keptAt == 0 || held && s.keptFor(now) > renewAfter {
 			out = append(out, b.Record(now, unixMS, f))
 		}
 	}
 	return out
 }
 
-// Kept notes whether a hold is kept.
-func (b *Book) Kept(f Fingerprint, kept bool) {
-	if s := b.suspects[f]; s != nil {
-		s.kept = kept
-	}
+// Freed gives the requests whose records this host is to remove, since it answered them, and forgets that.
+func (b *Book) Freed() []Fingerprint {
+	freed := b.freed
+	b.freed = nil
+	return freed
 }
 
 // Restore takes a record, at a Unix time in milliseconds. Times of day step: a hold lasts no longer than the longest one may.
 func (b *Book) Restore(now time.Duration, unixMS int64, r *Record) {
 	since := max(unixMS-r.WrittenMS, 0)
-	h := Hold{Fingerprint: r.Fingerprint, Request: r.Request, Kept: r.Times > 0, LeftMS: r.UntilMS - unixMS, Times: r.Times, OnTrial: true, Trials: r.Trials, TriedMS: since, AgeMS: since}
+	h := Hold{
+		Fingerprint: r.Fingerprint, Request: r.Request, KeptMS: since + 1, LeftMS: r.UntilMS - unixMS, Times: r.Times, AgeMS: since,
+		OnTrial: true, Trials: r.Trials, TriedMS: since,
+	}
 	if len(r.Crashes) > 0 {
 		h.AgeMS += slices.MinFunc(r.Crashes, func(x, y Crash) int { return cmp.Compare(x.AgeMS, y.AgeMS) }).AgeMS
 	}
@@ -94,6 +118,9 @@
 	LeftMS int64 `json:"left_ms"`
 	Times  int   `json:"times"`
 	Kept   bool  `json:"kept"`
+	// OnTrial says that each send of it must be granted; Trials is the number of those that were.
+	OnTrial bool `json:"on_trial"`
+	Trials  int  `json:"trials"`
 	// Crashes are the ends of endpoints under it, the first one first.
 	Crashes []Crash `json:"crashes"`
 }
@@ -103,10 +130,13 @@
 	out := make([]Entry, 0, len(b.suspects))
 	for f, s := range b.suspects {
 		left, held := b.Held(now, f)
-		if !held && len(s.crashes) == 0 {
+		if !s.onTrial && len(s.crashes) == 0 {
 			continue // cleared
 		}
-		out = append(out, Entry{f, s.request, held, left.Milliseconds(), s.times, s.kept, s.ends(now, f)})
+		out = append(out, Entry{
+			Fingerprint: f, Request: s.request, Held: held, LeftMS: left.Milliseconds(), Times: s.times, Kept: s.keptAt != 0,
+			OnTrial: s.onTrial, Trials: s.trials, Crashes: s.ends(now, f),
+		})
 	}
 	slices.SortFunc(out, func(x, y Entry) int {
 		if x.Held != y.Held {
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -49,7 +49,7 @@
 		h.TriedMS = (now - s.tried).Milliseconds()
 	}
 	if now < s.until {
-		h.LeftMS, h.Request, h.Kept = (s.until - now).Milliseconds(), s.request, s.kept
+		h.LeftMS, h.Request, h.KeptMS = (s.until - now).Milliseconds(), s.request, s.keptFor(now).Milliseconds()
 	}
 	return h
 }
@@ -103,7 +103,9 @@
 	if s.request == "" && len(h.Request) <= longestName {
 		s.request = h.Request
 	}
-	s.kept = s.kept || h.Kept
+	if h.KeptMS > 0 {
+		s.keptAt = max(s.keptAt, aged(now, h.KeptMS), 1)
+	}
 	s.newest = max(s.newest, newest)
 	b.hearTrials(now, &h, s)
 	if !holds || now+left < s.until+holdStep {
