--- a/peers/crashes_test.go
+++ b/peers/crashes_test.go
@@ -44,9 +44,14 @@
 
 // crash lets an endpoint crash under a request of this host.
 func (h *holder) crash(f quarantine.Fingerprint, life string) {
+	h.ended(f, quarantine.End{Life: life, At: h.now(), Ran: 100 * time.Millisecond, Mute: true})
+}
+
+// ended notes the end of an endpoint under a request of this host.
+func (h *holder) ended(f quarantine.Fingerprint, e quarantine.End) {
 	h.mu.Lock()
 	h.book.Host = h.agent.Table.Host
-	h.book.Crashed(h.now(), f, quarantine.End{Life: life, At: h.now(), Ran: 100 * time.Millisecond, Mute: true})
+	h.book.Crashed(h.now(), f, e)
 	h.mu.Unlock()
 	h.agent.Kick()
 }
