peers: who hears from a host knows that it lives; losses in the test's network follow each way's own datagrams

Cause, traced (owners as each host names them, ages of what it heard): a relay that loses three heartbeats of a host tells all that it fell silent; a part of the hosts then take the next one for the owner of an endpoint's places, and two owners give the same places, for 0.2 to 0.6 s.

Change: asks and grants count as signs of life, as heartbeats do, so that who is answered by an owner does not believe a relay that it is gone. The test's owners answer each ask, as hosts do, and its losses are drawn for each way, so that they do not follow the order of goroutines.

A true death is told as before: what counts is 0.7 s of silence.

--- a/peers/amounts_test.go
+++ b/peers/amounts_test.go
@@ -92,7 +92,7 @@
 func newPayers(ctx context.Context, n int, loss float64, tol quota.Tolerance) *payers {
 	start := time.Now()
 	f := &payers{
-		net: &network{rand: rand.New(rand.NewPCG(1, 2)), loss: loss, conns: make(map[string]*endConn)},
+		net: &network{ways: make(map[way]*rand.Rand), loss: loss, conns: make(map[string]*endConn)},
 		tol: tol, stopped: make(map[int]time.Duration),
 	}
 	for i := range n {
--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
@@ -24,10 +25,23 @@
 // network carries datagrams between agents on simulated time.
 type network struct {
 	mu    sync.Mutex
-	rand  *rand.Rand
 	loss  float64
 	cut   func(from, to string) bool // loses what it names, or nil
 	conns map[string]*endConn
+	ways  map[way]*rand.Rand // what is lost on each way follows its own datagrams only, not the order of goroutines
+}
+
+// way is from one host to another.
+type way struct{ from, to string }
+
+// loses draws whether a datagram is lost; mu must be held.
+func (n *network) loses(w way) bool {
+	r := n.ways[w]
+	if r == nil {
+		r = rand.New(rand.NewPCG(xxhash.Sum64String(w.from), xxhash.Sum64String(w.to)))
+		n.ways[w] = r
+	}
+	return r.Float64() < n.loss
 }
 
 // setCut parts hosts from each other.
@@ -72,7 +86,7 @@
 		return len(b), nil
 	}
 	c.packets, c.bytes = c.packets+1, c.bytes+len(b)
-	if n.rand.Float64() < n.loss {
+	if n.loses(way{c.address.String(), to.String()}) {
 		return len(b), nil
 	}
 	other.packets, other.bytes = other.packets+1, other.bytes+len(b)
@@ -199,7 +213,7 @@
 // fleetOf starts hosts that are made of nodes.
 func fleetOf(ctx context.Context, n, zones int, loss float64, host func(*node) Host) []*node {
 	start := time.Now()
-	network := &network{rand: rand.New(rand.NewPCG(1, uint64(n))), loss: loss, conns: make(map[string]*endConn)}
+	network := &network{loss: loss, conns: make(map[string]*endConn), ways: make(map[way]*rand.Rand)}
 	nodes := make([]*node, n)
 	for i := range nodes {
 		nodes[i] = &node{now: func() time.Duration { return time.Since(start) }, conn: network.open(i)}
--- a/peers/places_test.go
+++ b/peers/places_test.go
@@ -82,6 +82,12 @@
 			}
 			out[to][e] = places.Grant{Places: 1, Running: p.books[e].Others(now, to)}
 		}
+		if _, granted := out[host][e]; !granted && a.Rank >= 0 { // as a host answers who asks
+			if out[host] == nil {
+				out[host] = make(map[string]places.Grant)
+			}
+			out[host][e] = places.Grant{Running: p.books[e].Others(now, host)}
+		}
 	}
 	return out
 }
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -59,15 +59,24 @@
 		a.hearUpdate(msg)
 	case *Asks:
 		if a.Places != nil && msg.Host != a.Table.Host {
+			a.lives(msg.Host, msg.Life)
 			a.answerAsks(a.Places.Asked(msg.Host, msg.Life, msg.Seq, msg.Asks))
 		}
 	case *Grants:
 		if a.Places != nil && msg.To == a.Table.Life {
+			a.lives(msg.Host, 0)
 			a.Places.Granted(msg.Grants)
 		}
 	}
 }
 
+// lives notes a sign of life of a host.
+func (a *Agent) lives(host string, life uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Table.Lives(a.Now(), host, life)
+}
+
 // hear takes one heartbeat.
 func (a *Agent) hear(b *Beat) {
 	if b.Host == a.Table.Host {
--- a/peers/start_test.go
+++ b/peers/start_test.go
@@ -84,7 +84,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				start := time.Now()
-				network := &network{rand: rand.New(rand.NewPCG(1, 2)), conns: make(map[string]*endConn)}
+				network := &network{ways: make(map[way]*rand.Rand), conns: make(map[string]*endConn)}
 				all := make([]*starter, tc.hosts+1)
 				var seeds []string
 				for i := range all {
--- a/peers/table.go
+++ b/peers/table.go
@@ -147,6 +147,15 @@
 	return t.proof(d.Host, &d.Row, d.Echo, &d.Words)
 }
 
+// Lives notes that a known member, in one life of its process or in the one that is known if life is 0, sent something but a heartbeat. A relay that
+// lost some heartbeats takes it for silent; who hears from it knows better.
+func (t *Table) Lives(now time.Duration, host string, life uint64) {
+	if m := t.members[host]; m != nil && (life == 0 || life == m.Life) {
+		t.back(now, m)
+		m.Heard, m.direct = now, now
+	}
+}
+
 // proof gives what a peer's words prove: they were written after it had heard the datagram
 // of this host that it echoes.
 func (t *Table) proof(host string, row *Row, echoes map[string]uint32, w *Words) (Proof, bool) {
