edge, quarantine: a record is not removed for an old answer once its request is on trial again; figures' stories leave comments

The host that answered a request removes its record, and tries that again while the store fails; a request that came on trial anew in that time would lose what all hosts count by.

--- a/cmd/hkctl/quarantine.go
+++ b/cmd/hkctl/quarantine.go
@@ -135,7 +135,7 @@
 	if t.JSON {
 		return t.printJSON(e)
 	}
-	fmt.Fprintf(t.out, "%s: %s\n%s, for %s yet; held %d times; kept in the store: %t\n", e.Fingerprint, e.Request, state(e), left(e), e.Times, e.Kept)
+	fmt.Fprintf(t.out, "%s: %s\n%s, for %s yet; held %d times; sent on trial %d times; kept in the store: %t\n", e.Fingerprint, e.Request, state(e), left(e), e.Times, e.Trials, e.Kept)
 	w := tabwriter.NewWriter(t.out, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "ENDPOINT\tENDED\tAFTER\tANSWER\tSEEN BY")
 	for _, c := range e.Crashes {
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -55,6 +55,10 @@
 		k.freed[f] = h.now()
 	}
 	for f, at := range k.freed {
+		if h.ingress.OnTrial(f) { // again: its record stands for that now
+			delete(k.freed, f)
+			continue
+		}
 		cctx, cancel := context.WithTimeout(ctx, keepTimeout)
 		err := h.store.Remove(cctx, platform.PrefixRecords+f.String())
 		cancel()
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -250,6 +250,15 @@
 	return k.book.Freed()
 }
 
+// OnTrial tells whether a request is on trial or held.
+func (s *Server) OnTrial(f quarantine.Fingerprint) bool {
+	k := &s.crashes
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_, held := k.book.Held(k.now(), f)
+	return held || k.book.OnTrial(k.now(), f)
+}
+
 // Restore takes a record that was written.
 func (s *Server) Restore(r *quarantine.Record) { s.crashes.restore(r) }
 
--- a/once/window.go
+++ b/once/window.go
@@ -8,7 +8,7 @@
 const DefaultKeep = 3
 
 // DefaultMaxRecords bounds the records of one machine; at about 200 bytes each
-// (measured by BenchmarkWitnessMemory) it bounds the memory at 26 MB.
+// it bounds the memory at 26 MB.
 const DefaultMaxRecords = 1 << 17
 
 // window holds records by generation. It forgets by its own count only, and
--- a/peers/others.go
+++ b/peers/others.go
@@ -7,8 +7,8 @@
 import "time"
 
 // Mean ages of what is known of other hosts' loads: half an updateEvery until they are
-// told, a datagram, and half of one until it is looked at; by way of relays as measured by
-// TestFleetHearsOfEachOther.
+// told, a datagram, and half of one until it is looked at; by way of relays two
+// heartbeats and what a relay waits.
 const (
 	directAge  = 30 * time.Millisecond
 	relayedAge = 450 * time.Millisecond
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -9,16 +9,13 @@
 	"time"
 )
 
-// Figures of the verdict. They were chosen by plays of 18 to 160 endpoints with 5 requests a second each (TestAttribution), ten of each
-// kind, 120 s long, in which endpoints end by themselves, many at once, or by turns, and up to three requests crash them.
+// Figures of the verdict by chance.
 const (
 	// muteCrashes is the number of endpoints that must have ended under a request before its first sign of an answer: a request that crashes
-	// what begins to run it ends them all so, and another one is in that state for a tenth of its time. By a count of three endpoints in
-	// whatever state, 5 to 264 in 100,000 innocent requests are held where endpoints end often; by this one 0 to 2. A guilty one ends
-	// 3.0 to 3.2 endpoints in the mean by either.
+	// what begins to run it ends them all so, and another one is in that state for a small part of its time.
 	muteCrashes = 3
-	// leastSurprise is the surprise, in nats, from which a request is held that lets endpoints answer for a while and ends them then: 6.1 of
-	// 18 endpoints, 4.4 of 160 in the mean. The chance of an innocent one to get there is about one in 5e8.
+	// leastSurprise is the surprise, in nats, from which a request is held that lets endpoints answer for a while and ends them then: a chance of
+	// one in 5e8 for an innocent one.
 	leastSurprise = 20
 	// rateWindow is the time over which the ends of endpoints are counted.
 	rateWindow = 30 * time.Second
