edge, platform: a record is removed only as it was read

A removal that the store does long after it was sent took away the record of a request that had come on trial again, and with it the count of what all hosts had sent. Found while writing the model of grants, not seen in a run. Removal is a write under a condition now: the first tells what stands, the second removes just that, unless it was written after the answer. Before a restart the stand-in waits until a killed host's ports are free (one failure of TestTrialsOutlastAllHosts: address in use).

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -30,12 +30,18 @@
 // hosts; the next one does so if it has not heard of that for a second.
 type keeper struct {
 	since map[quarantine.Fingerprint]time.Duration // when a request was first seen not to be kept
-	freed map[quarantine.Fingerprint]time.Duration // when a record was to be removed
+	freed map[quarantine.Fingerprint]answer        // those whose records are to be removed
+}
+
+// answer is when a request was answered, on the host's clock and as a Unix time in milliseconds.
+type answer struct {
+	at     time.Duration
+	unixMS int64
 }
 
 // keepRecords writes and removes records until ctx ends.
 func (h *Host) keepRecords(ctx context.Context) {
-	k := keeper{since: make(map[quarantine.Fingerprint]time.Duration), freed: make(map[quarantine.Fingerprint]time.Duration)}
+	k := keeper{since: make(map[quarantine.Fingerprint]time.Duration), freed: make(map[quarantine.Fingerprint]answer)}
 	t := time.NewTicker(keepEvery)
 	defer t.Stop()
 	for {
@@ -51,18 +57,14 @@
 
 // removeFreed removes the records of requests that were answered. One that cannot be removed goes with its lease.
 func (h *Host) removeFreed(ctx context.Context, k *keeper) {
-	for _, f := range h.ingress.FreedRecords() {
-		k.freed[f] = h.now()
+	for _, c := range h.ingress.FreedRecords() {
+		k.freed[c.Fingerprint] = answer{h.now(), time.Now().UnixMilli() - c.AgeMS}
 	}
-	for f, at := range k.freed {
-		if h.ingress.OnTrial(f) { // again: its record stands for that now
-			delete(k.freed, f)
-			continue
-		}
+	for f, answered := range k.freed {
 		cctx, cancel := context.WithTimeout(ctx, keepTimeout)
-		err := h.store.Remove(cctx, platform.PrefixRecords+f.String())
+		err := h.records.remove(cctx, f, answered.unixMS)
 		cancel()
-		if err != nil && h.now()-at < quarantine.RecordLife {
+		if err != nil && h.now()-answered.at < quarantine.RecordLife {
 			h.Log.V(1).Info("record of an answered request not removed yet", "fingerprint", f.String(), "cause", err.Error())
 			continue
 		}
--- a/edge/records.go
+++ b/edge/records.go
@@ -31,6 +31,7 @@
 type recordStore interface {
 	Grant(ctx context.Context, ttl time.Duration) (uint64, error)
 	Swap(ctx context.Context, key string, value []byte, lease, revision uint64) (bool, feed.Item, error)
+	Remove(ctx context.Context, key string, revision uint64) (bool, feed.Item, error)
 }
 
 // records keeps requests that are on trial or held where they outlast all hosts, under leases, so that what nobody needs any more goes by itself.
@@ -87,6 +88,23 @@
 	return r, errContended
 }
 
+// remove removes the record of a request that was answered at a Unix time in milliseconds. One that was written later stays: the request came on trial
+// again. Only what was read is removed, since the store may do a call long after it was sent.
+func (k *records) remove(ctx context.Context, f quarantine.Fingerprint, answeredMS int64) error {
+	key, revision := platform.PrefixRecords+f.String(), uint64(0)
+	for range mostKeeps {
+		removed, it, err := k.store.Remove(ctx, key, revision)
+		if err != nil || removed {
+			return err
+		}
+		if r, err := parseRecord(it); it.Revision != 0 && err == nil && r.WrittenMS > answeredMS {
+			return nil
+		}
+		revision = it.Revision
+	}
+	return errContended
+}
+
 // errContended means that others wrote a record each time.
 var errContended = eris.New("others write the same record; it is tried again")
 
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -242,21 +242,12 @@
 	return k.book.Unkept(k.now(), time.Now().UnixMilli())
 }
 
-// FreedRecords gives the requests whose records this host is to remove, each once.
-func (s *Server) FreedRecords() []quarantine.Fingerprint {
+// FreedRecords gives the requests whose records this host is to remove, each once, and how long ago they were answered.
+func (s *Server) FreedRecords() []quarantine.Clear {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.book.Freed()
-}
-
-// OnTrial tells whether a request is on trial or held.
-func (s *Server) OnTrial(f quarantine.Fingerprint) bool {
-	k := &s.crashes
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	_, held := k.book.Held(k.now(), f)
-	return held || k.book.OnTrial(k.now(), f)
+	return k.book.Freed(k.now())
 }
 
 // Restore takes a record that was written.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -162,8 +162,35 @@
 	return plain, engines, nil
 }
 
+// awaitFree waits until nothing listens at a host's addresses: what a life in this process that was killed had open is closed a moment later, where the end of a
+// process closes all at once.
+func awaitFree(b *platform.Boot) {
+	peer := fmt.Sprintf("%s:%d", b.IP, b.PeerPort)
+	for range 200 {
+		taken := false
+		for _, address := range []string{b.Front, b.Ready, b.Control, b.Directory} {
+			l, err := net.Listen("tcp", address)
+			if err != nil {
+				taken = true
+				continue
+			}
+			_ = l.Close()
+		}
+		if c, err := net.ListenPacket("udp", peer); err != nil {
+			taken = true
+		} else {
+			_ = c.Close()
+		}
+		if !taken {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
 // Restart starts a host, or one that ended, with its settings.
 func (s *Site) Restart(h *Host) (*Host, error) {
+	awaitFree(&h.Boot)
 	ctx, cancel := context.WithCancel(context.Background())
 	again := &Host{Boot: h.Boot, Path: h.Path, Signals: make(chan os.Signal, 4), Done: make(chan struct{}), StoreLink: h.StoreLink, kill: cancel}
 	s.Hosts = append(s.Hosts, again)
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -87,11 +87,16 @@
 	return out
 }
 
-// Freed gives the requests whose records this host is to remove, since it answered them, and forgets that.
-func (b *Book) Freed() []Fingerprint {
-	freed := b.freed
+// Freed gives the requests whose records this host is to remove, since it answered them, and how long ago that was, and forgets that.
+func (b *Book) Freed(now time.Duration) []Clear {
+	var out []Clear
+	for _, f := range b.freed {
+		if s := b.suspects[f]; s != nil {
+			out = append(out, Clear{f, (now - s.cleared).Milliseconds()})
+		}
+	}
 	b.freed = nil
-	return freed
+	return out
 }
 
 // Restore takes a record, at a Unix time in milliseconds. Times of day step: a hold lasts no longer than the longest one may.
