quarantine: a send that was granted after an answer counts, also where its host had not heard of the answer

A record was passed over if the newest end in it came before the answer that a host knows of, although a host that had not heard of the answer had been granted sends since. Records tell when they were written; grants from after an answer count, and are not cleared by it.

TestGrant, TestRecordOutlastsBook, TestAnswerEndsTrial, TestFreed.

--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -262,7 +262,7 @@
 	s.cleared = at
 	b.news = append(b.news, news{at: now, fingerprint: f, own: own})
 	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return c.at <= at })
-	if s.newest <= at {
+	if max(s.newest, s.tried) <= at {
 		if own && (s.keptAt > 0 || s.trials > 0) {
 			b.freed = append(b.freed, f)
 		}
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -97,8 +97,8 @@
 	}
 	s := b.suspect(h.Fingerprint)
 	newest := aged(now, h.AgeMS)
-	if newest <= s.cleared {
-		return
+	if newest <= s.cleared && (h.Trials == 0 || aged(now, h.TriedMS) <= s.cleared) {
+		return // a send that was granted since counts, also where its host had not heard of the answer
 	}
 	if s.request == "" && len(h.Request) <= longestName {
 		s.request = h.Request
--- a/quarantine/trial.go
+++ b/quarantine/trial.go
@@ -31,7 +31,7 @@
 func (b *Book) After(now time.Duration, f Fingerprint) time.Duration {
 	left, held := b.Held(now, f)
 	s := b.suspects[f]
-	if held && s.tried > 0 && s.tried > s.newest && now-s.tried < trialTime {
+	if held && s.tried > 0 && s.tried >= s.newest && now-s.tried < trialTime {
 		return min(left, trialPause)
 	}
 	return left
