--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -7,6 +7,7 @@
 //
 // A Fingerprint knows a request again. A Book holds the evidence of all hosts: which endpoints crashed under which
 // requests, and which of those were answered since. Hosts tell each other all evidence while it is new, so that each
-// of them comes to the same verdict by itself; nothing is agreed. The package does no I/O and reads no clock; times are
+// of them comes to the same verdict by itself. What the verdict leaves open is bounded by a count: a request under which three endpoints ended is on trial, and each
+// further send must be granted in its Record, which is kept where it outlasts all hosts. The package does no I/O and reads no clock; times are
 // since the process's start, and ages where hosts tell them.
 package quarantine
