--- a/internal/site/again_test.go
+++ b/internal/site/again_test.go
@@ -87,7 +87,8 @@
 	s.await(t, "all goes to the other endpoint", func() bool {
 		before := len(s.plain[0].Runs())
 		for range 10 {
-			must.EqOp(t, 200, Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "f"}).Status)
+			a := Do(h.Boot.Front, Call{Path: "/ask/a", Key: Key, ID: "f"})
+			must.EqOp(t, 200, a.Status, must.Sprint(a.Body))
 		}
 		return len(s.plain[0].Runs()) == before
 	})
