--- a/places/places_test.go
+++ b/places/places_test.go
@@ -70,7 +70,7 @@
 		{"the top tier may have one more", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}, {0, "z", 1, Ask{0, 0, false}, []string{"z"}, 0}}},
 		{"what was granted is taken", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {0, "y", 2, Ask{1, -1, false}, nil, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}}},
 		{"what was granted is given back", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}, {0, "y", 2, Ask{0, -1, true}, []string{"z"}, 0}}},
-		{"what was granted is not taken in its time", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {grantLife, "z", 1, Ask{0, 1, false}, []string{"z"}, 0}}},
+		{"what was granted is not taken in its time", []word{{0, "x", 1, Ask{1, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, []string{"y"}, 0}, {askLife + 1, "z", 1, Ask{0, 1, false}, []string{"z"}, 0}}},
 		{"a request ends", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}, {50 * ms, "x", 2, Ask{1, -1, false}, []string{"y"}, 0}}},
 		{"who waits for a higher tier goes first", []word{{0, "x", 1, Ask{3, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 2, false}, nil, 0}, {0, "z", 1, Ask{0, 1, false}, nil, 0}, {0, "x", 2, Ask{1, -1, false}, []string{"z"}, 0}}},
 		{"who waits says so", []word{{0, "x", 1, Ask{2, -1, false}, nil, 0}, {0, "y", 1, Ask{0, 1, false}, nil, 0}, {askLife + 1, "x", 2, Ask{1, -1, false}, nil, 0}}},
