edge, upstream, simnet, simsite: whole hosts run on simulated time

Until now tests at size played parts (feed, peers) and real hosts were six. The servers of the front whose limits are no more in force waited for connections for ever; they end now, and keep the connections that they have.

--- a/edge/host.go
+++ b/edge/host.go
@@ -8,7 +8,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -75,6 +74,8 @@
 	Trace bool
 	// Clock is the host's clock, or nil for one that Run makes.
 	Clock *clock.Clock
+	// Network is how the host reaches others, or nil for the machine's.
+	Network Network
 	// Log takes changes of state.
 	Log logr.Logger
 
@@ -110,6 +111,9 @@
 	if h.Clock == nil {
 		h.Clock = clock.New()
 	}
+	if h.Network == nil {
+		h.Network = &machine{}
+	}
 	h.watch.Clock, h.watch.Woke = h.Clock, h.woke
 	h.life = rand.Uint64() >> 12
 	h.stopping = make(chan struct{})
@@ -146,15 +150,15 @@
 		Base: "http://" + b.Store,
 		HTTP: &http.Client{Transport: &http.Transport{
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second,
-			DialContext: (&net.Dialer{Timeout: time.Second}).DialContext,
+			DialContext: h.dial(storeDialTimeout),
 		}},
 	}
 	h.peerHTTP = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
-		DialContext: (&net.Dialer{Timeout: fetchTimeout}).DialContext,
+		DialContext: h.dial(fetchTimeout),
 	}}
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Now: h.now, Watch: &h.watch, Unproven: h.unproven, Proven: h.provenAt, DrainTime: b.DrainTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
+		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.watch, Unproven: h.unproven, Proven: h.provenAt, DrainTime: b.DrainTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
 		Retries:    quota.Retries{Ratio: retryShare * b.RetryRatio, Most: retryShare * b.RetrySlack},
 		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		FirstStart: b.First, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
@@ -187,6 +191,9 @@
 // provenAt tells when the list of endpoints was surely the newest.
 func (h *Host) provenAt() (time.Duration, bool) { return h.endpoints.Proven() }
 
+// storeDialTimeout bounds the opening of a connection to the store.
+const storeDialTimeout = time.Second
+
 // newTable puts a configuration in force and tells the other hosts of it at once.
 func (h *Host) newTable(t *route.Table) {
 	h.ingress.SetTable(t)
@@ -212,8 +219,7 @@
 
 // listenPeers opens the socket for heartbeats.
 func (h *Host) listenPeers(ctx context.Context) error {
-	var lc net.ListenConfig
-	conn, err := lc.ListenPacket(ctx, "udp", h.peerAddress())
+	conn, err := h.Network.ListenPacket(ctx, "udp", h.peerAddress())
 	if err != nil {
 		return err
 	}
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -44,7 +45,7 @@
 		if w.address == "" {
 			continue
 		}
-		l, err := net.Listen("tcp", w.address)
+		l, err := h.Network.Listen(ctx, "tcp", w.address)
 		if err != nil {
 			return err
 		}
@@ -70,6 +71,11 @@
 
 // serve accepts connections and hands each to the server with the limits in force.
 func (f *frontServer) serve(l net.Listener) {
+	defer func() {
+		if f.queue != nil {
+			_ = f.queue.Close()
+		}
+	}()
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -95,8 +101,11 @@
 	if f.queue != nil && limits == f.limits {
 		return f.queue
 	}
+	if f.queue != nil {
+		_ = f.queue.Close() // its server goes on with the connections that it has
+	}
 	f.limits = limits
-	f.queue = &queueListener{addr: addr, conns: make(chan net.Conn, 64)}
+	f.queue = &queueListener{addr: addr, conns: make(chan net.Conn, 64), closed: make(chan struct{})}
 	srv := &http.Server{
 		Handler:           f.host.ingress,
 		ReadHeaderTimeout: orElse(limits.HeaderTime, defaultHeaderTime),
@@ -117,15 +126,32 @@
 
 // queueListener is a listener that is fed connections.
 type queueListener struct {
-	addr  net.Addr
-	conns chan net.Conn
+	addr   net.Addr
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
 }
 
-// Accept implements net.Listener.
-func (q *queueListener) Accept() (net.Conn, error) { return <-q.conns, nil }
+// Accept implements net.Listener. What was fed before the end is still accepted.
+func (q *queueListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-q.conns:
+		return c, nil
+	default:
+	}
+	select {
+	case c := <-q.conns:
+		return c, nil
+	case <-q.closed:
+		return nil, net.ErrClosed
+	}
+}
 
 // Close implements net.Listener.
-func (q *queueListener) Close() error { return nil }
+func (q *queueListener) Close() error {
+	q.once.Do(func() { close(q.closed) })
+	return nil
+}
 
 // Addr implements net.Listener.
 func (q *queueListener) Addr() net.Addr { return q.addr }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -27,6 +27,8 @@
 type Server struct {
 	// Headers are the names that are spoken.
 	Headers Headers
+	// Dial opens connections to endpoints, or nil for those of the machine.
+	Dial upstream.Dial
 	// Settings is the configuration in force and its age.
 	Settings *feed.Settings
 	// Now is the host's clock; it counts the time in which the host is suspended.
@@ -84,7 +86,7 @@
 // Init makes the server ready.
 func (s *Server) Init() {
 	s.pool.Now = s.Now
-	s.pool.DialTimeout = dialTimeout
+	s.pool.DialTimeout, s.pool.Dial = dialTimeout, s.Dial
 	s.crashes = crashes{now: s.Now, dial: s.pool.Warm, log: s.Log, tell: func() {}, inquiries: make(map[string]*inquiry)}
 	s.crashes.book.Host = s.Host
 	s.deadlines = deadlines{now: s.Now, calls: make(map[*call]*time.Timer)}
--- /dev/null
+++ b/internal/simsite/endpoint.go
@@ -0,0 +1,95 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package simsite
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/heathkeel/heathkeel/internal/site"
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// Endpoint is a plain service that answers at once.
+type Endpoint struct {
+	// Instance is its name.
+	Instance string
+
+	site    *Site
+	address string
+	zone    string
+
+	mu       sync.Mutex
+	arrivals []Arrival
+	left     time.Time // when the store took its leaving, zero while it stays
+}
+
+// Arrival is a request that reached an endpoint.
+type Arrival struct {
+	// From is the IP number of the host that sent it, and At when it came.
+	From string
+	At   time.Time
+	// AfterLeaving is the time since the store had taken the endpoint's leaving, 0 if it had not.
+	AfterLeaving time.Duration
+}
+
+// ServeHTTP implements http.Handler.
+func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	e.mu.Lock()
+	a := Arrival{From: ip, At: time.Now()}
+	if !e.left.IsZero() {
+		a.AfterLeaving = time.Since(e.left)
+	}
+	e.arrivals = append(e.arrivals, a)
+	e.mu.Unlock()
+	id := r.Header.Get("Heathkeel-Attempt-Id")
+	w.Header().Set("Heathkeel-Attempt-Id", id)
+	w.Header().Set("Heathkeel-Response-Stamp", e.Instance+"."+id)
+	_, _ = w.Write([]byte("ran " + id))
+}
+
+// Arrivals are the requests so far.
+func (e *Endpoint) Arrivals() []Arrival {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]Arrival(nil), e.arrivals...)
+}
+
+// Leave makes the endpoint leave: it says so, or its entry goes without a word. It serves on.
+func (e *Endpoint) Leave(says bool) {
+	if says {
+		e.tell("draining")
+	} else {
+		e.site.Store.Remove(platform.PrefixEndpoints + e.Instance)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.left = time.Now()
+}
+
+// tell writes the endpoint's entry.
+func (e *Endpoint) tell(state string) {
+	e.site.Store.Put(platform.PrefixEndpoints+e.Instance, site.EndpointEntry{
+		Service: site.Plain, Address: e.address, Zone: e.zone, Version: "v1", Slots: 8, State: state,
+	})
+}
+
+// start listens and writes the entry.
+func (e *Endpoint) start(ip string) error {
+	e.address = ip + ":8000"
+	l, err := e.site.Net.Host(ip).Listen(context.Background(), "tcp", e.address)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	go func() { _ = srv.Serve(l) }()
+	e.site.servers = append(e.site.servers, srv)
+	e.tell("ready")
+	return nil
+}
--- /dev/null
+++ b/internal/simsite/store.go
@@ -0,0 +1,89 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package simsite
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"github.com/heathkeel/heathkeel/internal/site"
+)
+
+// Mood is what the store does with a call.
+type Mood int
+
+// The moods.
+const (
+	// Sound answers.
+	Sound Mood = iota
+	// Refuse answers 429.
+	Refuse
+	// Hang never answers.
+	Hang
+)
+
+// Store is the platform's store, which may treat the calls of some hosts badly.
+type Store struct {
+	*site.Store
+
+	mu    sync.Mutex
+	next  map[string][]Mood // by IP number: what the next readings of endpoints meet
+	moods map[string]Mood   // by IP number: what all calls meet
+	calls map[string]int    // readings of endpoints, by IP number
+}
+
+// Next says what the next readings of the endpoints by a host meet, in order.
+func (s *Store) Next(ip string, moods ...Mood) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.next[ip] = moods
+}
+
+// Treat says what all calls of a host meet from now on.
+func (s *Store) Treat(ip string, m Mood) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moods[ip] = m
+}
+
+// Readings counts the readings of endpoints by a host.
+func (s *Store) Readings(ip string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[ip]
+}
+
+// mood takes what a call meets.
+func (s *Store) mood(ip string, endpoints bool) Mood {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if endpoints {
+		s.calls[ip]++
+	}
+	if m := s.moods[ip]; m != Sound {
+		return m
+	}
+	if list := s.next[ip]; endpoints && len(list) > 0 {
+		s.next[ip] = list[1:]
+		return list[0]
+	}
+	return Sound
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
+	switch s.mood(ip, strings.HasPrefix(r.URL.Query().Get("PathPrefix"), "servers/")) {
+	case Refuse:
+		w.WriteHeader(http.StatusTooManyRequests)
+	case Hang:
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	default:
+		s.Handler().ServeHTTP(w, r)
+	}
+}
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -199,6 +199,11 @@
 
 // dial opens a connection.
 func (p *Pool) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.Dial != nil {
+		ctx, cancel := context.WithTimeout(ctx, p.DialTimeout)
+		defer cancel()
+		return p.Dial(ctx, "tcp", address)
+	}
 	d := net.Dialer{
 		Timeout:         p.DialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3},
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"cmp"
 	"context"
+	"net"
 	"sync"
 	"time"
 )
@@ -20,11 +21,16 @@
 	mostIdle    = 16 // of an address
 )
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Pool holds the connections of a host to all endpoints. The fields must be set
 // before the first call.
 type Pool struct {
 	// Now is the steady clock.
 	Now func() time.Duration
+	// Dial opens a connection, or nil for one of the machine with time-outs of its own.
+	Dial Dial
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
 
