ingress: TestSendLooksAgain, red: an endpoint that leaves while the connection to it is opened gets the request

The second fault behind the requests that reached leavers at 78 hosts: the endpoint is looked at when it is chosen, not when the request is sent.

--- /dev/null
+++ b/ingress/send_test.go
@@ -0,0 +1,110 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/clock"
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/ingress"
+	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/route"
+)
+
+// endpoints are endpoints that answer on connections without sockets, and count the requests that reach them.
+type endpoints struct {
+	mu   sync.Mutex
+	came map[string]int // by address
+}
+
+// dial connects to an endpoint.
+func (e *endpoints) dial(address string) net.Conn {
+	near, far := net.Pipe()
+	go func() {
+		defer far.Close()
+		br := bufio.NewReader(far)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			e.mu.Lock()
+			e.came[address]++
+			e.mu.Unlock()
+			id := r.Header.Get("Heathkeel-Attempt-Id")
+			fmt.Fprintf(far, "HTTP/1.1 200 OK\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Response-Stamp: x\r\nContent-Length: 2\r\n\r\nok", id)
+		}
+	}()
+	return near
+}
+
+// TestSendLooksAgain lets an endpoint leave, and the host hear of it, between the choice of the endpoint and the sending: while the connection to it is
+// opened. The request goes to another endpoint, or is refused as not run if there is none.
+//
+// Users saw requests reach endpoints later than the drain time after their leaving, in a fleet of 78 hosts whose processes were short of processor. Part of them came
+// from hosts that had known of the leaving for 0.3 s as they sent ("endpoints changed", ready to leaving, then the send to that endpoint).
+func TestSendLooksAgain(t *testing.T) {
+	first := feed.Endpoint{Instance: "first", Service: "s", Address: "10.0.0.1:80", Zone: "z", Slots: 4}
+	other := feed.Endpoint{Instance: "other", Service: "s", Address: "10.0.0.2:80", Zone: "z", Slots: 4}
+	leaving := first
+	leaving.Leaving = true
+	cases := []struct {
+		name   string
+		before []feed.Endpoint
+		after  []feed.Endpoint // what the host hears as it opens the connection to the first
+		status int
+		came   map[string]int
+	}{
+		{"it stays", []feed.Endpoint{first}, []feed.Endpoint{first}, http.StatusOK, map[string]int{first.Address: 1}},
+		{"it leaves, and another is there", []feed.Endpoint{first}, []feed.Endpoint{leaving, other}, http.StatusOK, map[string]int{other.Address: 1}},
+		{"its entry goes, and another is there", []feed.Endpoint{first}, []feed.Endpoint{other}, http.StatusOK, map[string]int{other.Address: 1}},
+		{"it leaves, and no other is there", []feed.Endpoint{first}, []feed.Endpoint{leaving}, http.StatusServiceUnavailable, map[string]int{}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			e := &endpoints{came: make(map[string]int)}
+			now := clock.NewSteady()
+			s := &ingress.Server{Headers: platform.Headers, Now: now.Now, Watch: &clock.Watch{Clock: now}, Zone: "z", BodyMemory: 1 << 20, Log: logr.Discard()}
+			s.Dial = func(_ context.Context, _, address string) (net.Conn, error) {
+				if address == first.Address {
+					s.SetEndpoints(tc.after)
+				}
+				return e.dial(address), nil
+			}
+			s.Settings = &feed.Settings{
+				Now: now.Now, Changed: s.SetTable, Log: logr.Discard(),
+				Parse: func([]byte) (*route.Document, error) {
+					return &route.Document{
+						Routes:   []route.Route{{Name: "r", Host: "h", Prefix: "/", Kind: route.Repeatable, Public: true, Attempts: 2, Targets: []route.Target{{Service: "s", Weight: 1}}}},
+						Services: []route.Service{{Name: "s"}},
+					}, nil
+				},
+			}
+			s.Init()
+			s.Settings.Offer(nil, 1)
+			s.SetEndpoints(tc.before)
+			w, r := httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "http://h/x", nil)
+			r.Header.Set("Heathkeel-Attempt-Id", "id")
+			r.Header.Set("Heathkeel-Deadline-Ms", fmt.Sprint((2 * time.Second).Milliseconds()))
+			s.ServeHTTP(w, r)
+			must.EqOp(t, tc.status, w.Code)
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			must.Eq(t, tc.came, e.came)
+		})
+	}
+}
