--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -15,6 +15,9 @@
 //	HEATHKEEL_SOAK=50 go test -v -timeout 1h ./internal/soak         fifty seeds, with the promises about time
 //	HEATHKEEL_SOAK=1 HEATHKEEL_SOAK_SEED=7 go test -v ./internal/soak
 //	HEATHKEEL_SOAK=1 HEATHKEEL_SOAK_HOSTS=60 go test -v ./internal/soak
+//	HEATHKEEL_SOAK_LEAVERS=1 go test -v -run TestLeaversAtSize ./internal/soak
+//
+// The last plays 78 processes on one core of the machine, each stopped for moments, and holds them to the drain time.
 //
 // A seed gives the same faults in the same order, not at the same moments.
 package soak
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -239,7 +239,7 @@
 // endpointLeaves lets an endpoint leave after another one has come: most say so, some do not,
 // and some go on for long.
 func (c *chaos) endpointLeaves() func() {
-	m, says, stays := c.member(), c.rand.IntN(3) > 0, c.between(drain, 9*time.Second)
+	m, says, stays := c.member(), c.rand.IntN(3) > 0, c.between(c.f.drain, 9*time.Second)
 	if len(c.f.staying(m.service)) < 2 {
 		return func() {}
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,6 +19,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
 
 	"github.com/heathkeel/heathkeel/internal/link"
 	"github.com/heathkeel/heathkeel/internal/site"
@@ -26,18 +28,29 @@
 
 // Bounds of the platform as the hosts' settings files give them.
 const (
-	contact = 3 * time.Second
-	drain   = 2 * time.Second
-	revoke  = 5 * time.Second
-	grace   = 4 * time.Second
+	revoke = 5 * time.Second
+	grace  = 4 * time.Second
 	// quotaWindow, quotaOvershoot and quotaSlack are what hosts may get wrong of an amount.
 	quotaWindow    = 8 * time.Second
 	quotaOvershoot = 0.1
 	quotaSlack     = 400
 )
 
+// bounds are those that depend on the size of a deployment.
+type bounds struct {
+	contact, drain, config time.Duration
+	strict                 bool // keys are not taken by settings that may be too old
+}
+
+// The bounds of deployments of a few hosts, and of tens.
+var (
+	fewBounds  = bounds{contact: 3 * time.Second, drain: 2 * time.Second, config: 2 * time.Second, strict: true}
+	manyBounds = bounds{contact: 4 * time.Second, drain: 3 * time.Second, config: 3 * time.Second}
+)
+
 // host is a host's process, the links to it, and since when nothing disturbs it.
 type host struct {
+	bounds
 	name  string
 	front string // where callers connect: a link
 	boot  string // the text of its settings file
@@ -72,7 +85,7 @@
 func (h *host) inTouch(at time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.troubles == 0 && at.Sub(h.calmFrom) > contact
+	return h.troubles == 0 && at.Sub(h.calmFrom) > h.contact
 }
 
 // onlyStopping reports whether a host is being stopped, and nothing else has disturbed it since
@@ -80,11 +93,12 @@
 func (h *host) onlyStopping(since time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.stopping.IsZero() && h.troubles == 0 && since.Sub(h.calmFrom) > contact
+	return !h.stopping.IsZero() && h.troubles == 0 && since.Sub(h.calmFrom) > h.contact
 }
 
 // fleet is the hosts, the store and the endpoints of one run.
 type fleet struct {
+	bounds
 	dir       string
 	program   string
 	hosts     []*host
@@ -93,10 +107,12 @@
 	mu        sync.Mutex
 	endpoints []*member
 	started   int
+	cores     []int
 }
 
 // member is an endpoint and what disturbs the link to it.
 type member struct {
+	bounds
 	*site.Endpoint
 	service string
 
@@ -123,7 +139,7 @@
 func (m *member) calm(at time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.troubles == 0 && at.Sub(m.calmFrom) > contact
+	return m.troubles == 0 && at.Sub(m.calmFrom) > m.contact
 }
 
 // build makes the program once for all runs.
@@ -140,11 +156,24 @@
 	return path, nil
 })
 
-// newFleet starts the store, endpoints and hosts; base tells runs beside each other apart.
+// newFleet starts a fleet of a few endpoints.
 func newFleet(t *testing.T, base, hosts int) *fleet {
+	return newFleetOf(t, base, size{bounds: fewBounds, hosts: hosts, plain: 3, engines: 3})
+}
+
+// size is what a fleet is like.
+type size struct {
+	bounds
+	hosts, plain, engines int
+	// cores are the processors that the hosts' processes share, nil for all.
+	cores []int
+}
+
+// newFleetOf starts the store, endpoints and hosts; base tells runs beside each other apart.
+func newFleetOf(t *testing.T, base int, z size) *fleet {
 	program, err := build()
 	must.NoError(t, err)
-	f := &fleet{dir: t.TempDir(), program: program, store: site.NewStore()}
+	f := &fleet{bounds: z.bounds, cores: z.cores, dir: t.TempDir(), program: program, store: site.NewStore()}
 	if keep := os.Getenv("HEATHKEEL_SOAK_LOGS"); keep != "" {
 		f.dir = filepath.Join(keep, fmt.Sprint("run-", base))
 		must.NoError(t, os.MkdirAll(f.dir, 0o755))
@@ -154,12 +183,14 @@
 	f.server = &http.Server{Handler: f.store.Handler(), ReadHeaderTimeout: time.Minute}
 	go func() { _ = f.server.Serve(l) }()
 	f.store.Put(platform.KeyConfig, config(1, keys(0)))
-	for range 3 {
+	for range z.plain {
 		must.NoError(t, f.addEndpoint(site.Plain))
+	}
+	for range z.engines {
 		must.NoError(t, f.addEndpoint(site.Engines))
 	}
 	t.Cleanup(f.stop)
-	for i := range hosts {
+	for i := range z.hosts {
 		h, err := f.newHost(base, i, l.Addr().String())
 		must.NoError(t, err)
 		f.hosts = append(f.hosts, h)
@@ -194,7 +225,7 @@
 	p := ports(base)
 	at := func(n int) string { return fmt.Sprintf("%s:%d", ip, p+n) }
 	h := &host{
-		name: fmt.Sprintf("host-%d", i), ready: at(1), path: filepath.Join(f.dir, fmt.Sprintf("host-%d.conf", i)),
+		bounds: f.bounds, name: fmt.Sprintf("host-%d", i), ready: at(1), path: filepath.Join(f.dir, fmt.Sprintf("host-%d.conf", i)),
 		store: &link.Proxy{Listen: "127.0.0.1:0", Target: store}, calls: &link.Proxy{Listen: "127.0.0.1:0", Target: at(0)},
 	}
 	for _, p := range []*link.Proxy{h.store, h.calls} {
@@ -215,13 +246,15 @@
 Seeds=SEEDS
 Bootstrap=true
 Limits.MemoryMb=256
+Limits.CpuShare=%g
+Limits.Cores=1
 HeartbeatMs=1200
 Timing.ContactMs=%d
 Timing.DrainMs=%d
 Timing.GraceS=%d
-Timing.ConfigMs=2000
+Timing.ConfigMs=%d
 Timing.RevokeMs=%d
-Timing.StrictRevoke=true
+Timing.StrictRevoke=%t
 Timing.BudgetRatio=0.2
 Timing.BudgetWindowS=10
 Timing.BudgetSlack=50
@@ -230,10 +263,18 @@
 Timing.QuotaSlack=%d
 Timing.ttl_max_s=5
 Platform.Address=%s
-`, h.name, i%3, ip, at(0), at(1), at(2), at(3), p+4, p+15, contact.Milliseconds(), drain.Milliseconds(), int(grace.Seconds()), revoke.Milliseconds(), quotaSlack, h.store.Listen)
+`, h.name, i%3, ip, at(0), at(1), at(2), at(3), p+4, p+15, f.share(i), h.contact.Milliseconds(), h.drain.Milliseconds(), int(grace.Seconds()), h.config.Milliseconds(), revoke.Milliseconds(), h.strict, quotaSlack, h.store.Listen)
 	return h, nil
 }
 
+// share is the part of a core that a host says it has: the first ones are stronger than the others.
+func (f *fleet) share(i int) float64 {
+	if i < strongHosts {
+		return 0.8
+	}
+	return 0.192
+}
+
 // start starts a host's process.
 func (f *fleet) start(h *host) error {
 	h.mu.Lock()
@@ -249,7 +290,7 @@
 	h.process = exec.Command(f.program)
 	h.process.Env = append(os.Environ(), platform.BootVariable+"="+h.path, "GOMAXPROCS=1")
 	h.process.Stdout, h.process.Stderr = log, log
-	if err := h.process.Start(); err != nil {
+	if err := startOn(h.process, f.cores); err != nil {
 		return err
 	}
 	h.ended, h.stopping, h.calmFrom = make(chan struct{}), time.Time{}, time.Now()
@@ -263,6 +304,30 @@
 	return nil
 }
 
+// startOn starts a process on some processors: it inherits them from the thread that starts it.
+func startOn(cmd *exec.Cmd, cores []int) error {
+	if len(cores) == 0 {
+		return cmd.Start()
+	}
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
+	var before, own unix.CPUSet
+	if err := unix.SchedGetaffinity(0, &before); err != nil {
+		return err
+	}
+	for _, c := range cores {
+		own.Set(c)
+	}
+	if err := unix.SchedSetaffinity(0, &own); err != nil {
+		return err
+	}
+	err := cmd.Start()
+	if back := unix.SchedSetaffinity(0, &before); err == nil {
+		err = back
+	}
+	return err
+}
+
 // signal tells a host's process something.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
@@ -295,7 +360,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.started++
-	m := &member{Endpoint: &site.Endpoint{Instance: fmt.Sprintf("%s-%d", service, f.started), Pace: 20 * time.Millisecond, Link: &link.Proxy{}}, service: service}
+	m := &member{bounds: f.bounds, Endpoint: &site.Endpoint{Instance: fmt.Sprintf("%s-%d", service, f.started), Pace: 20 * time.Millisecond, Link: &link.Proxy{}}, service: service}
 	if service == site.Engines {
 		m.Events = events
 	}
@@ -336,10 +401,15 @@
 
 // stop ends all that was started.
 func (f *fleet) stop() {
+	// All at once: those that run on keep the others' processor busy.
 	for _, h := range f.hosts {
 		if h.process != nil && h.process.Process != nil {
 			h.signal(syscall.SIGCONT)
 			h.signal(syscall.SIGKILL)
+		}
+	}
+	for _, h := range f.hosts {
+		if h.process != nil && h.process.Process != nil {
 			<-h.over()
 		}
 		h.store.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -210,7 +210,7 @@
 	m.mu.Lock()
 	left := m.left
 	m.mu.Unlock()
-	if s == nil || left.IsZero() || !calm || run.At.Sub(left) < drain+slack || !s.host.inTouch(run.At) {
+	if s == nil || left.IsZero() || !calm || run.At.Sub(left) < m.drain+slack || !s.host.inTouch(run.At) {
 		return
 	}
 	w.late = append(w.late, fmt.Sprintf("%s reached %s from %s %s after it left", s.id, m.Instance, s.host.name, run.At.Sub(left)))
