edge: the list of endpoints is asked for beside the settings, not after them

What callers could see: sends by an old list, or refusals for it, while the configuration changes: one loop asked a peer for both, within 0.5 s together and the settings first, and what else peers proved meanwhile was dropped. Change: a loop for each, each with its own 0.5 s.

--- a/edge/host.go
+++ b/edge/host.go
@@ -98,11 +98,13 @@
 	keeping   bool         // this host keeps an entry; of entry.Run only
 	found     atomic.Int64 // hosts that there are by their entries in the store
 	peerHTTP  *http.Client
-	wanted    chan wanted
 	fetched   fetches
-	stopping  chan struct{}
-	hup       chan struct{}
-	read      platform.Boot
+	// what peers proved, to be asked for
+	wantedSettings, wantedEndpoints chan peers.Proof
+
+	stopping chan struct{}
+	hup      chan struct{}
+	read     platform.Boot
 }
 
 // now is the time since the host's start, suspensions included.
@@ -121,7 +123,7 @@
 	h.life = rand.Uint64() >> 12
 	h.stopping = make(chan struct{})
 	h.hup = make(chan struct{}, 1)
-	h.wanted = make(chan wanted, 1)
+	h.wantedSettings, h.wantedEndpoints = make(chan peers.Proof, 1), make(chan peers.Proof, 1)
 	h.read = h.Boot
 	if mb := h.Boot.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(heapShare * float64(mb<<20)))
@@ -135,7 +137,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.follow, h.agent.Run, h.tick, h.watchFile, h.fetchWanted, h.keepRecords} {
+	for _, run := range []func(context.Context){h.follow, h.agent.Run, h.tick, h.watchFile, h.fetchSettings, h.fetchEndpoints, h.keepRecords} {
 		go run(ctx)
 	}
 	if !h.Clock.Whole() {
@@ -157,7 +159,7 @@
 		}},
 	}
 	h.peerHTTP = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
 		DialContext: h.dial(fetchTimeout),
 	}}
 	h.ingress = &ingress.Server{
--- a/edge/share.go
+++ b/edge/share.go
@@ -63,48 +63,56 @@
 // Proved implements peers.Host: settings and endpoints that a peer knows to be newest are
 // so here too, and newer ones are asked for.
 func (h *Host) Proved(p peers.Proof) {
-	w := wanted{proof: p}
+	settings, endpoints := false, false
 	if v := p.Settings; v.Known {
 		switch have := h.settings.Age.Revision(); {
 		case v.Revision == have:
 			h.settings.Age.Prove(v.Revision, v.At)
 		case v.Revision > have:
-			w.settings = true
+			settings = true
 		}
 	}
 	if v := p.Endpoints; v.Known {
-		w.endpoints = h.endpoints.Proved(viewOf(v))
+		endpoints = h.endpoints.Proved(viewOf(v))
 	}
-	if !w.settings && !w.endpoints {
-		if p.Settings.Known && p.Endpoints.Known {
-			h.waking.level.Store(int64(h.now()))
-		}
-		return
+	if settings {
+		want(h.wantedSettings, p)
+	}
+	if endpoints {
+		want(h.wantedEndpoints, p)
 	}
+	if !settings && !endpoints && p.Settings.Known && p.Endpoints.Known {
+		h.waking.level.Store(int64(h.now()))
+	}
+}
+
+// want lets what a peer proved be asked for, unless something is asked for already: the next heartbeat tells of what is newer still.
+func want(wanted chan peers.Proof, p peers.Proof) {
 	select {
-	case h.wanted <- w:
-	default: // one is asked for already; the next heartbeat tells of what is newer still
+	case wanted <- p:
+	default:
 	}
 }
 
 // viewOf names the endpoints that a peer proved.
 func viewOf(v peers.Version) feed.View { return feed.View{Revision: v.Revision, Sum: v.Sum, At: v.At} }
 
-// wanted is what is to be asked of a peer, and what it proved.
-type wanted struct {
-	proof               peers.Proof
-	settings, endpoints bool
-}
+// fetchSettings and fetchEndpoints ask peers for what they know better, until ctx ends. The list of endpoints does not wait for
+// settings, which may be large: both have bounds on their age.
+func (h *Host) fetchSettings(ctx context.Context)  { h.fetch(ctx, h.wantedSettings, h.askSettings) }
+func (h *Host) fetchEndpoints(ctx context.Context) { h.fetch(ctx, h.wantedEndpoints, h.askEndpoints) }
 
-// fetchWanted asks peers for what they know better, until ctx ends.
-func (h *Host) fetchWanted(ctx context.Context) {
+// fetch asks peers for what they proved, one at a time.
+func (h *Host) fetch(ctx context.Context, wanted chan peers.Proof, ask func(context.Context, peers.Proof)) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case w := <-h.wanted:
+		case p := <-wanted:
 			began := h.now()
-			h.fetch(ctx, w)
+			cctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+			ask(cctx, p)
+			cancel()
 			h.fetched.longestMS.Store(max(h.fetched.longestMS.Load(), (h.now() - began).Milliseconds()))
 		}
 	}
@@ -113,30 +121,28 @@
 // fetches counts the questions to peers for what they know better.
 type fetches struct {
 	asked, failed atomic.Int64
-	longestMS     atomic.Int64 // for settings and endpoints together
+	longestMS     atomic.Int64
 }
 
 // fetchTimeout bounds a question to a peer. A peer that does not answer is followed by
 // another one's heartbeat.
 const fetchTimeout = 500 * time.Millisecond
 
-// fetch asks a peer.
-func (h *Host) fetch(ctx context.Context, w wanted) {
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	if w.settings {
-		var b settingsBody
-		if h.ask(ctx, w.proof.Control, pathSettings, &b) {
-			h.settings.Offer(b.Value, b.Revision)
-			h.settings.Age.Prove(w.proof.Settings.Revision, w.proof.Settings.At)
-		}
+// askSettings asks a peer for the settings that it proved.
+func (h *Host) askSettings(ctx context.Context, p peers.Proof) {
+	var b settingsBody
+	if h.ask(ctx, p.Control, pathSettings, &b) {
+		h.settings.Offer(b.Value, b.Revision)
+		h.settings.Age.Prove(p.Settings.Revision, p.Settings.At)
 	}
-	if w.endpoints {
-		var l feed.EndpointList
-		if h.ask(ctx, w.proof.Control, pathEndpoints, &l) {
-			h.endpoints.Offer(l)
-			h.endpoints.Proved(viewOf(w.proof.Endpoints))
-		}
+}
+
+// askEndpoints asks a peer for the list of endpoints that it proved.
+func (h *Host) askEndpoints(ctx context.Context, p peers.Proof) {
+	var l feed.EndpointList
+	if h.ask(ctx, p.Control, pathEndpoints, &l) {
+		h.endpoints.Offer(l)
+		h.endpoints.Proved(viewOf(p.Endpoints))
 	}
 }
 
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -35,7 +35,7 @@
 	// EndpointsForeign counts the entries that another program wrote in the place of endpoints'.
 	EndpointsForeign int `json:"endpoints_foreign"`
 	// Fetches counts the questions to other hosts for newer settings and lists, FetchesFailed those without an answer in time, and
-	// FetchLongestMS is the longest time that a fetch of both took.
+	// FetchLongestMS is the longest time that one took.
 	Fetches        int64 `json:"fetches"`
 	FetchesFailed  int64 `json:"fetches_failed"`
 	FetchLongestMS int64 `json:"fetch_longest_ms"`
