--- a/edge/leavers_test.go
+++ b/edge/leavers_test.go
@@ -71,7 +71,7 @@
 					time.Sleep(tc.wait)
 					h := lastToRead(s.Hosts)
 					s.KillOthers(h)
-					s.Store.Next(h.Boot.IP, tc.next...)
+					s.Store.Next(h.Boot.IP, platform.PrefixEndpoints, tc.next...)
 					for _, e := range s.Endpoints[:leave] {
 						e.Leave(says)
 					}
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -64,7 +64,7 @@
 // Start starts the store with a configuration, endpoints and hosts.
 func (s *Site) Start(c site.Config, endpoints, hosts int) error {
 	s.Net = &simnet.Net{Delay: s.Delay}
-	s.Store = &Store{Store: site.NewStore(), next: make(map[string][]Mood), moods: make(map[string]Mood), calls: make(map[string]int)}
+	s.Store = &Store{Store: site.NewStore(), next: make(map[nextKey][]Mood), moods: make(map[string]Mood), calls: make(map[string]int)}
 	s.Store.Put(platform.KeyConfig, c)
 	l, err := s.Net.Host(storeIP).Listen(context.Background(), "tcp", storeIP+":8225")
 	if err != nil {
--- a/internal/simsite/store.go
+++ b/internal/simsite/store.go
@@ -7,7 +7,6 @@
 import (
 	"net"
 	"net/http"
-	"strings"
 	"sync"
 
 	"github.com/heathkeel/heathkeel/internal/site"
@@ -31,16 +30,19 @@
 	*site.Store
 
 	mu    sync.Mutex
-	next  map[string][]Mood // by IP number: what the next readings of endpoints meet
-	moods map[string]Mood   // by IP number: what all calls meet
-	calls map[string]int    // by IP number
+	next  map[nextKey][]Mood // what the next calls below a prefix meet
+	moods map[string]Mood    // by IP number: what all calls meet
+	calls map[string]int     // by IP number
 }
 
-// Next says what the next readings of the endpoints by a host meet, in order.
-func (s *Store) Next(ip string, moods ...Mood) {
+// nextKey names the calls of a host below a prefix.
+type nextKey struct{ ip, prefix string }
+
+// Next says what the next readings below a prefix by a host meet, in order.
+func (s *Store) Next(ip, prefix string, moods ...Mood) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.next[ip] = moods
+	s.next[nextKey{ip, prefix}] = moods
 }
 
 // Treat says what all calls of a host meet from now on.
@@ -62,15 +64,16 @@
 }
 
 // mood takes what a call meets.
-func (s *Store) mood(ip string, endpoints bool) Mood {
+func (s *Store) mood(ip, prefix string) Mood {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls[ip]++
 	if m := s.moods[ip]; m != Sound {
 		return m
 	}
-	if list := s.next[ip]; endpoints && len(list) > 0 {
-		s.next[ip] = list[1:]
+	key := nextKey{ip, prefix}
+	if list := s.next[key]; len(list) > 0 {
+		s.next[key] = list[1:]
 		return list[0]
 	}
 	return Sound
@@ -79,7 +82,7 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
-	switch s.mood(ip, strings.HasPrefix(r.URL.Query().Get("PathPrefix"), "servers/")) {
+	switch s.mood(ip, r.URL.Query().Get("PathPrefix")) {
 	case Refuse:
 		w.WriteHeader(http.StatusTooManyRequests)
 	case Hang:
