--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -50,11 +51,18 @@
 	// Edge is the host.
 	Edge *edge.Host
 
-	net  *simnet.Host
-	kill context.CancelFunc
-	done chan struct{}
+	net   *simnet.Host
+	kill  context.CancelFunc
+	done  chan struct{}
+	ahead atomic.Int64 // for how long it has been suspended, in nanoseconds
 }
 
+// Suspend lets the host's clock go on by a time that its process does not see, as a suspension does.
+func (h *Host) Suspend(d time.Duration) { h.ahead.Add(int64(d)) }
+
+// suspended is for how long the host has been suspended.
+func (h *Host) suspended() time.Duration { return time.Duration(h.ahead.Load()) }
+
 // Addresses on the network: hosts and endpoints have 10.z.n.n and 20.z.n.n.
 const (
 	storeIP  = "30.0.0.1"
@@ -112,7 +120,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.kill, h.done, h.net = cancel, make(chan struct{}), s.Net.Host(h.Boot.IP)
 	h.net.Start()
-	h.Edge = &edge.Host{Boot: h.Boot, Clock: clock.NewSteady(), Network: h.net, Log: s.Log}
+	h.Edge = &edge.Host{Boot: h.Boot, Clock: clock.NewSteady().Skewed(h.suspended), Network: h.net, Log: s.Log}
 	h.Boot.First = false
 	go func(e *edge.Host, done chan struct{}) {
 		defer close(done)
