feed: calls without any answer are a failure; both askers of a host count their silent calls together

And each of the two askers of a host sent a row of its own, and asked on when the other's last call had just been refused. The tests' hosts judge silence as those of the settings do (a fifth of the drain time).

--- a/feed/asker.go
+++ b/feed/asker.go
@@ -8,6 +8,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 const (
@@ -19,10 +21,11 @@
 	patience = 3 * time.Second
 	// storeTimeout bounds a call that does not wait for changes while the store is known to fail, and one that is not repeated.
 	storeTimeout = time.Second
-	// mostUnder bounds the calls of a host that are under way at once: those that may be sent within the patience with each, by two loops.
-	mostUnder = 24
 )
 
+// errSilent means that the store gave no answer.
+var errSilent = eris.New("store gives no answer; it is asked again")
+
 // asker asks the store for one of those who follow it.
 type asker struct {
 	reach *Reach
@@ -47,14 +50,14 @@
 		}
 	}
 	answers := make(chan error)
-	var err error
+	err := errSilent
 	for n := 1; ctx.Err() == nil; n++ {
 		wait := time.Duration(0)
 		if n == 1 {
 			wait = a.wait()
 		}
 		pace, over := context.WithTimeout(ctx, a.pace(n)+wait)
-		if a.reach.underWay() < mostUnder {
+		if n == 1 || a.reach.underWay() < mostUnder(n) {
 			go func() {
 				select {
 				case answers <- a.ask(ctx, wait):
@@ -81,6 +84,15 @@
 	return err
 }
 
+// mostUnder bounds the calls of a host that are under way at once. In a quick row those of another asker that are silent tell as much as
+// more of this one's would; later those that are silent may never be answered although the store is back.
+func mostUnder(n int) int {
+	if n < outageTries {
+		return outageTries
+	}
+	return 6 * outageTries
+}
+
 // pace is the time between a call and the next one, of a row: short for as many as tell an outage, then the usual pause.
 func (a *asker) pace(n int) time.Duration {
 	if n < outageTries {
@@ -118,7 +130,7 @@
 		end += pauseAfterFailure(a.pause, a.turn)
 	}
 	sleep(ctx, a.pause)
-	for left := end - a.reach.Now(); left > 0 && ctx.Err() == nil && a.reach.excused() > 0; left = end - a.reach.Now() {
+	for left := end - a.reach.Now(); left > 0 && ctx.Err() == nil && !a.reach.mustAsk(); left = end - a.reach.Now() {
 		sleep(ctx, min(left, a.pause))
 	}
 }
--- a/feed/lapse_test.go
+++ b/feed/lapse_test.go
@@ -23,7 +23,7 @@
 
 // testReach judges whether the store fails for a host of a deployment with these times.
 func testReach(now func() time.Duration) *Reach {
-	return &Reach{Now: now, Lapses: testLapses, Pause: 400 * time.Millisecond}
+	return &Reach{Now: now, Lapses: testLapses, Pause: 400 * time.Millisecond, Silent: 400 * time.Millisecond}
 }
 
 // TestLeftInTrouble holds that an endpoint which left while the store was in trouble is in no
--- a/feed/reach.go
+++ b/feed/reach.go
@@ -25,6 +25,7 @@
 
 	mu    sync.Mutex
 	calls callLog
+	told  time.Duration              // when mustAsk told last that a call is due
 	until time.Duration              // entries that go before are taken for lapsed
 	ended func(lapsed time.Duration) // is called with the time for which they are, as an outage ends; may be nil
 }
@@ -111,12 +112,17 @@
 	return out > 0 && r.Now()-out <= r.Lapses.Keep
 }
 
-// excused is the time for which this host may go on without asking the store, which failed for it: the next call must be late, or
-// refused, by the end of what the last one excuses, and a pause comes before it.
-func (r *Reach) excused() time.Duration {
+// mustAsk reports whether a call is due because the last one that failed soon excuses nothing any more: the next one must be late, or
+// refused, by then, and two pauses come before it. Of several that ask for the host it tells one.
+func (r *Reach) mustAsk() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.calls.out + r.Lapses.Keep - r.Now() - r.Pause - 2*tryPace
+	now := r.Now()
+	if now < r.calls.out+r.Lapses.Keep-2*r.Pause-2*tryPace || now < r.told+r.Pause {
+		return false
+	}
+	r.told = now
+	return true
 }
 
 // mayLapse reports whether an entry that goes now may belong to an endpoint that serves: in an outage that lasts, and some time after it.
