peers: hosts that come and go are logged in one line, and seldom

In a run of 78 real processes short of processor each host logged "peer lost" 9,600 times in the median in six minutes, 216 MB in all: the line was written for each host that seemed to go, with each heartbeat. One line names what changed since the last one now (ten of each kind at most, and their number), twenty at once and one each two seconds. What changed for good is told by a later line. TestLinesOnPeers: 78 hosts that seem to go and come for a minute: 51 lines at most.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -8,11 +8,13 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/quarantine"
 )
 
@@ -119,7 +121,8 @@
 	greet  []greeted // hosts that know few others
 	kick   chan struct{}
 	ticks  int
-	live   map[string]bool
+	live   map[string]bool // as it was logged last
+	lines  outcome.Budget
 	row    Row     // what this host told last of itself
 	relay  Relay   // what this host passes on
 	uplink uplink  // the relay that passes on what this host tells
@@ -138,6 +141,7 @@
 	a.kick = make(chan struct{}, 1)
 	a.asking = make(chan struct{}, 1)
 	a.live = make(map[string]bool)
+	a.lines = outcome.Budget{Rate: liveLines, Burst: mostLiveLines}
 	a.relay = Relay{Host: a.Table.Host, Life: a.Table.Life}
 	if a.Every == 0 {
 		a.Every = DefaultEvery
@@ -327,21 +331,43 @@
 	}
 }
 
-// noteLive logs hosts that came and went; mu must be held.
+// Bounds of the lines on hosts that come and go, in lines a second and lines: where processes are short of processor hosts seem to go and come
+// all the time, and a line for each would keep the processor busy.
+const (
+	liveLines      = 0.5
+	mostLiveLines  = 20
+	mostNamedPeers = 10
+)
+
+// noteLive logs hosts that came and went, in one line; mu must be held. What there is no line for is told by a later one.
 func (a *Agent) noteLive(now time.Duration) {
-	seen := make(map[string]bool, len(a.live))
+	live := make(map[string]bool, len(a.live))
 	for _, m := range a.Table.Live(now) {
-		seen[m.Host] = true
-		if !a.live[m.Host] {
-			a.Log.Info("peer seen", "peer", m.Host)
-		}
+		live[m.Host] = true
+	}
+	seen, lost := missing(live, a.live), missing(a.live, live)
+	if len(seen)+len(lost) == 0 {
+		return
 	}
-	for h := range a.live {
-		if !seen[h] {
-			a.Log.Info("peer lost", "peer", h)
+	dropped, ok := a.lines.Take(now)
+	if !ok {
+		return
+	}
+	a.live = live
+	a.Log.Info("peers changed", "seen", seen[:min(mostNamedPeers, len(seen))], "lost", lost[:min(mostNamedPeers, len(lost))],
+		"seen_count", len(seen), "lost_count", len(lost), "live", len(live), "later", dropped)
+}
+
+// missing names the hosts of one set that are not in another.
+func missing(of, in map[string]bool) []string {
+	var out []string
+	for h := range of {
+		if !in[h] {
+			out = append(out, h)
 		}
 	}
-	a.live = seen
+	slices.Sort(out)
+	return out
 }
 
 // tellChanges tells the others of changed loads, and the program of theirs, until ctx ends.
