edge: opening a connection to the store takes as long as the call, and is no failure before

Cause, by the hosts' own lines ("store lost ... dial tcp: i/o timeout"): opening a connection was given 1 s by the clock. Where the process waited for the processor, four of these in a row were four refusals, which tell an outage at once, whatever time the process ran; and an outage excuses an old list. Change: the bound lies beyond that of any call, so that the call's own end comes first, and is judged as silence, by the time in which the process ran. Why it holds: no time-out of the clock is left between a call to the store and the judgement; a refusal is still one.

--- a/edge/host.go
+++ b/edge/host.go
@@ -204,8 +204,9 @@
 // provenAt tells when the list of endpoints was surely the newest.
 func (h *Host) provenAt() (time.Duration, bool) { return h.endpoints.Proven() }
 
-// storeDialTimeout bounds the opening of a connection to the store.
-const storeDialTimeout = time.Second
+// storeDialTimeout bounds the opening of a connection to the store. It is longer than any call: a connection that is opened late because this
+// process waits for the processor must not fail before the call, whose silence is judged by the time in which the process ran.
+const storeDialTimeout = 10 * time.Second
 
 // listUsable reports whether the list of endpoints is young enough to send requests by it.
 func (h *Host) listUsable() bool { return h.endpoints.Usable() }
