feed: the askers of a host ask a failing store by turns

Change: a rest that grew with the turn ends half a pause after the host's last call at the earliest.

--- a/feed/asker.go
+++ b/feed/asker.go
@@ -122,15 +122,20 @@
 	return err
 }
 
-// rest waits after a failure until the store is asked again, for a pause at least. It grows with the turn only in an outage, and ends before
-// the last call that failed, of this or another asker of the host, excuses nothing any more.
+// rest waits after a failure until the store is asked again, for a pause at least. It grows with the turn only in an outage; then the askers of
+// a host ask by turns, and one does before the last call that failed excuses nothing any more.
 func (a *asker) rest(ctx context.Context) {
-	end := a.reach.Now()
+	pause := a.pause
 	if a.reach.isOut() {
-		end += pauseAfterFailure(a.pause, a.turn)
+		pause = pauseAfterFailure(a.pause, a.turn)
 	}
+	end := a.reach.Now() + pause
 	sleep(ctx, a.pause)
-	for left := end - a.reach.Now(); left > 0 && ctx.Err() == nil && !a.reach.mustAsk(); left = end - a.reach.Now() {
+	for pause > a.pause && ctx.Err() == nil && !a.reach.mayAsk(end, pause/2) {
+		left := end - a.reach.Now()
+		if left <= 0 {
+			left = a.pause
+		}
 		sleep(ctx, min(left, a.pause))
 	}
 }
--- a/feed/reach.go
+++ b/feed/reach.go
@@ -25,7 +25,7 @@
 
 	mu    sync.Mutex
 	calls callLog
-	told  time.Duration              // when mustAsk told last that a call is due
+	begun time.Duration              // when the last call was begun, or let
 	until time.Duration              // entries that go before are taken for lapsed
 	ended func(lapsed time.Duration) // is called with the time for which they are, as an outage ends; may be nil
 }
@@ -42,8 +42,8 @@
 func (r *Reach) begin(wait time.Duration) storeCall {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.calls.silent = r.Silent
-	return r.calls.begin(r.Now(), r.awake()+wait)
+	r.calls.silent, r.begun = r.Silent, r.Now()
+	return r.calls.begin(r.begun, r.awake()+wait)
 }
 
 // end notes that a call was answered, or was ended by this host for another reason than its silence.
@@ -112,17 +112,19 @@
 	return out > 0 && r.Now()-out <= r.Lapses.Keep
 }
 
-// mustAsk reports whether a call is due because the last one that failed soon excuses nothing any more: the next one must be late, or
-// refused, by then, and two pauses come before it. Of several that ask for the host it tells one.
-func (r *Reach) mustAsk() bool {
+// mayAsk reports whether an asker whose rest ends at a moment may ask a store that fails: its rest is over, and the last call of the host was begun
+// some time before; or a call is due because the last one that failed soon excuses nothing any more. The next one must be late, or
+// refused, by then, and two pauses come before it. Of several that ask for the host it lets one.
+func (r *Reach) mayAsk(end, apart time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Now()
-	if now < r.calls.out+r.Lapses.Keep-2*r.Pause-2*tryPace || now < r.told+r.Pause {
-		return false
+	over := now >= end && now >= r.begun+apart
+	due := now >= r.calls.out+r.Lapses.Keep-2*r.Pause-2*tryPace && now >= r.begun+r.Pause
+	if over || due {
+		r.begun = now
 	}
-	r.told = now
-	return true
+	return over || due
 }
 
 // mayLapse reports whether an entry that goes now may belong to an endpoint that serves: in an outage that lasts, and some time after it.
