quota, ingress: the accounts of all workspaces begin with the configuration, not with a host's first request

Cause: a host begins a workspace's account with the first request for it, full, and counts only what peers tell from then on. Where a request is a tenth of a second of the rate, each of 60 hosts is first asked seconds after the workspace began, and lets its first request through, whatever the others had used. Ruled out: lost words of peers (the test's network loses none), restarts (the calm case breaks it most), the share of a young host. TestLargeRequestsOfFleets: red in 6 of 6 cases before.

--- a/ingress/server.go
+++ b/ingress/server.go
@@ -122,6 +122,17 @@
 func (s *Server) SetTable(t *route.Table) {
 	s.balance.setTable(t)
 	s.boundIdle(t)
+	s.openAccounts(t)
+}
+
+// openAccounts begins the accounts of all workspaces.
+func (s *Server) openAccounts(t *route.Table) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range t.Document.Workspaces {
+		w := &t.Document.Workspaces[i]
+		s.book.Open(s.Now(), w.Name, quota.Bound{Rate: w.Rate, Burst: w.Burst})
+	}
 }
 
 // idlePart is the part of the connections that an endpoint takes which hosts keep
--- a/peers/amounts_test.go
+++ b/peers/amounts_test.go
@@ -25,6 +25,7 @@
 	book  *quota.Book
 	found int           // hosts that the store named at the start
 	since time.Duration // of this life
+	bound quota.Bound   // of the workspace
 }
 
 func (p *payer) Fill(b *Beat) {
@@ -47,6 +48,7 @@
 	p.book, p.since = quota.NewBook(p.now()), p.now()
 	p.book.SetHosts(max(1, p.found), Interval(p.found))
 	p.book.Tolerance, p.book.Full = tol, full
+	p.book.Open(p.now(), "w", p.bound)
 	p.mu.Unlock()
 	ctx, p.cancel = context.WithCancel(ctx)
 	p.agent = &Agent{
@@ -83,20 +85,22 @@
 	all     []*payer
 	tol     quota.Tolerance
 	stopped map[int]time.Duration // since when a host's process is down
+	part    float64               // the size of a request, 0 for small ones
+	due     float64               // what is to be asked for
 }
 
 // startTime is the time from a process's end to the start of the next.
 const startTime = 500 * time.Millisecond
 
 // newPayers starts n hosts in three zones.
-func newPayers(ctx context.Context, n int, loss float64, tol quota.Tolerance) *payers {
+func newPayers(ctx context.Context, n int, loss float64, tol quota.Tolerance, bound quota.Bound) *payers {
 	start := time.Now()
 	f := &payers{
 		net: &network{ways: make(map[way]*rand.Rand), loss: loss, conns: make(map[string]*endConn)},
 		tol: tol, stopped: make(map[int]time.Duration),
 	}
 	for i := range n {
-		p := &payer{node: &node{now: func() time.Duration { return time.Since(start) }, conn: f.net.open(i), heard: make(map[string]Usage)}, found: n}
+		p := &payer{node: &node{now: func() time.Duration { return time.Since(start) }, conn: f.net.open(i), heard: make(map[string]Usage)}, found: n, bound: bound}
 		p.row = Row{
 			Address: p.conn.address.String(), Front: fmt.Sprintf("10.0.0.%d:80", i), Control: fmt.Sprintf("10.0.0.%d:81", i),
 			Zone: fmt.Sprint("z", i%3), Region: "r", Capacity: []float64{0.2, 0.8}[i%2], Ready: true, Fresh: true,
@@ -138,12 +142,15 @@
 	}
 }
 
-// ask asks random hosts for an amount in small parts, and tells how much was asked of hosts
+// ask asks random hosts for an amount in parts, small ones or all of one size, and tells how much was asked of hosts
 // that run and how much they let through.
 func (f *payers) ask(random *rand.Rand, bound quota.Bound, amount float64) (asked, passed float64) {
-	for amount > 0 {
-		part := float64(1 + random.IntN(60))
-		amount -= part
+	for f.due += amount; f.due > 0; {
+		part := f.part
+		if part == 0 {
+			part = float64(1 + random.IntN(60))
+		}
+		f.due -= part
 		i := random.IntN(len(f.all))
 		if _, off := f.stopped[i]; off {
 			continue
@@ -273,7 +280,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
-				f := newPayers(ctx, tc.hosts, tc.loss, tol)
+				f := newPayers(ctx, tc.hosts, tc.loss, tol, bound)
 				passed, asked, let := f.play(ctx, bound, tc.load, tc.strike)
 				most := mostIn(passed, int(window/tick))
 				limit := (1+tol.Overshoot)*(bound.Burst+bound.Rate*window.Seconds()) + tol.Slack
@@ -287,3 +294,54 @@
 		})
 	}
 }
+
+// TestLargeRequestsOfFleets holds the same where a request is a tenth of a second of the workspace's rate and more, so that each host of a fleet is seldom asked for
+// something: those that all let through at first would be several times the tolerance.
+//
+// In runs of 60 real processes a workspace got 5,040 to 5,440 tokens in 8 s, 4,360 allowed. Cause: a host began an account with the first request for it, full, and did not count what
+// its peers had told it before. Evidence: here the hosts let twice the rate through for two seconds, each with its first request, and none does if all accounts are begun at the
+// start.
+func TestLargeRequestsOfFleets(t *testing.T) {
+	const window = 8 * time.Second
+	relays := func(_ int, f *payers) []int { return f.relays() }
+	some := func(round int, f *payers) []int {
+		n := len(f.all)
+		return []int{7 * round % n, (7*round + 3) % n, (7*round + 30) % n}
+	}
+	cases := []struct {
+		name   string
+		hosts  int
+		bound  quota.Bound
+		slack  float64
+		part   float64 // the size of a request
+		load   float64
+		strike func(round int, f *payers) []int
+		least  float64
+	}{
+		{"calm", 60, quota.Bound{Rate: 400, Burst: 400}, 400, 40, 2.5, nil, 0.7},
+		{"some restart", 60, quota.Bound{Rate: 400, Burst: 400}, 400, 40, 2.5, some, 0.5},
+		{"relays restart", 60, quota.Bound{Rate: 400, Burst: 400}, 400, 40, 2.5, relays, 0.3},
+		{"calm", 78, quota.Bound{Rate: 36000, Burst: 36000}, 140000, 6700, 5, nil, 0.7},
+		{"some restart", 78, quota.Bound{Rate: 36000, Burst: 36000}, 140000, 6700, 5, some, 0.5},
+		{"relays restart", 78, quota.Bound{Rate: 36000, Burst: 36000}, 140000, 6700, 5, relays, 0.3},
+	}
+	for _, tc := range cases {
+		t.Run(fmt.Sprint(tc.name, " ", tc.hosts), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := newPayers(ctx, tc.hosts, 0, quota.Tolerance{Window: window, Overshoot: 0.1, Slack: tc.slack}, tc.bound)
+				f.part = tc.part
+				passed, asked, let := f.play(ctx, tc.bound, tc.load, tc.strike)
+				most := mostIn(passed, int(window/tick))
+				limit := (1+f.tol.Overshoot)*(tc.bound.Burst+tc.bound.Rate*window.Seconds()) + f.tol.Slack
+				possible := min(asked, tc.bound.Rate*span.Seconds())
+				t.Logf("%.3f of the bound with its tolerance in a window, %.3f of what could pass", most/limit, let/possible)
+				must.LessEq(t, limit, most)
+				must.GreaterEq(t, tc.least*possible, let)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/quota/book.go
+++ b/quota/book.go
@@ -102,6 +102,14 @@
 	return a
 }
 
+// Open begins an account. What peers used before an account was begun is not counted in it, and it would be full for a host that is
+// asked for something for the first time.
+func (b *Book) Open(now time.Duration, name string, bound Bound) {
+	if bound.Rate > 0 {
+		b.account(now, name, bound)
+	}
+}
+
 // fill lets an account rise to now. Hosts that were never heard use their shares too.
 func (b *Book) fill(now time.Duration, name string, a *account) {
 	dt := (now - a.at).Seconds()
--- a/quota/told.go
+++ b/quota/told.go
@@ -35,7 +35,9 @@
 	t := Told{Used: make(map[string]float64, len(b.accounts)), Left: make(map[string]float64)}
 	for name, a := range b.accounts {
 		b.fill(now, name, a)
-		t.Used[name] = a.used
+		if a.used != 0 {
+			t.Used[name] = a.used
+		}
 		if !b.young(now) && a.level < tellBelow*a.bound.Burst {
 			t.Left[name] = math.Floor(a.level)
 		}
