--- a/feed/shared_test.go
+++ b/feed/shared_test.go
@@ -23,15 +23,31 @@
 	cut    []bool // from the store
 	silent []bool // from the other hosts
 	stale  []bool // its connection to the store says nothing more; the next one works
+	next   []next // what its next calls to the store meet
 	ends   []*Endpoints
 	sets   []*Settings
 	now    func() time.Duration
 }
 
+// next is how many of a host's next calls to the store are refused, and how many of those that follow get no answer; and until when the process
+// does not run but to read what came, each answer that much late.
+type next struct {
+	refused, hung int
+	late          time.Duration
+	until, slept  time.Duration
+}
+
+// awake is the time in which the process ran.
+func (n *next) awake(now time.Duration) time.Duration {
+	return now - n.slept + max(0, n.until-now)
+}
+
 // cutStore is the store as a host sees it that may be cut from it.
 type cutStore struct {
 	*memoryStore
 	cut, stale *bool
+	next       *next
+	now        func() time.Duration
 }
 
 // enter fails a call of a host that is cut off, and lets one on a stale connection hang.
@@ -39,7 +55,19 @@
 	c.mu.Lock()
 	cut, stale := *c.cut, *c.stale
 	*c.stale = false
+	late := time.Duration(0)
+	switch n := c.next; {
+	case c.now() < n.until:
+		late = n.late
+	case n.refused > 0:
+		n.refused--
+		cut = true
+	case n.hung > 0:
+		n.hung--
+		stale = true
+	}
 	c.mu.Unlock()
+	sleep(ctx, late)
 	if cut {
 		return errDark
 	}
@@ -63,18 +91,21 @@
 	return c.memoryStore.Watch(ctx, prefix, since, wait)
 }
 
+// testMost is the age up to which hosts with a drain time of 3 s send requests by a list.
+const testMost = 2700 * time.Millisecond
+
 // share starts n hosts that tell each other every 0.2 s what they know, as heartbeats do.
 func share(ctx context.Context, n int) *sharers { return shareFor(ctx, n, testLapses) }
 
 // shareFor starts hosts of a deployment with a contact time of its own.
 func shareFor(ctx context.Context, n int, lapses Lapses) *sharers {
 	start := time.Now()
-	s := &sharers{store: newMemoryStore(), cut: make([]bool, n), silent: make([]bool, n), stale: make([]bool, n), now: func() time.Duration { return time.Since(start) }}
+	s := &sharers{store: newMemoryStore(), cut: make([]bool, n), silent: make([]bool, n), stale: make([]bool, n), next: make([]next, n), now: func() time.Duration { return time.Since(start) }}
 	s.store.put("servers/a", "ready")
 	s.store.put("servers/b", "ready")
 	s.store.put("op/config", "one")
 	for i := range n {
-		store := cutStore{s.store, &s.cut[i], &s.stale[i]}
+		store := cutStore{s.store, &s.cut[i], &s.stale[i], &s.next[i], s.now}
 		turn := func() int {
 			if s.isSilent(i) {
 				return 0 // a host that hears nobody always reads
@@ -83,13 +114,18 @@
 		}
 		reach := testReach(s.now)
 		reach.Lapses = lapses
+		reach.Awake = func() time.Duration {
+			s.store.mu.Lock()
+			defer s.store.mu.Unlock()
+			return s.next[i].awake(s.now())
+		}
 		e := &Endpoints{
 			Store: store, Prefix: "servers/", Every: 800 * time.Millisecond, Wait: 100 * time.Millisecond, Pause: 400 * time.Millisecond, Turn: turn,
-			Reach: reach, Now: s.now, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
+			Most: testMost, Reach: reach, Now: s.now, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
 		}
 		e.Init()
 		set := &Settings{
-			Store: cutStore{s.store, &s.cut[i], new(bool)}, Prefix: "op/", Key: "op/config", Parse: parseVersion, Wait: time.Second, Pause: 300 * time.Millisecond, Turn: turn,
+			Store: cutStore{s.store, &s.cut[i], new(bool), &s.next[i], s.now}, Prefix: "op/", Key: "op/config", Parse: parseVersion, Wait: time.Second, Pause: 300 * time.Millisecond, Turn: turn,
 			Reach: reach,
 			Now:   s.now, Changed: func(*route.Table) {}, Log: logr.Discard(),
 		}
@@ -247,7 +283,7 @@
 		time.Sleep(2 * time.Second)
 		s.store.set(func() { s.cut[0], s.cut[1] = true, true })
 		e := &Endpoints{
-			Store: cutStore{s.store, &s.cut[1], &s.stale[1]}, Prefix: "servers/", Every: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Reach: testReach(s.now),
+			Store: cutStore{s.store, &s.cut[1], &s.stale[1], &s.next[1], s.now}, Prefix: "servers/", Every: 800 * time.Millisecond, Pause: 400 * time.Millisecond, Reach: testReach(s.now),
 			Now: s.now, Log: logr.Discard(), Changed: func([]Endpoint) {}, Parse: parseEndpoint,
 		}
 		e.Init()
