--- a/clock/watch.go
+++ b/clock/watch.go
@@ -88,8 +88,7 @@
 }
 
 // Ran is the time in which the process surely ran: between two looks that lie no further apart than they are due. What did not come in a time by
-// Ran did not come; what did not come in a time by the clock may lie
-// in a socket, unread.
+// Ran did not come; what did not come in a time by the clock may lie in a socket, unread.
 func (w *Watch) Ran() time.Duration { return time.Duration(w.ran.Load()) }
 
 // WokeSince reports whether a gap was seen after a moment of Clock.Now.
