--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -243,26 +243,30 @@
 	if len(c.f.staying(m.service)) < 2 {
 		return func() {}
 	}
-	return func() {
-		if err := c.f.addEndpoint(m.service); err != nil {
-			panic(err)
-		}
-		key := platform.PrefixEndpoints + m.Instance
-		if says {
-			c.f.store.Put(key, c.f.entry(m, "draining"))
-		} else {
-			c.f.store.Remove(key)
-		}
-		m.mu.Lock()
-		m.left = time.Now()
-		m.mu.Unlock()
-		time.Sleep(stays)
-		if says {
-			c.f.store.Remove(key)
-		}
-		time.Sleep(stays / 2)
-		m.Stop()
+	return func() { c.f.letLeave(m, says, stays, stays/2) }
+}
+
+// letLeave lets an endpoint leave, with or without a word, after another one has come. Its entry is gone after a time at the latest, and it
+// serves on for some time more.
+func (f *fleet) letLeave(m *member, says bool, stays, more time.Duration) {
+	if err := f.addEndpoint(m.service); err != nil {
+		panic(err)
+	}
+	key := platform.PrefixEndpoints + m.Instance
+	if says {
+		f.store.Put(key, f.entry(m, "draining"))
+	} else {
+		f.store.Remove(key)
+	}
+	m.mu.Lock()
+	m.left = time.Now()
+	m.mu.Unlock()
+	time.Sleep(stays)
+	if says {
+		f.store.Remove(key)
 	}
+	time.Sleep(more)
+	m.Stop()
 }
 
 // settings changes the configuration, often with new keys, several times in a row.
--- a/internal/soak/leavers_test.go
+++ b/internal/soak/leavers_test.go
@@ -157,25 +157,7 @@
 	m.mu.Lock()
 	m.left = time.Now() // it is drawn once
 	m.mu.Unlock()
-	l.tasks.Go(func() {
-		if err := l.f.addEndpoint(m.service); err != nil {
-			panic(err)
-		}
-		key := platform.PrefixEndpoints + m.Instance
-		if says {
-			l.f.store.Put(key, l.f.entry(m, "draining"))
-		} else {
-			l.f.store.Remove(key)
-		}
-		m.mu.Lock()
-		m.left = time.Now()
-		m.mu.Unlock()
-		time.Sleep(serveOn)
-		if says {
-			l.f.store.Remove(key)
-		}
-		m.Stop()
-	})
+	l.tasks.Go(func() { l.f.letLeave(m, says, serveOn, 0) })
 }
 
 // writeLarge writes a large configuration anew.
