feed, edge, ingress, outcome: tell a store that is late from one that is away, and requests decided by old settings

A request that goes well leaves no line, nothing told when and by which calls the store was taken for failing, and settings_age_ms was the age when the line was written, not when the request was decided. So a late store, a wrong proof, settings and ages that do not belong together, and refused calls could not be told apart.

Change, no decision touched: lines "store fails for this host" and "store answers again" with counts of answered, refused and unanswered calls and the slowest answer; the same as variables; lines "sent by old settings"; settings_age_ms is the age at the decision.

--- a/edge/host.go
+++ b/edge/host.go
@@ -183,6 +183,7 @@
 		LapseTimes: feed.LapseTimes{
 			MinOutage: lapseHeartbeats * b.HeartbeatInterval, RenewTime: renewTime, MaxKeep: time.Duration(maxLapseShare * float64(b.ContactTime)),
 		},
+		Log: h.Log.WithName("store"),
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -35,6 +35,16 @@
 	EndpointsAgeMS    int64              `json:"endpoints_age_ms"`
 	// EndpointsForeign counts entries that another program wrote below the prefix of the endpoints.
 	EndpointsForeign int `json:"endpoints_foreign"`
+	// StoreAnswered, StoreRefused and StoreUnanswered count this host's calls to the store that
+	// follow settings and endpoints, by outcome. StoreSlowestMS is the longest time in which one was
+	// answered. StoreOutages counts how often the store began to fail for this host, and
+	// StoreFailing reports that it fails now.
+	StoreAnswered   int64 `json:"store_answered"`
+	StoreRefused    int64 `json:"store_refused"`
+	StoreUnanswered int64 `json:"store_unanswered"`
+	StoreSlowestMS  int64 `json:"store_slowest_ms"`
+	StoreOutages    int64 `json:"store_outages"`
+	StoreFailing    bool  `json:"store_failing"`
 	// Fetches counts fetches of newer settings and lists from other hosts, FetchesFailed those
 	// without an answer in time, and FetchLongestMS is the longest duration of one.
 	Fetches        int64 `json:"fetches"`
@@ -79,6 +89,9 @@
 	}
 	v.Endpoints, v.EndpointsAgeMS = h.endpoints.StateCounts(), -1
 	v.Fetches, v.FetchesFailed, v.FetchLongestMS = h.fetchStats.started.Load(), h.fetchStats.failed.Load(), h.fetchStats.longestMS.Load()
+	calls, failing := h.storeHealth.CallCounts()
+	v.StoreAnswered, v.StoreRefused, v.StoreUnanswered = calls.Answered, calls.Refused, calls.Unanswered
+	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.Gaps, v.GapMS = h.gaps.count.Load(), h.gaps.totalMS.Load()
--- a/feed/asker.go
+++ b/feed/asker.go
@@ -117,7 +117,9 @@
 	defer cancel()
 	err := p.call(callCtx, call.sent, wait)
 	switch {
-	case err == nil || ctx.Err() != nil || errors.Is(err, ErrCompacted):
+	case err == nil || errors.Is(err, ErrCompacted):
+		p.health.answered(call)
+	case ctx.Err() != nil:
 		p.health.end(call)
 	case callCtx.Err() != nil:
 		p.health.giveUp(call)
--- a/feed/reach.go
+++ b/feed/reach.go
@@ -7,6 +7,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/go-logr/logr"
 )
 
 // StoreHealth decides, for everything on this host that follows the store, whether the store fails for
@@ -26,8 +28,12 @@
 	// RetryInterval is the time between two attempts of the hosts that call a failing store most
 	// often.
 	RetryInterval time.Duration
+	// Log receives changes of state.
+	Log logr.Logger
 
 	mu          sync.Mutex
+	counts      StoreCallCounts
+	loggedFail  bool // the store was logged as failing
 	calls       callLog
 	lastBegun   time.Duration              // when the last call was begun or permitted
 	lapseUntil  time.Duration              // entries that disappear before this moment are treated as lapsed
@@ -58,19 +64,32 @@
 	h.calls.end(c)
 }
 
+// answered records that a call was answered.
+func (h *StoreHealth) answered(c storeCall) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.calls.end(c)
+	h.counts.Answered++
+	h.counts.SlowestMS = max(h.counts.SlowestMS, (h.processRunTime() - c.runTime).Milliseconds())
+}
+
 // fail records that a call failed.
 func (h *StoreHealth) fail(c storeCall) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.counts.Refused++
 	h.calls.fail(c, h.Now())
+	h.logVerdict()
 }
 
 // giveUp records that this host gave up a call that had no answer.
 func (h *StoreHealth) giveUp(c storeCall) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.counts.Unanswered++
 	h.calls.failSilent(h.Now(), h.processRunTime())
 	h.calls.end(c)
+	h.logVerdict()
 }
 
 // noteAnswer records that the store answered a call of this host or of a peer that was sent at the
@@ -90,6 +109,7 @@
 		h.lapseUntil = max(h.lapseUntil, min(sent+h.LapseTimes.RenewTime, returned+h.LapseTimes.MaxKeep))
 	}
 	calls.lastAnswered = sent
+	h.logVerdict()
 	if remaining := h.lapseUntil - h.Now(); remaining > 0 && h.onOutageEnd != nil {
 		h.onOutageEnd(remaining)
 	}
@@ -106,9 +126,45 @@
 // mu must be held.
 func (h *StoreHealth) currentCalls() *callLog {
 	h.calls.failSilent(h.Now(), h.processRunTime())
+	h.logVerdict()
 	return &h.calls
 }
 
+// logVerdict logs when the store begins and ceases to fail for this host; mu must be held.
+func (h *StoreHealth) logVerdict() {
+	failing := h.calls.isFailing()
+	if failing == h.loggedFail {
+		return
+	}
+	h.loggedFail = failing
+	now, msg := h.Now(), "store answers again"
+	if failing {
+		msg = "store fails for this host"
+		h.counts.Outages++
+	}
+	h.Log.Info(msg, "answered_ms", (now - h.calls.lastAnswered).Milliseconds(), "failed_ms", (now - h.calls.lastFailed[0].sent).Milliseconds(), "in_flight", len(h.calls.inFlight),
+		"answered", h.counts.Answered, "refused", h.counts.Refused, "unanswered", h.counts.Unanswered, "slowest_ms", h.counts.SlowestMS)
+}
+
+// StoreCallCounts counts this host's calls to the store since its start.
+type StoreCallCounts struct {
+	// Answered, Refused and Unanswered count calls by outcome; unanswered ones were given up.
+	Answered, Refused, Unanswered int64
+	// SlowestMS is the longest time in which a call was answered, in milliseconds in which this process
+	// ran, beyond the time for which the call was to wait.
+	SlowestMS int64
+	// Outages counts how often the store began to fail for this host.
+	Outages int64
+}
+
+// CallCounts returns the counts of calls, and whether the store fails for this host.
+func (h *StoreHealth) CallCounts() (c StoreCallCounts, failing bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	failing = h.currentCalls().isFailing()
+	return h.counts, failing
+}
+
 // FailedRecently reports whether the store failed for this host so recently that old data may still be
 // used: had the store returned right after the last failed call was sent, MaxKeep, and so the longer
 // contact time, would not be over yet. Answers that other hosts got since then do not matter.
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -42,6 +42,9 @@
 		return &refusal{status: http.StatusServiceUnavailable, why: "no settings yet; come back", retryAfter: minRetryAfter}
 	}
 	c.table = src.Table
+	if age, ok := c.s.Settings.Age.At(c.s.Now()); ok {
+		c.timings.settingsAge = age
+	}
 	for _, check := range []func() *refusal{c.checkConfirmed, c.checkSettings, c.findRoute, c.findWorkspace, c.parseHeaders, c.readBody, c.checkHeld, c.takeQuota} {
 		if f := check(); f != nil {
 			return f
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -65,7 +65,7 @@
 	s.Watch.Check()
 	s.active.Add(1)
 	s.Count.Received.Add(1)
-	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now()}
+	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now(), timings: timings{settingsAge: -time.Millisecond}}
 	defer c.release()
 	// net/http must not add headers of its own to an endpoint's response.
 	w.Header()["Date"] = nil
@@ -99,6 +99,7 @@
 	chosen       time.Duration // when the endpoint of the newest send was chosen
 	lastSent     time.Duration // when it was last sent
 	listAge      time.Duration // upper bound of the endpoint list's age at the last send
+	settingsAge  time.Duration // upper bound of the settings' age when they decided the request, -1 ms if unknown
 	firstWritten time.Duration // when the first event or response was written to the caller, 0 for never
 	longestPause time.Duration // the longest pause between two events
 }
@@ -360,7 +361,8 @@
 	return result, backoff
 }
 
-// noteSend records the age of the endpoint list by which the request is sent. If it exceeds half of DrainTime, the send is logged.
+// noteSend records the age of the endpoint list by which the request is sent. If it exceeds half of DrainTime, or the settings that
+// decided the request were older than their limit, the send is logged.
 func (c *call) noteSend(now time.Duration) {
 	c.timings.lastSent, c.timings.listAge = now, c.s.listAge(now)
 	c.recordDuration(metrics.ListAge, c.timings.listAge)
@@ -368,6 +370,9 @@
 	if drainTime := c.s.DrainTime; drainTime > 0 && c.timings.listAge > drainTime/2 {
 		c.logOutcome(outcome.SentByStaleList, 0, "the endpoint list may contain endpoints that have left", 0)
 	}
+	if maxAge := c.s.Settings.MaxAge; maxAge > 0 && c.timings.settingsAge > maxAge {
+		c.logOutcome(outcome.SentByStaleSettings, 0, "the settings may contain routes that were removed", 0)
+	}
 }
 
 // probeCrash probes whether the endpoint that lost a send has crashed. A request that may be retried waits for the result.
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -101,10 +101,7 @@
 		e.StepUS, e.Load = c.req.Step().Microseconds(), c.req.Load()
 	}
 	if c.table != nil {
-		e.Revision = c.table.Revision
-	}
-	if age, ok := c.s.Settings.Age.At(now); ok {
-		e.SettingsAgeMS = age.Milliseconds()
+		e.Revision, e.SettingsAgeMS = c.table.Revision, c.timings.settingsAge.Milliseconds()
 	}
 	return e
 }
--- a/outcome/cause.go
+++ b/outcome/cause.go
@@ -39,7 +39,9 @@
 
 // Final reports whether the event ends its request. The events of single sends do not,
 // since another send may follow.
-func (e *Event) Final() bool { return e.Outcome != SendLost && e.Outcome != SentByStaleList }
+func (e *Event) Final() bool {
+	return e.Outcome != SendLost && e.Outcome != SentByStaleList && e.Outcome != SentByStaleSettings
+}
 
 // Loss returns the loss of a request, given the event that ended it.
 func (e *Event) Loss() Loss {
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -29,6 +29,9 @@
 	// SentByStaleList means that the host's list of endpoints was so old at a send that it may
 	// contain endpoints that have left. It does not say how the send ended.
 	SentByStaleList Kind = "sent by old list"
+	// SentByStaleSettings means that a request was sent by settings older than their limit, since the
+	// store failed for the host. It does not say how the send ended.
+	SentByStaleSettings Kind = "sent by old settings"
 	// Served means that the caller got an endpoint's complete answer. Only hosts that trace
 	// all requests log it.
 	Served Kind = "served"
@@ -93,7 +96,8 @@
 	Load   float64 `json:"load"`
 	// RetryAfterMS is the time after which the answer asks the caller to retry.
 	RetryAfterMS int64 `json:"retry_after_ms"`
-	// Revision is the revision of the settings in force, and SettingsAgeMS their maximum age, -1 if unknown.
+	// Revision is the revision of the settings that decided the request, and SettingsAgeMS their maximum
+	// age at that moment, -1 if unknown.
 	Revision      uint64 `json:"revision"`
 	SettingsAgeMS int64  `json:"settings_age_ms"`
 }
--- a/outcome/story.go
+++ b/outcome/story.go
@@ -123,6 +123,8 @@
 		return fmt.Sprintf("Endpoint %s was sent the request and its answer was lost; it may have run.", e.Endpoint)
 	case e.Outcome == SentByStaleList:
 		return fmt.Sprintf("It was sent to endpoint %s by a list that was %d ms old, and ended well, or the host ended.", e.Endpoint, e.ListAgeMS)
+	case e.Outcome == SentByStaleSettings:
+		return fmt.Sprintf("It was sent to endpoint %s by settings %d that were %d ms old, since the store failed for the host, and ended well, or the host ended.", e.Endpoint, e.Revision, e.SettingsAgeMS)
 	case e.Outcome == SendLost:
 		return fmt.Sprintf("The send to endpoint %s was lost; the request went on and ended well, or the host ended.", e.Endpoint)
 	case e.Status == http.StatusTooManyRequests:
