feed: a late answer is no failure: calls stay in flight, and an answer to any of them ends an outage

Cause: a store that answers every call, but late, was taken for an outage. Calls without an answer for 0.2 of the drain time were counted as failed for good; the verdict cancelled all calls in flight, so their answers were never read; while it held, further calls were given up after 1 s; an answer counted only if its call was sent after all calls of the verdict; and the excuse for old lists and settings lasted 0.9 of the contact time whatever was answered. A store slower than a second was away for good.

Ruled out: refusals (the test's store refuses nothing), own lateness (simulated processes are never late), proofs of others (9 of 10 cases have one host).

Change: calls stay in flight, for 3 s, when another one is answered, when the verdict falls, and between polls. An answer counts whenever it comes: it ends the verdict, and the excuse of the data that was read. The hosts on whose readings the others rely read ahead by that time, so that callers are served from late answers: before, the only way to serve was the excuse. Hosts of high rank call a late store half as often.

Why it holds: an answer proves the state of the moment at which its call was sent, however late it is; nothing but silence, which no answer interrupts, excuses.

--- a/feed/asker.go
+++ b/feed/asker.go
@@ -7,27 +7,37 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
 )
 
 const (
-	// fastRetryDelay is the time after which a call without an answer is followed by another one: many
-	// times the time that a healthy store takes to answer.
+	// fastRetryDelay is the time after which one of the first calls without an answer is followed by
+	// another one: many times the time that a healthy store takes to answer.
 	fastRetryDelay = 100 * time.Millisecond
-	// callTimeout is the time after which this host gives up a call to a store that is not known to
-	// fail. It is long because a process short of CPU time may read an answer late.
+	// slowRetryDelay is that time on hosts of rank fastRetryHosts and higher once outageCalls calls are
+	// without an answer: the store may be late because it has much to do, and most hosts call it then.
+	slowRetryDelay = 200 * time.Millisecond
+	// callTimeout is the time after which this host gives up a call. An answer that comes later tells
+	// nothing recent enough to decide by.
 	callTimeout = 3 * time.Second
-	// shortCallTimeout bounds a call that does not wait for changes while the store is known to fail,
-	// and a call that is not repeated.
+	// shortCallTimeout is the time for which a host that knows of an outage waits for an answer before
+	// its next call. It also bounds a call that is not repeated.
 	shortCallTimeout = time.Second
 )
 
+// maxInFlight is the largest number of calls that a poller can have in flight: it starts one each
+// fastRetryDelay, and each ends after callTimeout. There is no lower limit, since calls that are
+// unanswered may never be answered although the store is back.
+const maxInFlight = int(callTimeout / fastRetryDelay)
+
 // errNoAnswer means that the store did not answer.
 var errNoAnswer = eris.New("store does not answer; retrying")
 
-// poller calls the store for one of its followers, and retries calls that fail.
+// poller calls the store for one of its followers, and retries calls that fail. Calls stay in flight
+// when others are answered, and between polls: a late answer is as good as its call is recent.
 type poller struct {
 	health *StoreHealth
 	// rank returns this host's rank among the readers; it may be nil.
@@ -38,86 +48,129 @@
 	waitTime func() time.Duration
 	// call does one call. sent is when it is sent, wait how long it waits for changes.
 	call func(ctx context.Context, sent, wait time.Duration) error
+
+	results    chan error    // results of calls, dropped if nobody waits for them
+	lastStart  time.Duration // when the last call was started
+	answeredAt atomic.Int64  // when this host last read an answer to one of the calls, by its clock, in nanoseconds
 }
 
+// init prepares the poller for use.
+func (p *poller) init() { p.results = make(chan error, maxInFlight) }
+
+// lastAnswer returns when this host last read an answer to one of the calls, 0 for never.
+func (p *poller) lastAnswer() time.Duration { return time.Duration(p.answeredAt.Load()) }
+
 // poll calls the store until a call succeeds or the store is known to fail; while it is known to fail,
-// poll calls it only once. A single call may fail for reasons of its own. A call that is late stays in
-// flight while further calls are sent; those do not wait for changes.
+// poll calls it only once. A single call may fail for reasons of its own. A call that is late is
+// followed by further ones; those do not wait for changes. Calls end with ctx, not with poll.
 func (p *poller) poll(ctx context.Context) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	p.dropResults()
+	if rest := p.lastStart + p.retryDelay() - p.health.Now(); p.lastStart > 0 && rest > 0 {
+		if err := p.await(ctx, rest); err == nil {
+			return nil
+		}
+	}
 	if p.health.isFailing() {
-		if err := p.callOnce(ctx, 0); !errors.Is(err, ErrCompacted) {
+		p.start(ctx, 0)
+		if err := p.await(ctx, shortCallTimeout); !errors.Is(err, ErrCompacted) {
 			return err
 		}
 	}
-	answers := make(chan error)
-	err := errNoAnswer
-	for n := 1; ctx.Err() == nil; n++ {
-		wait := time.Duration(0)
-		if n == 1 {
-			wait = p.waitTime()
-		}
-		delay, stopDelay := context.WithTimeout(ctx, p.retryDelay(n)+wait)
-		if n == 1 || p.health.inFlight() < maxInFlight(n) {
-			go func() {
-				select {
-				case answers <- p.callOnce(ctx, wait):
-				case <-ctx.Done():
-				}
-			}()
+	wait := p.waitTime()
+	for compacted := false; ctx.Err() == nil; wait = 0 {
+		p.start(ctx, wait)
+		err := p.await(ctx, wait+p.retryDelay())
+		switch {
+		case err == nil:
+			return nil
+		case p.health.isFailing():
+			return err
+		case errors.Is(err, ErrCompacted) && !compacted:
+			compacted = true // retry at once: the compacted range has to be read again
+		case !errors.Is(err, errNoAnswer):
+			sleep(ctx, p.retryDelay())
 		}
+	}
+	return ctx.Err()
+}
+
+// start starts a call.
+func (p *poller) start(ctx context.Context, wait time.Duration) {
+	p.lastStart = p.health.Now()
+	call := p.health.begin(wait)
+	go func() {
+		err := p.doCall(ctx, call, wait)
 		select {
-		case err = <-answers:
-			if err == nil {
-				stopDelay()
-				return nil
-			}
-			if !errors.Is(err, ErrCompacted) || n > 1 {
-				sleep(ctx, p.retryDelay(n))
-			} // otherwise retry at once: the compacted range has to be read again
-		case <-delay.Done():
+		case p.results <- err:
+		default:
 		}
-		stopDelay()
-		if p.health.isFailing() {
-			break
+	}()
+}
+
+// await waits for the result of any call, for d at most.
+func (p *poller) await(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case err := <-p.results:
+		return err
+	case <-t.C:
+		return errNoAnswer
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// dropResults drops the results that nobody waited for. What was read is in force all the same.
+func (p *poller) dropResults() {
+	for {
+		select {
+		case <-p.results:
+		default:
+			return
 		}
 	}
-	return err
 }
 
-// maxInFlight bounds the calls that a host has in flight at attempt n. During the fast retries,
-// unanswered calls of the host's other poller say as much about the store as more calls of this one
-// would. Later the bound is higher, since calls that are unanswered may never be answered although the
-// store is back.
-func maxInFlight(n int) int {
-	if n < outageCalls {
-		return outageCalls
+// readAge is the age at which this host reads again what has maxAge: interval on the hosts of the lowest
+// ranks up to lastReader, and the age that ReadAge returns on the others. The hosts on which the others
+// rely read earlier if the store is slow, so that the answer arrives before the data is too old.
+func (p *poller) readAge(interval time.Duration, lastReader int, maxAge time.Duration, viaRelay func() bool) time.Duration {
+	rank := 0
+	if p.rank != nil {
+		rank = p.rank()
+	}
+	age := interval
+	if rank > lastReader {
+		age = ReadAge(interval, rank-lastReader, viaRelay != nil && viaRelay())
 	}
-	return 6 * outageCalls
+	if rank < fastRetryHosts {
+		age = min(age, p.health.latestRead(maxAge))
+	}
+	return age
 }
 
-// retryDelay is the time between attempt n and the next one: short for the first outageCalls attempts,
-// which suffice to detect an outage, then the usual retry interval.
-func (p *poller) retryDelay(n int) time.Duration {
-	if n < outageCalls {
+// retryDelay is the time between two calls of which the first has no answer.
+func (p *poller) retryDelay() time.Duration {
+	if p.rank == nil || p.rank() < fastRetryHosts {
+		return fastRetryDelay
+	}
+	if p.health.unansweredCalls() < outageCalls {
 		return fastRetryDelay
 	}
-	return max(fastRetryDelay, p.retryInterval)
+	return slowRetryDelay
 }
 
-// callOnce does one call and records what its result says about the store.
-func (p *poller) callOnce(ctx context.Context, wait time.Duration) error {
-	timeout := wait + callTimeout
-	if p.health.isFailing() {
-		timeout = wait + shortCallTimeout
-	}
-	call := p.health.begin(wait)
-	callCtx, cancel := context.WithTimeout(withAnswerStarted(ctx, func() { p.health.end(call) }), timeout)
+// doCall does one call and records what its result says about the store.
+func (p *poller) doCall(ctx context.Context, call storeCall, wait time.Duration) error {
+	callCtx, cancel := context.WithTimeout(withAnswerStarted(ctx, func() { p.health.beginAnswer(call) }), wait+callTimeout)
 	defer cancel()
 	err := p.call(callCtx, call.sent, wait)
 	switch {
-	case err == nil || errors.Is(err, ErrCompacted):
+	case err == nil:
+		p.answeredAt.Store(int64(p.health.Now()))
+		p.health.answered(call)
+	case errors.Is(err, ErrCompacted):
 		p.health.answered(call)
 	case ctx.Err() != nil:
 		p.health.end(call)
@@ -139,7 +192,7 @@
 	}
 	end := p.health.Now() + interval
 	sleep(ctx, p.retryInterval)
-	for interval > p.retryInterval && ctx.Err() == nil && !p.health.mayRetry(end, interval/2) {
+	for interval > p.retryInterval && ctx.Err() == nil && p.health.isFailing() && !p.health.mayRetry(end, interval/2) {
 		remaining := end - p.health.Now()
 		if remaining <= 0 {
 			remaining = p.retryInterval
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -59,6 +60,7 @@
 	expiryTimer  *time.Timer // drops lapsed entries
 	failing      bool
 	interrupter  interrupter
+	readPending  atomic.Bool // the next step reads, whatever the list's age
 }
 
 // Init prepares the Endpoints; call it before any other method.
@@ -67,7 +69,9 @@
 	e.leavers = make(leavers)
 	e.incarnations = make(incarnations)
 	e.foreign = make(foreign)
-	e.poller = poller{health: e.StoreHealth, rank: e.Rank, retryInterval: e.RetryInterval, waitTime: e.waitTime, call: e.callStore}
+	p := &e.poller
+	p.health, p.rank, p.retryInterval, p.waitTime, p.call = e.StoreHealth, e.Rank, e.RetryInterval, e.waitTime, e.callStore
+	p.init()
 	e.expiryTimer = time.AfterFunc(time.Hour, e.dropExpired)
 	e.expiryTimer.Stop() // until entries lapse
 	// Lapsed entries are dropped at their time, even if nothing is read until then.
@@ -78,9 +82,7 @@
 func (e *Endpoints) Run(ctx context.Context) {
 	defer e.expiryTimer.Stop()
 	for ctx.Err() == nil {
-		loopCtx, end := e.interrupter.next(ctx)
-		e.step(loopCtx)
-		end()
+		e.step(e.interrupter.context(ctx))
 	}
 }
 
@@ -94,23 +96,19 @@
 		e.publish()
 	}
 	e.mu.Unlock()
+	e.readPending.Store(true)
 	e.interrupter.interrupt()
 }
 
-// step waits until this host has to read, or polls the store once and waits.
+// step waits until this host has to read, or polls the store once.
 func (e *Endpoints) step(ctx context.Context) {
-	if wait := e.untilRead(); wait > 0 {
+	if wait := e.untilRead(); wait > 0 && !e.readPending.Swap(false) {
 		sleep(ctx, wait)
 		return
 	}
-	startedAt := e.Now()
 	if !e.refresh(ctx) {
 		e.poller.backOff(ctx)
-		return
 	}
-	// A read that took longer than usual has made the list older by as much.
-	overrun := max(0, e.Now()-startedAt-e.WatchTimeout-fastRetryDelay)
-	sleep(ctx, e.Interval-overrun)
 }
 
 // untilRead is the time until this host has to read. While peers prove the list, a host of a higher
@@ -121,14 +119,10 @@
 	if len(e.incarnations.heldEntries(e.Now())) > 0 {
 		e.publish() // a held entry may have stood for long enough
 	}
-	if e.Rank == nil || !e.loaded {
-		return 0
-	}
-	rank := e.Rank()
-	if rank == 0 {
+	if !e.loaded {
 		return 0
 	}
-	return e.provenAt + ReadAge(e.Interval, rank, e.ViaRelay != nil && e.ViaRelay()) - e.Now()
+	return e.provenAt + e.poller.readAge(e.Interval, 0, e.MaxAge, e.ViaRelay) - e.Now()
 }
 
 // refresh polls the store and reports whether that succeeded.
@@ -265,7 +259,7 @@
 	if !e.loaded || e.MaxAge == 0 || now-e.provenAt <= e.MaxAge {
 		return e.loaded
 	}
-	return e.StoreHealth.FailedRecently()
+	return e.StoreHealth.FailedRecently(e.poller.lastAnswer())
 }
 
 // ProvenAt returns when the list was surely the newest, and false if there is no list.
--- a/feed/entry.go
+++ b/feed/entry.go
@@ -75,9 +75,7 @@
 	r.List(ctx)
 	sleep(ctx, discoveryTime)
 	for n := 1; ctx.Err() == nil; n++ {
-		loopCtx, end := r.interrupter.next(ctx)
-		r.step(loopCtx, n)
-		end()
+		r.step(r.interrupter.context(ctx), n)
 	}
 }
 
--- a/feed/nudge.go
+++ b/feed/nudge.go
@@ -9,21 +9,23 @@
 	"sync"
 )
 
-// interrupter lets a loop begin its next iteration at once, whatever it waits for. The zero value is
-// ready to use.
+// interrupter lets a loop begin its next iteration at once, whatever it waits for, and ends the calls in
+// flight. The zero value is ready to use.
 type interrupter struct {
 	mu     sync.Mutex
+	ctx    context.Context
 	cancel context.CancelFunc
 }
 
-// next returns the context of the loop's next iteration, which ends with the next interrupt, and the
-// function that ends it.
-func (i *interrupter) next(ctx context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
+// context returns a context that ends with the next interrupt, or with ctx. ctx must be the same for all
+// calls.
+func (i *interrupter) context(ctx context.Context) context.Context {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.cancel = cancel
-	return ctx, cancel
+	if i.ctx == nil || i.ctx.Err() != nil {
+		i.ctx, i.cancel = context.WithCancel(ctx)
+	}
+	return i.ctx
 }
 
 // interrupt ends the iteration in progress.
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -50,6 +50,7 @@
 	current       atomic.Pointer[Config]
 	refusedCount  atomic.Int64
 	failing       bool
+	poller        poller
 	interrupter   interrupter
 	rereadPending atomic.Bool // the next step reads the key again
 
@@ -75,11 +76,11 @@
 
 // Run follows the store until ctx ends.
 func (s *Settings) Run(ctx context.Context) {
-	p := poller{health: s.StoreHealth, rank: s.Rank, retryInterval: s.RetryInterval, waitTime: s.waitTime, call: s.callStore}
+	p := &s.poller
+	p.health, p.rank, p.retryInterval, p.waitTime, p.call = s.StoreHealth, s.Rank, s.RetryInterval, s.waitTime, s.callStore
+	p.init()
 	for ctx.Err() == nil {
-		loopCtx, end := s.interrupter.next(ctx)
-		s.step(loopCtx, &p)
-		end()
+		s.step(s.interrupter.context(ctx))
 	}
 }
 
@@ -98,11 +99,11 @@
 		return true
 	}
 	age, ok := s.Age.At(s.Now())
-	return ok && (age <= s.MaxAge || s.StoreHealth.FailedRecently())
+	return ok && (age <= s.MaxAge || s.StoreHealth.FailedRecently(s.poller.lastAnswer()))
 }
 
 // step waits until this host has to watch, or polls the store once.
-func (s *Settings) step(ctx context.Context, p *poller) {
+func (s *Settings) step(ctx context.Context) {
 	reread := s.rereadPending.Swap(false)
 	if wait := s.untilWatch(); wait > 0 && !reread {
 		sleep(ctx, wait)
@@ -111,13 +112,13 @@
 	if reread {
 		s.requireRead()
 	}
-	err := p.poll(ctx)
+	err := s.poller.poll(ctx)
 	switch {
 	case err == nil:
 		s.logRegained()
 	case ctx.Err() == nil: // otherwise cancelled by this host
 		s.logLost(err)
-		p.backOff(ctx)
+		s.poller.backOff(ctx)
 	}
 }
 
@@ -128,13 +129,14 @@
 	s.loaded = false
 }
 
-// waitTime is how long a call waits for changes: only on the hosts that always watch. The others call
-// when the settings must be proven soon.
+// waitTime is how long a call waits for changes: only on the hosts that always watch, and not for so
+// long that a slow answer comes too late. The others call when the settings must be proven soon.
 func (s *Settings) waitTime() time.Duration {
 	if s.Rank != nil && s.Rank() >= WatcherCount {
 		return 0
 	}
-	return s.WatchTimeout
+	age, _ := s.Age.At(s.Now())
+	return max(0, min(s.WatchTimeout, s.StoreHealth.latestRead(s.MaxAge)-age))
 }
 
 // callStore does one call. sent is when it is sent, wait how long it waits for changes.
@@ -167,11 +169,10 @@
 	if s.Rank == nil || !ok {
 		return 0
 	}
-	rank := s.Rank()
-	if rank < WatcherCount {
+	if s.Rank() < WatcherCount {
 		return 0
 	}
-	return ReadAge(s.WatchTimeout, rank-WatcherCount+1, s.ViaRelay != nil && s.ViaRelay()) - age
+	return s.poller.readAge(s.WatchTimeout, WatcherCount-1, s.MaxAge, s.ViaRelay) - age
 }
 
 // readKey reads the key again, with a call sent at the given moment.
