feed: both followers of a host read as soon as one of them finds the store back

Trace: a host that hears no other is turned away by the store; meanwhile an endpoint announces that it leaves. The store is back at 67.97 s, the host's follower of the settings is answered at 68.12 s, that of the endpoints waits for its next attempt until 68.36 s. By then the entry was removed, and the endpoint's older entry, which the store writes late, is taken for a new endpoint.

Change: the first answer to a call of this host after an outage ends the waits of both followers. Only own answers do, so that the hosts of a fleet do not all call at once when one of them hears of the store's return.

--- a/feed/asker.go
+++ b/feed/asker.go
@@ -191,12 +191,12 @@
 		interval = outageRetryInterval(p.retryInterval, p.rank)
 	}
 	end := p.health.Now() + interval
-	sleep(ctx, p.retryInterval)
+	p.health.awaitRegained(ctx, p.retryInterval)
 	for interval > p.retryInterval && ctx.Err() == nil && p.health.isFailing() && !p.health.mayRetry(end, interval/2) {
 		remaining := end - p.health.Now()
 		if remaining <= 0 {
 			remaining = p.retryInterval
 		}
-		sleep(ctx, min(remaining, p.retryInterval))
+		p.health.awaitRegained(ctx, min(remaining, p.retryInterval))
 	}
 }
--- a/feed/outage_test.go
+++ b/feed/outage_test.go
@@ -132,3 +132,29 @@
 		synctest.Wait()
 	})
 }
+
+// TestListIsReadWhenStoreReturns checks that a host reads the endpoints as soon as it finds by the settings that the store is back.
+func TestListIsReadWhenStoreReturns(t *testing.T) {
+	for outage := 5 * time.Second; outage < 5400*time.Millisecond; outage += 30 * time.Millisecond {
+		t.Run(fmt.Sprint(outage), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				f := startFleet(ctx, 1)
+				time.Sleep(3 * time.Second)
+				f.store.locked(func() { f.store.down = true })
+				time.Sleep(outage)
+				f.store.locked(func() { f.store.down = false })
+				back := f.now()
+				for age := time.Hour; f.now()-age < back; age, _ = f.settings[0].Age.At(f.now()) {
+					time.Sleep(10 * time.Millisecond)
+				}
+				time.Sleep(150 * time.Millisecond) // the read may wait for 0.1 s for changes
+				v, _ := f.endpoints[0].View()
+				must.GreaterEq(t, back, v.ProvenAt)
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/feed/reach.go
+++ b/feed/reach.go
@@ -5,6 +5,7 @@
 package feed
 
 import (
+	"context"
 	"math"
 	"sync"
 	"time"
@@ -32,13 +33,17 @@
 	// Log receives changes of state.
 	Log logr.Logger
 
-	mu          sync.Mutex
-	counts      StoreCallCounts
-	loggedFail  bool // the store was logged as failing
-	calls       callLog
-	lastBegun   time.Duration              // when the last call was begun or permitted
-	lapseUntil  time.Duration              // entries that disappear before this moment are treated as lapsed
-	onOutageEnd func(lapsed time.Duration) // called at the end of an outage with the time for which entries stay lapsed; may be nil
+	mu         sync.Mutex
+	counts     StoreCallCounts
+	loggedFail bool // the store was logged as failing
+	calls      callLog
+	lastBegun  time.Duration // when the last call was begun or permitted
+	// lastOwnAnswer is when this host last read an answer, and regained is closed when it reads the first
+	// one after an outage.
+	lastOwnAnswer time.Duration
+	regained      chan struct{}
+	lapseUntil    time.Duration              // entries that disappear before this moment are treated as lapsed
+	onOutageEnd   func(lapsed time.Duration) // called at the end of an outage with the time for which entries stay lapsed; may be nil
 }
 
 // processRunTime is the time in which this process ran.
@@ -81,6 +86,11 @@
 	h.calls.beginAnswer(c, now, runTime)
 	h.calls.noteAnswer(c.sent, runTime)
 	h.logVerdict()
+	if h.calls.lastOutageCall > h.lastOwnAnswer && h.regained != nil {
+		close(h.regained)
+		h.regained = nil
+	}
+	h.lastOwnAnswer = now
 }
 
 // fail records that a call was refused.
@@ -229,6 +239,24 @@
 	h.lapseUntil = 0
 }
 
+// awaitRegained waits for the first answer to a call of this host after an outage, for d at most. An
+// entry that says that its endpoint leaves may soon be removed.
+func (h *StoreHealth) awaitRegained(ctx context.Context, d time.Duration) {
+	h.mu.Lock()
+	if h.regained == nil {
+		h.regained = make(chan struct{})
+	}
+	regained := h.regained
+	h.mu.Unlock()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-regained:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // unansweredCalls is the number of calls since the last answered one that failed or are in flight.
 func (h *StoreHealth) unansweredCalls() int {
 	h.mu.Lock()
