feed: refusals are an outage only if they last

Cause: four failed calls in 0.3 s were an outage at once, which excuses an old list for 0.9 of the contact time. A store that works may refuse four calls of a host, as for exceeding its rate in that second, and the fifth would have been answered.

Change: refused calls, like silent ones, are an outage only once they have lasted for the time of silence (0.2 of the drain time); calls go out each 0.1 s meanwhile (before: after the fourth the next one came 0.4 s later). Refusals count by the clock, since they come whether this process runs or not.

--- a/edge/leavers_test.go
+++ b/edge/leavers_test.go
@@ -7,8 +7,11 @@
 import (
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +70,9 @@
 		{"one call hangs", calls(simsite.Hang, 1), 6800 * time.Millisecond},
 		{"two calls hang", calls(simsite.Hang, 2), 7 * time.Second},
 		{"three calls hang", calls(simsite.Hang, 3), 7200 * time.Millisecond},
+		{"four calls are refused", calls(simsite.Refuse, 4), 7400 * time.Millisecond},
+		{"four calls are refused or hang", []simsite.Behavior{simsite.Refuse, simsite.Hang, simsite.Refuse, simsite.Hang}, 7600 * time.Millisecond},
+		{"five calls are refused", calls(simsite.Refuse, 5), 7800 * time.Millisecond},
 	}
 	for _, tc := range cases {
 		for _, announced := range []bool{true, false} {
@@ -164,3 +170,56 @@
 		})
 	}
 }
+
+// TestNoRequestsToLeaversInRandomFleets checks the drain time in fleets of random sizes in which up to five calls of a host in a row are
+// refused or hang, at random moments around the leaving of endpoints.
+func TestNoRequestsToLeaversInRandomFleets(t *testing.T) {
+	fleets, first := 4, uint64(1)
+	if n, err := strconv.Atoi(os.Getenv("HEATHKEEL_SEEDS")); err == nil {
+		fleets, first = n, rand.Uint64N(1e9)
+	}
+	const failedCalls, leavers, sent = 5, 4, 400
+	for seed := first; seed < first+uint64(fleets); seed++ {
+		r := rand.New(rand.NewPCG(seed, 0))
+		hosts, boot := []int{6, 24, 78, 120}[r.IntN(4)], largeBoot
+		if hosts == 6 {
+			boot = smallBoot
+		}
+		killOthers := r.IntN(2) == 0
+		t.Run(fmt.Sprintf("seed %d, %d hosts, others killed %t", seed, hosts, killOthers), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &simsite.Site{Boot: boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				defer s.Stop()
+				must.NoError(t, s.Start(site.Example(), 12, hosts))
+				time.Sleep(6*time.Second + time.Duration(r.Int64N(int64(2*time.Second))))
+				h := lastReader(s.Hosts)
+				if killOthers {
+					s.KillOthers(h)
+				}
+				for _, e := range s.Endpoints[:leavers] {
+					announced := r.IntN(2) == 0
+					time.AfterFunc(time.Duration(r.Int64N(int64(2*time.Second))), func() { e.Leave(announced) })
+				}
+				for range 1 + r.IntN(2) {
+					var next []simsite.Behavior
+					for range 1 + r.IntN(failedCalls) {
+						next = append(next, []simsite.Behavior{simsite.Refuse, simsite.Hang}[r.IntN(2)])
+					}
+					time.AfterFunc(time.Duration(r.Int64N(int64(3*time.Second))), func() {
+						s.Store.SetNextBehaviors(h.Boot.IP, platform.PrefixEndpoints, next...)
+					})
+				}
+				served := 0
+				for range sent {
+					time.Sleep(20 * time.Millisecond)
+					if s.SendRequest(h) == http.StatusOK {
+						served++
+					}
+				}
+				t.Logf("the latest request %s after a leaving, %d of %d served", s.MaxArrivalAfterLeaving(), served, sent)
+				must.LessEq(t, boot.DrainTime, s.MaxArrivalAfterLeaving())
+				must.Greater(t, sent*9/10, served)
+			})
+		})
+	}
+}
--- a/feed/calls.go
+++ b/feed/calls.go
@@ -27,12 +27,13 @@
 
 // callLog decides from calls to the store whether the store fails for this host. It knows this host's
 // calls, and those of other hosts as far as peers report their answers. The store fails if the calls
-// since the last answer, at least outageCalls, were refused, or were refused or are unanswered for the
-// time that patience returns.
+// since the last answer, at least outageCalls, were refused or are unanswered, and that has lasted for the
+// time that patience returns: a store that works may refuse several calls at once for exceeding its rate.
 //
 // A late answer is no failure: calls in flight stay in the log until they are answered or given up, and
-// an answer to any of them ends the outage. Silence is counted in time in which this process ran: an
-// answer that lies in the socket while the process waits for the CPU is not the store's silence.
+// an answer to any of them ends the outage. Silence is counted in time in which this process ran, since an
+// answer that lies in the socket while the process waits for the CPU is not the store's silence. Refusals
+// count by the clock.
 type callLog struct {
 	// outageAfter is the minimum time without an answer that counts as an outage.
 	outageAfter time.Duration
@@ -44,7 +45,7 @@
 
 	inFlight    []storeCall   // calls in flight whose answer has not begun
 	failedCount int           // calls that failed since the last answer
-	firstFailed time.Duration // when the first of them failed or was due, by the time in which this process ran
+	firstFailed storeCall     // when the first of them was sent, and failed or was due
 	lastFailed  time.Duration // when the newest call was sent that failed or was silent
 	failTime    time.Duration // how long that call took to fail, or would have taken
 
@@ -98,8 +99,8 @@
 		return
 	}
 	due := max(min(c.due, runTime), l.answerBegan)
-	if l.failedCount == 0 || due < l.firstFailed {
-		l.firstFailed = due
+	if l.failedCount == 0 || due < l.firstFailed.due {
+		l.firstFailed = storeCall{c.sent, due}
 	}
 	l.failedCount++
 	if c.sent >= l.lastFailed {
@@ -118,9 +119,9 @@
 
 // judge decides whether the store fails for this host now.
 func (l *callLog) judge(now, runTime time.Duration) {
-	silent, silentFor := 0, time.Duration(0)
+	silent, silentFor, refusedFor := 0, time.Duration(0), time.Duration(0)
 	if l.failedCount > 0 {
-		silentFor = runTime - l.firstFailed
+		silentFor, refusedFor = runTime-l.firstFailed.due, now-l.firstFailed.sent
 	}
 	newest := l.lastFailed
 	for _, c := range l.inFlight {
@@ -132,7 +133,11 @@
 		silentFor = max(silentFor, unanswered)
 		newest = max(newest, c.sent)
 	}
-	if l.failedCount >= outageCalls || (l.failedCount+silent >= outageCalls && silentFor >= l.patience(now)) {
+	lasted := silentFor
+	if silent == 0 {
+		lasted = refusedFor
+	}
+	if l.failedCount+silent >= outageCalls && lasted >= l.patience(now) {
 		l.failing = true
 	}
 	if !l.failing {
