feed, ingress: a request is decided by the age of the settings that decide it

Cause: admission took the settings in force and then asked for the age, of the settings in force by then. A process stopped between the two, or settings put in force there, decided by the old ones with the age of the new ones. The checks of keys, at admission and before a send, and of unknown routes (404) had the same two steps.

Change: Settings.InForce returns settings and their own age, reading again if they were replaced meanwhile; limits are asked with that age. It is sound to send later by them: the request had come before the look, so settings proven then are as new as the request asks for.

TestAgeIsOfTheSameSettings: red with the two steps (settings 1 with the age of 2), green now.

--- a/feed/age.go
+++ b/feed/age.go
@@ -39,6 +39,13 @@
 	return max(0, now-a.proven), a.known
 }
 
+// at returns the revision and its age at a moment, and false if there is none.
+func (a *Age) at(now time.Duration) (revision uint64, age time.Duration, ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.revision, max(0, now-a.proven), a.known
+}
+
 // Revision returns the revision in force.
 func (a *Age) Revision() uint64 {
 	a.mu.Lock()
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -262,6 +262,28 @@
 	must.EqOp(t, 1, s.RefusedCount())
 }
 
+// TestAgeIsOfTheSameSettings checks that settings that are replaced while a host looks at them do not get the age of the newer ones.
+func TestAgeIsOfTheSameSettings(t *testing.T) {
+	const now = 10 * time.Second
+	replace := func() {}
+	s := &Settings{Parse: parseVersion, OnChange: func(*route.Table) {}, Log: logr.Discard(), Now: func() time.Duration {
+		replace()
+		return now
+	}}
+	s.Offer([]byte("one"), 1)
+	s.Age.Prove(1, time.Second)
+	c, age := s.InForce()
+	must.EqOp(t, 1, c.Revision)
+	must.EqOp(t, now-time.Second, age)
+	replace = func() {
+		s.Offer([]byte("two"), 2)
+		s.Age.Prove(2, now)
+	}
+	c, age = s.InForce()
+	must.EqOp(t, 2, c.Revision)
+	must.EqOp(t, 0, age)
+}
+
 func TestAgeProofs(t *testing.T) {
 	var a Age
 	_, ok := a.At(0)
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -92,14 +92,31 @@
 	s.interrupter.interrupt()
 }
 
-// Usable reports whether requests may be decided by the settings now. Settings older than MaxAge are
+// InForce returns the configuration in force, or nil if there is none, and its age, which is negative
+// if it is unknown. The age is that of this configuration, also if a newer one comes at this moment.
+func (s *Settings) InForce() (c *Config, age time.Duration) {
+	for {
+		c = s.current.Load()
+		revision, age, ok := s.Age.at(s.Now())
+		switch {
+		case c == nil || !ok:
+			return c, unknownAge
+		case revision <= c.Revision:
+			return c, age
+		}
+	}
+}
+
+// unknownAge is the age of a configuration that was never proven to be the newest.
+const unknownAge = -time.Millisecond
+
+// Usable reports whether requests may be decided by settings of an age. Settings older than MaxAge are
 // used only while the store fails for this host: the host cannot get newer ones then.
-func (s *Settings) Usable() bool {
+func (s *Settings) Usable(age time.Duration) bool {
 	if s.MaxAge == 0 {
 		return true
 	}
-	age, ok := s.Age.At(s.Now())
-	return ok && (age <= s.MaxAge || s.StoreHealth.FailedRecently(s.poller.lastAnswer()))
+	return age >= 0 && (age <= s.MaxAge || s.StoreHealth.FailedRecently(s.poller.lastAnswer()))
 }
 
 // step waits until this host has to watch, or polls the store once.
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -36,15 +36,12 @@
 		c.s.Count.Stopping.Add(1)
 		return &refusal{status: http.StatusServiceUnavailable, why: "this host is stopping; use another"}
 	}
-	src := c.s.Settings.Current()
+	src, age := c.s.Settings.InForce()
 	if src == nil {
 		c.s.Count.NoSettings.Add(1)
 		return &refusal{status: http.StatusServiceUnavailable, why: "no settings yet; come back", retryAfter: minRetryAfter}
 	}
-	c.table = src.Table
-	if age, ok := c.s.Settings.Age.At(c.s.Now()); ok {
-		c.timings.settingsAge = age
-	}
+	c.table, c.timings.settingsAge = src.Table, age
 	for _, check := range []func() *refusal{c.checkConfirmed, c.checkSettings, c.findRoute, c.findWorkspace, c.parseHeaders, c.readBody, c.checkHeld, c.takeQuota} {
 		if f := check(); f != nil {
 			return f
@@ -57,16 +54,16 @@
 // that no request may be decided by them any more. As with the endpoint list, none of the steps that refresh the settings has
 // bounded duration, so the limit on their age is enforced here.
 func (c *call) checkSettings() *refusal {
-	if c.s.Settings.Usable() {
+	if c.s.Settings.Usable(c.timings.settingsAge) {
 		return nil
 	}
 	c.s.Count.Stale.Add(1)
 	return &refusal{status: http.StatusServiceUnavailable, why: "settings are too old; use another host, or come back", retryAfter: unconfirmedRetryAfter}
 }
 
-// refuseUnknown refuses what the settings do not contain, provided that they are known to be the newest.
-func (c *call) refuseUnknown(status int, why string) *refusal {
-	if age, ok := c.s.Settings.Age.At(c.s.Now()); !ok || age > c.s.ageLimits.Load().MaxUnknownAge {
+// refuseUnknown refuses what settings of an age do not contain, provided that they are known to be the newest.
+func (c *call) refuseUnknown(age time.Duration, status int, why string) *refusal {
+	if age < 0 || age > c.s.ageLimits.Load().MaxUnknownAge {
 		c.s.Count.Stale.Add(1)
 		return &refusal{status: http.StatusServiceUnavailable, why: "settings are too old to say; come back", retryAfter: time.Second}
 	}
@@ -83,7 +80,7 @@
 	c.route = c.table.Match(c.r.Host, path)
 	if c.route == nil {
 		c.s.Count.NoRoute.Add(1)
-		return c.refuseUnknown(http.StatusNotFound, "no route for this host and path")
+		return c.refuseUnknown(c.timings.settingsAge, http.StatusNotFound, "no route for this host and path")
 	}
 	c.service = c.table.Service(c.route.PickTarget(rand.Float64()))
 	if c.service == nil {
@@ -97,12 +94,12 @@
 	if c.route.Public || len(c.table.Document.Workspaces) == 0 {
 		return nil
 	}
-	if !c.s.acceptsKeys() {
+	if !c.s.acceptsKeys(c.timings.settingsAge) {
 		return c.refuseStaleKeys()
 	}
 	if c.workspace = c.workspaceForKey(c.table); c.workspace == nil {
 		c.s.Count.NoKey.Add(1)
-		return c.refuseUnknown(http.StatusUnauthorized, "unknown key; send one in Authorization")
+		return c.refuseUnknown(c.timings.settingsAge, http.StatusUnauthorized, "unknown key; send one in Authorization")
 	}
 	return nil
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -65,7 +65,7 @@
 	s.Watch.Check()
 	s.active.Add(1)
 	s.Count.Received.Add(1)
-	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now(), timings: timings{settingsAge: -time.Millisecond}}
+	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now()}
 	defer c.release()
 	// net/http must not add headers of its own to an endpoint's response.
 	w.Header()["Date"] = nil
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -218,8 +218,11 @@
 	return ok && age < s.ageLimits.Load().MaxKeyAge
 }
 
-// acceptsKeys reports whether requests with keys are accepted.
-func (s *Server) acceptsKeys() bool { return !s.ageLimits.Load().Strict || s.SettingsFresh() }
+// acceptsKeys reports whether requests with keys are accepted by settings of an age.
+func (s *Server) acceptsKeys(age time.Duration) bool {
+	limits := s.ageLimits.Load()
+	return !limits.Strict || (age >= 0 && age < limits.MaxKeyAge)
+}
 
 // Stop begins a planned stop: responses close their connections, and after stopGrace new requests are refused.
 func (s *Server) Stop() { s.stopStarted.CompareAndSwap(0, int64(s.Now())) }
--- a/ingress/woke.go
+++ b/ingress/woke.go
@@ -75,15 +75,15 @@
 	if c.workspace == nil {
 		return nil
 	}
-	if !c.s.acceptsKeys() {
+	src, age := c.s.Settings.InForce()
+	if !c.s.acceptsKeys(age) {
 		return c.refuseStaleKeys()
 	}
-	src := c.s.Settings.Current()
 	if src.Table == c.table || c.workspaceForKey(src.Table) != nil {
 		return nil
 	}
 	c.s.Count.NoKey.Add(1)
-	return c.refuseUnknown(http.StatusUnauthorized, "the key was withdrawn while the request waited")
+	return c.refuseUnknown(age, http.StatusUnauthorized, "the key was withdrawn while the request waited")
 }
 
 // refuseStaleKeys refuses a request with a key because the settings are too old to show which keys were withdrawn.
