feed, edge: a peer proves only settings that this host has

Cause: after a fetch from a peer a host proved the revision that the peer's heartbeat had named, whatever had come. A peer that restarted in between sends older settings than its former run had proven; the host then held the newer revision's number and the older document, and neither fetched nor watched for it again until a newer one came.

Change: Settings.ReceiveProof compares with the settings in force; only a proof of these counts, newer ones are fetched.

TestProofsOfPeers: a proof of newer settings proves nothing (Age.Prove by revision, as before, proves it).

--- a/edge/share.go
+++ b/edge/share.go
@@ -67,12 +67,7 @@
 func (h *Host) ProofReceived(p peers.Proof) {
 	fetchSettings, fetchEndpoints := false, false
 	if v := p.Settings; v.Known {
-		switch own := h.settings.Age.Revision(); {
-		case v.Revision == own:
-			h.settings.Age.Prove(v.Revision, v.At)
-		case v.Revision > own:
-			fetchSettings = true
-		}
+		fetchSettings = h.settings.ReceiveProof(v.Revision, v.At)
 	}
 	if v := p.Endpoints; v.Known {
 		fetchEndpoints = h.endpoints.ReceiveView(feedView(v))
@@ -142,7 +137,8 @@
 	var b settingsBody
 	if h.fetchJSON(ctx, p.Control, pathSettings, &b) {
 		h.settings.Offer(b.Value, b.Revision)
-		h.settings.Age.Prove(p.Settings.Revision, p.Settings.At)
+		// A peer that has restarted may send older settings than it had proven.
+		h.settings.ReceiveProof(p.Settings.Revision, p.Settings.At)
 	}
 }
 
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -284,6 +284,30 @@
 	must.EqOp(t, 0, age)
 }
 
+// TestProofsOfPeers checks which proofs of peers say how old a host's settings are: none of newer settings, which a peer that has
+// restarted may have proven without sending them.
+func TestProofsOfPeers(t *testing.T) {
+	cases := []struct {
+		name     string
+		revision uint64
+		fetch    bool
+		proven   bool
+	}{
+		{"older", 4, false, false}, {"the same", 5, false, true}, {"newer", 6, true, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Settings{Parse: parseVersion, OnChange: func(*route.Table) {}, Log: logr.Discard(), Now: func() time.Duration { return 10 * time.Second }}
+			must.True(t, s.ReceiveProof(tc.revision, 9*time.Second)) // no settings yet
+			s.Offer([]byte("five"), 5)
+			must.EqOp(t, tc.fetch, s.ReceiveProof(tc.revision, 9*time.Second))
+			c, age := s.InForce()
+			must.EqOp(t, 5, c.Revision)
+			must.EqOp(t, tc.proven, age >= 0)
+		})
+	}
+}
+
 func TestAgeProofs(t *testing.T) {
 	var a Age
 	_, ok := a.At(0)
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -119,6 +119,19 @@
 	return age >= 0 && (age <= s.MaxAge || s.StoreHealth.FailedRecently(s.poller.lastAnswer()))
 }
 
+// ReceiveProof takes a peer's proof that a revision was the newest at a moment. It reports whether that
+// revision is newer than the one in force, so that it has to be fetched.
+func (s *Settings) ReceiveProof(revision uint64, at time.Duration) bool {
+	c := s.current.Load()
+	if c == nil || revision > c.Revision {
+		return true
+	}
+	if revision == c.Revision {
+		s.Age.Prove(revision, at)
+	}
+	return false
+}
+
 // step waits until this host has to watch, or polls the store once.
 func (s *Settings) step(ctx context.Context) {
 	reread := s.rereadPending.Swap(false)
