feed: files named for the types they hold

poller.go, health.go, interrupter.go and counts.go in place of asker.go, reach.go and nudge.go, whose names told nothing of the poller, StoreHealth and the interrupter in them.

--- a/feed/reach.go
+++ b/feed/health.go
@@ -164,17 +164,6 @@
 		"answered", h.counts.Answered, "refused", h.counts.Refused, "unanswered", h.counts.Unanswered, "slowest_ms", h.counts.SlowestMS)
 }
 
-// StoreCallCounts counts this host's calls to the store since its start.
-type StoreCallCounts struct {
-	// Answered, Refused and Unanswered count calls by outcome; unanswered ones were given up.
-	Answered, Refused, Unanswered int64
-	// SlowestMS is the longest time in which a call was answered, in milliseconds in which this process
-	// ran, beyond the time for which the call was to wait.
-	SlowestMS int64
-	// Outages counts how often the store began to fail for this host.
-	Outages int64
-}
-
 // CallCounts returns the counts of calls, and whether the store fails for this host.
 func (h *StoreHealth) CallCounts() (c StoreCallCounts, failing bool) {
 	h.mu.Lock()
