--- a/edge/leavers_test.go
+++ b/edge/leavers_test.go
@@ -171,8 +171,7 @@
 	}
 }
 
-// TestNoRequestsToLeaversInRandomFleets checks the drain time in fleets of random sizes in which up to five calls of a host in a row are
-// refused or hang, at random moments around the leaving of endpoints.
+// TestNoRequestsToLeaversInRandomFleets checks that up to five calls of a host in a row that are refused or hang excuse no old list.
 func TestNoRequestsToLeaversInRandomFleets(t *testing.T) {
 	fleets, first := 4, uint64(1)
 	if n, err := strconv.Atoi(os.Getenv("HEATHKEEL_SEEDS")); err == nil {
