feed: a peer's proof from before this host's start is no younger for that

What callers would have seen: in an outage of the store, while a host restarts each second to each third second, a withdrawn key runs at all hosts for as long as the outage lasts. The revocation time binds every host, in touch or not. Lists of endpoints grow young the same way.

Cause: a host that starts gets settings and list from a peer, with a proof that lies before its start. Age.Prove and Endpoints.prove kept the later of that moment and their zero value, which is the start of the host's clock: 4 s old became 0.1 s young. The host told so to all others, and their age began anew, too. A peer's list counted as proven at the start even before any proof of it had come.

Ruled out: peers' own ages (without restarts the same play serves the key for 1.9 s), the watches in flight (the play waits until they are over).

Change: the first proof is taken as it is, also before the start; a list that was never proven is older than any limit.

Why it holds: each age that a host tells is now the age of an answer of the store, read by it or by a host before it, and passing it on adds to it only.

TestPeersProofsBeforeStart: age 0.1 -> 4.1 s.

--- a/feed/age.go
+++ b/feed/age.go
@@ -19,16 +19,16 @@
 }
 
 // Prove records that revision was the newest at a moment. A proof of an older revision is ignored; a
-// newer revision replaces the older one.
+// newer revision replaces the older one. The moment is negative if it was before this host's start: a
+// peer's proof is no younger for a host that has just started.
 func (a *Age) Prove(revision uint64, at time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	switch {
-	case a.known && revision < a.revision:
-	case a.known && revision == a.revision:
-		a.proven = max(a.proven, at)
-	default:
-		a.revision, a.proven, a.known = revision, max(a.proven, at), true
+	case !a.known:
+		a.revision, a.proven, a.known = revision, at, true
+	case revision >= a.revision:
+		a.revision, a.proven = revision, max(a.proven, at)
 	}
 }
 
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -51,7 +52,7 @@
 	loaded       bool          // known comes from the store or from a peer
 	compacted    bool          // the store no longer has the changes since revision
 	revision     uint64        // the store's revision of known
-	provenAt     time.Duration // when known was surely the newest
+	provenAt     time.Duration // when known was surely the newest; negative before this host's start
 	provenBefore time.Duration // provenAt before the last change
 	poller       poller
 	leavers      leavers
@@ -70,6 +71,7 @@
 	e.leavers = make(leavers)
 	e.incarnations = make(incarnations)
 	e.foreign = make(foreign)
+	e.provenAt, e.provenBefore = neverProven, neverProven
 	p := &e.poller
 	p.health, p.rank, p.retryInterval, p.waitTime, p.call = e.StoreHealth, e.Rank, e.RetryInterval, e.waitTime, e.callStore
 	p.isDue = func() bool { return e.readNow || e.untilRead() <= 0 }
@@ -244,6 +246,10 @@
 	return nil
 }
 
+// neverProven is the moment as of which a list is proven of which nothing is known: longer ago than any
+// limit on its age.
+const neverProven = time.Duration(math.MinInt64 / 2)
+
 // prove records that known was surely the newest at a moment; mu must be held.
 func (e *Endpoints) prove(at time.Duration) {
 	e.provenBefore, e.provenAt = e.provenAt, max(e.provenAt, at)
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -323,6 +323,28 @@
 	must.EqOp(t, 4, a.Revision())
 }
 
+// TestPeersProofsBeforeStart checks that what a peer proved before this host's start is as old on this
+// host. Taken for proven at the start, it would count as young at all hosts to which this host passes it on.
+func TestPeersProofsBeforeStart(t *testing.T) {
+	const provenAt, started = -4 * time.Second, 100 * time.Millisecond
+	var a Age
+	a.Prove(7, provenAt)
+	age, ok := a.At(started)
+	must.True(t, ok)
+	must.EqOp(t, started-provenAt, age)
+
+	now := func() time.Duration { return started }
+	e := &Endpoints{Now: now, StoreHealth: testHealth(now), MaxAge: testMaxAge, OnChange: func([]Endpoint) {}, Log: logr.Discard()}
+	e.Init()
+	e.Offer(EndpointList{Revision: 5, Endpoints: []Endpoint{{Instance: "a"}}})
+	must.False(t, e.Usable()) // a list without a proof has no age
+	v, _ := e.View()
+	e.ReceiveView(View{Revision: 5, Checksum: v.Checksum, ProvenAt: provenAt})
+	v, _ = e.View()
+	must.EqOp(t, provenAt, v.ProvenAt)
+	must.False(t, e.Usable())
+}
+
 // parseEndpoint reads entries that hold "foreign", "leaving" or anything else, and the start time
 // after an @.
 func parseEndpoint(key string, value []byte) (Endpoint, error) {
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -74,6 +74,13 @@
 	e.leftAt = time.Now()
 }
 
+// Lapse removes the entry of an endpoint that continues to serve, as the store does after an outage in
+// which the endpoint could not renew it.
+func (e *Endpoint) Lapse() { e.site.Store.Remove(platform.PrefixEndpoints + e.Instance) }
+
+// Renew writes the endpoint's entry again.
+func (e *Endpoint) Renew() { e.putEntry("ready") }
+
 // putEntry writes the endpoint's entry with the given state.
 func (e *Endpoint) putEntry(state string) {
 	e.site.Store.Put(platform.PrefixEndpoints+e.Instance, site.EndpointEntry{
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -123,7 +123,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.kill, h.done, h.net = cancel, make(chan struct{}), s.Net.Host(h.Boot.IP)
 	h.net.Start()
-	h.Edge = &edge.Host{Boot: h.Boot, Clock: clock.NewSteady().WithOffset(h.suspendedTime), Network: h.net, Log: s.Log}
+	h.Edge = &edge.Host{Boot: h.Boot, Clock: clock.NewSteady().WithOffset(h.suspendedTime), Network: h.net, Log: s.Log.WithValues("host", h.Boot.Host)}
 	h.Boot.Bootstrap = false
 	go func(e *edge.Host, done chan struct{}) {
 		defer close(done)
@@ -149,6 +149,13 @@
 	}
 }
 
+// SetStoreBehavior sets the store's behavior for all calls of all hosts from now on.
+func (s *Site) SetStoreBehavior(b Behavior) {
+	for _, h := range s.Hosts {
+		s.Store.SetBehavior(h.Boot.IP, b)
+	}
+}
+
 // MaxArrivalAfterLeaving returns the longest time between the leaving of an endpoint and the
 // receipt of a request there.
 func (s *Site) MaxArrivalAfterLeaving() time.Duration {
@@ -192,13 +199,20 @@
 // requestTimeout limits a request of SendRequest.
 const requestTimeout = 10 * time.Second
 
-// SendRequest sends one request to a host and returns the status of the answer, or 0 if there was
-// none.
-func (s *Site) SendRequest(h *Host) int {
+// SendRequest sends one request without a key to a host and returns the status of the answer, or 0 if
+// there was none.
+func (s *Site) SendRequest(h *Host) int { return s.send(h, "/open/x", "") }
+
+// SendRequestWithKey sends one request under a key to a host and returns the status of the answer, or 0
+// if there was none.
+func (s *Site) SendRequestWithKey(h *Host, key string) int { return s.send(h, "/ask/x", key) }
+
+// send sends one request to a host; an empty key is left out.
+func (s *Site) send(h *Host, path, key string) int {
 	t := &http.Transport{DialContext: s.Net.Host(callerIP).DialContext, DisableKeepAlives: true, DisableCompression: true}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Boot.Front+"/open/x", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Boot.Front+path, nil)
 	if err != nil {
 		return 0
 	}
@@ -206,6 +220,9 @@
 	req.Host = site.HostName
 	req.Header.Set("Heathkeel-Attempt-Id", fmt.Sprint("id-", s.sent))
 	req.Header.Set("Heathkeel-Deadline-Ms", "4000")
+	if key != "" {
+		req.Header.Set("Authorization", "Token "+key)
+	}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return 0
