feed: an old report of a peer ends no outage

What callers would have seen: in an outage, after endpoints' entries have lapsed, single hosts know no endpoint any more and refuse requests, although the endpoints serve and other hosts use them.

Cause: since any answer ends the verdict that the store fails, also one that a peer had before the outage began and of which this host hears only now. With the verdict goes the excuse for entries that lapse.

Change: a report ends an outage only if its call was sent after the first call of the outage. Own answers end it as before: they arrive now.

Why it holds: an outage is a row of calls without an answer; what was answered before the first of them tells nothing about the row. A report from within the row ends it as before (TestOutageDetection).

Two ways: the same rule for a row of failed calls that is no outage yet would find outages earlier, and take a store that refuses one host four times for failing before the others' reports arrive through relays (up to 0.9 s): not done.

--- a/feed/calls.go
+++ b/feed/calls.go
@@ -50,6 +50,7 @@
 	failTime    time.Duration // how long that call took to fail, or would have taken
 
 	failing        bool
+	outageFrom     time.Duration // when the first call of the outage was sent; holds while failing
 	lastOutageCall time.Duration // when the newest call was sent for which the store is known to have failed for this host, or 0
 }
 
@@ -91,6 +92,16 @@
 	l.answerBegan, l.failedCount, l.failing = runTime, 0, false
 }
 
+// notePeerAnswer records that a peer reported the answer to a call sent at the given moment. It ends an
+// outage only if that call was sent after the first call of the outage: the report may be older.
+func (l *callLog) notePeerAnswer(sent, runTime time.Duration) {
+	if l.failing && sent < l.outageFrom {
+		l.lastAnswered = max(l.lastAnswered, sent)
+		return
+	}
+	l.noteAnswer(sent, runTime)
+}
+
 // fail records that a call was refused, or was given up after a silence. A call that was sent before
 // one that was answered may have failed alone.
 func (l *callLog) fail(c storeCall, now, runTime time.Duration) {
@@ -120,10 +131,11 @@
 // judge decides whether the store fails for this host now.
 func (l *callLog) judge(now, runTime time.Duration) {
 	silent, silentFor, refusedFor := 0, time.Duration(0), time.Duration(0)
+	oldest, newest := now, l.lastFailed
 	if l.failedCount > 0 {
 		silentFor, refusedFor = runTime-l.firstFailed.due, now-l.firstFailed.sent
+		oldest = l.firstFailed.sent
 	}
-	newest := l.lastFailed
 	for _, c := range l.inFlight {
 		unanswered := runTime - max(c.due, l.answerBegan)
 		if unanswered < fastRetryDelay || c.sent <= l.lastAnswered {
@@ -131,14 +143,14 @@
 		}
 		silent++
 		silentFor = max(silentFor, unanswered)
-		newest = max(newest, c.sent)
+		oldest, newest = min(oldest, c.sent), max(newest, c.sent)
 	}
 	lasted := silentFor
 	if silent == 0 {
 		lasted = refusedFor
 	}
-	if l.failedCount+silent >= outageCalls && lasted >= l.patience(now) {
-		l.failing = true
+	if !l.failing && l.failedCount+silent >= outageCalls && lasted >= l.patience(now) {
+		l.failing, l.outageFrom = true, oldest
 	}
 	if !l.failing {
 		return
--- a/feed/calls_test.go
+++ b/feed/calls_test.go
@@ -14,15 +14,18 @@
 	"github.com/shoenig/test/must"
 )
 
+// Outcomes of a call in the tests of this file.
+const (
+	outcomeRefused    = iota // refused at once
+	outcomeUnanswered        // no answer
+	outcomeAnswered
+)
+
 // TestOutageDetection checks how a host distinguishes an outage of the store from its own trouble.
 func TestOutageDetection(t *testing.T) {
 	const outageAfter = 600 * time.Millisecond
 	// A call is sent every 0.1 s from 10 s on, with one of these outcomes:
-	const (
-		refused    = iota // refused at once
-		unanswered        // no answer
-		answered
-	)
+	const refused, unanswered, answered = outcomeRefused, outcomeUnanswered, outcomeAnswered
 	cases := []struct {
 		name  string
 		calls []int
@@ -220,3 +223,41 @@
 		})
 	}
 }
+
+// TestOldReportEndsNoOutage checks that a peer's report of an answer that is older than the outage does not
+// end it: the host would drop all lapsed endpoints and refuse requests until it found the outage again.
+func TestOldReportEndsNoOutage(t *testing.T) {
+	cases := []struct {
+		name       string
+		behavior   int // how the store fails from 10 s on
+		reportedAt time.Duration
+		want       bool // the outage goes on
+	}{
+		{"refused, answered before", outcomeRefused, 9950 * time.Millisecond, true},
+		{"refused, answered as it began", outcomeRefused, 10 * time.Second, false},
+		{"refused, answered meanwhile", outcomeRefused, 12 * time.Second, false},
+		{"no answer, answered before", outcomeUnanswered, 9950 * time.Millisecond, true},
+		{"no answer, answered meanwhile", outcomeUnanswered, 12 * time.Second, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			now := 9900 * time.Millisecond
+			h := testHealth(func() time.Duration { return now })
+			e := &Endpoints{Now: h.Now, StoreHealth: h, OnChange: func([]Endpoint) {}, Log: logr.Discard()}
+			e.Init()
+			e.Offer(EndpointList{Revision: 5, Endpoints: []Endpoint{{Instance: "a"}}})
+			v, _ := e.View()
+			e.ReceiveView(View{Revision: 5, Checksum: v.Checksum, ProvenAt: now})
+			for now = 10 * time.Second; now < 13*time.Second; now += fastRetryDelay {
+				if c := h.begin(0); tc.behavior == outcomeRefused {
+					h.fail(c)
+				}
+			}
+			must.True(t, h.isFailing())
+			e.drop("a") // the host reads that the entry is gone
+			e.ReceiveView(View{Revision: 5, Checksum: v.Checksum, ProvenAt: tc.reportedAt})
+			must.EqOp(t, tc.want, h.isFailing())
+			must.MapLen(t, 1, e.known)
+		})
+	}
+}
--- a/feed/health.go
+++ b/feed/health.go
@@ -111,23 +111,31 @@
 	h.logVerdict()
 }
 
-// noteAnswer records that the store answered a call of this host or of a peer that was sent at the
-// given moment. The first answer after an outage determines how long lapsed entries are kept. The
-// store returned after this host's last failed call was sent. If this host calls less often than
-// others, the store returned after their last failed call, which was sent at most one RetryInterval
-// and the duration of a failed call before the answered one.
-func (h *StoreHealth) noteAnswer(sent time.Duration) {
+// noteAnswer records that the store answered a call of this host that was sent at the given moment.
+func (h *StoreHealth) noteAnswer(sent time.Duration) { h.noteAnswerOf(sent, (*callLog).noteAnswer) }
+
+// notePeerAnswer records that a peer reported the answer to a call that was sent at the given moment.
+func (h *StoreHealth) notePeerAnswer(sent time.Duration) {
+	h.noteAnswerOf(sent, (*callLog).notePeerAnswer)
+}
+
+// noteAnswerOf records an answer in the log of calls. The first answer after an outage determines how
+// long lapsed entries are kept. The store returned after this host's last failed call was sent. If this
+// host calls less often than others, the store returned after their last failed call, which was sent at
+// most one RetryInterval and the duration of a failed call before the answered one.
+func (h *StoreHealth) noteAnswerOf(sent time.Duration, note func(l *callLog, sent, runTime time.Duration)) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	calls := h.currentCalls()
 	if sent <= calls.lastAnswered {
 		return
 	}
-	if calls.failing && sent-calls.lastAnswered >= h.LapseTimes.MinOutage {
+	wasFailing, silence := calls.failing, sent-calls.lastAnswered
+	note(calls, sent, h.processRunTime())
+	if wasFailing && !calls.failing && silence >= h.LapseTimes.MinOutage {
 		returned := max(calls.lastFailed, sent-h.RetryInterval-calls.failTime)
 		h.lapseUntil = max(h.lapseUntil, min(sent+h.LapseTimes.RenewTime, returned+h.LapseTimes.MaxKeep))
 	}
-	calls.noteAnswer(sent, h.processRunTime())
 	h.logVerdict()
 	if remaining := h.lapseUntil - h.Now(); remaining > 0 && h.onOutageEnd != nil {
 		h.onOutageEnd(remaining)
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -103,7 +103,7 @@
 func (e *Endpoints) ReceiveView(v View) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.StoreHealth.noteAnswer(v.ProvenAt)
+	e.StoreHealth.notePeerAnswer(v.ProvenAt)
 	if e.loaded && v.Checksum == e.viewChecksum() {
 		if v.Revision > e.revision {
 			clear(e.foreign) // the view does not say whether they are still there
