feed: an outage that a peer's report ends lasted at least until this host's last failed call

The outage's length was taken from that moment: a report "from 1 s into the outage" that came after 5 s made it too short for entries to lapse, and they were dropped.

Evidence: 24 hosts, store away from 3.5 to 8.52 s: at 8.595 s hosts log "store answers again" with answered_ms 3998, 2998 and 998, and drop their lists 4 ms later; hosts with 403 keep them.

Change: the outage lasted until this host's own last failed call at least. The earliest possible return, which bounds how long entries are kept, already counted from there.

Why it holds: a host whose calls failed all that time and that heard of no answer knows of no sound moment in it. If the store turned away this host alone, others' reports come each 0.2 s and keep the silence short (TestOutageOfOneHost, TestLeftDuringOutage green).

--- a/edge/lapsed_test.go
+++ b/edge/lapsed_test.go
@@ -39,7 +39,7 @@
 	}{
 		{smallBoot, 1, simsite.Refuse, late}, {smallBoot, 1, simsite.Hang, early},
 		{smallBoot, 4, simsite.Refuse, late}, {smallBoot, 4, simsite.Hang, early},
-		{smallBoot, 24, simsite.Hang, early},
+		{smallBoot, 24, simsite.Refuse, early}, {smallBoot, 24, simsite.Hang, early},
 		{largeBoot, 78, simsite.Refuse, late}, {largeBoot, 78, simsite.Hang, 1800 * time.Millisecond},
 	}
 	for i, tc := range cases {
--- a/feed/calls_test.go
+++ b/feed/calls_test.go
@@ -257,7 +257,8 @@
 			e.drop("a", now) // the host reads that the entry is gone
 			e.ReceiveView(View{Revision: 5, Checksum: v.Checksum, ProvenAt: tc.reportedAt})
 			must.EqOp(t, tc.want, h.isFailing())
-			must.MapLen(t, 1, e.known)
+			e.publish()
+			must.MapLen(t, 1, e.known) // by this host's own calls the outage was long enough for the entry to lapse
 		})
 	}
 }
--- a/feed/health.go
+++ b/feed/health.go
@@ -113,11 +113,19 @@
 }
 
 // noteAnswer records that the store answered a call of this host that was sent at the given moment.
-func (h *StoreHealth) noteAnswer(sent time.Duration) { h.noteAnswerOf(sent, (*callLog).noteAnswer) }
+func (h *StoreHealth) noteAnswer(sent time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noteAnswerOf(sent, sent, (*callLog).noteAnswer)
+}
 
-// notePeerAnswer records that a peer reported the answer to a call that was sent at the given moment.
+// notePeerAnswer records that a peer reported the answer to a call that was sent at the given moment, or
+// up to seconds later: how long the report took is known only roughly. An outage that it ends lasted at
+// least until this host's last failed call.
 func (h *StoreHealth) notePeerAnswer(sent time.Duration) {
-	h.noteAnswerOf(sent, (*callLog).notePeerAnswer)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.noteAnswerOf(sent, max(sent, h.calls.lastFailed), (*callLog).notePeerAnswer)
 }
 
 // noteAnswerOf records an answer in the log of calls. The first answer after an outage determines how
@@ -125,15 +133,14 @@
 // from the moment at which this host knows of the return, and for MaxKeep from the earliest moment at
 // which the store may have returned. The store returned after this host's last failed call was sent. If this
 // host calls less often than others, the store returned after their last failed call, which was sent at
-// most one RetryInterval and the duration of a failed call before the answered one.
-func (h *StoreHealth) noteAnswerOf(sent time.Duration, note func(l *callLog, sent, runTime time.Duration)) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
+// most one RetryInterval and the duration of a failed call before the answered one. An outage that ends
+// lasted until outageEnd at least. mu must be held.
+func (h *StoreHealth) noteAnswerOf(sent, outageEnd time.Duration, note func(l *callLog, sent, runTime time.Duration)) {
 	calls := h.currentCalls()
 	if sent <= calls.lastAnswered {
 		return
 	}
-	wasFailing, silence := calls.failing, sent-calls.lastAnswered
+	wasFailing, silence := calls.failing, outageEnd-calls.lastAnswered
 	note(calls, sent, h.processRunTime())
 	if wasFailing && !calls.failing && silence >= h.LapseTimes.MinOutage {
 		returned := max(calls.lastFailed, sent-h.RetryInterval-calls.failTime)
