feed: a host that has just begun to follow the entries takes no lapsed endpoint from the others

What callers would have seen: after an outage in which all entries lapsed, all hosts refuse all requests until the endpoints have renewed them, if one host started or woke in the outage and reads the store first.

Cause: a newer list of a peer replaced the own one whole. A host that has just begun to follow the entries cannot tell lapsed ones from those of leavers, and lists neither.

Change: a list says for how long its host has followed the entries without a gap. If that began after this host's list was last proven, endpoints that the list lacks are judged by this host's own calls to the store, as if it had read the list itself.

Why it holds: the verdict is the one that a host's own reading gets, with the same bounds on how long lapsed endpoints are kept.

--- a/edge/lapsed_test.go
+++ b/edge/lapsed_test.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -67,6 +68,51 @@
 	}
 }
 
+// TestNewHostHidesNoLapsedEndpoints checks that a host that starts or wakes in an outage, in which all
+// entries lapse, and that reads the store first after it, takes no endpoint from the other hosts.
+func TestNewHostHidesNoLapsedEndpoints(t *testing.T) {
+	const (
+		lapsedFor = time.Second // until the endpoints have renewed their entries
+		watched   = 3 * time.Second
+	)
+	for _, hosts := range []int{4, 24} {
+		for _, restart := range []bool{false, true} {
+			for i := range 4 {
+				for _, wait := range []time.Duration{100 * time.Millisecond, time.Second, 3 * time.Second} {
+					t.Run(fmt.Sprintf("%d hosts, restart %t, host %d, %s before the outage ends", hosts, restart, i, wait), func(t *testing.T) {
+						synctest.Test(t, func(t *testing.T) {
+							s := &simsite.Site{Boot: smallBoot, Zones: 2, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+							defer s.Stop()
+							must.NoError(t, s.Start(site.Example(), 4, hosts))
+							time.Sleep(3 * time.Second)
+							s.SetStoreBehavior(simsite.Refuse)
+							time.Sleep(4 * time.Second)
+							for _, e := range s.Endpoints {
+								e.Lapse()
+							}
+							if restart {
+								s.Hosts[i].Kill()
+								s.StartHost(s.Hosts[i])
+							} else {
+								s.Hosts[i].Suspend(8 * time.Second)
+							}
+							time.Sleep(wait)
+							s.SetStoreBehavior(simsite.Normal)
+							for _, e := range s.Endpoints {
+								time.AfterFunc(lapsedFor, e.Renew)
+							}
+							others := slices.Delete(slices.Clone(s.Hosts[:4]), i, i+1)
+							sent, served := sendRequests(s, watched, others)
+							must.GreaterEq(t, sent*99/100, served)
+							must.EqOp(t, http.StatusOK, s.SendRequest(s.Hosts[i]))
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
 // sendRequests sends requests to hosts in turn for d, and returns how many were sent and served.
 func sendRequests(s *simsite.Site, d time.Duration, hosts []*simsite.Host) (sent, served int) {
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -50,6 +50,7 @@
 	known        map[string]Endpoint
 	published    []Endpoint
 	loaded       bool          // known comes from the store or from a peer
+	followedFrom time.Duration // since when this host has followed the entries without a gap
 	compacted    bool          // the store no longer has the changes since revision
 	revision     uint64        // the store's revision of known
 	provenAt     time.Duration // when known was surely the newest; negative before this host's start
@@ -96,6 +97,7 @@
 func (e *Endpoints) NoteGap() {
 	e.mu.Lock()
 	e.StoreHealth.reset()
+	e.followedFrom = e.Now()
 	if e.loaded {
 		e.publish()
 	}
@@ -213,7 +215,8 @@
 	}
 	e.foreign.retain(present)
 	e.incarnations.retain(present)
-	e.loaded, e.compacted, e.revision = true, false, max(e.revision, p.Revision)
+	e.noteLoaded()
+	e.compacted, e.revision = false, max(e.revision, p.Revision)
 	e.prove(sent)
 	e.publish()
 	return nil
@@ -250,6 +253,13 @@
 // limit on its age.
 const neverProven = time.Duration(math.MinInt64 / 2)
 
+// noteLoaded records that known comes from the store or from a peer; mu must be held.
+func (e *Endpoints) noteLoaded() {
+	if !e.loaded {
+		e.loaded, e.followedFrom = true, e.Now()
+	}
+}
+
 // prove records that known was surely the newest at a moment; mu must be held.
 func (e *Endpoints) prove(at time.Duration) {
 	e.provenBefore, e.provenAt = e.provenAt, max(e.provenAt, at)
@@ -313,7 +323,7 @@
 	if !ok {
 		return
 	}
-	if n.Leaving || !e.StoreHealth.mayLapse(asOf) {
+	if !e.mayHaveLapsed(n, asOf) {
 		delete(e.known, name)
 		return
 	}
@@ -321,6 +331,12 @@
 	e.known[name] = n
 }
 
+// mayHaveLapsed reports whether an endpoint without an entry as of a moment may still serve; mu must be
+// held.
+func (e *Endpoints) mayHaveLapsed(n Endpoint, asOf time.Duration) bool {
+	return !n.Leaving && e.StoreHealth.mayLapse(asOf)
+}
+
 // dropExpired drops lapsed entries that were not renewed in time.
 func (e *Endpoints) dropExpired() {
 	e.mu.Lock()
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -72,6 +72,9 @@
 	RecentlyLeft map[string]time.Duration `json:"left,omitempty"`
 	// Held are the entries that name older incarnations than the newest known ones.
 	Held []HeldEntry `json:"held,omitempty"`
+	// FollowedFor is for how long the host has followed the entries without a gap, in nanoseconds. What
+	// disappeared earlier is missing in the list, whether it lapsed or left.
+	FollowedFor time.Duration `json:"followed,omitempty"`
 }
 
 // View identifies what a host knows of the endpoints.
@@ -95,7 +98,10 @@
 func (e *Endpoints) List() (EndpointList, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return EndpointList{Revision: e.revision, Endpoints: e.published, RecentlyLeft: e.leavers.ages(e.Now()), Held: e.incarnations.heldEntries(e.Now())}, e.loaded
+	now := e.Now()
+	return EndpointList{
+		Revision: e.revision, Endpoints: e.published, RecentlyLeft: e.leavers.ages(now), Held: e.incarnations.heldEntries(now), FollowedFor: now - e.followedFrom,
+	}, e.loaded
 }
 
 // ReceiveView takes a peer's view and reports whether to fetch the peer's list: a view of the same
@@ -118,6 +124,10 @@
 // Offer puts a peer's list in force if it is newer. Lapsed entries are kept only if the store failed
 // for this host too: the peer may be the only host that the store refused, and an endpoint whose entry
 // disappears while the store serves has left.
+//
+// Conversely, a peer that has started or had a gap since this host's list was proven cannot tell lapsed
+// entries from those of endpoints that left, and its list holds neither. Without a verdict of its own,
+// one such peer that reads the store first after an outage would empty the lists of all hosts.
 func (e *Endpoints) Offer(l EndpointList) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -133,11 +143,28 @@
 	}
 	e.incarnations.adoptHeld(l.Held, now)
 	clear(e.foreign)
-	e.known, e.loaded, e.revision, e.provenBefore = known, true, l.Revision, e.provenAt
+	if e.loaded && now-l.FollowedFor > e.provenAt {
+		e.keepLapsed(known, now)
+	}
+	e.noteLoaded()
+	e.known, e.revision, e.provenBefore = known, l.Revision, e.provenAt
 	e.compacted = false
 	e.publish()
 }
 
+// keepLapsed adds to a peer's list the endpoints that it lacks and that may have lapsed; mu must be held.
+func (e *Endpoints) keepLapsed(list map[string]Endpoint, now time.Duration) {
+	for name, n := range e.known {
+		if _, ok := list[name]; ok {
+			continue
+		}
+		if n = e.leavers.mark(n, now); e.mayHaveLapsed(n, e.provenAt) {
+			n.Lapsed = true
+			list[name] = n
+		}
+	}
+}
+
 // viewChecksum distinguishes views of different content; mu must be held.
 func (e *Endpoints) viewChecksum() uint64 {
 	list := e.published
