feed: an outage seen since a gap does not make entries known from before it lapse

Cause: at a gap the host forgets the state of the store, but the outage that it then sees made each entry that is missing at the end of it one that may have lapsed, also those that it knew only from before the gap. Whether they went in the outage or before it, while the store served, it cannot know.

Ruled out: the outage from before the gap (forgotten; TestGapForgetsOutage green), lists of others (one host is enough).

Change: an entry may have lapsed only if the list was proven since the last gap, by an own answer or by a peer.

Why it holds: a proof from after the gap says that the entry stood then; an outage that this host saw after it can have made it lapse, and nothing else is taken for that.

--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -51,6 +51,7 @@
 	published    []Endpoint
 	loaded       bool          // known comes from the store or from a peer
 	followedFrom time.Duration // since when this host has followed the entries without a gap
+	gapEndedAt   time.Duration // end of the last gap
 	compacted    bool          // the store no longer has the changes since revision
 	revision     uint64        // the store's revision of known
 	provenAt     time.Duration // when known was surely the newest; negative before this host's start
@@ -97,7 +98,8 @@
 func (e *Endpoints) NoteGap() {
 	e.mu.Lock()
 	e.StoreHealth.reset()
-	e.followedFrom = e.Now()
+	e.gapEndedAt = e.Now()
+	e.followedFrom = e.gapEndedAt
 	if e.loaded {
 		e.publish()
 	}
@@ -332,9 +334,10 @@
 }
 
 // mayHaveLapsed reports whether an endpoint without an entry as of a moment may still serve; mu must be
-// held.
+// held. An outage that this host has seen since a gap says nothing about entries that it knows only from
+// before the gap: they may have been removed in between, while the store served.
 func (e *Endpoints) mayHaveLapsed(n Endpoint, asOf time.Duration) bool {
-	return !n.Leaving && e.StoreHealth.mayLapse(asOf)
+	return !n.Leaving && e.provenAt >= e.gapEndedAt && e.StoreHealth.mayLapse(asOf)
 }
 
 // dropExpired drops lapsed entries that were not renewed in time.
--- a/internal/simsite/store.go
+++ b/internal/simsite/store.go
@@ -26,6 +26,8 @@
 	Refuse
 	// Hang never answers.
 	Hang
+	// Stall answers once the behavior has changed.
+	Stall
 )
 
 // Store is the platform's store, which can refuse the calls of chosen hosts or let them hang.
@@ -102,6 +104,16 @@
 	return Normal
 }
 
+// stallCheckInterval is the time between two checks whether a stall is over.
+const stallCheckInterval = 10 * time.Millisecond
+
+// behavior returns the behavior for all calls of a host.
+func (s *Store) behavior(ip string) Behavior {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behaviors[ip]
+}
+
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
@@ -112,6 +124,13 @@
 		_, _ = io.Copy(io.Discard, r.Body) // the context is canceled with the connection only once the body is read
 		<-r.Context().Done()
 		panic(http.ErrAbortHandler)
+	case Stall:
+		for s.behavior(ip) == Stall {
+			if !wait(r, stallCheckInterval) {
+				panic(http.ErrAbortHandler)
+			}
+		}
+		s.Handler().ServeHTTP(w, r)
 	default:
 		if !wait(r, s.nextDelay()) {
 			panic(http.ErrAbortHandler)
