edge: a host that waits for confirmation after a gap confirms no other

What callers would have seen: hosts that were suspended together and wake before a silent store serve by their old lists and settings 0.4 s after waking, at a moment at which a host alone refuses because it knows nothing for certain.

Cause: "a peer knows nothing newer" confirms what a host knows after a gap, and a peer that was suspended as well said so.

Ruled out: the store (it answers nothing), hosts that were awake (there are none).

Change: a host names no versions to others until it is confirmed itself.

Why it holds: what a host hears as a confirmation now comes from a host that was awake, or confirmed by one, or by the store since its gap.

TestSuspendedHostsRecover unchanged and green: with hosts awake, or the store up, nothing takes longer.

--- a/edge/share.go
+++ b/edge/share.go
@@ -30,10 +30,14 @@
 	b.Crashes = h.Crashes(quarantine.Local)
 }
 
-// Stamps implements peers.Host.
+// Stamps implements peers.Host. A host that waits for a confirmation after a gap names no versions: hosts
+// that were suspended together would otherwise confirm to each other what they knew before.
 func (h *Host) Stamps() (settings, endpoints peers.Stamp) {
 	now := h.now()
 	settings, endpoints = peers.Stamp{AgeMS: -1}, peers.Stamp{AgeMS: -1}
+	if h.unconfirmed() {
+		return settings, endpoints
+	}
 	if age, ok := h.settings.Age.At(now); ok {
 		settings = peers.Stamp{Revision: h.settings.Age.Revision(), AgeMS: age.Milliseconds() + 1}
 	}
--- a/edge/wakeup_test.go
+++ b/edge/wakeup_test.go
@@ -82,3 +82,30 @@
 		}
 	}
 }
+
+// TestSuspendedHostsDoNotConfirmEachOther checks that hosts that were suspended together do not take what
+// the others knew before for a confirmation of what they know themselves: endpoints may have left and keys
+// may have been withdrawn meanwhile.
+func TestSuspendedHostsDoNotConfirmEachOther(t *testing.T) {
+	// unconfirmed is a little shorter than the time for which a host waits for a confirmation.
+	const unconfirmed = 900 * time.Millisecond
+	for _, hosts := range []int{2, 4, 24} {
+		for _, d := range []time.Duration{300 * time.Millisecond, 2 * time.Second, 8 * time.Second, time.Minute} {
+			t.Run(fmt.Sprintf("%d hosts, %s", hosts, d), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := &simsite.Site{Boot: smallBoot, Zones: 2, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+					defer s.Stop()
+					must.NoError(t, s.Start(site.Example(), 4, hosts))
+					time.Sleep(3 * time.Second)
+					s.SetStoreBehavior(simsite.Stall)
+					time.Sleep(100 * time.Millisecond)
+					for _, h := range s.Hosts {
+						h.Suspend(d)
+					}
+					_, served := sendRequests(s, unconfirmed, s.Hosts[:2])
+					must.EqOp(t, 0, served)
+				})
+			})
+		}
+	}
+}
