internal/site: hosts use five successive ports that are all free

Cause: one port that the kernel gave out, and the four after it unasked, from the range of which the kernel also gives to outgoing connections and to the proxies of the same test.

Change: blocks of five ports below that range, each given once in a process and only if all five are free, at loopback addresses of the process's own.

Why it holds: nothing else takes ports there by itself, and two processes do not share an address.

--- a/internal/site/life_test.go
+++ b/internal/site/life_test.go
@@ -153,18 +153,18 @@
 // TestReload changes a host's settings file with SIGHUP and without, and writes an invalid value.
 func TestReload(t *testing.T) {
 	s := startTestSite(t, 1)
-	path := filepath.Join(t.TempDir(), "boot.conf")
+	path, ip := filepath.Join(t.TempDir(), "boot.conf"), loopbackIP(89)
 	write := func(extra string) {
 		b := s.Hosts[0].Boot
-		text := fmt.Sprintf("Node=second\nIp=127.0.0.99\nListen.Front=127.0.0.99:%d\nPlatform.Address=%s\n", 7000, b.Store)
+		text := fmt.Sprintf("Node=second\nIp=%s\nListen.Front=%s:%d\nPlatform.Address=%s\n", ip, ip, 7000, b.Store)
 		must.NoError(t, os.WriteFile(path, []byte(text+extra), 0o600))
 	}
 	write("")
 	boot := s.Hosts[0].Boot
-	boot.Host, boot.IP = "second", "127.0.0.99"
+	boot.Host, boot.IP = "second", ip
 	for _, a := range []*string{&boot.Front, &boot.Ready, &boot.Control, &boot.Directory} {
 		_, port, _ := strings.Cut(*a, ":")
-		*a = "127.0.0.99:" + port
+		*a = ip + ":" + port
 	}
 	h, err := s.Restart(&Host{Boot: boot, Path: path})
 	must.NoError(t, err)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -105,27 +105,16 @@
 	_ = s.server.Close()
 }
 
-// freePort returns a port that is free at an IP address.
-func freePort(ip string) (int, error) {
-	l, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return 0, err
-	}
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port, nil
-}
-
 // AddHost starts a host at an IP address of its own. As on the platform, all hosts use the same
 // ports.
 func (s *Site) AddHost() (*Host, error) {
 	n := len(s.Hosts) + 1
-	ip := fmt.Sprintf("127.0.0.%d", 10+n)
+	ip := loopbackIP(n)
 	if s.basePort == 0 {
-		p, err := freePort(ip)
-		if err != nil {
+		var err error
+		if s.basePort, err = findPorts(ip); err != nil {
 			return nil, err
 		}
-		s.basePort = min(p, 65000)
 	}
 	address := func(i int) string { return fmt.Sprintf("%s:%d", ip, s.basePort+i) }
 	b := platform.Boot{
