--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -138,6 +138,7 @@
 	h.kill()
 	h.net.Kill()
 	<-h.done
+	h.net.Kill() // a run that was just starting may have opened sockets meanwhile
 }
 
 // KillOthers kills all hosts but h.
