--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -289,8 +289,9 @@
 // instanceOf returns the name of the endpoint that an item describes.
 func (e *Endpoints) instanceOf(it Item) string { return strings.TrimPrefix(it.Key, e.Prefix) }
 
-// applyEntry applies an entry that was read as of a moment; mu must be held. An entry that no endpoint of this deployment wrote
-// names no usable endpoint: an endpoint known under its key is treated as one whose entry was removed.
+// applyEntry applies an entry that was read as of a moment; mu must be held. An entry that no endpoint of
+// this deployment wrote names no usable endpoint: an endpoint known under its key is treated as one whose
+// entry was removed.
 func (e *Endpoints) applyEntry(it Item, asOf time.Duration) {
 	n, err := e.Parse(it.Key, it.Value)
 	if err != nil {
--- a/feed/health.go
+++ b/feed/health.go
@@ -131,9 +131,9 @@
 // noteAnswerOf records an answer in the log of calls. The first answer after an outage determines how
 // long lapsed entries are kept: until a list is read in which live endpoints have renewed them, counted
 // from the moment at which this host knows of the return, and for MaxKeep from the earliest moment at
-// which the store may have returned. The store returned after this host's last failed call was sent. If this
-// host calls less often than others, the store returned after their last failed call, which was sent at
-// most one RetryInterval and the duration of a failed call before the answered one. An outage that ends
+// which the store may have returned. The store returned after this host's last failed call was sent. If
+// this host calls less often than others, the store returned after their last failed call, which was sent
+// at most one RetryInterval and the duration of a failed call before the answered one. An outage that ends
 // lasted until outageEnd at least. mu must be held.
 func (h *StoreHealth) noteAnswerOf(sent, outageEnd time.Duration, note func(l *callLog, sent, runTime time.Duration)) {
 	calls := h.currentCalls()
