--- a/edge/random_test.go
+++ b/edge/random_test.go
@@ -23,8 +23,8 @@
 	"github.com/heathkeel/heathkeel/platform"
 )
 
-// trouble is a time in which something disturbed a host, or the store for all hosts. A host that was
-// disturbed or a store that was is bound by the drain time again only after the contact time.
+// trouble is a time in which something disturbed a host, or the store for all hosts. For the contact time
+// after it, the host need not observe the drain time.
 type trouble struct{ from, to time.Time }
 
 // randomPlay disturbs a site at random while endpoints and keys come and go.
@@ -38,10 +38,10 @@
 	withdrawn map[int][]time.Duration     // clock of each host when a key was withdrawn, by its number
 	suspended []time.Duration             // total time of suspension, by host
 	live      []*simsite.Endpoint         // endpoints that serve and have not left
-	troubles  map[*simsite.Host][]trouble // nil: of the store
-	violation string
+	troubles  map[*simsite.Host][]trouble // by host; those of the store under nil
+	violation string                      // the first one found, or empty
 
-	sent, served int
+	sent, served int // number of requests
 }
 
 // keyName returns the name of a key.
