feed, ingress, edge: endpoints of evacuated zones get no requests

The follower of the settings, which reads the keys around the configuration anyway, keeps the evacuated zones beside it. Both have one revision and one age, so that the proofs, the limit on age, the confirmation after a gap and the fetch from peers hold for both; a fetch leaves out the document if the other host has it. The shorter of configuration time and evacuation time bounds the age, and the age is looked at again at the send. The scheduler takes endpoints of these zones for leaving: what waits goes elsewhere, what runs there ends by itself, and a request whose connection was opening when the order came takes another endpoint.

A cancellation removes the key and its revision with it. A host that reads all keys and misses a zone that it knew takes the revision of its reading, so that orders and cancellations known at different hosts always have an order.

Weighed: a follower of its own for the orders (one more watch of two hosts, one more age to prove); orders as part of the list of endpoints (proven by reads of another prefix, so that it would cost a read each); evacuations in heartbeats (an age of their own). None of them gave more.

TestEvacuatedZoneGetsNoRequests (6 and 85 hosts: refused and silent reads, half of the hosts started again, suspensions, an outage, a cancellation that is missing in the history) fails without the change to the scheduler's list. Orders whose value is no object, or under an invalid name, change nothing and are logged (TestInvalidEvacuationsAreRefused).

--- a/edge/host.go
+++ b/edge/host.go
@@ -188,8 +188,9 @@
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
-		WatchTimeout: time.Duration(settingsWatchShare * float64(b.ConfigTime)), RetryInterval: settingsRetryInterval, Rank: h.readRank, ViaRelay: h.viaRelay,
-		StoreHealth: h.storeHealth, MaxAge: time.Duration(maxSettingsAgeShare * float64(b.ConfigTime)),
+		EvacuationPrefix: platform.PrefixEvacuations, CheckEvacuation: platform.CheckEvacuation, OnEvacuate: h.applyEvacuations,
+		WatchTimeout: time.Duration(settingsWatchShare * float64(settingsTime(b))), RetryInterval: settingsRetryInterval, Rank: h.readRank, ViaRelay: h.viaRelay,
+		StoreHealth: h.storeHealth, MaxAge: time.Duration(maxSettingsAgeShare * float64(settingsTime(b))),
 		OnChange: h.applyTable, Log: h.Log.WithName("settings"),
 	}
 	h.ingress.Settings = h.settings
@@ -235,6 +236,22 @@
 	h.agent.TriggerHeartbeat()
 }
 
+// applyEvacuations puts evacuations in force and sends a heartbeat at once, so that the other hosts learn
+// of them.
+func (h *Host) applyEvacuations(zones []string) {
+	h.ingress.SetEvacuated(zones)
+	h.agent.TriggerHeartbeat()
+}
+
+// settingsTime returns the time within which a change of the settings must be in force, be it one of the
+// configuration or of the evacuated zones.
+func settingsTime(b *platform.Boot) time.Duration {
+	if b.EvacuationTime == 0 {
+		return b.ConfigTime
+	}
+	return min(b.ConfigTime, b.EvacuationTime)
+}
+
 // bodyMemory returns the limit in bytes for the bodies of requests.
 func (h *Host) bodyMemory() int64 {
 	if h.Boot.MemoryMB == 0 {
--- a/edge/share.go
+++ b/edge/share.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -139,8 +140,13 @@
 // fetchSettingsFrom fetches the settings that a peer proved.
 func (h *Host) fetchSettingsFrom(ctx context.Context, p peers.Proof) {
 	var b settingsBody
-	if h.fetchJSON(ctx, p.Control, pathSettings, &b) {
+	path := pathSettings
+	if src := h.settings.Current(); src != nil {
+		path += "?" + knownRevision + "=" + strconv.FormatUint(src.Revision, 10)
+	}
+	if h.fetchJSON(ctx, p.Control, path, &b) {
 		h.settings.Offer(b.Value, b.Revision)
+		h.settings.OfferEvacuations(b.Evacuations)
 		// A peer that has restarted may send older settings than it had proven.
 		h.settings.ReceiveProof(p.Settings.Revision, p.Settings.At)
 	}
@@ -218,14 +224,19 @@
 	h.ingress.SetHosts(n, peers.ReportInterval(n))
 }
 
-// settingsBody is the configuration in the form in which hosts pass it on.
+// settingsBody holds the settings in the form in which hosts pass them on.
 type settingsBody struct {
 	// Revision is the store's revision of the configuration.
 	Revision uint64 `json:"revision"`
-	// Value is the configuration document.
-	Value []byte `json:"value"`
+	// Value is the configuration document; it is left out if the other host has that revision.
+	Value []byte `json:"value,omitempty"`
+	// Evacuations are the evacuations in force.
+	Evacuations feed.Evacuations `json:"evacuations"`
 }
 
+// knownRevision is the query parameter with the revision of the configuration that a host already has.
+const knownRevision = "known"
+
 // Paths at which other hosts fetch the configuration and the endpoints in force.
 const (
 	pathSettings  = "/v1/settings"
@@ -233,13 +244,17 @@
 )
 
 // serveSettings answers other hosts with the configuration in force.
-func (h *Host) serveSettings(w http.ResponseWriter, _ *http.Request) {
+func (h *Host) serveSettings(w http.ResponseWriter, r *http.Request) {
 	src := h.settings.Current()
 	if src == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	h.writeJSON(w, settingsBody{src.Revision, src.Value})
+	body := settingsBody{Revision: src.Revision, Value: src.Value, Evacuations: h.settings.Evacuations()}
+	if r.URL.Query().Get(knownRevision) == strconv.FormatUint(src.Revision, 10) {
+		body.Value = nil
+	}
+	h.writeJSON(w, body)
 }
 
 // serveEndpoints answers other hosts with the endpoints in force.
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -16,13 +16,19 @@
 	"github.com/heathkeel/heathkeel/route"
 )
 
-// Settings follows the configuration in the store. The fields must be set before Run.
+// Settings follows the configuration and the operators' evacuations in the store. The fields must be set
+// before Run.
 type Settings struct {
 	// Store holds the configuration, under Key below Prefix.
 	Store       Store
 	Prefix, Key string
 	// Parse reads a configuration.
 	Parse func([]byte) (*route.Document, error)
+	// EvacuationPrefix, which lies below Prefix, is the prefix of the orders to evacuate availability
+	// zones; the name of the zone follows. Empty means that there are none.
+	EvacuationPrefix string
+	// CheckEvacuation returns an error if the value of an order to evacuate a zone is invalid.
+	CheckEvacuation func(zone string, value []byte) error
 	// Now is the host's clock; it also counts the time in which the host is suspended.
 	Now func() time.Duration
 	// WatchTimeout is how long a watch may wait for changes.
@@ -41,6 +47,8 @@
 	MaxAge time.Duration
 	// OnChange is called with each new table.
 	OnChange func(*route.Table)
+	// OnEvacuate is called with the names of all evacuated zones when they change. Calls do not overlap.
+	OnEvacuate func(zones []string)
 	// Log receives changes of state.
 	Log logr.Logger
 
@@ -48,6 +56,8 @@
 	Age Age
 
 	current       atomic.Pointer[Config]
+	evacuations   atomic.Pointer[Evacuations]
+	evacuationsMu sync.Mutex // held while evacuations change
 	refusedCount  atomic.Int64
 	failing       bool
 	poller        poller
@@ -99,11 +109,12 @@
 func (s *Settings) InForce() (c *Config, age time.Duration) {
 	for {
 		c = s.current.Load()
+		newest := s.newestRevision()
 		revision, age, ok := s.Age.at(s.Now())
 		switch {
 		case c == nil || !ok:
 			return c, unknownAge
-		case revision <= c.Revision:
+		case revision <= newest && c == s.current.Load():
 			return c, age
 		}
 	}
@@ -124,11 +135,11 @@
 // ReceiveProof takes a peer's proof that a revision was the newest at a moment. It reports whether that
 // revision is newer than the one in force, so that it has to be fetched.
 func (s *Settings) ReceiveProof(revision uint64, at time.Duration) bool {
-	c := s.current.Load()
-	if c == nil || revision > c.Revision {
+	newest := s.newestRevision()
+	if newest == 0 || revision > newest {
 		return true
 	}
-	if revision == c.Revision {
+	if revision == newest {
 		s.Age.Prove(revision, at)
 	}
 	return false
@@ -216,6 +227,7 @@
 	}
 	s.StoreHealth.noteAnswer(sent)
 	s.applyItems(p.Items)
+	s.readEvacuations(p.Items, p.Revision)
 	s.prove(sent)
 	s.noteRead(p.Revision)
 	return nil
@@ -231,6 +243,7 @@
 	}
 	s.StoreHealth.noteAnswer(sent)
 	s.applyItems(p.Items)
+	s.applyEvacuationChanges(p.Items)
 	s.prove(sent)
 	s.noteRead(p.Revision)
 	if len(p.Items) == 0 && s.Now()-sent < wait {
@@ -250,10 +263,10 @@
 	}
 }
 
-// prove records that the configuration in force was the newest at a moment.
+// prove records that the settings in force were the newest at a moment.
 func (s *Settings) prove(at time.Duration) {
-	if c := s.current.Load(); c != nil {
-		s.Age.Prove(c.Revision, at)
+	if revision := s.newestRevision(); revision > 0 {
+		s.Age.Prove(revision, at)
 	}
 }
 
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -53,8 +53,11 @@
 // checkSettings refuses a request while the settings are too old: they may hold routes that were dropped or moved so long ago
 // that no request may be decided by them any more. As with the endpoint list, none of the steps that refresh the settings has
 // bounded duration, so the limit on their age is enforced here.
-func (c *call) checkSettings() *refusal {
-	if c.s.Settings.Usable(c.timings.settingsAge) {
+func (c *call) checkSettings() *refusal { return c.checkSettingsAge(c.timings.settingsAge) }
+
+// checkSettingsAge refuses a request if settings of the given age may not decide on it.
+func (c *call) checkSettingsAge(age time.Duration) *refusal {
+	if c.s.Settings.Usable(age) {
 		return nil
 	}
 	c.s.Count.Stale.Add(1)
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -29,6 +29,7 @@
 	mu           sync.Mutex
 	sched        *sched.Scheduler
 	targets      map[string]*target // by incarnation
+	evacuated    map[string]bool    // availability zones whose endpoints get no new requests
 	table        *route.Table
 	prefillRates map[string]*sched.Quantile // by service: prompt tokens read in a step
 	effective    map[settingsKey]*settings.Effective
@@ -159,6 +160,24 @@
 	return restarted
 }
 
+// setEvacuated sets the availability zones whose endpoints get no new requests. Requests that run there
+// end by themselves.
+func (b *balancer) setEvacuated(now time.Duration, zones []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.evacuated = make(map[string]bool, len(zones))
+	for _, z := range zones {
+		b.evacuated[z] = true
+	}
+	b.syncEndpoints(now)
+	b.poll(now)
+}
+
+// getsRequests reports whether an endpoint gets new requests; mu must be held.
+func (b *balancer) getsRequests(t *target) bool {
+	return !t.Leaving && !t.replaced && !b.evacuated[t.Zone]
+}
+
 // isLeaving reports whether an endpoint is leaving or no longer known.
 func (b *balancer) isLeaving(incarnation string) bool {
 	b.mu.Lock()
@@ -171,7 +190,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: t.Leaving, CrossZone: t.Zone != b.zone})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -370,13 +389,13 @@
 }
 
 // registerSend registers a request as in flight at its endpoint, with the function that cancels it. It returns the function that
-// ends the registration, and false if the endpoint has left or restarted since it was chosen: opening a connection may take most
-// of a second, and a process may wait for the processor between any two steps.
+// ends the registration, and false if the endpoint has left or restarted, or its zone was evacuated, since it was chosen: opening a
+// connection may take most of a second, and a process may wait for the processor between any two steps.
 func (b *balancer) registerSend(c *call, cancel func()) (unregister func(), ok bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[c.endpoint.Incarnation()]
-	if t == nil || t.replaced || t.Leaving {
+	if t == nil || !b.getsRequests(t) {
 		return func() {}, false
 	}
 	t.sends[c] = cancel
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -163,6 +163,9 @@
 	}
 }
 
+// SetEvacuated must be called with the names of all evacuated availability zones when they change.
+func (s *Server) SetEvacuated(zones []string) { s.balance.setEvacuated(s.Now(), zones) }
+
 // SetHosts sets how many hosts share the quotas and the endpoints, and the time between two reports of one of them.
 func (s *Server) SetHosts(n int, interval time.Duration) {
 	s.mu.Lock()
--- a/ingress/woke.go
+++ b/ingress/woke.go
@@ -53,10 +53,18 @@
 			return f
 		}
 	}
-	if f := c.checkListAge(); f != nil {
-		return f
+	for _, check := range []func() *refusal{c.checkListAge, c.checkSettingsNow, c.checkHeld} {
+		if f := check(); f != nil {
+			return f
+		}
 	}
-	return c.checkHeld()
+	return nil
+}
+
+// checkSettingsNow refuses a request while the settings are too old now: an order to evacuate the endpoint's zone may be missing.
+func (c *call) checkSettingsNow() *refusal {
+	_, age := c.s.Settings.InForce()
+	return c.checkSettingsAge(age)
 }
 
 // checkListAge refuses a request while the endpoint list is too old: it may contain endpoints that left longer ago than they may
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -54,6 +54,9 @@
 	_, _ = w.Write([]byte("ran " + id))
 }
 
+// Zone returns the endpoint's availability zone.
+func (e *Endpoint) Zone() string { return e.zone }
+
 // Arrivals returns the requests received so far.
 func (e *Endpoint) Arrivals() []Arrival {
 	e.mu.Lock()
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -42,7 +42,7 @@
 
 	servers       []*http.Server
 	endpointCount int
-	sent          int
+	sent          atomic.Int64
 }
 
 // Host is a host that can be suspended, killed and restarted.
@@ -217,9 +217,8 @@
 	if err != nil {
 		return 0
 	}
-	s.sent++
 	req.Host = site.HostName
-	req.Header.Set("Heathkeel-Attempt-Id", fmt.Sprint("id-", s.sent))
+	req.Header.Set("Heathkeel-Attempt-Id", fmt.Sprint("id-", s.sent.Add(1)))
 	req.Header.Set("Heathkeel-Deadline-Ms", "4000")
 	if key != "" {
 		req.Header.Set("Authorization", "Token "+key)
