places, sched, ingress: all hosts together keep the rate of a cold endpoint

Callers: an endpoint that has started, or got nothing for a while, bears fewer requests a second than later and fails under more; then all that it holds are lost. Cause: each host sees the same idle endpoint and nothing limited what they send there together.

The configuration's rate of a cold endpoint is kept by few hosts: those first for it by rendezvous hashing, of its zone before others, each with its part as an interval between two requests. A host that hears a part of the fleet uses the same part of the limit, so that hosts that do not hear each other keep it together; one that has just started sends nothing there. Endpoints of a zone whose evacuation was canceled count as cold for the service's time even if their entries do not say so yet. That an endpoint is cold is part of the sum that hosts compare, so that it reaches hosts that learn of the list from others.

Weighed: a rate for each host (18 / 85 a second: 85 hosts hold an endpoint with one request in 5 s each, and one after a start may come from all at once); the owner of the endpoint's slots grants the rate too (a message before each request, and two hosts that take themselves for the owner give it twice); the chosen way needs no message and holds when the fleet is cut in parts.

--- a/edge/host.go
+++ b/edge/host.go
@@ -108,6 +108,7 @@
 	records      *records
 	registered   bool         // this host keeps an entry in the store; used by hostRegistry.Run only
 	hostsInStore atomic.Int64 // number of hosts according to the entries in the store
+	mostHosts    recentMax    // number of hosts that were heard
 	peerHTTP     *http.Client
 	fetchStats   fetchStats
 	// versions that peers proved and that this host has to fetch from them
@@ -175,9 +176,10 @@
 	}}
 	h.ingress = &ingress.Server{
 		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
-		Retries:    quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
-		Tolerance:  quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
-		FirstStart: b.Bootstrap, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
+		Retries:       quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
+		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
+		ColdTolerance: ingress.ColdTolerance{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack},
+		FirstStart:    b.Bootstrap, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
 	h.storeHealth = &feed.StoreHealth{
 		Now: h.now, RunTime: h.gapDetector.RunTime, OutageAfter: time.Duration(outageShare * float64(b.DrainTime)), RetryInterval: endpointsRetryInterval,
--- a/edge/share.go
+++ b/edge/share.go
@@ -10,11 +10,13 @@
 	"errors"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/quarantine"
 	"github.com/heathkeel/heathkeel/quota"
 )
@@ -214,7 +216,9 @@
 // one.
 func (h *Host) applyHostCount() {
 	h.ingress.RetainHosts(h.agent.UsageSources())
-	n := 1 + len(h.agent.Unexpired())
+	members := h.agent.Unexpired()
+	h.setFleet(members)
+	n := 1 + len(members)
 	if n == 1 && len(h.Boot.Seeds) > 1 {
 		n = len(h.Boot.Seeds)
 	}
@@ -224,6 +228,42 @@
 	h.ingress.SetHosts(n, peers.ReportInterval(n))
 }
 
+// setFleet tells the ingress which hosts there may be. Hosts that this host has heard of before, or that the
+// entries in the store tell of, count also if it hears them no more: they may be cut off.
+func (h *Host) setFleet(members []peers.Member) {
+	if !h.ingress.LimitsCold() {
+		return
+	}
+	self := places.Candidate{Host: h.Boot.Host, Zone: h.Boot.Zone}
+	f := places.Fleet{Self: self, Hosts: []places.Candidate{self}}
+	for _, m := range members {
+		f.Hosts = append(f.Hosts, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
+	}
+	f.Count = max(h.mostHosts.note(h.now(), max(len(f.Hosts), len(h.Boot.Seeds))), int(h.hostsInStore.Load()))
+	h.ingress.SetFleet(f)
+}
+
+// recentMax is the largest of the numbers noted recently.
+type recentMax struct {
+	mu  sync.Mutex
+	max int
+	at  time.Duration // when the largest number was noted last
+}
+
+// recentMaxTTL is the time for which recentMax remembers a number: longer than hosts are usually cut off, and not so long that
+// a fleet which was made smaller counts as cut off for hours.
+const recentMaxTTL = 10 * time.Minute
+
+// note adds a number and returns the largest one.
+func (m *recentMax) note(now time.Duration, n int) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if n >= m.max || now-m.at > recentMaxTTL {
+		m.max, m.at = n, now
+	}
+	return m.max
+}
+
 // settingsBody holds the settings in the form in which hosts pass them on.
 type settingsBody struct {
 	// Revision is the store's revision of the configuration.
--- a/feed/endpoint.go
+++ b/feed/endpoint.go
@@ -25,7 +25,8 @@
 	Slots int `json:"slots"`
 	// Leaving says that it gets no new work.
 	Leaving bool `json:"leaving,omitempty"`
-	// ColdLeft is how much longer it stays slow after its start, in nanoseconds.
+	// ColdLeft is how much longer it stays cold, in nanoseconds, from when its entry was read; see
+	// route.Service.ColdRate.
 	ColdLeft time.Duration `json:"cold,omitempty"`
 	// Lapsed says that its entry disappeared while the store was failing.
 	Lapsed bool `json:"lapsed,omitempty"`
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -174,8 +174,8 @@
 	return checksum(list)
 }
 
-// checksum covers what matters when lists are compared. It leaves out how long an endpoint stays slow
-// after its start, which changes all the time.
+// checksum covers what matters when lists are compared. It leaves out for how long an endpoint stays cold,
+// which changes all the time, but not whether it is cold.
 func checksum(list []Endpoint) uint64 {
 	d := xxhash.New()
 	var slots [8]byte
@@ -192,6 +192,9 @@
 		if n.Lapsed {
 			flags |= 2
 		}
+		if n.ColdLeft > 0 {
+			flags |= 4
+		}
 		binary.LittleEndian.PutUint64(slots[:], uint64(n.Slots))
 		_, _ = d.Write(append(slots[:], flags))
 	}
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/heathkeel/heathkeel/feed"
@@ -26,18 +27,22 @@
 	zone string
 	now  func() time.Duration
 
-	mu           sync.Mutex
-	sched        *sched.Scheduler
-	targets      map[string]*target // by incarnation
-	evacuated    map[string]bool    // availability zones whose endpoints get no new requests
-	table        *route.Table
-	prefillRates map[string]*sched.Quantile // by service: prompt tokens read in a step
-	effective    map[settingsKey]*settings.Effective
-	ranks        map[string][]rankPair // by service, sorted
-	changedLoads map[string]bool       // endpoints whose own load changed since it was last reported
-	hadWaiting   bool                  // requests were waiting at the last report
-	slots        slotOwner
-	requestSlots func() // triggers a request to the slot owners
+	mu        sync.Mutex
+	sched     *sched.Scheduler
+	targets   map[string]*target // by incarnation
+	evacuated map[string]bool    // availability zones whose endpoints get no new requests
+	fleet     places.Fleet       // all hosts
+	// coldTolerance is by how much the hosts may exceed the rate of a cold endpoint.
+	coldTolerance ColdTolerance
+	limitsCold    atomic.Bool // the configuration limits the requests to cold endpoints of some service
+	table         *route.Table
+	prefillRates  map[string]*sched.Quantile // by service: prompt tokens read in a step
+	effective     map[settingsKey]*settings.Effective
+	ranks         map[string][]rankPair // by service, sorted
+	changedLoads  map[string]bool       // endpoints whose own load changed since it was last reported
+	hadWaiting    bool                  // requests were waiting at the last report
+	slots         slotOwner
+	requestSlots  func() // triggers a request to the slot owners
 }
 
 // settingsKey identifies the effective settings of a workspace on a route.
@@ -66,6 +71,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.table = t
+	b.limitsCold.Store(slices.ContainsFunc(t.Document.Services, func(s route.Service) bool { return s.ColdRate > 0 }))
 	clear(b.effective)
 	clear(b.ranks)
 	for i := range t.Document.Routes {
@@ -80,6 +86,14 @@
 	b.syncEndpoints(b.now())
 }
 
+// service returns a service of the configuration, or nil; mu must be held.
+func (b *balancer) service(name string) *route.Service {
+	if b.table == nil {
+		return nil
+	}
+	return b.table.Service(name)
+}
+
 // addRanks adds the ranks that requests of a route to a service may have.
 func (b *balancer) addRanks(service string, d *route.Document, r *route.Route) {
 	add := func(k rankPair) {
@@ -137,7 +151,7 @@
 			t = &target{sends: make(map[*call]func())}
 			b.targets[incarnation] = t
 		}
-		t.Endpoint = e
+		t.update(now, e)
 	}
 	for incarnation, t := range b.targets {
 		if listed[incarnation] {
@@ -165,10 +179,12 @@
 func (b *balancer) setEvacuated(now time.Duration, zones []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	before := b.evacuated
 	b.evacuated = make(map[string]bool, len(zones))
 	for _, z := range zones {
 		b.evacuated[z] = true
 	}
+	b.markCold(now, before)
 	b.syncEndpoints(now)
 	b.poll(now)
 }
@@ -190,7 +206,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t)})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -54,6 +54,8 @@
 	Retries quota.RetryBudget
 	// Tolerance is by how much all hosts together may miss a workspace's quota.
 	Tolerance quota.Tolerance
+	// ColdTolerance is by how much all hosts together may exceed the rate of a cold endpoint.
+	ColdTolerance ColdTolerance
 	// FirstStart says that no host ran before this start.
 	FirstStart bool
 	// BodyMemory limits the bytes of request bodies held at once.
@@ -98,6 +100,7 @@
 	s.hostCount = 1
 	s.SetAgeLimits(AgeLimits{Strict: true})
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
+	s.balance.coldTolerance = s.ColdTolerance
 }
 
 // AgeLimits limit how the host uses settings that may be stale.
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -21,8 +21,9 @@
 	peerLoad peers.Load
 	step     sched.Quantile // time of a token with little concurrent load, or of a request at a plain service
 	// sends are the requests in flight at the endpoint, each with the function that cancels it.
-	sends    map[*call]func()
-	replaced bool // a later incarnation has replaced it
+	sends     map[*call]func()
+	replaced  bool          // a later incarnation has replaced it
+	coldUntil time.Duration // when it is warm, by the host's clock
 }
 
 // cancelSends cancels all requests in flight, because a later incarnation has replaced the endpoint.
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -20,9 +20,10 @@
 	// Instance is the endpoint's name.
 	Instance string
 
-	site    *Site
-	address string
-	zone    string
+	site     *Site
+	address  string
+	zone     string
+	coldLeft time.Duration // as its entry says
 
 	mu       sync.Mutex
 	arrivals []Arrival
@@ -84,10 +85,16 @@
 // Renew writes the endpoint's entry again.
 func (e *Endpoint) Renew() { e.putEntry("ready") }
 
+// TurnCold writes the endpoint's entry as one that is cold for d.
+func (e *Endpoint) TurnCold(d time.Duration) {
+	e.coldLeft = d
+	e.putEntry("ready")
+}
+
 // putEntry writes the endpoint's entry with the given state.
 func (e *Endpoint) putEntry(state string) {
 	e.site.Store.Put(platform.PrefixEndpoints+e.Instance, site.EndpointEntry{
-		Service: site.Plain, Address: e.address, Zone: e.zone, Version: "v1", Slots: 8, State: state,
+		Service: site.Plain, Address: e.address, Zone: e.zone, Version: "v1", Slots: 8, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
 	})
 }
 
--- a/internal/site/config.go
+++ b/internal/site/config.go
@@ -28,6 +28,7 @@
 type Service struct {
 	Name, HealthPath, Protocol string
 	MaxConns                   int
+	ColdS, ColdPerS            float64 `json:",omitempty"`
 	Engine                     *Engine `json:",omitempty"`
 }
 
--- a/places/owner.go
+++ b/places/owner.go
@@ -4,8 +4,6 @@
 
 package places
 
-import "github.com/cespare/xxhash/v2"
-
 // Candidate is a host that may own slots.
 type Candidate struct {
 	// Host is the name of the host, and Zone that of its zone.
@@ -30,8 +28,8 @@
 		if !ok(c) {
 			continue
 		}
-		if sum := xxhash.Sum64String(c.Host + "\x00" + endpoint); name == "" || sum > maxSum {
-			name, maxSum = c.Host, sum
+		if s := sum(endpoint, c); name == "" || s > maxSum {
+			name, maxSum = c.Host, s
 		}
 	}
 	return name
--- a/route/document.go
+++ b/route/document.go
@@ -73,6 +73,10 @@
 	EventTokens int
 	// KVCapacity is the number of tokens that an engine can hold; 0 means unknown.
 	KVCapacity int
+	// ColdTime is the time for which an endpoint is cold after its start, and ColdRate the number of requests a second that it
+	// bears while it is cold; 0 means that it bears as many as ever.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Workspace is a customer with its keys and quota.
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -42,6 +42,8 @@
 	Leaving bool
 	// CrossZone says that the endpoint is in another zone; see Config.CrossZoneCost.
 	CrossZone bool
+	// Cold limits the requests to the endpoint until it is warm.
+	Cold ColdLimit
 }
 
 // loadSample is the load that this host has put on an endpoint at one time.
@@ -76,6 +78,7 @@
 	ownLong         int           // the long ones of them
 	ownPrefill      [maxRanks]int // prompt tokens of own requests without a first token, by tier
 	dispatches      uint64        // number of own dispatches
+	lastDispatch    time.Duration // time of the latest of them
 	samples         [sampleCount]loadSample
 	nextSample      int
 	atReport        loadSample // own load when the report was taken
@@ -173,6 +176,7 @@
 	e.health.Begin(now)
 	e.own++
 	e.dispatches++
+	e.lastDispatch = now
 	if r.long {
 		e.ownLong++
 	}
--- a/sched/health.go
+++ b/sched/health.go
@@ -101,7 +101,7 @@
 
 // available reports whether an endpoint accepts new requests, regardless of its failures.
 func (e *endpointState) available(now time.Duration) bool {
-	return e.present && !e.Leaving && now >= e.downUntil
+	return e.present && !e.Leaving && now >= e.downUntil && e.coldAdmits(now)
 }
 
 // usable reports whether an endpoint of a pool may get new requests now.
