rollout, feed, ingress, edge: roll-outs of versions, judged by all hosts together

Operators: an order to move a service's traffic to another version was read by no host. The new version's endpoints got their part of the requests from the start, half of them if there were as many as old ones, good or bad; no state was ever written, so that each roll-out missed its deadline.

The orders beside the configuration are followed as one list, of which the evacuations are a part. Hosts exchange how many answers of each version on each route were bad (errors, broken answers, three times the usual time), with the amounts of workspaces that they exchange anyway; a host that finds the new version worse beyond chance (Hoeffding's bound below 1e-5) sends it nothing more and says so in its next heartbeats. Endpoints of a version that was rolled back stay excluded until they are gone, also if the order is gone before. The endpoints of the two versions are two pools of the scheduler, so that a request never waits for the wrong one.

simsite's store threw the bodies of writes away before it answered them, so that no host's entry was ever written there; mended, as the states of roll-outs could not be written either.

--- a/edge/host.go
+++ b/edge/host.go
@@ -106,6 +106,7 @@
 	agent        *peers.Agent
 	hostRegistry *feed.HostRegistry
 	records      *records
+	rollouts     rolloutStatuses
 	registered   bool         // this host keeps an entry in the store; used by hostRegistry.Run only
 	hostsInStore atomic.Int64 // number of hosts according to the entries in the store
 	mostHosts    recentMax    // number of hosts that were heard
@@ -149,7 +150,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.followStore, h.agent.Run, h.runPeriodically, h.pollSettingsFile, h.fetchSettings, h.fetchEndpoints, h.maintainRecords} {
+	for _, run := range []func(context.Context){h.followStore, h.agent.Run, h.runPeriodically, h.pollSettingsFile, h.fetchSettings, h.fetchEndpoints, h.maintainRecords, h.maintainRollouts} {
 		go run(ctx)
 	}
 	if !h.Clock.CountsSuspension() {
@@ -178,6 +179,7 @@
 		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
 		Retries:       quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
+		ExposeShare:   b.ExposeShare,
 		ColdTolerance: ingress.ColdTolerance{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack},
 		FirstStart:    b.Bootstrap, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
@@ -190,10 +192,9 @@
 	}
 	h.settings = &feed.Settings{
 		Store: h.store, Prefix: platform.PrefixConfig, Key: platform.KeyConfig, Parse: platform.ParseConfig, Now: h.now,
-		EvacuationPrefix: platform.PrefixEvacuations, CheckEvacuation: platform.CheckEvacuation, OnEvacuate: h.applyEvacuations,
 		WatchTimeout: time.Duration(settingsWatchShare * float64(settingsTime(b))), RetryInterval: settingsRetryInterval, Rank: h.readRank, ViaRelay: h.viaRelay,
 		StoreHealth: h.storeHealth, MaxAge: time.Duration(maxSettingsAgeShare * float64(settingsTime(b))),
-		OnChange: h.applyTable, Log: h.Log.WithName("settings"),
+		OnChange: h.applyTable, OnOrders: h.applyOrders, Log: h.Log.WithName("settings"),
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
@@ -238,13 +239,6 @@
 	h.agent.TriggerHeartbeat()
 }
 
-// applyEvacuations puts evacuations in force and sends a heartbeat at once, so that the other hosts learn
-// of them.
-func (h *Host) applyEvacuations(zones []string) {
-	h.ingress.SetEvacuated(zones)
-	h.agent.TriggerHeartbeat()
-}
-
 // settingsTime returns the time within which a change of the settings must be in force, be it one of the
 // configuration or of the evacuated zones.
 func settingsTime(b *platform.Boot) time.Duration {
--- a/edge/share.go
+++ b/edge/share.go
@@ -8,6 +8,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -30,6 +31,7 @@
 	b.Load, b.Waiting = h.ingress.Loads()
 	usage := h.ingress.Usage()
 	b.Used, b.Left = usage.Used, usage.Left
+	maps.Copy(b.Used, h.ingress.RolloutCounts())
 	b.Crashes = h.Crashes(quarantine.Local)
 }
 
@@ -52,6 +54,7 @@
 
 // UsageReceived implements peers.Host.
 func (h *Host) UsageReceived(u peers.Usage) {
+	h.ingress.MergeRolloutCounts(u.Source, u.Incarnation, u.Used)
 	h.ingress.MergeUsage(u.Source, u.Incarnation, quota.Report{Hosts: u.Hosts, Used: u.Used, Left: u.Left})
 }
 
@@ -148,7 +151,7 @@
 	}
 	if h.fetchJSON(ctx, p.Control, path, &b) {
 		h.settings.Offer(b.Value, b.Revision)
-		h.settings.OfferEvacuations(b.Evacuations)
+		h.settings.OfferOrders(b.Orders)
 		// A peer that has restarted may send older settings than it had proven.
 		h.settings.ReceiveProof(p.Settings.Revision, p.Settings.At)
 	}
@@ -270,8 +273,8 @@
 	Revision uint64 `json:"revision"`
 	// Value is the configuration document; it is left out if the other host has that revision.
 	Value []byte `json:"value,omitempty"`
-	// Evacuations are the evacuations in force.
-	Evacuations feed.Evacuations `json:"evacuations"`
+	// Orders are the operators' other orders.
+	Orders feed.Orders `json:"orders"`
 }
 
 // knownRevision is the query parameter with the revision of the configuration that a host already has.
@@ -290,7 +293,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	body := settingsBody{Revision: src.Revision, Value: src.Value, Evacuations: h.settings.Evacuations()}
+	body := settingsBody{Revision: src.Revision, Value: src.Value, Orders: h.settings.Orders()}
 	if r.URL.Query().Get(knownRevision) == strconv.FormatUint(src.Revision, 10) {
 		body.Value = nil
 	}
--- a/edge/woke.go
+++ b/edge/woke.go
@@ -20,6 +20,7 @@
 // gapState describes the gaps in which the process did not run.
 type gapState struct {
 	endedAt        atomic.Int64 // end of the last gap in nanoseconds of the host's clock, 0 once its knowledge is confirmed again
+	resumedAt      atomic.Int64 // the same for good, 0 if there was no gap
 	nothingNewerAt atomic.Int64 // when a peer last proved that it knows nothing newer than this host
 	count          atomic.Int64
 	totalMS        atomic.Int64 // total duration of all gaps
@@ -31,6 +32,7 @@
 func (h *Host) noteGap(g clock.Gap) {
 	gap := g.Ended - g.Began
 	h.gaps.endedAt.Store(int64(g.Ended))
+	h.gaps.resumedAt.Store(int64(g.Ended))
 	h.gaps.count.Add(1)
 	h.gaps.totalMS.Add(gap.Milliseconds())
 	h.Log.Info("did not run", "for_ms", gap.Milliseconds(), "suspended_ms", g.Suspended.Milliseconds(), "active", h.ingress.Active())
--- a/feed/endpoint.go
+++ b/feed/endpoint.go
@@ -21,6 +21,8 @@
 	// Address is its IP number and port, Zone its availability zone.
 	Address string `json:"address"`
 	Zone    string `json:"zone"`
+	// Version is the version of its software.
+	Version string `json:"version,omitempty"`
 	// Slots is the number of requests that it works on at once.
 	Slots int `json:"slots"`
 	// Leaving says that it gets no new work.
--- a/feed/orders.go
+++ b/feed/orders.go
@@ -5,121 +5,135 @@
 package feed
 
 import (
+	"bytes"
 	"slices"
 	"strings"
 )
 
-// Evacuations are the availability zones whose endpoints get no requests, by order of the operators.
-type Evacuations struct {
-	// Zones are the names of the zones, sorted.
-	Zones []string `json:"zones,omitempty"`
-	// Revision is a revision of the store at which exactly these zones were evacuated: that of the newest
-	// order or cancellation that is known, or 0 if there is none.
+// Order is an order of the operators beside the configuration, such as one to evacuate an availability zone.
+type Order struct {
+	// Key is its key in the store and Value what was written.
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+	// Revision is the number of the write.
+	Revision uint64 `json:"revision"`
+}
+
+// Orders are all orders in force.
+type Orders struct {
+	// List is sorted by key.
+	List []Order `json:"list,omitempty"`
+	// Revision is a revision of the store at which exactly these orders stood: that of the newest order or
+	// cancellation that is known, or 0 if there is none.
 	Revision uint64 `json:"revision,omitempty"`
 }
 
-// with returns the evacuations after an order or a cancellation.
-func (e Evacuations) with(zone string, canceled bool, revision uint64) Evacuations {
-	zones := slices.DeleteFunc(slices.Clone(e.Zones), func(z string) bool { return z == zone })
-	if !canceled {
-		zones = append(zones, zone)
-		slices.Sort(zones)
+// maxOrderBytes limits the value of an order, so that hosts pass on no more than that. Orders have less than
+// 200 bytes.
+const maxOrderBytes = 4 << 10
+
+// with returns the orders after an order or a cancellation.
+func (o Orders) with(it Item) Orders {
+	list := slices.DeleteFunc(slices.Clone(o.List), func(old Order) bool { return old.Key == it.Key })
+	if !it.Deleted {
+		list = append(list, Order{Key: it.Key, Value: it.Value, Revision: it.Revision})
+		slices.SortFunc(list, func(a, b Order) int { return strings.Compare(a.Key, b.Key) })
 	}
-	return Evacuations{zones, revision}
+	return Orders{list, max(o.Revision, it.Revision)}
+}
+
+// has reports whether there is an order under a key.
+func (o *Orders) has(key string) bool {
+	return slices.ContainsFunc(o.List, func(x Order) bool { return x.Key == key })
 }
 
-// Evacuations returns the evacuations in force.
-func (s *Settings) Evacuations() Evacuations {
-	if e := s.evacuations.Load(); e != nil {
-		return *e
+// equalOrder reports whether two orders are the same write.
+func equalOrder(a, b Order) bool {
+	return a.Key == b.Key && a.Revision == b.Revision && bytes.Equal(a.Value, b.Value)
+}
+
+// Orders returns the orders in force.
+func (s *Settings) Orders() Orders {
+	if o := s.orders.Load(); o != nil {
+		return *o
 	}
-	return Evacuations{}
+	return Orders{}
 }
 
-// OfferEvacuations puts a peer's evacuations in force unless those in force are equally new or newer.
-func (s *Settings) OfferEvacuations(e Evacuations) {
-	s.evacuationsMu.Lock()
-	defer s.evacuationsMu.Unlock()
-	if e.Revision > s.Evacuations().Revision {
-		s.setEvacuations(e)
+// OfferOrders puts a peer's orders in force unless those in force are equally new or newer.
+func (s *Settings) OfferOrders(o Orders) {
+	s.ordersMu.Lock()
+	defer s.ordersMu.Unlock()
+	if o.Revision > s.Orders().Revision {
+		s.setOrders(o)
 	}
 }
 
-// readEvacuations puts in force what a read of all keys at a revision of the store shows. A cancellation
-// removes the key and with it the revision of the cancellation, so that the revision of the read stands
-// for it.
-func (s *Settings) readEvacuations(items []Item, revision uint64) {
-	s.evacuationsMu.Lock()
-	defer s.evacuationsMu.Unlock()
-	old := s.Evacuations()
+// readOrders puts in force what a read of all keys at a revision of the store shows. A cancellation removes
+// the key and with it the revision of the cancellation, so that the revision of the read stands for it.
+func (s *Settings) readOrders(items []Item, revision uint64) {
+	s.ordersMu.Lock()
+	defer s.ordersMu.Unlock()
+	old := s.Orders()
 	if revision < old.Revision {
 		return // a peer has reported a newer order in the meantime
 	}
-	next := Evacuations{Revision: old.Revision}
+	next := Orders{Revision: old.Revision}
 	for _, it := range items {
-		if zone, ok := s.evacuatedZone(it); ok {
-			next = next.with(zone, false, max(next.Revision, it.Revision))
+		if s.isOrder(it) {
+			next = next.with(it)
 		}
 	}
-	for _, zone := range old.Zones {
-		if !slices.Contains(next.Zones, zone) {
+	for _, o := range old.List {
+		if !next.has(o.Key) {
 			next.Revision = max(next.Revision, revision)
 		}
 	}
-	s.setEvacuations(next)
+	s.setOrders(next)
 }
 
-// applyEvacuationChanges puts the orders and cancellations among changes, which are in order, in force.
-func (s *Settings) applyEvacuationChanges(changes []Item) {
-	s.evacuationsMu.Lock()
-	defer s.evacuationsMu.Unlock()
-	next := s.Evacuations()
+// applyOrderChanges puts the orders and cancellations among changes, which are in order, in force.
+func (s *Settings) applyOrderChanges(changes []Item) {
+	s.ordersMu.Lock()
+	defer s.ordersMu.Unlock()
+	next := s.Orders()
 	for _, it := range changes {
-		if it.Revision <= next.Revision {
-			continue // a peer has reported it in the meantime
-		}
-		if zone, ok := s.evacuatedZone(it); ok {
-			next = next.with(zone, it.Deleted, it.Revision)
+		// A peer may have reported it in the meantime.
+		if it.Revision > next.Revision && s.isOrder(it) {
+			next = next.with(it)
 		}
 	}
-	s.setEvacuations(next)
+	s.setOrders(next)
 }
 
-// evacuatedZone returns the zone that an item orders to evacuate, or whose evacuation it cancels, and
-// false if it is no valid order.
-func (s *Settings) evacuatedZone(it Item) (zone string, ok bool) {
-	if s.EvacuationPrefix == "" || !strings.HasPrefix(it.Key, s.EvacuationPrefix) {
-		return "", false
-	}
-	zone = strings.TrimPrefix(it.Key, s.EvacuationPrefix)
-	if it.Deleted {
-		return zone, true
+// isOrder reports whether an item is an order or a cancellation.
+func (s *Settings) isOrder(it Item) bool {
+	if it.Key == s.Key || !strings.HasPrefix(it.Key, s.Prefix) {
+		return false
 	}
-	if err := s.CheckEvacuation(zone, it.Value); err != nil {
+	if len(it.Value) > maxOrderBytes {
 		s.refusedCount.Add(1)
-		s.Log.Error(err, "evacuation refused", "key", it.Key, "revision", it.Revision)
-		return "", false
+		s.Log.Info("order refused: it is too large", "key", it.Key, "bytes", len(it.Value), "revision", it.Revision)
+		return false
 	}
-	return zone, true
+	return true
 }
 
-// setEvacuations puts evacuations in force; evacuationsMu must be held.
-func (s *Settings) setEvacuations(e Evacuations) {
-	old := s.Evacuations()
-	s.evacuations.Store(&e)
-	if slices.Equal(old.Zones, e.Zones) {
-		return
+// setOrders puts orders in force; ordersMu must be held.
+func (s *Settings) setOrders(o Orders) {
+	old := s.Orders()
+	s.orders.Store(&o)
+	if !slices.EqualFunc(old.List, o.List, equalOrder) && s.OnOrders != nil {
+		s.OnOrders(o.List)
 	}
-	s.Log.Info("evacuations in force", "zones", e.Zones, "before", old.Zones, "revision", e.Revision)
-	s.OnEvacuate(e.Zones)
 }
 
 // newestRevision returns the revision that identifies the settings in force: that of the newest write of
-// the configuration or change of the evacuations, or 0 if there is no configuration.
+// the configuration or change of the orders, or 0 if there is no configuration.
 func (s *Settings) newestRevision() uint64 {
 	c := s.current.Load()
 	if c == nil {
 		return 0
 	}
-	return max(c.Revision, s.Evacuations().Revision)
+	return max(c.Revision, s.Orders().Revision)
 }
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -16,19 +16,14 @@
 	"github.com/heathkeel/heathkeel/route"
 )
 
-// Settings follows the configuration and the operators' evacuations in the store. The fields must be set
-// before Run.
+// Settings follows the configuration and the other orders of the operators in the store. The fields must be
+// set before Run.
 type Settings struct {
-	// Store holds the configuration, under Key below Prefix.
+	// Store holds the configuration, under Key below Prefix, and the other orders below Prefix.
 	Store       Store
 	Prefix, Key string
 	// Parse reads a configuration.
 	Parse func([]byte) (*route.Document, error)
-	// EvacuationPrefix, which lies below Prefix, is the prefix of the orders to evacuate availability
-	// zones; the name of the zone follows. Empty means that there are none.
-	EvacuationPrefix string
-	// CheckEvacuation returns an error if the value of an order to evacuate a zone is invalid.
-	CheckEvacuation func(zone string, value []byte) error
 	// Now is the host's clock; it also counts the time in which the host is suspended.
 	Now func() time.Duration
 	// WatchTimeout is how long a watch may wait for changes.
@@ -47,8 +42,8 @@
 	MaxAge time.Duration
 	// OnChange is called with each new table.
 	OnChange func(*route.Table)
-	// OnEvacuate is called with the names of all evacuated zones when they change. Calls do not overlap.
-	OnEvacuate func(zones []string)
+	// OnOrders is called with all orders when they change; it may be nil. Calls do not overlap.
+	OnOrders func([]Order)
 	// Log receives changes of state.
 	Log logr.Logger
 
@@ -56,8 +51,8 @@
 	Age Age
 
 	current       atomic.Pointer[Config]
-	evacuations   atomic.Pointer[Evacuations]
-	evacuationsMu sync.Mutex // held while evacuations change
+	orders        atomic.Pointer[Orders]
+	ordersMu      sync.Mutex // held while orders change
 	refusedCount  atomic.Int64
 	failing       bool
 	poller        poller
@@ -227,7 +222,7 @@
 	}
 	s.StoreHealth.noteAnswer(sent)
 	s.applyItems(p.Items)
-	s.readEvacuations(p.Items, p.Revision)
+	s.readOrders(p.Items, p.Revision)
 	s.prove(sent)
 	s.noteRead(p.Revision)
 	return nil
@@ -243,7 +238,7 @@
 	}
 	s.StoreHealth.noteAnswer(sent)
 	s.applyItems(p.Items)
-	s.applyEvacuationChanges(p.Items)
+	s.applyOrderChanges(p.Items)
 	s.prove(sent)
 	s.noteRead(p.Revision)
 	if len(p.Items) == 0 && s.Now()-sent < wait {
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -181,7 +181,7 @@
 	var slots [8]byte
 	for i := range list {
 		n := &list[i]
-		for _, s := range []string{n.Incarnation(), n.Service, n.Address, n.Zone} {
+		for _, s := range []string{n.Incarnation(), n.Service, n.Address, n.Zone, n.Version} {
 			_, _ = d.WriteString(s) // never fails
 			_, _ = d.Write([]byte{0})
 		}
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -16,6 +16,7 @@
 	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/places"
+	"github.com/heathkeel/heathkeel/rollout"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
 	"github.com/heathkeel/heathkeel/settings"
@@ -31,7 +32,9 @@
 	sched     *sched.Scheduler
 	targets   map[string]*target // by incarnation
 	evacuated map[string]bool    // availability zones whose endpoints get no new requests
-	fleet     places.Fleet       // all hosts
+	rollouts  rollout.Book
+	rand      *rand.Rand
+	fleet     places.Fleet // all hosts
 	// coldTolerance is by how much the hosts may exceed the rate of a cold endpoint.
 	coldTolerance ColdTolerance
 	limitsCold    atomic.Bool // the configuration limits the requests to cold endpoints of some service
@@ -60,7 +63,7 @@
 	s := &sched.Scheduler{Config: cfg, Rand: r, SharingHosts: 1}
 	s.Init()
 	return &balancer{
-		zone: zone, now: now, sched: s, targets: make(map[string]*target),
+		rand: r, zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefillRates: make(map[string]*sched.Quantile), effective: make(map[settingsKey]*settings.Effective), ranks: make(map[string][]rankPair), changedLoads: make(map[string]bool),
 		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {},
 	}
@@ -191,7 +194,7 @@
 
 // getsRequests reports whether an endpoint gets new requests; mu must be held.
 func (b *balancer) getsRequests(t *target) bool {
-	return !t.Leaving && !t.replaced && !b.evacuated[t.Zone]
+	return !t.Leaving && !t.replaced && !b.evacuated[t.Zone] && !b.rollouts.Excludes(t.Service, t.Version)
 }
 
 // isLeaving reports whether an endpoint is leaving or no longer known.
@@ -225,7 +228,7 @@
 	for incarnation, t := range b.targets {
 		b.sched.ApplyReport(now, incarnation, sched.Report{
 			At: now, Running: t.ownLoad.Running + t.peerLoad.Running, PrefillTokens: t.ownLoad.Prefill + t.peerLoad.Prefill,
-			Estimated: true, Slots: t.Slots, Step: cmp.Or(t.stepTime(), mean[t.Service]), PrefillPerStep: b.prefillRate(t.Service), Model: t.Service, AcceptsPrompts: true,
+			Estimated: true, Slots: t.Slots, Step: cmp.Or(t.stepTime(), mean[t.Service]), PrefillPerStep: b.prefillRate(t.Service), Model: b.poolName(t), AcceptsPrompts: true,
 		})
 	}
 }
@@ -326,6 +329,7 @@
 func (b *balancer) tick(now time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.updateRollouts(now)
 	b.sched.Tick(now)
 	b.poll(now)
 }
@@ -335,6 +339,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.req.Settings = b.effectiveSettings(c)
+	c.req.Model = b.pickPool(b.now(), c.service.Name)
 	d := b.sched.Submit(b.now(), c.req)
 	b.noteDispatch(d)
 	if d.Verdict == sched.Wait {
@@ -351,6 +356,7 @@
 	now := b.now()
 	b.removeSend(c)
 	c.req.DispatchBy = c.dispatchBy(now)
+	c.req.Model = b.pickPool(now, c.service.Name)
 	d := b.sched.Redispatch(now, c.req)
 	b.noteDispatch(d)
 	b.poll(now)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -146,7 +146,7 @@
 		c.header.Set(c.s.Headers.Workspace, c.workspace.Name)
 	}
 	c.req = &sched.Request{
-		ID: c.id, Model: c.service.Name, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), ExpectedTokens: c.lengthHint,
+		ID: c.id, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), ExpectedTokens: c.lengthHint,
 		Arrived: c.arrived, Deadline: c.deadline, DispatchBy: c.dispatchBy(c.arrived), Data: make(chan sched.Decision, 1),
 	}
 	if c.service.Engine {
@@ -348,6 +348,7 @@
 	// A send during which this process did not run for a while says nothing about the endpoint.
 	gapSeen := c.s.Watch.GapSince(sentAt)
 	if !gapSeen {
+		c.s.balance.noteVersion(c, result, c.s.Now()-sentAt)
 		c.reportFailure(result, backoff)
 	}
 	if result == sendLost {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -54,6 +54,8 @@
 	Retries quota.RetryBudget
 	// Tolerance is by how much all hosts together may miss a workspace's quota.
 	Tolerance quota.Tolerance
+	// ExposeShare is the share of a service's requests that a new version may get before it is known to serve as well as the others.
+	ExposeShare float64
 	// ColdTolerance is by how much all hosts together may exceed the rate of a cold endpoint.
 	ColdTolerance ColdTolerance
 	// FirstStart says that no host ran before this start.
@@ -101,6 +103,7 @@
 	s.SetAgeLimits(AgeLimits{Strict: true})
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 	s.balance.coldTolerance = s.ColdTolerance
+	s.balance.rollouts.Limits.Share = s.ExposeShare
 }
 
 // AgeLimits limit how the host uses settings that may be stale.
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -17,8 +17,10 @@
 
 // Endpoint is a plain service that answers at once.
 type Endpoint struct {
-	// Instance is the endpoint's name.
-	Instance string
+	// Instance is the endpoint's name, and Version that of its software.
+	Instance, Version string
+	// Fails decides for each request whether it is answered with an error; nil means never.
+	Fails func() bool
 
 	site     *Site
 	address  string
@@ -52,6 +54,10 @@
 	id := r.Header.Get("Heathkeel-Attempt-Id")
 	w.Header().Set("Heathkeel-Attempt-Id", id)
 	w.Header().Set("Heathkeel-Response-Stamp", e.Instance+"."+id)
+	if e.Fails != nil && e.Fails() {
+		w.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	_, _ = w.Write([]byte("ran " + id))
 }
 
@@ -94,7 +100,7 @@
 // putEntry writes the endpoint's entry with the given state.
 func (e *Endpoint) putEntry(state string) {
 	e.site.Store.Put(platform.PrefixEndpoints+e.Instance, site.EndpointEntry{
-		Service: site.Plain, Address: e.address, Zone: e.zone, Version: "v1", Slots: 8, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
+		Service: site.Plain, Address: e.address, Zone: e.zone, Version: e.Version, Slots: 8, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
 	})
 }
 
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -186,9 +186,14 @@
 // timerDrainTime is long enough for all pending timers to fire and their goroutines to end.
 const timerDrainTime = time.Minute
 
-// AddEndpoint starts an endpoint.
-func (s *Site) AddEndpoint() error {
-	e := &Endpoint{Instance: fmt.Sprintf("plain-%d", s.endpointCount), site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones)}
+// AddEndpoint starts an endpoint of version v1.
+func (s *Site) AddEndpoint() error { return s.AddVersion("v1", nil) }
+
+// AddVersion starts an endpoint of a version; fails decides which requests it answers with an error.
+func (s *Site) AddVersion(version string, fails func() bool) error {
+	e := &Endpoint{
+		Instance: fmt.Sprintf("plain-%d", s.endpointCount), Version: version, Fails: fails, site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones),
+	}
 	if err := e.start(ip(20, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
 		return err
 	}
--- a/internal/simsite/store.go
+++ b/internal/simsite/store.go
@@ -5,6 +5,7 @@
 package simsite
 
 import (
+	"bytes"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -139,9 +140,14 @@
 	}
 }
 
-// wait waits for d and reports false if the caller closes the connection meanwhile.
+// wait waits for d and reports false if the caller closes the connection meanwhile. The body is read first,
+// since only then is the context canceled with the connection, and put back.
 func wait(r *http.Request, d time.Duration) bool {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(body))
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -169,6 +169,14 @@
 	return n
 }
 
+// Value returns the value of a key, and false if the key is not there.
+func (s *Store) Value(key string) ([]byte, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	it, ok := s.items[key]
+	return it.Value, ok
+}
+
 // Remove removes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -218,7 +218,8 @@
 	return s.Redispatch(now, r)
 }
 
-// Redispatch ends a dispatch whose request is to go to another endpoint, and decides again.
+// Redispatch ends a dispatch whose request is to go to another endpoint, and decides again. The
+// request's model may have changed since.
 func (s *Scheduler) Redispatch(now time.Duration, r *Request) Decision {
 	e := r.dispatchedTo
 	e.removeRequest(now, r)
@@ -228,6 +229,7 @@
 	r.tokens = 0
 	r.rationExempt = true // its caller has already waited for an answer
 	r.avoid = e
+	r.pool = s.poolOf(r)
 	return s.admit(now, r)
 }
 
