peers, edge: digests come in parts of bounded size; newcomers fetch the table of hosts

Two causes in one commit, since the second needs the first's messages.

A digest of all hosts was one datagram to each member five times a second: 30,451 bytes at 985 hosts with two requests each at 3,000 endpoints and 333 workspaces, 61,027 at twice that, where maxDatagramSize (61,440) ends it; 25 MB/s out of a relay with 165 members, all of its link. Growth: requests and workspaces of the whole fleet x members. Now each heartbeat carries a part of about 8 KB at most, divided by hashes of names; versions, waiting requests and the number of hosts are in each. A member adds the parts up, takes its own reports out of each by its echo, and tells of use once it has the amounts of all parts. Its echo comes in the datagram's header, so that the digest is encoded once and holds no name of each member. Rows of hosts: 48 at most. A partial digest between relays stays one datagram.

A host that starts learned of the others from heartbeats of up to 48 rows that seeds send it: 985 hosts need 20 answers each from three seeds, 170 MB (sum). Now a host that knows less than half as many as a peer, of 97 and more, fetches the whole table, compressed and encoded once each 0.2 s, from any host that it knows, and a host that starts waits up to 4 s for lists and settings while peers prove that they have them, in place of reading 3,000 entries itself.

Weighed for 1: digests less often (30 KB each 0.6 s: a fifth of a member's processor for decoding, and no datagram at twice the size); two levels of relays (bounded fan-out, the same bytes for each member, one hop older); changes only (a lost datagram needs a full round anyway, which parts are); subsets of endpoints a host decides among (fewer loads to know; amounts and rows remain).

TestPartsAddUp: a fifth of the parts lost, the number of parts changes twice: loads as from the whole digest, use never above what there was.

--- a/edge/host.go
+++ b/edge/host.go
@@ -108,6 +108,7 @@
 	records      *records
 	rollouts     rolloutStatuses
 	registered   bool         // this host keeps an entry in the store; used by hostRegistry.Run only
+	provenAt     atomic.Int64 // when a peer last proved versions that this host has to fetch, in nanoseconds of its clock, or 0
 	hostsInStore atomic.Int64 // number of hosts according to the entries in the store
 	mostHosts    recentMax    // number of hosts that were heard
 	peerHTTP     *http.Client
@@ -115,6 +116,7 @@
 	answers      answers
 	// versions that peers proved and that this host has to fetch from them
 	settingsToFetch, endpointsToFetch chan peers.Proof
+	hostsToFetch                      chan string // control addresses of hosts that know more hosts than this one
 
 	stopping chan struct{}
 	reloads  chan struct{}
@@ -138,6 +140,7 @@
 	h.stopping = make(chan struct{})
 	h.reloads = make(chan struct{}, 1)
 	h.settingsToFetch, h.endpointsToFetch = make(chan peers.Proof, 1), make(chan peers.Proof, 1)
+	h.hostsToFetch = make(chan string, 1)
 	h.lastBoot = h.Boot
 	if mb := h.Boot.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitShare * float64(mb<<20)))
@@ -151,7 +154,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.followStore, h.agent.Run, h.runPeriodically, h.pollSettingsFile, h.fetchSettings, h.fetchEndpoints, h.maintainRecords, h.maintainRollouts} {
+	for _, run := range []func(context.Context){h.followStore, h.agent.Run, h.runPeriodically, h.pollSettingsFile, h.fetchSettings, h.fetchEndpoints, h.fetchHosts, h.maintainRecords, h.maintainRollouts} {
 		go run(ctx)
 	}
 	if !h.Clock.CountsSuspension() {
@@ -271,7 +274,7 @@
 		Table: &peers.Table{Host: h.Boot.Host, Incarnation: h.incarnation}, Conn: conn, Seeds: h.seedAddresses(h.Boot.Seeds), Host: h, Now: h.now, CheckGap: h.gapDetector.Check,
 		Rand: rand.New(rand.NewPCG(h.incarnation, 1)), Log: h.Log.WithName("peers"),
 	}
-	h.agent.Slots = h.ingress
+	h.agent.Slots, h.agent.OnFewKnown = h.ingress, h.requestHosts
 	h.agent.Init()
 	h.ingress.SetRequestSlots(h.agent.TriggerSlotRequests)
 	h.ingress.SetCrashNotifier(h.agent.TriggerHeartbeat)
--- a/edge/join.go
+++ b/edge/join.go
@@ -37,6 +37,11 @@
 	// nothing do not all read at once.
 	firstStartWait = 400 * time.Millisecond
 	startWait      = 120 * time.Millisecond
+	// maxStartWait is the longest time for which a starting host waits while peers prove that they have what it
+	// needs: fetching it may take several attempts while hundreds of hosts start. proofPause is the time without
+	// such a proof after which it reads the store.
+	maxStartWait = 4 * time.Second
+	proofPause   = 500 * time.Millisecond
 	// startPollInterval is the time between two checks for what peers sent.
 	startPollInterval = 5 * time.Millisecond
 	// joinPeriod is the time after a start for which a host that knows less than half of the hosts
@@ -66,10 +71,16 @@
 func (h *Host) isSeed() bool { return len(h.seedAddresses(h.Boot.Seeds)) < max(1, len(h.Boot.Seeds)) }
 
 // awaitPeers waits until peers have sent all that the host needs to be ready, or for a random time
-// from minWait to twice minWait.
+// from minWait to twice minWait, and longer while peers prove that they have it.
 func (h *Host) awaitPeers(ctx context.Context, minWait time.Duration) {
-	until := h.now() + minWait + rand.N(minWait)
-	for h.now() < until && !h.ready() && ctx.Err() == nil {
+	start := h.now()
+	until := start + minWait + rand.N(minWait)
+	for !h.ready() && ctx.Err() == nil {
+		now := h.now()
+		proven := h.provenAt.Load() > 0 && now-time.Duration(h.provenAt.Load()) < proofPause && now-start < maxStartWait
+		if now >= until && !proven {
+			return
+		}
 		time.Sleep(startPollInterval)
 	}
 }
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -174,6 +174,7 @@
 	router := mux.NewRouter()
 	router.HandleFunc(pathSettings, h.serveSettings).Methods(http.MethodGet)
 	router.HandleFunc(pathEndpoints, h.serveEndpoints).Methods(http.MethodGet)
+	router.HandleFunc(pathHosts, h.serveHosts).Methods(http.MethodGet)
 	router.HandleFunc(PathQuarantine, h.serveSuspects).Methods(http.MethodGet)
 	router.HandleFunc(PathQuarantine+"/{fingerprint}", h.releaseSuspect).Methods(http.MethodDelete)
 	router.HandleFunc("/debug/vars", h.serveVars).Methods(http.MethodGet)
--- a/edge/share.go
+++ b/edge/share.go
@@ -83,6 +83,9 @@
 	if v := p.Endpoints; v.Known {
 		fetchEndpoints = h.endpoints.ReceiveView(feedView(v))
 	}
+	if fetchSettings || fetchEndpoints {
+		h.provenAt.Store(int64(h.now()))
+	}
 	if fetchSettings {
 		requestFetch(h.settingsToFetch, p)
 	}
@@ -111,14 +114,32 @@
 // fetchSettings and fetchEndpoints fetch newer versions from peers until ctx ends. The list of
 // endpoints does not wait for the settings, which may be large: the age of both is limited.
 func (h *Host) fetchSettings(ctx context.Context) {
-	h.fetch(ctx, h.settingsToFetch, h.fetchSettingsFrom)
+	fetch(ctx, h, h.settingsToFetch, h.fetchSettingsFrom)
 }
 func (h *Host) fetchEndpoints(ctx context.Context) {
-	h.fetch(ctx, h.endpointsToFetch, h.fetchEndpointsFrom)
+	fetch(ctx, h, h.endpointsToFetch, h.fetchEndpointsFrom)
+}
+
+// fetchHosts fetches the hosts that others know until ctx ends.
+func (h *Host) fetchHosts(ctx context.Context) {
+	fetch(ctx, h, h.hostsToFetch, func(ctx context.Context, control string) {
+		var known []peers.KnownHost
+		if h.fetchJSON(ctx, control, pathHosts, &known) {
+			h.agent.Learn(known)
+		}
+	})
 }
 
-// fetch runs the queued fetches one at a time.
-func (h *Host) fetch(ctx context.Context, pending chan peers.Proof, fetchOne func(context.Context, peers.Proof)) {
+// requestHosts queues a fetch of the hosts that another host knows, unless one is queued already.
+func (h *Host) requestHosts(control string) {
+	select {
+	case h.hostsToFetch <- control:
+	default:
+	}
+}
+
+// fetch runs the queued fetches of a host one at a time.
+func fetch[T any](ctx context.Context, h *Host, pending chan T, fetchOne func(context.Context, T)) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -285,10 +306,11 @@
 // knownRevision is the query parameter with the revision of the configuration that a host already has.
 const knownRevision = "known"
 
-// Paths at which other hosts fetch the configuration and the endpoints in force.
+// Paths at which other hosts fetch the settings and the endpoints in force, and the hosts that are known.
 const (
 	pathSettings  = "/v1/settings"
 	pathEndpoints = "/v1/endpoints"
+	pathHosts     = "/v1/hosts"
 )
 
 // serveSettings answers other hosts with the settings in force.
@@ -325,6 +347,11 @@
 	h.noteAnswer(h.answers.write(w, r, version, answerTTL, func() any { return l }))
 }
 
+// serveHosts answers other hosts with the hosts that are known.
+func (h *Host) serveHosts(w http.ResponseWriter, r *http.Request) {
+	h.noteAnswer(h.answers.write(w, r, "", answerTTL, func() any { return h.agent.KnownHosts() }))
+}
+
 // writeJSON writes a JSON answer.
 func (h *Host) writeJSON(w http.ResponseWriter, body any) {
 	w.Header().Set("Content-Type", "application/json")
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -108,6 +108,9 @@
 	// CheckGap checks whether the process did not run for a while and, if so, calls NoteGap; it may be nil. It
 	// is called before a received datagram is handled.
 	CheckGap func()
+	// OnFewKnown is called when a peer knows more than twice as many hosts as this one, with the control address
+	// of a host whose table to fetch; it may be nil. It must not block.
+	OnFewKnown func(control string)
 	// Interval is the time between heartbeats; 0 means DefaultInterval.
 	Interval time.Duration
 	// Rand is the source of random numbers.
@@ -133,9 +136,6 @@
 	owners             owners
 }
 
-// newcomer is a host that needs to learn of the others.
-type newcomer struct{ host, address string }
-
 // Init initializes the agent; call it before Run.
 func (a *Agent) Init() {
 	a.trigger = make(chan struct{}, 1)
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -7,8 +7,10 @@
 import (
 	"bytes"
 	"compress/flate"
+	"encoding/binary"
 	"encoding/json"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/rotisserie/eris"
@@ -28,6 +30,7 @@
 	kindHeartbeat    = 'b' // deflated JSON of a Heartbeat
 	kindMember       = 'm' // the same, to be passed on by the receiver
 	kindDigest       = 'd' // deflated JSON of a Digest
+	kindMemberDigest = 'f' // the member's echo in 4 bytes, then the same
 	kindUpdate       = 'u' // JSON of an Update, too short for deflating to pay
 	kindSlotRequests = 'a' // JSON of SlotRequests
 	kindGrants       = 'g' // JSON of Grants
@@ -36,7 +39,7 @@
 // memberHeartbeat is a heartbeat to a relay, which passes on its content.
 type memberHeartbeat struct{ Heartbeat }
 
-// encode encodes a *Heartbeat, *memberHeartbeat, *Digest, *Update, *SlotRequests or *Grants.
+// encode encodes a *Heartbeat, *memberHeartbeat, *Digest, *memberDigest, *Update, *SlotRequests or *Grants.
 func encode(msg any) ([]byte, error) {
 	switch msg := msg.(type) {
 	case *Heartbeat:
@@ -45,6 +48,12 @@
 		return encodeDeflated(kindMember, &msg.Heartbeat)
 	case *Digest:
 		return encodeDeflated(kindDigest, msg)
+	case *memberDigest:
+		b, err := encodeDeflated(kindMemberDigest, &msg.Digest)
+		if err != nil {
+			return nil, err
+		}
+		return slices.Insert(b, 1, binary.BigEndian.AppendUint32(nil, msg.echo)...), nil
 	case *Update:
 		return encodeJSON(kindUpdate, msg)
 	case *SlotRequests:
@@ -55,6 +64,13 @@
 	return nil, errUnknownKind
 }
 
+// withEcho returns a copy of an encoded memberDigest with another echo.
+func withEcho(data []byte, echo uint32) []byte {
+	out := slices.Clone(data)
+	binary.BigEndian.PutUint32(out[1:], echo)
+	return out
+}
+
 // encodeJSON encodes a message as JSON.
 func encodeJSON(kind byte, msg any) ([]byte, error) {
 	b, err := json.Marshal(msg)
@@ -83,7 +99,14 @@
 // errUnknownKind means that a datagram is of an unknown kind.
 var errUnknownKind = eris.New("datagram is of no known kind; its sender may run another version")
 
-// decode decodes a datagram: a *Heartbeat, *memberHeartbeat, *Digest, *Update, *SlotRequests or *Grants.
+// echoSize is the size of an echo in the header of a datagram, in bytes.
+const echoSize = 4
+
+// errTruncated means that a datagram ends before its content begins.
+var errTruncated = eris.New("datagram is too short")
+
+// decode decodes a datagram: a *Heartbeat, *memberHeartbeat, *Digest, *memberDigest, *Update, *SlotRequests or
+// *Grants.
 func decode(data []byte) (any, error) {
 	if len(data) == 0 {
 		return nil, errUnknownKind
@@ -98,6 +121,12 @@
 	case kindDigest:
 		var d Digest
 		return &d, decodeDeflated(data, &d)
+	case kindMemberDigest:
+		if len(data) < echoSize {
+			return nil, errTruncated
+		}
+		d := memberDigest{echo: binary.BigEndian.Uint32(data)}
+		return &d, decodeDeflated(data[echoSize:], &d.Digest)
 	case kindUpdate:
 		var u Update
 		return &u, json.Unmarshal(data, &u)
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/heathkeel/heathkeel/quarantine"
@@ -55,6 +54,11 @@
 		a.mu.Unlock()
 	case *Digest:
 		a.receiveDigest(msg)
+	case *memberDigest:
+		if msg.echo > 0 {
+			msg.Echo = map[string]uint32{a.Table.Host: msg.echo}
+		}
+		a.receiveDigest(&msg.Digest)
 	case *Update:
 		a.receiveUpdate(msg)
 	case *SlotRequests:
@@ -87,7 +91,11 @@
 	a.noteNewcomer(b)
 	proof, ok := a.Table.ReceiveHeartbeat(now, b)
 	relayed := a.usesRelays()
+	source, few := a.tableSource(b.Size)
 	a.mu.Unlock()
+	if few && a.OnFewKnown != nil {
+		a.OnFewKnown(source)
+	}
 	if !relayed {
 		a.Host.UsageReceived(Usage{Source: b.Host, Incarnation: b.Incarnation, Hosts: 1, Used: b.Used, Left: b.Left})
 	}
@@ -113,17 +121,6 @@
 	return a.usesRelays() && a.uplink.host == a.Table.Host
 }
 
-// noteNewcomer makes the next heartbeat answer a host that knows less than half of the hosts that this one
-// knows, so that it learns of the others. mu must be held.
-func (a *Agent) noteNewcomer(b *Heartbeat) {
-	nc := newcomer{b.Host, b.Info.Address}
-	if nc.address == "" || 2*b.Size >= a.Table.Size() || slices.Contains(a.newcomers, nc) {
-		return
-	}
-	a.newcomers = append(a.newcomers, nc)
-	a.TriggerHeartbeat()
-}
-
 // receiveUpdate handles changed loads.
 func (a *Agent) receiveUpdate(u *Update) {
 	a.mu.Lock()
@@ -146,7 +143,11 @@
 	}
 	u, counted := a.uplink.receive(now, d, &a.sentReports)
 	a.loadsReceived = a.loadsReceived || counted
+	source, few := a.tableSource(d.Hosts)
 	a.mu.Unlock()
+	if few && a.OnFewKnown != nil {
+		a.OnFewKnown(source)
+	}
 	if counted {
 		a.Host.UsageReceived(u)
 	}
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -33,6 +33,14 @@
 	// partialUsed and fullUsed are what members, and all hosts, used since the relay first received their
 	// reports.
 	partialUsed, fullUsed map[string]float64
+	part                  Part // of the last digest to members
+}
+
+// nextPart returns the part of the sum of all hosts that members get next.
+func (r *Relay) nextPart(full *Digest) Digest {
+	count := full.partCount(max(1, r.part.Count))
+	r.part = Part{Index: (r.part.Index + 1) % count, Count: count}
+	return full.part(r.part)
 }
 
 // source is the last report of a host or a relay.
@@ -103,13 +111,19 @@
 	return used, true
 }
 
-// MemberAddresses returns the addresses of the other hosts that send their heartbeats to this relay.
-func (r *Relay) MemberAddresses(now time.Duration) []string {
+// memberEcho is the address of a member, and the Seq of its report that is included in digests.
+type memberEcho struct {
+	address string
+	seq     uint32
+}
+
+// Members returns the other hosts that send their heartbeats to this relay.
+func (r *Relay) Members(now time.Duration) []memberEcho {
 	r.expire(now)
-	var out []string
+	out := make([]memberEcho, 0, len(r.members))
 	for name, s := range r.members {
 		if name != r.Host {
-			out = append(out, s.address)
+			out = append(out, memberEcho{s.address, s.seq})
 		}
 	}
 	return out
@@ -164,11 +178,13 @@
 	r.expire(now)
 	d := Digest{Host: r.Host, Incarnation: r.Incarnation, Echo: make(map[string]uint32)}
 	var sum loadSum
-	for name, s := range r.members {
+	for _, s := range r.members {
 		d.Hosts += s.hosts
-		d.Echo[name] = s.seq
 		sum.add(&s.report)
 	}
+	if self := r.members[r.Host]; self != nil {
+		d.Echo[r.Host] = self.seq
+	}
 	d.Lost = slices.Collect(maps.Keys(r.lost))
 	for _, s := range r.relays {
 		d.Hosts += s.hosts
--- a/peers/relayed.go
+++ b/peers/relayed.go
@@ -5,6 +5,7 @@
 package peers
 
 import (
+	"net"
 	"time"
 
 	"github.com/heathkeel/heathkeel/quarantine"
@@ -38,7 +39,7 @@
 // this host has any.
 func (a *Agent) sendDigests(now time.Duration, b *Heartbeat) {
 	a.mu.Lock()
-	members := a.relay.MemberAddresses(now)
+	members := a.relay.Members(now)
 	if len(members) == 0 && a.uplink.host != b.Host {
 		a.mu.Unlock()
 		return
@@ -64,7 +65,28 @@
 	a.addStamps(&full.Words)
 	partial.Crashes, full.Crashes = a.Host.Crashes(quarantine.All), a.Host.Crashes(quarantine.Repeated)
 	a.sendTo(&partial, relays)
-	a.sendTo(&full, members)
+	if len(members) > 0 {
+		a.mu.Lock()
+		part := memberDigest{Digest: a.relay.nextPart(&full)}
+		a.mu.Unlock()
+		a.sendToMembers(&part, members)
+	}
+}
+
+// sendToMembers sends a digest to each member with its echo.
+func (a *Agent) sendToMembers(d *memberDigest, members []memberEcho) {
+	d.Echo = nil
+	data, err := encode(d)
+	if err != nil || len(data) > maxDatagramSize {
+		a.Log.Info("digest not sent: encoding failed or it is too large", "bytes", len(data), "loads", len(d.Load), "amounts", len(d.Used), "part", d.Part)
+		return
+	}
+	for _, m := range members {
+		if to, err := net.ResolveUDPAddr("udp", m.address); err == nil {
+			// A lost datagram is followed by the next one.
+			_, _ = a.Conn.WriteTo(withEcho(data, m.seq), to)
+		}
+	}
 }
 
 // otherRelays returns the addresses of the preferred relays of all zones, without this host. mu must be held.
--- a/peers/table.go
+++ b/peers/table.go
@@ -26,8 +26,10 @@
 	// DefaultForgetTimeout is the silence after which a host is dropped.
 	DefaultForgetTimeout = 20 * time.Second
 	// minKnownHosts is the number of hosts passed on in a heartbeat or digest, if that many are known. In large
-	// fleets the number is higher, so that knownHostsRounds of them name all hosts.
+	// fleets the number is higher, so that knownHostsRounds of them name all hosts, up to maxKnownHosts, which
+	// are 3 KB.
 	minKnownHosts    = 24
+	maxKnownHosts    = 48
 	knownHostsRounds = 20
 	// seqWindow is the number of own heartbeats and digests whose sending times are kept.
 	seqWindow = 64
@@ -314,7 +316,7 @@
 // knows few others needs most, then members whose Info changed recently, and then the others in turn.
 func (t *Table) KnownHosts(now time.Duration, zone string) []KnownHost {
 	all := slices.DeleteFunc(t.Live(now), func(m *Member) bool { return zone != "" && m.Info.Zone != zone })
-	maxHosts := max(minKnownHosts, len(all)/knownHostsRounds)
+	maxHosts := min(max(minKnownHosts, len(all)/knownHostsRounds), maxKnownHosts)
 	out := make([]KnownHost, 0, maxHosts)
 	added := make(map[string]bool, maxHosts)
 	add := func(m *Member) {
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -4,7 +4,11 @@
 
 package peers
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Parameters of the connection to a relay.
 const (
@@ -18,14 +22,16 @@
 	maxDigestAge = 2 * time.Second
 )
 
-// uplink is the state of the relay that this host uses, and the last digest that it sent.
+// uplink is the state of the relay that this host uses, and what its last digests said.
 type uplink struct {
 	host       string
 	usedSince  time.Duration // when this host began to use it
 	lastDigest time.Duration // when it last sent a digest
+	lastSeq    uint32        // number of that digest
+	lastRun    uint64        // incarnation of the relay that sent it
 	suspects   map[string]time.Duration
-	digest     *Digest
-	digestAt   time.Duration // when digest was received
+	current    *assembly // complete digests in use, or nil
+	next       *assembly // those that replace them once they are complete, or nil
 }
 
 // choose returns the relay to use: the first of the candidates, which are in order of preference, that is not
@@ -43,7 +49,7 @@
 		}
 		delete(u.suspects, c.Host)
 		if c.Host != u.host {
-			u.host, u.usedSince = c.Host, now
+			u.host, u.usedSince, u.lastSeq = c.Host, now, 0
 		}
 		return c
 	}
@@ -53,66 +59,112 @@
 // isFresh reports whether the relay in use has sent the reports of other hosts recently. If this host is the
 // relay, they are fresh if other relays or members have reported to it.
 func (u *uplink) isFresh(now time.Duration, self string) bool {
-	if u.digest == nil || now-u.digestAt > digestTimeout {
+	if u.current == nil || now-u.current.newestAt() > digestTimeout {
 		return false
 	}
-	return u.host != self || u.digest.Hosts > 1
+	return u.host != self || u.current.hosts > 1
 }
 
-// receive stores a digest of the relay in use and returns what the other hosts used.
+// receive stores a digest of the relay in use. Once all its parts are known, it returns what the other hosts
+// used.
 func (u *uplink) receive(now time.Duration, d *Digest, sent *history) (Usage, bool) {
-	old := u.digest
-	if d.Partial || d.Host != u.host || (old != nil && old.Host == d.Host && old.Incarnation == d.Incarnation && d.Seq <= old.Seq) {
+	if d.Partial || d.Host != u.host || (d.Incarnation == u.lastRun && d.Seq <= u.lastSeq) {
 		return Usage{}, false
 	}
-	u.lastDigest = now
-	// A new relay knows some hosts only; the previous digest is better for a while.
-	if old == nil || d.Host == old.Host || 10*d.Hosts >= 9*old.Hosts || now-u.digestAt > maxDigestAge {
-		u.digest, u.digestAt = d, now
+	u.lastDigest, u.lastRun, u.lastSeq = now, d.Incarnation, d.Seq
+	own, known := sent.lookup(d.Echo)
+	var words *Words
+	if known {
+		words = &own
 	}
-	own, ok := sent.lookup(d.Echo)
-	if !ok {
+	s := u.assemblyOf(d)
+	s.add(now, d, words)
+	u.replace(now)
+	if !known || !s.countsAll() {
 		return Usage{}, false
 	}
-	used := make(map[string]float64, len(d.Used))
-	for ws, n := range d.Used {
-		used[ws] = n - own.Used[ws]
+	return Usage{Source: d.Host, Incarnation: d.Incarnation, Hosts: d.Hosts - 1, Used: maps.Clone(s.used), Left: d.Left}, true
+}
+
+// assemblyOf returns the assembly to which a digest belongs. If the number of parts of the same run has
+// changed, what others used is still known.
+func (u *uplink) assemblyOf(d *Digest) *assembly {
+	if u.current.fits(d) {
+		return u.current
+	}
+	if !u.next.fits(d) {
+		u.next = newAssembly(d)
+		if c := u.current; c != nil && c.host == d.Host && c.incarnation == d.Incarnation {
+			u.next.used = c.used
+		}
 	}
-	return Usage{Source: d.Host, Incarnation: d.Incarnation, Hosts: d.Hosts - 1, Used: used, Left: d.Left}, true
+	return u.next
 }
 
-// peerLoads returns what the other hosts have running and waiting according to the last digest, which is its
-// sum minus what this host had reported, and the number of these hosts.
+// replace puts the next assembly in use once it is complete. A new relay knows some hosts only; what the one
+// before told is better for a while.
+func (u *uplink) replace(now time.Duration) {
+	n, c := u.next, u.current
+	if n == nil || !n.complete() {
+		return
+	}
+	if c == nil || c.host == n.host || 10*n.hosts >= 9*c.hosts || now-c.newestAt() > c.maxAge() {
+		u.current, u.next = n, nil
+	}
+}
+
+// peerLoads returns what the other hosts have running and waiting according to the last digests, which is
+// their sum minus what this host had reported, and the number of these hosts.
 func (u *uplink) peerLoads(now time.Duration, sent *history) (sum PeerLoads, hosts int) {
 	load, waiting := make(map[string]Load), make(map[string][]int)
 	sum = PeerLoads{Load: load, Waiting: waiting}
-	if u.digest == nil || now-u.digestAt > maxDigestAge {
+	if u.current == nil || now-u.current.newestAt() > u.current.maxAge() {
 		return sum, 0
 	}
-	own, ok := sent.lookup(u.digest.Echo)
-	hosts = u.digest.Hosts
+	hosts = u.current.hosts
+	newest := 0
+	for i, d := range u.current.parts {
+		if u.current.receivedAt[i] >= u.current.receivedAt[newest] {
+			newest = i
+		}
+		if now-u.current.receivedAt[i] > u.current.maxAge() {
+			continue
+		}
+		own, _ := sent.lookup(d.Echo)
+		addOthers(load, d, &own)
+	}
+	d := u.current.parts[newest]
+	own, ok := sent.lookup(d.Echo)
 	if ok {
 		hosts--
 	}
-	for name, l := range u.digest.Load {
-		ownLoad := own.Load[name]
-		l.Running = max(0, l.Running-ownLoad.Running)
-		l.Prefill = max(0, l.Prefill-ownLoad.Prefill)
-		l.Good = max(0, l.Good-ownLoad.Good)
-		l.Bad = max(0, l.Bad-ownLoad.Bad)
+	for service, tiers := range d.Waiting {
+		waiting[service] = withoutOwn(tiers, own.Waiting[service])
+	}
+	return sum, hosts
+}
+
+// addOthers adds the loads of a digest to load, without what this host had reported.
+func addOthers(load map[string]Load, d *Digest, own *Words) {
+	for name, l := range d.Load {
+		o := own.Load[name]
+		l.Running = max(0, l.Running-o.Running)
+		l.Prefill = max(0, l.Prefill-o.Prefill)
+		l.Good = max(0, l.Good-o.Good)
+		l.Bad = max(0, l.Bad-o.Bad)
 		load[name] = l
 	}
-	for service, tiers := range u.digest.Waiting {
-		remaining := make([]int, len(tiers))
-		for k, n := range tiers {
-			remaining[k] = n
-			if ownLoad := own.Waiting[service]; k < len(ownLoad) {
-				remaining[k] = max(0, n-ownLoad[k])
-			}
+}
+
+// withoutOwn returns the numbers of waiting requests by tier without this host's.
+func withoutOwn(tiers, own []int) []int {
+	out := slices.Clone(tiers)
+	for k := range out {
+		if k < len(own) {
+			out[k] = max(0, out[k]-own[k])
 		}
-		waiting[service] = remaining
 	}
-	return sum, hosts
+	return out
 }
 
 // history holds what this host reported in its last heartbeats. The zero value is empty.
@@ -122,9 +174,9 @@
 	seqs    [historySize]uint32
 }
 
-// historySize is the number of heartbeats kept: those that may still be in flight in digests, which are one
-// second old at most.
-const historySize = 16
+// historySize is the number of heartbeats kept: those that may still be in flight in digests, or in parts of
+// digests that are in use.
+const historySize = 64
 
 // add stores the content of a heartbeat.
 func (h *history) add(b *Heartbeat) {
