feed: lapsed endpoints are not dropped by a newer list that lacks them

Callers got up to 48 of 216 refusals in the 3 s after an outage's end, in TestNewHostHidesNoLapsedEndpoints with a stand-in that takes hosts' writes (docs/incidents/lapsed-dropped-by-newer-list.md). A host that had started in the outage and read the store first offered its empty list again at a newer revision, which any write gives; the others took it for proof that all endpoints had left, since it had followed the entries for longer than their list, with the lapsed endpoints in it, was proven.

Entries held as lapsed are now dropped at their time only. Ruled out: changes in place of lists, evacuations (green before the stand-in was mended, red after, green with the old stand-in). All tests of feed and the lapse tests of edge are green.

--- a/feed/shared.go
+++ b/feed/shared.go
@@ -147,7 +147,9 @@
 //
 // Conversely, a peer that has started or had a gap since this host's list was proven cannot tell lapsed
 // entries from those of endpoints that left, and its list holds neither. Without a verdict of its own,
-// one such peer that reads the store first after an outage would empty the lists of all hosts.
+// one such peer that reads the store first after an outage would empty the lists of all hosts. Entries that
+// this host already holds as lapsed are dropped at their time only: such a peer may offer further lists, with
+// any newer revision, before the endpoints have renewed them.
 func (e *Endpoints) Offer(l EndpointList) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -169,8 +171,8 @@
 	}
 	e.incarnations.adoptHeld(l.Held, now)
 	clear(e.foreign)
-	if e.loaded && now-l.FollowedFor > e.provenAt {
-		e.keepLapsed(known, now)
+	if e.loaded {
+		e.keepLapsed(known, now, now-l.FollowedFor > e.provenAt)
 	}
 	e.noteLoaded()
 	e.known, e.revision, e.provenBefore = known, l.Revision, e.provenAt
@@ -178,10 +180,11 @@
 	e.publish()
 }
 
-// keepLapsed adds to a peer's list the endpoints that it lacks and that may have lapsed; mu must be held.
-func (e *Endpoints) keepLapsed(list map[string]Endpoint, now time.Duration) {
+// keepLapsed adds to a peer's list the endpoints that it lacks and that may have lapsed: those that are held as
+// lapsed and, if the peer knows no more than this host, all others; mu must be held.
+func (e *Endpoints) keepLapsed(list map[string]Endpoint, now time.Duration, others bool) {
 	for name, n := range e.known {
-		if _, ok := list[name]; ok {
+		if _, ok := list[name]; ok || !(n.Lapsed || others) {
 			continue
 		}
 		if n = e.leavers.mark(n, now); e.mayHaveLapsed(n, e.provenAt) {
