peers: each audience is told of all hosts by a turn of its own

Each message with rows of hosts went on where the last one ended, whoever got it: where heartbeats to a few hosts fell to the same rows in each round, members never got these (616 missing pairs, all "unknown", five hosts most of them). It holds at any size: 57 hosts, one heartbeat for two digests.

Members, relays and other hosts now have a turn each. TestAllHostsAreNamed: 20 to 1,100 hosts, one heartbeat for 1, 2, 5 and 7 digests; before, red at 57.

--- a/peers/agent.go
+++ b/peers/agent.go
@@ -254,7 +254,7 @@
 	b.Echo, b.Size = a.Table.Echo(to), a.Table.Size()
 	periodic := a.heartbeats%heartbeatsPerKnown == 0
 	if periodic || (relayed && !viaRelay) {
-		b.Known = a.Table.KnownHosts(now, "")
+		b.Known = a.Table.KnownHosts(now, "", toHosts)
 	}
 	var addresses []string
 	if periodic || !viaRelay {
@@ -272,7 +272,7 @@
 			}
 		}
 		a.newcomers = a.newcomers[n:]
-		b.Known = a.Table.KnownHosts(now, "")
+		b.Known = a.Table.KnownHosts(now, "", toHosts)
 	}
 	a.heartbeats++
 	a.logPeerChanges(now)
--- a/peers/relayed.go
+++ b/peers/relayed.go
@@ -46,7 +46,7 @@
 	}
 	relays := append(a.otherRelays(now, b), a.relay.RelayAddresses(now)...)
 	partial, full := a.relay.PartialDigest(now), a.relay.FullDigest(now)
-	partial.Known, full.Known = a.Table.KnownHosts(now, b.Info.Zone), a.Table.KnownHosts(now, "")
+	partial.Known, full.Known = a.Table.KnownHosts(now, b.Info.Zone, toRelays), a.Table.KnownHosts(now, "", toMembers)
 	var own Usage
 	var counted bool
 	for _, d := range []*Digest{&partial, &full} {
--- a/peers/table.go
+++ b/peers/table.go
@@ -74,7 +74,7 @@
 	members   map[string]*Member
 	seq       uint32
 	loadSeq   uint32
-	lastNamed map[string]string        // last host that was passed on, by the zone that was asked for
+	lastNamed [audiences]string        // last host that was passed on to each audience
 	sentAt    [seqWindow]time.Duration // by Seq modulo seqWindow
 }
 
@@ -312,9 +312,20 @@
 	return all[:min(n, len(all))]
 }
 
+// audience is who is told of other hosts. Each audience is told of all hosts in turn, whatever the others are
+// told meanwhile: with one turn for all, some hosts could always fall to the messages of the same audience.
+type audience uint8
+
+const (
+	toHosts   audience = iota // hosts that are sent heartbeats directly
+	toMembers                 // members of this host as a relay
+	toRelays                  // relays of other zones
+	audiences
+)
+
 // KnownHosts returns members to pass on, of one zone if zone is not empty: first the relays, which a host that
 // knows few others needs most, then members whose Info changed recently, and then the others in turn.
-func (t *Table) KnownHosts(now time.Duration, zone string) []KnownHost {
+func (t *Table) KnownHosts(now time.Duration, zone string, to audience) []KnownHost {
 	all := slices.DeleteFunc(t.Live(now), func(m *Member) bool { return zone != "" && m.Info.Zone != zone })
 	maxHosts := min(max(minKnownHosts, len(all)/knownHostsRounds), maxKnownHosts)
 	out := make([]KnownHost, 0, maxHosts)
@@ -336,14 +347,11 @@
 		}
 	}
 	// Members are sorted by name; continue after the one that was passed on last.
-	if t.lastNamed == nil {
-		t.lastNamed = make(map[string]string)
-	}
-	start, _ := slices.BinarySearchFunc(all, t.lastNamed[zone]+"\x00", func(m *Member, name string) int { return strings.Compare(m.Host, name) })
+	start, _ := slices.BinarySearchFunc(all, t.lastNamed[to]+"\x00", func(m *Member, name string) int { return strings.Compare(m.Host, name) })
 	for i := 0; i < len(all) && len(out) < maxHosts; i++ {
 		m := all[(start+i)%len(all)]
 		add(m)
-		t.lastNamed[zone] = m.Host
+		t.lastNamed[to] = m.Host
 	}
 	return out
 }
--- a/peers/table_test.go
+++ b/peers/table_test.go
@@ -16,7 +16,7 @@
 // newHeartbeat returns a heartbeat as a host would send it.
 func newHeartbeat(t *Table, now time.Duration, to []*Member, age int64) *Heartbeat {
 	return &Heartbeat{
-		Host: t.Host, Incarnation: t.Incarnation, Seq: t.NextSeq(now), Echo: t.Echo(to), Known: t.KnownHosts(now, ""),
+		Host: t.Host, Incarnation: t.Incarnation, Seq: t.NextSeq(now), Echo: t.Echo(to), Known: t.KnownHosts(now, "", toHosts),
 		Info: HostInfo{Address: t.Host, Ready: true}, Words: Words{Settings: Stamp{Revision: 7, AgeMS: age}, Endpoints: Stamp{AgeMS: -1}},
 	}
 }
@@ -169,3 +169,30 @@
 		must.EqOp(t, tc.want, ReportInterval(tc.hosts))
 	}
 }
+
+// TestAllHostsAreNamed checks that each audience is told of all hosts within a bounded number of messages, however many messages go
+// to the others meanwhile.
+func TestAllHostsAreNamed(t *testing.T) {
+	const now = time.Hour
+	for hosts := 20; hosts < 1100; hosts += 37 {
+		for _, perHeartbeat := range []int{1, 2, 5, 7} { // digests for one message to hosts
+			table := Table{Host: "self", Incarnation: 1}
+			for i := range hosts {
+				m := table.member(fmt.Sprintf("host-%04d", i))
+				m.Info, m.LastHeard = HostInfo{Address: "10.0.0.1:1", Zone: fmt.Sprint("z", i%6), Ready: true}, now
+			}
+			// Six of the rows of a message are relays.
+			rows := min(max(minKnownHosts, hosts/knownHostsRounds), maxKnownHosts) - 6
+			named := make(map[string]bool)
+			for n := range hosts/rows + 2 {
+				for _, k := range table.KnownHosts(now, "", toMembers) {
+					named[k.Host] = true
+				}
+				if n%perHeartbeat == 0 {
+					table.KnownHosts(now, "", toHosts)
+				}
+			}
+			must.MapLen(t, hosts, named, must.Sprintf("%d hosts, a message to hosts after %d digests", hosts, perHeartbeat))
+		}
+	}
+}
