--- a/peers/parts.go
+++ b/peers/parts.go
@@ -24,32 +24,21 @@
 	Count int `json:"n,omitempty"`
 }
 
-// Parameters of parts.
-const (
-	// maxPartSize is the wanted size of a part in bytes: 40 KB a second for each member.
-	maxPartSize = 8 << 10
-	// Estimated deflated sizes of entries, in bytes.
-	loadSize   = 18
-	amountSize = 10
-	nameSize   = 10
-)
-
-// size estimates the size of what is divided into parts, in bytes.
-func (d *Digest) size() int {
-	return loadSize*len(d.Load) + amountSize*(len(d.Used)+len(d.Left)) + nameSize*len(d.Lost)
-}
-
-// partCount returns the number of parts of a digest, given that of the digest before. It is a power of two that
-// changes rarely: members have to receive all parts anew when it does.
-func (d *Digest) partCount(before int) int {
-	needed := 1
-	for needed*maxPartSize < d.size() {
-		needed *= 2
+// maxPartSize is the wanted size of a part in bytes, encoded: 50 KB a second for each member.
+const maxPartSize = 10 << 10
+
+// partCount returns the number of parts of a digest, given that of the digests before and the size of the
+// largest of their parts. It is a power of two that changes rarely, since members have to receive all parts
+// anew when it does: it is halved only if that leaves a third of maxPartSize free.
+func partCount(before, largest int) int {
+	size, count := before*largest, before
+	for count*maxPartSize < size {
+		count *= 2
 	}
-	if needed < before && 3*d.size() > before*maxPartSize {
-		return before
+	for count > 1 && 3*size < 2*(count/2)*maxPartSize {
+		count /= 2
 	}
-	return needed
+	return count
 }
 
 // part returns one part of a digest.
--- a/peers/parts_test.go
+++ b/peers/parts_test.go
@@ -68,14 +68,17 @@
 		whole, err := encode(&full)
 		must.NoError(t, err)
 		largest := 0
-		for range 16 {
+		for n := range 64 {
 			part := memberDigest{Digest: r.nextPart(&full)}
 			data, err := encode(&part)
 			must.NoError(t, err)
-			largest = max(largest, len(data))
+			r.notePartSize(len(data))
+			if n >= 32 { // by then the number of parts is settled
+				largest = max(largest, len(data))
+			}
 		}
 		t.Logf("%d hosts, %d endpoints, %d workspaces: whole %d bytes; in %d parts of at most %d bytes", tc.hosts, tc.endpoints, tc.workspaces, len(whole), r.part.Count, largest)
-		must.LessEq(t, 3*maxPartSize/2, largest) // the sizes of entries are estimates
+		must.LessEq(t, maxPartSize, largest)
 		must.LessEq(t, tc.maxParts, r.part.Count)
 	}
 }
@@ -101,6 +104,7 @@
 		full := r.FullDigest(now)
 		full.Seq = uint32(step + 1)
 		part := r.nextPart(&full)
+		r.notePartSize(40 * len(full.Load) / max(1, part.Part.Count))
 		part.Echo = map[string]uint32{"host-1": own.Seq}
 		if random.IntN(5) == 0 {
 			continue
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -34,15 +34,27 @@
 	// reports.
 	partialUsed, fullUsed map[string]float64
 	part                  Part // of the last digest to members
+	largestPart           int  // size of the largest part since part 0, in bytes
 }
 
-// nextPart returns the part of the sum of all hosts that members get next.
+// nextPart returns the part of the sum of all hosts that members get next. Call notePartSize with its size.
 func (r *Relay) nextPart(full *Digest) Digest {
-	count := full.partCount(max(1, r.part.Count))
-	r.part = Part{Index: (r.part.Index + 1) % count, Count: count}
+	r.part.Index++
+	if r.part.Index >= r.part.Count {
+		r.part = Part{Count: partCount(max(1, r.part.Count), r.largestPart)}
+		r.largestPart = 0
+	}
 	return full.part(r.part)
 }
 
+// notePartSize records the size of an encoded part. Parts that fit into no datagram are made smaller at once.
+func (r *Relay) notePartSize(n int) {
+	r.largestPart = max(r.largestPart, n)
+	if n > maxDatagramSize {
+		r.part.Index = r.part.Count
+	}
+}
+
 // source is the last report of a host or a relay.
 type source struct {
 	incarnation uint64
--- a/peers/relayed.go
+++ b/peers/relayed.go
@@ -77,6 +77,9 @@
 func (a *Agent) sendToMembers(d *memberDigest, members []memberEcho) {
 	d.Echo = nil
 	data, err := encode(d)
+	a.mu.Lock()
+	a.relay.notePartSize(len(data))
+	a.mu.Unlock()
 	if err != nil || len(data) > maxDatagramSize {
 		a.Log.Info("digest not sent: encoding failed or it is too large", "bytes", len(data), "loads", len(d.Load), "amounts", len(d.Used), "part", d.Part)
 		return
