rollout: counts are told apart by the order, not by the version

A new order for a version that was rolled back before would have been rolled back at once by hosts that hear others which still tell of the first one: the counts that say so named service and version. Found by reading; not seen in a run. They name the order's revision now. TestOrderAgainAfterRollback is red before.

--- a/rollout/book.go
+++ b/rollout/book.go
@@ -6,6 +6,7 @@
 
 import (
 	"maps"
+	"strconv"
 	"strings"
 	"time"
 
@@ -159,7 +160,7 @@
 
 // count adds a tally to this host's counts and to those of all hosts.
 func (b *Book) count(r *rollout, service, route string, isNew bool, t Tally) {
-	name := countName(service, r.Version, route, isNew)
+	name := countName(service, r.Revision, route, isNew)
 	b.add(name+answers, t.Answers)
 	if t.Bad > 0 {
 		b.add(name+bad, t.Bad)
@@ -179,8 +180,8 @@
 	successes = separator + "s"
 )
 
-// countParts is the number of parts of the name of a count: nothing, service, version, route, group of
-// versions, and what is counted.
+// countParts is the number of parts of the name of a count: nothing, service, revision of the order, route,
+// group of versions, and what is counted. The revision keeps apart the orders for the same version.
 const countParts = 6
 
 // groupOld and groupNew are the groups of versions.
@@ -190,12 +191,12 @@
 )
 
 // countName returns the name under which hosts exchange a count, without its last part.
-func countName(service, version, route string, isNew bool) string {
+func countName(service string, revision uint64, route string, isNew bool) string {
 	group := groupOld
 	if isNew {
 		group = groupNew
 	}
-	return strings.Join([]string{"", service, version, route, group}, separator)
+	return strings.Join([]string{"", service, strconv.FormatUint(revision, 10), route, group}, separator)
 }
 
 // IsCount reports whether a name is that of a count.
@@ -205,7 +206,7 @@
 // with each call, so that hosts hear of it which do not know all answers.
 func (b *Book) Counts() map[string]float64 {
 	for service, r := range b.rollouts {
-		name := countName(service, r.Version, "", true)
+		name := countName(service, r.Revision, "", true)
 		switch r.state {
 		case RolledBack:
 			b.add(name+vetoes, 1)
@@ -230,7 +231,7 @@
 		return nil
 	}
 	r := b.rollouts[parts[1]]
-	if r == nil || r.Version != parts[2] {
+	if r == nil || strconv.FormatUint(r.Revision, 10) != parts[2] {
 		return nil
 	}
 	return r
