peers: loads that come in parts are told to be older

PeerLoads told 0.45 s as the mean age of others' loads, also where each part of a digest is refreshed once in several heartbeats; claims on slots are drawn at a rate by that age. Now half a heartbeat more for each further part.

--- a/peers/others.go
+++ b/peers/others.go
@@ -7,8 +7,8 @@
 import "time"
 
 // Mean ages of the loads known of other hosts. Directly: half an updateInterval until they are sent, the time
-// of a datagram, and half an updateInterval until they are read. By relays: two heartbeats and the relays'
-// waiting times.
+// of a datagram, and half an updateInterval until they are read. By relays, in digests of one part: two
+// heartbeats and the relays' waiting times.
 const (
 	directAge  = 30 * time.Millisecond
 	relayedAge = 450 * time.Millisecond
@@ -33,7 +33,7 @@
 	serving := a.Table.ServingCount(now)
 	if a.usesRelays() {
 		o, reporting := a.uplink.peerLoads(now, &a.sentReports)
-		o.Age, o.Unreported = relayedAge, max(0, serving-reporting)
+		o.Age, o.Unreported = a.uplink.loadAge(), max(0, serving-reporting)
 		return o
 	}
 	var sum loadSum
--- a/peers/parts_test.go
+++ b/peers/parts_test.go
@@ -122,6 +122,7 @@
 		last = usage
 	}
 	must.MapLen(t, len(r.fullUsed), last.Used)
+	must.EqOp(t, relayedAge+time.Duration(r.part.Count-1)*DefaultInterval/2, u.loadAge())
 	must.Greater(t, 100, told)
 	// In a calm fleet the sums are those of the whole digest.
 	full := r.FullDigest(199 * DefaultInterval)
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -144,6 +144,14 @@
 	return sum, hosts
 }
 
+// loadAge returns the mean age of the loads in use: in parts, each is refreshed once in as many heartbeats.
+func (u *uplink) loadAge() time.Duration {
+	if u.current == nil {
+		return relayedAge
+	}
+	return relayedAge + time.Duration(len(u.current.parts)-1)*DefaultInterval/2
+}
+
 // addOthers adds the loads of a digest to load, without what this host had reported.
 func addOthers(load map[string]Load, d *Digest, own *Words) {
 	for name, l := range d.Load {
