--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -31,6 +31,8 @@
 	Tokens string
 	// LengthHint is the caller's estimate of the response's tokens.
 	LengthHint string
+	// Known are further response headers that mean nothing to the ingress.
+	Known []string
 	// KeyScheme precedes the key in Authorization.
 	KeyScheme string
 	// Reserved are headers that only the system may set; those set by callers are dropped.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -435,6 +435,7 @@
 	}
 	defer resp.Body.Close()
 	c.responsePending = false
+	c.logUnreadHeaders(resp.Header)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.tracker.MarkNotRun()
 		discardBody(resp)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -67,14 +67,15 @@
 	// Log receives state changes and failures.
 	Log logr.Logger
 
-	pool        upstream.Pool
-	balance     *balancer
-	crashes     crashes
-	deadlines   deadlines
-	active      atomic.Int64
-	bodyBytes   atomic.Int64
-	ageLimits   atomic.Pointer[AgeLimits]
-	stopStarted atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
+	pool          upstream.Pool
+	balance       *balancer
+	crashes       crashes
+	deadlines     deadlines
+	unreadHeaders headerLog
+	active        atomic.Int64
+	bodyBytes     atomic.Int64
+	ageLimits     atomic.Pointer[AgeLimits]
+	stopStarted   atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
 
 	mu           sync.Mutex
 	quotas       *quota.Book
@@ -91,6 +92,7 @@
 // Init prepares the server for use.
 func (s *Server) Init() {
 	s.pool.Now = s.Now
+	s.unreadHeaders.init(&s.Headers)
 	s.pool.DialTimeout, s.pool.Dial = dialTimeout, s.Dial
 	s.crashes = crashes{now: s.Now, dial: s.pool.Warm, log: s.Log, notifyPeers: func() {}, probes: make(map[string]*crashProbe)}
 	s.crashes.registry.Host = s.Host
