--- /dev/null
+++ b/edge/rate_test.go
@@ -0,0 +1,150 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package edge_test
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/internal/simsite"
+	"github.com/heathkeel/heathkeel/internal/site"
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// sendAtRate sends requests to the hosts in turn for d, at a rate that does not depend on their answers. It returns the numbers of
+// requests sent and served.
+func sendAtRate(s *simsite.Site, d time.Duration, perSecond float64) (sent, served int64) {
+	var wg sync.WaitGroup
+	var ok atomic.Int64
+	end := time.Now().Add(d)
+	for n := 0; time.Now().Before(end); n++ {
+		sent++
+		h := s.Hosts[n%len(s.Hosts)]
+		wg.Go(func() {
+			if s.SendRequest(h) == http.StatusOK {
+				ok.Add(1)
+			}
+		})
+		time.Sleep(time.Duration(float64(time.Second) / perSecond))
+	}
+	wg.Wait()
+	return sent, ok.Load()
+}
+
+// Figures of the rule on stated rates.
+const (
+	// rateWindow is the time within which an endpoint may get rateOvershoot times what its rate allows, plus rateSlack requests.
+	rateWindow    = 4 * time.Second
+	rateOvershoot = 1.5
+	rateSlack     = 5
+	// toldFor is the time after passing on an answer with a rate from which a host is bound by it.
+	toldFor = 500 * time.Millisecond
+)
+
+// excessOverRate returns by how many requests an endpoint got more than its stated rates allow, in the worst window that ends at
+// bound or later: negative if it never did. Requests count from hosts that had an answer with a rate toldFor before.
+func excessOverRate(e *simsite.Endpoint, bound time.Time) float64 {
+	all := e.Arrivals()
+	toldAt := make(map[string]time.Time)
+	for _, a := range all {
+		if a.Rate >= 0 && (toldAt[a.From].IsZero() || a.AnsweredAt.Before(toldAt[a.From])) {
+			toldAt[a.From] = a.AnsweredAt
+		}
+	}
+	var counted []simsite.Arrival
+	for _, a := range all {
+		if at := toldAt[a.From]; !at.IsZero() && a.ReceivedAt.Sub(at) >= toldFor {
+			counted = append(counted, a)
+		}
+	}
+	worst, first := -1.0, 0
+	for i, a := range counted {
+		for a.ReceivedAt.Sub(counted[first].ReceivedAt) >= rateWindow {
+			first++
+		}
+		if a.ReceivedAt.Before(bound) {
+			continue
+		}
+		rate := 0.0
+		for _, b := range counted[first : i+1] {
+			rate = max(rate, b.Rate)
+		}
+		worst = max(worst, float64(i-first+1)-(rateOvershoot*rate*rateWindow.Seconds()+rateSlack))
+	}
+	return worst
+}
+
+// TestStatedRates checks that an endpoint that states how many requests a second it takes from all hosts gets no more, summed over all
+// hosts, although callers send several times as many; that others take what it does not; and that rates are nearly used up if all
+// endpoints state one.
+func TestStatedRates(t *testing.T) {
+	const play = 14 * time.Second
+	cases := []struct {
+		name      string
+		boot      platform.Boot
+		hosts     int
+		endpoints int
+		rates     []float64
+		perSecond float64
+		during    func(s *simsite.Site) // runs 5 s after the rates are stated, beside the requests
+		minServed float64               // least share of the requests served
+		minUsed   float64               // least share of the sum of the rates that is used, if all endpoints state one
+	}{
+		{name: "2 of 6 endpoints", boot: smallBoot, hosts: 6, endpoints: 6, rates: []float64{2.2, 1.6}, perSecond: 60, minServed: 0.99},
+		{name: "rates are lowered", boot: smallBoot, hosts: 6, endpoints: 6, rates: []float64{8, 6}, perSecond: 60, minServed: 0.99, during: func(s *simsite.Site) {
+			s.Endpoints[0].StateRate(2)
+			s.Endpoints[1].StateRate(2)
+		}},
+		{name: "two hosts start again", boot: smallBoot, hosts: 6, endpoints: 6, rates: []float64{2.2, 1.6}, perSecond: 60, minServed: 0.9, during: func(s *simsite.Site) {
+			for _, h := range s.Hosts[:2] {
+				h.Kill()
+				s.StartHost(h)
+			}
+		}},
+		{name: "all endpoints", boot: smallBoot, hosts: 6, endpoints: 3, rates: []float64{6, 5, 4}, perSecond: 40, minUsed: 0.9},
+		{name: "3 of 12 endpoints, 85 hosts", boot: largeBoot, hosts: 85, endpoints: 12, rates: []float64{2.2, 1.6, 3}, perSecond: 170, minServed: 0.99},
+		{name: "all endpoints, 85 hosts", boot: largeBoot, hosts: 85, endpoints: 12, rates: []float64{3, 3, 3, 3, 3, 3, 5, 5, 5, 5, 5, 5}, perSecond: 170, minUsed: 0.9},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				defer s.Stop()
+				must.NoError(t, s.Start(site.Example(), tc.endpoints, tc.hosts))
+				for _, e := range s.Endpoints {
+					e.Work = 50 * time.Millisecond
+				}
+				time.Sleep(5 * time.Second)
+				sendAtRate(s, 2*time.Second, tc.perSecond)
+				for i, rate := range tc.rates {
+					s.Endpoints[i].StateRate(rate)
+				}
+				from := time.Now()
+				if tc.during != nil {
+					go func() {
+						time.Sleep(5 * time.Second)
+						tc.during(s)
+					}()
+				}
+				sent, served := sendAtRate(s, play, tc.perSecond)
+				sum := 0.0
+				for i, rate := range tc.rates {
+					must.LessEq(t, 0, excessOverRate(s.Endpoints[i], from.Add(tc.boot.ContactTime)), must.Sprintf("endpoint %d", i))
+					sum += rate
+				}
+				must.GreaterEq(t, tc.minServed*float64(sent), float64(served))
+				must.GreaterEq(t, tc.minUsed*sum*play.Seconds(), float64(served))
+			})
+		})
+	}
+}
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -15,10 +16,12 @@
 	"github.com/heathkeel/heathkeel/platform"
 )
 
-// Endpoint is a plain service that answers at once.
+// Endpoint is a plain service that answers at once, or after Work.
 type Endpoint struct {
 	// Instance is the endpoint's name, and Version that of its software.
 	Instance, Version string
+	// Work is the time that a request takes.
+	Work time.Duration
 	// Fails decides for each request whether it is answered with an error; nil means never.
 	Fails func() bool
 
@@ -30,6 +33,13 @@
 	mu       sync.Mutex
 	arrivals []Arrival
 	leftAt   time.Time // when the store accepted the endpoint's leaving, zero before
+	rates    []statedRate
+}
+
+// statedRate is the rate that an endpoint states in its answers from a moment on; negative means none.
+type statedRate struct {
+	from      time.Time
+	perSecond float64
 }
 
 // Arrival is a request that reached an endpoint.
@@ -39,18 +49,24 @@
 	ReceivedAt time.Time
 	// AfterLeaving is the time since the store accepted the endpoint's leaving, 0 if it had not.
 	AfterLeaving time.Duration
+	// AnsweredAt is the time of the answer, zero before, and Rate the rate stated in it, negative if none was.
+	AnsweredAt time.Time
+	Rate       float64
 }
 
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	e.mu.Lock()
-	a := Arrival{From: ip, ReceivedAt: time.Now()}
+	a := Arrival{From: ip, ReceivedAt: time.Now(), Rate: -1}
 	if !e.leftAt.IsZero() {
 		a.AfterLeaving = time.Since(e.leftAt)
 	}
+	n := len(e.arrivals)
 	e.arrivals = append(e.arrivals, a)
 	e.mu.Unlock()
+	time.Sleep(e.Work)
+	e.stateRate(w, n)
 	id := r.Header.Get("Heathkeel-Attempt-Id")
 	w.Header().Set("Heathkeel-Attempt-Id", id)
 	w.Header().Set("Heathkeel-Response-Stamp", e.Instance+"."+id)
@@ -61,6 +77,28 @@
 	_, _ = w.Write([]byte("ran " + id))
 }
 
+// StateRate makes the endpoint state in its answers, from now on, the requests a second that it takes from all
+// hosts together; a negative rate ends that.
+func (e *Endpoint) StateRate(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rates = append(e.rates, statedRate{time.Now(), perSecond})
+}
+
+// stateRate adds the stated rate to the answer to arrival n.
+func (e *Endpoint) stateRate(w http.ResponseWriter, n int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	a := &e.arrivals[n]
+	a.AnsweredAt = time.Now()
+	if len(e.rates) > 0 {
+		a.Rate = e.rates[len(e.rates)-1].perSecond
+	}
+	if a.Rate >= 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(a.Rate, 'f', -1, 64))
+	}
+}
+
 // Zone returns the endpoint's availability zone.
 func (e *Endpoint) Zone() string { return e.zone }
 
