places, sched, ingress, peers: all hosts together keep the rate that an endpoint states

Cause: no host read the header. Class: an allowance of one endpoint that many hosts spend, each by what it alone knows. Reading it alone would not do: 6 hosts with a share each of 2.2 a second leave 0.37 a host, 985 hosts nothing. Ruled out: shares kept by each host, rates read late (the rule counts only hosts that were told).

Change: the host that owns an endpoint's places grants each request to it, in small fleets too, from a token bucket with the stated rate; its own requests go without asking while nobody else wants one, so that the endpoint is heard. Hosts tell each other what endpoints stated, with its age; a lower rate holds at once, a higher one or none only from a newer proof. A host that hears a part of the fleet grants that part. Queues and Retry-After count a limited endpoint with its rate. Ways weighed: few senders by rendezvous hashing without messages (as for cold endpoints; a rate of 1.6 gives one sender, which in a fleet of 85 has 2 requests a second for all endpoints, so most of the rate would be lost while others wait); buckets at each host by what others report (0.45 s old at 85 hosts: each sees the same token); owner's grants (kept).

--- a/edge/host.go
+++ b/edge/host.go
@@ -277,6 +277,7 @@
 	h.agent.Slots, h.agent.OnFewKnown = h.ingress, h.requestHosts
 	h.agent.Init()
 	h.ingress.SetRequestSlots(h.agent.TriggerSlotRequests)
+	h.ingress.SetRateNotifier(h.agent.TriggerHeartbeat)
 	h.ingress.SetCrashNotifier(h.agent.TriggerHeartbeat)
 	return nil
 }
--- a/edge/rate_test.go
+++ b/edge/rate_test.go
@@ -5,6 +5,7 @@
 package edge_test
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -51,7 +52,7 @@
 )
 
 // excessOverRate returns by how many requests an endpoint got more than its stated rates allow, in the worst window that ends at
-// bound or later: negative if it never did. Requests count from hosts that had an answer with a rate toldFor before.
+// bound or later: negative if it never got more. Requests count from hosts that had an answer with a rate toldFor before.
 func excessOverRate(e *simsite.Endpoint, bound time.Time) float64 {
 	all := e.Arrivals()
 	toldAt := make(map[string]time.Time)
@@ -66,7 +67,7 @@
 			counted = append(counted, a)
 		}
 	}
-	worst, first := -1.0, 0
+	worst, first := math.Inf(-1), 0
 	for i, a := range counted {
 		for a.ReceivedAt.Sub(counted[first].ReceivedAt) >= rateWindow {
 			first++
@@ -148,3 +149,35 @@
 		})
 	}
 }
+
+// TestLiftedRates checks that an endpoint that no longer states a rate gets its part of the requests again.
+func TestLiftedRates(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		boot      platform.Boot
+		hosts     int
+		perSecond float64
+	}{{"6 hosts", smallBoot, 6, 60}, {"85 hosts", largeBoot, 85, 170}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				defer s.Stop()
+				must.NoError(t, s.Start(site.Example(), 6, tc.hosts))
+				for _, e := range s.Endpoints {
+					e.Work = 50 * time.Millisecond
+				}
+				time.Sleep(5 * time.Second)
+				limited := s.Endpoints[0]
+				limited.StateRate(2)
+				sendAtRate(s, 6*time.Second, tc.perSecond)
+				limited.StateRate(-1)
+				sendAtRate(s, 3*time.Second, tc.perSecond)
+				before := len(limited.Arrivals())
+				sent, served := sendAtRate(s, 4*time.Second, tc.perSecond)
+				must.Eq(t, sent, served)
+				must.Greater(t, int(sent)/len(s.Endpoints)/2, len(limited.Arrivals())-before)
+			})
+		})
+	}
+}
--- a/edge/share.go
+++ b/edge/share.go
@@ -33,6 +33,7 @@
 	usage := h.ingress.Usage()
 	b.Used, b.Left = usage.Used, usage.Left
 	maps.Copy(b.Used, h.ingress.RolloutCounts())
+	b.Rates = h.ingress.Rates(false)
 	b.Crashes = h.Crashes(quarantine.Local)
 }
 
@@ -59,6 +60,12 @@
 	h.ingress.MergeUsage(u.Source, u.Incarnation, quota.Report{Hosts: u.Hosts, Used: u.Used, Left: u.Left})
 }
 
+// Rates implements peers.Host.
+func (h *Host) Rates() map[string]places.RateReport { return h.ingress.Rates(true) }
+
+// RatesReceived implements peers.Host.
+func (h *Host) RatesReceived(rates map[string]places.RateReport) { h.ingress.MergeRates(rates) }
+
 // Crashes implements peers.Host.
 func (h *Host) Crashes(to quarantine.Scope) quarantine.Evidence { return h.ingress.Crashes(to) }
 
@@ -257,19 +264,19 @@
 	h.ingress.SetHosts(n, peers.ReportInterval(n))
 }
 
-// setFleet tells the ingress which hosts there may be. Hosts that this host has heard of before, or that the
-// entries in the store tell of, count also if it hears them no more: they may be cut off.
+// setFleet tells the ingress which hosts there may be, and which of them may own slots. Hosts that this host has heard of before, or
+// that the entries in the store tell of, count also if it hears them no more: they may be cut off.
 func (h *Host) setFleet(members []peers.Member) {
-	if !h.ingress.LimitsCold() {
-		return
-	}
 	self := places.Candidate{Host: h.Boot.Host, Zone: h.Boot.Zone}
 	f := places.Fleet{Self: self, Hosts: []places.Candidate{self}}
 	for _, m := range members {
 		f.Hosts = append(f.Hosts, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
 	}
 	f.Count = max(h.mostHosts.note(h.now(), max(len(f.Hosts), len(h.Boot.Seeds))), int(h.hostsInStore.Load()))
-	h.ingress.SetFleet(f)
+	h.ingress.SetOwners(h.agent.OwnerCandidates(), float64(len(f.Hosts))/float64(max(f.Count, len(f.Hosts))))
+	if h.ingress.LimitsCold() {
+		h.ingress.SetFleet(f)
+	}
 }
 
 // recentMax is the largest of the numbers noted recently.
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -56,6 +56,8 @@
 	// counts how often this host ejected an endpoint because its own requests failed there.
 	EndpointsEjected int `json:"endpoints_ejected"`
 	Ejections        int `json:"ejections"`
+	// EndpointsLimited counts the endpoints that state how many requests a second they take.
+	EndpointsLimited int `json:"endpoints_limited"`
 	// RequestsSuspected counts the requests under which an endpoint crashed in the last hour, and
 	// RequestsHeld those of them that are refused now.
 	RequestsSuspected int `json:"requests_suspected"`
@@ -94,6 +96,7 @@
 	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
+	v.EndpointsLimited = h.ingress.LimitedEndpoints()
 	v.Gaps, v.GapMS = h.gaps.count.Load(), h.gaps.totalMS.Load()
 	v.RequestsSuspected, v.RequestsHeld = h.ingress.SuspectCounts()
 	v.EndpointsForeign = h.endpoints.ForeignCount()
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -46,6 +46,10 @@
 	hadWaiting    bool                  // requests were waiting at the last report
 	slots         slotOwner
 	requestSlots  func() // triggers a request to the slot owners
+	notifyPeers   func() // triggers a heartbeat to the other hosts
+	owners        owners
+	rated         map[string]*target // endpoints that stated a rate, by incarnation
+	ownLimited    []*target          // those with a rate in force whose slots this host owns
 }
 
 // settingsKey identifies the effective settings of a workspace on a route.
@@ -65,7 +69,7 @@
 	return &balancer{
 		rand: r, zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefillRates: make(map[string]*sched.Quantile), effective: make(map[settingsKey]*settings.Effective), ranks: make(map[string][]rankPair), changedLoads: make(map[string]bool),
-		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {},
+		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, rated: make(map[string]*target), owners: owners{share: 1},
 	}
 }
 
@@ -209,7 +213,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t)})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), GrantsOnly: t.limited, Rate: t.rate})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -292,6 +296,7 @@
 
 // poll delivers the scheduler's decisions on waiting requests; mu must be held.
 func (b *balancer) poll(now time.Duration) {
+	b.holdGrants(now)
 	for _, d := range b.sched.Poll(now) {
 		b.deliver(d)
 	}
@@ -330,6 +335,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateRollouts(now)
+	b.expireRates(now)
 	b.sched.Tick(now)
 	b.poll(now)
 }
@@ -340,6 +346,7 @@
 	defer b.mu.Unlock()
 	c.req.Settings = b.effectiveSettings(c)
 	c.req.Model = b.pickPool(b.now(), c.service.Name)
+	b.holdGrants(b.now())
 	d := b.sched.Submit(b.now(), c.req)
 	b.noteDispatch(d)
 	if d.Verdict == sched.Wait {
@@ -357,6 +364,7 @@
 	b.removeSend(c)
 	c.req.DispatchBy = c.dispatchBy(now)
 	c.req.Model = b.pickPool(now, c.service.Name)
+	b.holdGrants(now)
 	d := b.sched.Redispatch(now, c.req)
 	b.noteDispatch(d)
 	b.poll(now)
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -31,6 +31,8 @@
 	Tokens string
 	// LengthHint is the caller's estimate of the response's tokens.
 	LengthHint string
+	// Rate on a response is the number of requests per second that the endpoint takes from all hosts together.
+	Rate string
 	// Known are further response headers that mean nothing to the ingress.
 	Known []string
 	// KeyScheme precedes the key in Authorization.
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -36,18 +36,21 @@
 }
 
 // SlotRequests implements peers.SlotHost.
-func (s *Server) SlotRequests() (map[string]places.Request, bool) {
+func (s *Server) SlotRequests(grantsOnly bool) (map[string]places.Request, bool) {
 	b := s.balance
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	ranks := b.sched.SlotRequests(now)
+	ranks := b.sched.SlotRequests(now, grantsOnly)
 	sendAll := now-b.slots.lastFullSend >= fullSendInterval
 	if sendAll {
 		b.slots.lastFullSend = now
 	}
 	out := make(map[string]places.Request)
-	for incarnation := range b.targets {
+	for incarnation, t := range b.targets {
+		if grantsOnly && !t.limited {
+			continue
+		}
 		request := places.Request{Running: b.sched.InFlight(incarnation), Rank: -1, Returned: b.slots.returned[incarnation]}
 		rank, wanted := ranks[incarnation]
 		if wanted {
@@ -77,15 +80,15 @@
 	now := b.now()
 	out := make(map[string]map[string]places.Grant)
 	for incarnation, request := range requests {
-		if b.targets[incarnation] == nil {
+		t := b.targets[incarnation]
+		if t == nil {
 			continue // not listed here yet, or no longer
 		}
-		allocator := b.slots.allocators[incarnation]
-		if allocator == nil {
-			allocator = &places.Allocator{}
-			b.slots.allocators[incarnation] = allocator
-		}
+		allocator := b.allocator(t)
 		allocator.Update(now, host, hostIncarnation, seq, request)
+		if t.limited && !b.owners.owns(t) {
+			continue // the sender takes this host for the owner, and this host another one
+		}
 		for _, to := range allocator.Allocate(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
 			addGrant(out, to, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, to)})
 		}
--- a/ingress/places_test.go
+++ b/ingress/places_test.go
@@ -20,7 +20,7 @@
 func TestSlotRequests(t *testing.T) {
 	b, now := newBalancerWithEngines(2)
 	s := &Server{balance: b}
-	requests, waits := s.SlotRequests()
+	requests, waits := s.SlotRequests(false)
 	must.MapEmpty(t, requests)
 	must.False(t, waits)
 	c := &call{
@@ -31,18 +31,18 @@
 	must.EqOp(t, sched.Run, d.Verdict)
 	c.endpoint = feed.Endpoint{Instance: d.Endpoint}
 	one := map[string]places.Request{d.Endpoint: {Running: 1, Rank: -1}}
-	requests, _ = s.SlotRequests()
+	requests, _ = s.SlotRequests(false)
 	must.Eq(t, one, requests)
-	requests, _ = s.SlotRequests()
+	requests, _ = s.SlotRequests(false)
 	must.MapEmpty(t, requests) // already sent
 	*now += fullSendInterval
-	requests, _ = s.SlotRequests()
+	requests, _ = s.SlotRequests(false)
 	must.Eq(t, one, requests) // sent again
 	s.HandleGrants(map[string]places.Grant{d.Endpoint: {Slots: 1}})
-	requests, _ = s.SlotRequests()
+	requests, _ = s.SlotRequests(false)
 	must.Eq(t, map[string]places.Request{d.Endpoint: {Running: 1, Rank: -1, Returned: true}}, requests) // no request waits for the slot
 	b.endSend(c, sched.Completed, 10, 0)
-	requests, _ = s.SlotRequests()
+	requests, _ = s.SlotRequests(false)
 	must.Eq(t, map[string]places.Request{d.Endpoint: {Rank: -1}}, requests)
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -164,6 +164,10 @@
 // SetRequestSlots sets the callback that makes the host ask slot owners for slots soon; call it before the first request.
 func (s *Server) SetRequestSlots(requestSlots func()) { s.balance.requestSlots = requestSlots }
 
+// SetRateNotifier sets the callback that tells the other hosts soon that an endpoint states another rate; call it before the first
+// request.
+func (s *Server) SetRateNotifier(notify func()) { s.balance.notifyPeers = notify }
+
 // SetEndpoints must be called with each new endpoint list.
 func (s *Server) SetEndpoints(list []feed.Endpoint) {
 	for _, incarnation := range s.balance.setEndpoints(s.Now(), list) {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -11,6 +11,7 @@
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/sched"
 )
 
@@ -24,6 +25,10 @@
 	sends     map[*call]func()
 	replaced  bool          // a later incarnation has replaced it
 	coldUntil time.Duration // when it is warm, by the host's clock
+	// stated is what the endpoint stated about the rate that it takes, according to all hosts, and ownStated what this host read itself.
+	stated, ownStated places.StatedRate
+	limited           bool    // the stated rate is in force
+	rate              float64 // in requests per second, if limited
 }
 
 // cancelSends cancels all requests in flight, because a later incarnation has replaced the endpoint.
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -15,6 +15,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/quarantine"
 )
 
@@ -71,6 +72,10 @@
 	LoadsReceived()
 	// ProofReceived is called when a peer proved what it knows.
 	ProofReceived(p Proof)
+	// Rates returns all that is known of what endpoints stated about the rates that they take.
+	Rates() map[string]places.RateReport
+	// RatesReceived is called with what endpoints stated to other hosts.
+	RatesReceived(rates map[string]places.RateReport)
 	// Crashes returns evidence about requests under which endpoints crashed.
 	Crashes(to quarantine.Scope) quarantine.Evidence
 	// CrashesReceived is called with a peer's evidence about requests under which endpoints crashed. It returns
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/quarantine"
 )
 
@@ -42,6 +43,9 @@
 	// Crashes is what the sender observed about requests under which endpoints crashed. Relays send each other
 	// all that they know, and their members what concerns all hosts.
 	Crashes quarantine.Evidence `json:"x,omitzero"`
+	// Rates is what endpoints stated about the rates that they take, by incarnation: what the sender read itself,
+	// or from a relay all that it knows.
+	Rates map[string]places.RateReport `json:"y,omitempty"`
 	// Settings and Endpoints are the versions that the sender knows, with their ages.
 	Settings  Stamp `json:"v"`
 	Endpoints Stamp `json:"w"`
--- a/peers/fleet_test.go
+++ b/peers/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/quarantine"
 )
 
@@ -58,6 +59,10 @@
 
 func (n *node) LoadsReceived() {}
 
+func (n *node) Rates() map[string]places.RateReport { return nil }
+
+func (n *node) RatesReceived(map[string]places.RateReport) {}
+
 func (n *node) Crashes(quarantine.Scope) quarantine.Evidence { return quarantine.Evidence{} }
 
 func (n *node) CrashesReceived(*quarantine.Evidence) bool { return false }
--- a/peers/places.go
+++ b/peers/places.go
@@ -47,8 +47,9 @@
 type SlotHost interface {
 	// ZoneOf returns the zone of an endpoint, given its incarnation.
 	ZoneOf(endpoint string) string
-	// SlotRequests returns what to ask the owners, and whether something waits.
-	SlotRequests() (requests map[string]places.Request, waits bool)
+	// SlotRequests returns what to ask the owners, and whether something waits; with grantsOnly, only for
+	// endpoints to which each request needs a grant.
+	SlotRequests(grantsOnly bool) (requests map[string]places.Request, waits bool)
 	// HandleSlotRequests handles what a host asks this one as an owner, and returns the grants by host.
 	HandleSlotRequests(host string, incarnation uint64, seq uint32, requests map[string]places.Request) map[string]map[string]places.Grant
 	// HandleGrants handles an owner's answer.
@@ -66,15 +67,7 @@
 func (a *Agent) owner(now time.Duration, endpoint string) string {
 	owners := &a.owners
 	if owners.byEndpoint == nil || now-owners.computedAt >= ownersInterval {
-		owners.computedAt, owners.byEndpoint, owners.candidates = now, make(map[string]string), owners.candidates[:0]
-		for _, m := range a.Table.Live(now) {
-			if m.Info.Ready {
-				owners.candidates = append(owners.candidates, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
-			}
-		}
-		if a.info.Ready {
-			owners.candidates = append(owners.candidates, places.Candidate{Host: a.Table.Host, Zone: a.info.Zone})
-		}
+		owners.computedAt, owners.byEndpoint, owners.candidates = now, make(map[string]string), a.ownerCandidates(now)
 	}
 	name, ok := owners.byEndpoint[endpoint]
 	if !ok {
@@ -84,6 +77,27 @@
 	return name
 }
 
+// ownerCandidates returns the hosts that may own slots. mu must be held.
+func (a *Agent) ownerCandidates(now time.Duration) []places.Candidate {
+	var out []places.Candidate
+	for _, m := range a.Table.Live(now) {
+		if m.Info.Ready {
+			out = append(out, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
+		}
+	}
+	if a.info.Ready {
+		out = append(out, places.Candidate{Host: a.Table.Host, Zone: a.info.Zone})
+	}
+	return out
+}
+
+// OwnerCandidates returns the hosts that may own slots.
+func (a *Agent) OwnerCandidates() []places.Candidate {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ownerCandidates(a.Now())
+}
+
 // TriggerSlotRequests makes the agent ask for slots after slotRequestDelay.
 func (a *Agent) TriggerSlotRequests() {
 	select {
@@ -93,7 +107,8 @@
 }
 
 // slotRequestLoop asks for slots soon after each trigger, and repeatedly while something waits, until ctx ends.
-// In fleets without relays changes are sent to all hosts directly, and slots have no owners.
+// In fleets without relays changes are sent to all hosts directly, and only endpoints to which each request needs
+// a grant have owners.
 func (a *Agent) slotRequestLoop(ctx context.Context) {
 	t := time.NewTicker(slotRequestInterval)
 	defer t.Stop()
@@ -112,11 +127,8 @@
 		a.mu.Lock()
 		relayed := a.usesRelays()
 		a.mu.Unlock()
-		if !relayed {
-			continue
-		}
 		var requests map[string]places.Request
-		requests, waits = a.Slots.SlotRequests()
+		requests, waits = a.Slots.SlotRequests(!relayed)
 		a.sendSlotRequests(requests)
 	}
 }
--- a/peers/places_test.go
+++ b/peers/places_test.go
@@ -37,7 +37,7 @@
 
 func (p *slotNode) ZoneOf(endpoint string) string { return p.zones[endpoint] }
 
-func (p *slotNode) SlotRequests() (map[string]places.Request, bool) {
+func (p *slotNode) SlotRequests(bool) (map[string]places.Request, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make(map[string]places.Request)
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -8,6 +8,7 @@
 	"context"
 	"time"
 
+	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/quarantine"
 )
 
@@ -102,9 +103,17 @@
 	if ok {
 		a.Host.ProofReceived(proof)
 	}
+	a.receiveRates(b.Rates)
 	a.receiveCrashes(&b.Crashes)
 }
 
+// receiveRates handles what endpoints stated to a peer.
+func (a *Agent) receiveRates(rates map[string]places.RateReport) {
+	if len(rates) > 0 {
+		a.Host.RatesReceived(rates)
+	}
+}
+
 // receiveCrashes handles a peer's evidence about requests under which endpoints crashed. A relay passes on new
 // evidence that concerns all hosts immediately; otherwise its members would get it with the next two
 // heartbeats.
@@ -154,5 +163,6 @@
 	if ok {
 		a.Host.ProofReceived(proof)
 	}
+	a.receiveRates(d.Rates)
 	a.receiveCrashes(&d.Crashes)
 }
--- a/places/book.go
+++ b/places/book.go
@@ -41,9 +41,43 @@
 	Running int `json:"r"`
 }
 
-// Allocator allocates the slots of one endpoint. The zero value is empty.
+// Allocator allocates the slots of one endpoint, and the requests per second that it takes from all hosts
+// together if it limits them. The zero value is empty and has no such limit.
 type Allocator struct {
-	hosts map[string]*hostState
+	hosts   map[string]*hostState
+	limited bool
+	rate    float64 // requests per second, if limited
+	pacer   pacer
+}
+
+// SetRate limits the grants per second.
+func (a *Allocator) SetRate(perSecond float64) { a.limited, a.rate = true, perSecond }
+
+// LiftRate ends the limit on the grants per second.
+func (a *Allocator) LiftRate() { a.limited, a.pacer = false, pacer{} }
+
+// TakeOwn takes a request of the owner's own from the rate without a message, and reports whether it may: not
+// while a host wants a slot, so that the owner's requests do not go before those of a higher tier elsewhere.
+func (a *Allocator) TakeOwn(now time.Duration) bool {
+	return !a.Wanted(now) && a.pacer.take(now, a.rate)
+}
+
+// ReturnOwn returns what TakeOwn took and was not used.
+func (a *Allocator) ReturnOwn() { a.pacer.put(1) }
+
+// Wanted reports whether a host wants a slot.
+func (a *Allocator) Wanted(now time.Duration) bool {
+	for _, h := range a.hosts {
+		if h.wants(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// wants reports whether a host wants a slot and has no grant.
+func (h *hostState) wants(now time.Duration) bool {
+	return h.rank >= 0 && h.granted == 0 && now-h.updatedAt <= requestTTL
 }
 
 // hostState is the last message of a host, and the slots granted to it.
@@ -75,6 +109,9 @@
 	req.Running = max(0, req.Running)
 	h.granted = max(0, h.granted-max(0, req.Running-h.running))
 	if req.Returned {
+		if now < h.grantExpiry {
+			a.pacer.put(h.granted)
+		}
 		h.granted = 0
 	}
 	h.seq, h.running, h.rank, h.updatedAt = seq, req.Running, req.Rank, now
@@ -107,7 +144,7 @@
 	var out []string
 	for {
 		host := a.next(now, r)
-		if host == "" || used >= limit(a.hosts[host].rank) {
+		if host == "" || used >= limit(a.hosts[host].rank) || (a.limited && !a.pacer.take(now, a.rate)) {
 			return out
 		}
 		h := a.hosts[host]
@@ -123,7 +160,7 @@
 func (a *Allocator) next(now time.Duration, r *rand.Rand) string {
 	best, ties := "", 0
 	for host, h := range a.hosts {
-		if h.rank < 0 || h.granted > 0 || now-h.updatedAt > requestTTL {
+		if !h.wants(now) {
 			continue
 		}
 		switch {
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -44,6 +44,11 @@
 	CrossZone bool
 	// Cold limits the requests to the endpoint until it is warm.
 	Cold ColdLimit
+	// GrantsOnly says that each request to the endpoint needs a grant of the host that owns its slots,
+	// because the endpoint limits the requests of all hosts together; Rate is that limit in requests per
+	// second.
+	GrantsOnly bool
+	Rate       float64
 }
 
 // loadSample is the load that this host has put on an endpoint at one time.
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -56,19 +56,26 @@
 	e.lastAskedAt = now
 }
 
+// hasGrant reports whether this host has a grant for an endpoint that it may still use.
+func (e *endpointState) hasGrant(now time.Duration) bool {
+	return e.claims > 0 && now-e.claimedAt <= grantTTL
+}
+
 // SlotRequests returns the endpoints at which this host wants a slot, each with the highest tier
-// for which it wants one, and records that their owners are asked.
-func (s *Scheduler) SlotRequests(now time.Duration) map[string]int {
+// for which it wants one, and records that their owners are asked. Where hosts fill other slots
+// without asking, grantsOnly leaves these out.
+func (s *Scheduler) SlotRequests(now time.Duration, grantsOnly bool) map[string]int {
 	out := make(map[string]int)
 	for _, p := range s.pools {
-		if p.waiting == 0 || !p.scarce {
+		if p.waiting == 0 {
 			continue
 		}
+		ask := func(e *endpointState) bool { return e.GrantsOnly || (p.scarce && !grantsOnly) }
 		rank := 0
 		for rank < maxRanks-1 && p.tiers[rank].waiting == 0 {
 			rank++
 		}
-		for _, e := range s.endpointsToAsk(now, p, endpointsAskedPerRequest*min(maxAskedRequests, p.waiting)) {
+		for _, e := range s.endpointsToAsk(now, p, ask, endpointsAskedPerRequest*min(maxAskedRequests, p.waiting)) {
 			out[e.Name] = rank
 			e.recordAsk(now)
 		}
@@ -76,17 +83,17 @@
 	return out
 }
 
-// endpointsToAsk returns the n endpoints of a pool with the lowest known load, where endpoints in
+// endpointsToAsk returns the n endpoints of a pool with the lowest known load whose owners are to be asked, where endpoints in
 // other zones count as more loaded, as in the choice of an endpoint. Without that, messages
 // between zones cost 0.011 of the value of a simulated day at 63 hosts.
-func (s *Scheduler) endpointsToAsk(now time.Duration, p *pool, n int) []*endpointState {
+func (s *Scheduler) endpointsToAsk(now time.Duration, p *pool, ask func(*endpointState) bool, n int) []*endpointState {
 	type ranked struct {
 		e    *endpointState
 		load float64
 	}
 	list := make([]ranked, 0, len(p.members))
 	for _, e := range p.members {
-		if p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
+		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
 			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
 			if e.CrossZone {
 				load += s.cfg.CrossZoneCost
@@ -105,16 +112,21 @@
 // ApplyGrant applies an answer of the owner of an endpoint's slots. It reports whether a granted
 // slot is useful; if not, it is to be returned.
 func (s *Scheduler) ApplyGrant(now time.Duration, name string, g places.Grant) bool {
-	s.lastOwnerAnswer = max(now, 1)
 	e := s.byName[name]
+	if e == nil || !e.GrantsOnly {
+		s.lastOwnerAnswer = max(now, 1)
+	}
 	if e == nil {
 		return g.Slots == 0
 	}
-	e.others, e.ownerReportAt, e.unansweredSince = g.Running, max(now, 1), 0
+	if !e.GrantsOnly {
+		e.others, e.ownerReportAt = g.Running, max(now, 1)
+	}
+	e.unansweredSince = 0
 	if g.Slots == 0 {
 		return true
 	}
-	e.claims, e.claimedAt = g.Slots, now
+	e.grant(now, g.Slots)
 	s.wake(e)
 	for _, p := range s.pools {
 		if p.waiting > 0 && slices.Contains(p.members, e) {
@@ -124,6 +136,44 @@
 	return false
 }
 
+// grant records granted slots. Where each request needs a grant, they are added to those not used
+// yet: each of them was taken from the endpoint's rate.
+func (e *endpointState) grant(now time.Duration, n int) {
+	if e.GrantsOnly && e.hasGrant(now) {
+		n += e.claims
+	}
+	e.claims, e.claimedAt = n, now
+}
+
+// HoldGrant gives this host, as the owner of an endpoint's slots, a grant in advance.
+func (s *Scheduler) HoldGrant(now time.Duration, name string) {
+	if e := s.byName[name]; e != nil {
+		e.grant(now, 1)
+		s.wake(e)
+	}
+}
+
+// RenewGrant extends a grant given by HoldGrant and reports whether there is one that was not used.
+func (s *Scheduler) RenewGrant(now time.Duration, name string) bool {
+	e := s.byName[name]
+	if e == nil || !e.hasGrant(now) {
+		return false
+	}
+	e.claimedAt = now
+	return true
+}
+
+// DropGrants takes back the grants for an endpoint that were not used, and returns their number.
+func (s *Scheduler) DropGrants(now time.Duration, name string) int {
+	e := s.byName[name]
+	if e == nil || !e.hasGrant(now) {
+		return 0
+	}
+	n := e.claims
+	e.claims = 0
+	return n
+}
+
 // TierLimit returns a function that gives the number of requests up to which a tier may fill an
 // endpoint.
 func (s *Scheduler) TierLimit(now time.Duration, name string) func(rank int) int {
--- a/sched/grant_test.go
+++ b/sched/grant_test.go
@@ -42,7 +42,7 @@
 	s.DrawClaims(25 * ms)
 	s.Wake()
 	must.SliceEmpty(t, s.Poll(25*ms)) // full endpoints are not filled without a grant
-	asked := s.SlotRequests(25 * ms)
+	asked := s.SlotRequests(25*ms, false)
 	must.MapLen(t, endpointsAskedPerRequest, asked)
 	for _, rank := range asked {
 		must.EqOp(t, 1, rank)
@@ -51,7 +51,7 @@
 	decisions := s.Poll(30 * ms)
 	must.SliceLen(t, 1, decisions)
 	must.EqOp(t, "e3", decisions[0].Endpoint)
-	must.MapEmpty(t, s.SlotRequests(30*ms))
+	must.MapEmpty(t, s.SlotRequests(30*ms, false))
 	must.False(t, s.ApplyGrant(31*ms, "e4", places.Grant{Slots: 1, Running: 5})) // no request waits any more
 }
 
@@ -79,9 +79,9 @@
 	r := request(2)
 	must.EqOp(t, Wait, s.Submit(2, r).Verdict)
 	s.DrawClaims(2)
-	must.MapLen(t, 2, s.SlotRequests(2))
+	must.MapLen(t, 2, s.SlotRequests(2, false))
 	s.ApplyGrant(ownerTimeout, "e0", places.Grant{Running: 7})
-	s.SlotRequests(ownerTimeout)
+	s.SlotRequests(ownerTimeout, false)
 	must.True(t, s.ownerAnswers(ownerTimeout+2, s.byName["e0"]))
 	must.False(t, s.ownerAnswers(ownerTimeout+2, s.byName["e1"]))
 	must.False(t, s.ownerAnswers(ownerTimeout+ownerTTL, s.byName["e0"]))
--- a/sched/order.go
+++ b/sched/order.go
@@ -159,7 +159,11 @@
 	stepRate := 0.0 // of all slots together, per second
 	for _, e := range r.pool.members {
 		if r.pool.usable(now, e) {
-			stepRate += float64(e.slots()) / (e.step().Seconds() * s.slowness(now, e))
+			rate := float64(e.slots()) / (e.step().Seconds() * s.slowness(now, e))
+			if e.GrantsOnly {
+				rate = min(rate, e.Rate*r.pool.meanCost)
+			}
+			stepRate += rate
 		}
 	}
 	if stepRate == 0 {
