--- /dev/null
+++ b/edge/brittle_test.go
@@ -0,0 +1,67 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package edge_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/internal/simsite"
+	"github.com/heathkeel/heathkeel/internal/site"
+	"github.com/heathkeel/heathkeel/platform"
+)
+
+// TestBrittleEndpoints checks that endpoints which fall over when they have to reject requests, and say so in their answers, get no
+// more than they have room for, summed over all hosts, and that nearly all of their capacity is used.
+func TestBrittleEndpoints(t *testing.T) {
+	const (
+		work       = 400 * time.Millisecond
+		slots      = 8
+		room       = 16
+		lessRoom   = 2
+		maxRejects = 3
+		play       = 20 * time.Second
+	)
+	for _, tc := range []struct {
+		boot             platform.Boot
+		hosts, endpoints int
+		load             float64 // of the capacity
+	}{{smallBoot, 6, 6, 0.8}, {smallBoot, 6, 6, 1.5}, {smallBoot, 6, 6, 3}, {largeBoot, 85, 12, 1.5}} {
+		t.Run(fmt.Sprint(tc.hosts, " hosts, load ", tc.load), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := site.Example()
+				for i := range c.Routes {
+					c.Routes[i].SloMs = 1500
+				}
+				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				defer s.Stop()
+				must.NoError(t, s.Start(c, tc.endpoints, tc.hosts))
+				for _, e := range s.Endpoints {
+					e.Work, e.Room = work, room
+				}
+				time.Sleep(5 * time.Second)
+				capacity := float64(tc.endpoints*slots) / work.Seconds()
+				sendAtRate(s, 2*time.Second, tc.load*capacity)
+				for _, e := range s.Endpoints {
+					e.TurnBrittle(maxRejects, lessRoom, tc.boot.ContactTime)
+				}
+				sent, served := sendAtRate(s, play, tc.load*capacity)
+				falls := 0
+				for _, e := range s.Endpoints {
+					falls += e.Falls()
+				}
+				t.Logf("%d falls, served %d of %d, capacity %.0f", falls, served, sent, capacity*play.Seconds())
+				must.LessEq(t, 2+float64(tc.endpoints)/10, float64(falls))
+				must.GreaterEq(t, 0.9*min(float64(sent), capacity*play.Seconds()), float64(served))
+			})
+		})
+	}
+}
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -8,6 +8,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	Instance, Version string
 	// Work is the time that a request takes.
 	Work time.Duration
+	// Room is the number of requests that wait while all slots are taken; further ones are rejected. 0 means no limit on requests.
+	Room int
 	// Fails decides for each request whether it is answered with an error; nil means never.
 	Fails func() bool
 
@@ -34,8 +37,27 @@
 	arrivals []Arrival
 	leftAt   time.Time // when the store accepted the endpoint's leaving, zero before
 	rates    []statedRate
+	overload overload
 }
 
+// overload is the state of an endpoint that may fall over.
+type overload struct {
+	running int           // requests that run or wait
+	slots   chan struct{} // one entry for each request that runs
+	// maxRejects is the number of requests that the endpoint may reject within a second; with one more it falls over. It says so in its
+	// answers. 0 means that it does not fall over.
+	maxRejects int
+	rejects    []time.Time // of the last second
+	downUntil  time.Time
+	falls      int
+}
+
+// slots is the number of requests that an endpoint runs at once, as its entry says.
+const slots = 8
+
+// downTime is the time for which an endpoint that fell over answers nothing.
+const downTime = 4 * time.Second
+
 // statedRate is the rate that an endpoint states in its answers from a moment on; negative means none.
 type statedRate struct {
 	from      time.Time
@@ -65,7 +87,15 @@
 	n := len(e.arrivals)
 	e.arrivals = append(e.arrivals, a)
 	e.mu.Unlock()
-	time.Sleep(e.Work)
+	if !e.enter() {
+		panic(http.ErrAbortHandler)
+	}
+	if e.reject(w, r) {
+		return
+	}
+	if !e.work(r) {
+		panic(http.ErrAbortHandler)
+	}
 	e.stateRate(w, n)
 	id := r.Header.Get("Heathkeel-Attempt-Id")
 	w.Header().Set("Heathkeel-Attempt-Id", id)
@@ -77,6 +107,81 @@
 	_, _ = w.Write([]byte("ran " + id))
 }
 
+// enter reports whether the endpoint is up.
+func (e *Endpoint) enter() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !time.Now().Before(e.overload.downUntil)
+}
+
+// reject rejects a request if there is no room for it. An endpoint that rejects too many falls over.
+func (e *Endpoint) reject(w http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	o := &e.overload
+	if o.maxRejects > 0 {
+		w.Header().Set("Server-Brittle", strconv.Itoa(o.maxRejects))
+	}
+	if e.Room == 0 || o.running < slots+e.Room {
+		o.running++
+		return false
+	}
+	now := time.Now()
+	o.rejects = slices.DeleteFunc(o.rejects, func(at time.Time) bool { return now.Sub(at) >= time.Second })
+	o.rejects = append(o.rejects, now)
+	if o.maxRejects > 0 && len(o.rejects) > o.maxRejects {
+		o.falls++
+		o.rejects, o.downUntil = nil, now.Add(downTime)
+	}
+	w.Header().Set("Heathkeel-Attempt-Id", r.Header.Get("Heathkeel-Attempt-Id"))
+	w.Header().Set("Heathkeel-Not-Executed", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
+// work runs a request once there is a slot for it, and reports whether it ran to its end.
+func (e *Endpoint) work(r *http.Request) bool {
+	defer func() {
+		e.mu.Lock()
+		e.overload.running--
+		e.mu.Unlock()
+	}()
+	if e.Room > 0 {
+		select {
+		case e.overload.slots <- struct{}{}:
+			defer func() { <-e.overload.slots }()
+		case <-r.Context().Done():
+			return false
+		}
+	}
+	select {
+	case <-time.After(e.Work):
+	case <-r.Context().Done():
+		return false
+	}
+	return e.enter()
+}
+
+// TurnBrittle makes the endpoint let only room requests wait, and fall over when it rejects more than maxRejects within a second. It
+// says the latter in its answers from now on, and lets fewer wait after a notice.
+func (e *Endpoint) TurnBrittle(maxRejects, room int, notice time.Duration) {
+	e.mu.Lock()
+	e.overload.maxRejects = maxRejects
+	e.mu.Unlock()
+	time.AfterFunc(notice, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.Room = room
+	})
+}
+
+// Falls returns how often the endpoint fell over.
+func (e *Endpoint) Falls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.overload.falls
+}
+
 // StateRate makes the endpoint state in its answers, from now on, the requests a second that it takes from all
 // hosts together; a negative rate ends that.
 func (e *Endpoint) StateRate(perSecond float64) {
@@ -138,7 +243,7 @@
 // putEntry writes the endpoint's entry with the given state.
 func (e *Endpoint) putEntry(state string) {
 	e.site.Store.Put(platform.PrefixEndpoints+e.Instance, site.EndpointEntry{
-		Service: site.Plain, Address: e.address, Zone: e.zone, Version: e.Version, Slots: 8, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
+		Service: site.Plain, Address: e.address, Zone: e.zone, Version: e.Version, Slots: slots, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
 	})
 }
 
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -193,6 +193,7 @@
 func (s *Site) AddVersion(version string, fails func() bool) error {
 	e := &Endpoint{
 		Instance: fmt.Sprintf("plain-%d", s.endpointCount), Version: version, Fails: fails, site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones),
+		overload: overload{slots: make(chan struct{}, slots)},
 	}
 	if err := e.start(ip(20, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
 		return err
