places, sched, ingress: endpoints that fall over when they reject requests get slots by grants only

Callers saw 396 of 3,601 requests served where 2,400 could be (6 hosts, load 1.5 of the capacity). Cause: hosts fill an endpoint by loads that are some time old, the top tier beyond its slots, and take a rejection for a wish to wait 60 ms; endpoints that fall over when they reject more than a few a second do so one after the other, and the load of one falls on the rest. Class, as with rates: what one endpoint bears is spent by many hosts, each by what it alone knows.

Change: the statement is passed on like a rate. Half of the contact time after it, each request needs a grant of the owner of the endpoint's places, never more than it has slots; a new owner waits until all hosts have told it what they have running, and a rejection stops grants for a second. Ways weighed: a smaller excess and longer backoffs at each host (standing mechanism; six hosts with loads 25 ms old still send six requests to one free slot), grants (kept).

--- a/edge/host.go
+++ b/edge/host.go
@@ -181,7 +181,7 @@
 	}}
 	h.answers.Now, h.answers.MaxBytes = h.now, maxAnswerBytes(b.LinkMbps)
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
+		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, ContactTime: b.ContactTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
 		Retries:       quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ExposeShare:   b.ExposeShare,
@@ -277,7 +277,7 @@
 	h.agent.Slots, h.agent.OnFewKnown = h.ingress, h.requestHosts
 	h.agent.Init()
 	h.ingress.SetRequestSlots(h.agent.TriggerSlotRequests)
-	h.ingress.SetRateNotifier(h.agent.TriggerHeartbeat)
+	h.ingress.SetLimitNotifier(h.agent.TriggerHeartbeat)
 	h.ingress.SetCrashNotifier(h.agent.TriggerHeartbeat)
 	return nil
 }
--- a/edge/share.go
+++ b/edge/share.go
@@ -33,7 +33,7 @@
 	usage := h.ingress.Usage()
 	b.Used, b.Left = usage.Used, usage.Left
 	maps.Copy(b.Used, h.ingress.RolloutCounts())
-	b.Rates = h.ingress.Rates(false)
+	b.Limits = h.ingress.Limits(false)
 	b.Crashes = h.Crashes(quarantine.Local)
 }
 
@@ -60,11 +60,11 @@
 	h.ingress.MergeUsage(u.Source, u.Incarnation, quota.Report{Hosts: u.Hosts, Used: u.Used, Left: u.Left})
 }
 
-// Rates implements peers.Host.
-func (h *Host) Rates() map[string]places.RateReport { return h.ingress.Rates(true) }
+// Limits implements peers.Host.
+func (h *Host) Limits() map[string]places.LimitReports { return h.ingress.Limits(true) }
 
-// RatesReceived implements peers.Host.
-func (h *Host) RatesReceived(rates map[string]places.RateReport) { h.ingress.MergeRates(rates) }
+// LimitsReceived implements peers.Host.
+func (h *Host) LimitsReceived(limits map[string]places.LimitReports) { h.ingress.MergeLimits(limits) }
 
 // Crashes implements peers.Host.
 func (h *Host) Crashes(to quarantine.Scope) quarantine.Evidence { return h.ingress.Crashes(to) }
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -56,7 +56,7 @@
 	// counts how often this host ejected an endpoint because its own requests failed there.
 	EndpointsEjected int `json:"endpoints_ejected"`
 	Ejections        int `json:"ejections"`
-	// EndpointsLimited counts the endpoints that state how many requests a second they take.
+	// EndpointsLimited counts the endpoints that take requests with grants only, because of limits that they state.
 	EndpointsLimited int `json:"endpoints_limited"`
 	// RequestsSuspected counts the requests under which an endpoint crashed in the last hour, and
 	// RequestsHeld those of them that are refused now.
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -48,8 +48,9 @@
 	requestSlots  func() // triggers a request to the slot owners
 	notifyPeers   func() // triggers a heartbeat to the other hosts
 	owners        owners
-	rated         map[string]*target // endpoints that stated a rate, by incarnation
-	ownLimited    []*target          // those with a rate in force whose slots this host owns
+	stating       map[string]*target // endpoints that stated a limit, by incarnation
+	ownLimited    []*target          // those with a limit in force whose slots this host owns
+	brittleDelay  time.Duration      // from the first statement that an endpoint is brittle until it counts as brittle
 }
 
 // settingsKey identifies the effective settings of a workspace on a route.
@@ -69,7 +70,7 @@
 	return &balancer{
 		rand: r, zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefillRates: make(map[string]*sched.Quantile), effective: make(map[settingsKey]*settings.Effective), ranks: make(map[string][]rankPair), changedLoads: make(map[string]bool),
-		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, rated: make(map[string]*target), owners: owners{share: 1},
+		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1},
 	}
 }
 
@@ -213,7 +214,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), GrantsOnly: t.limited, Rate: t.rate})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, Brittle: t.inForce.brittle})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -335,7 +336,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.updateRollouts(now)
-	b.expireRates(now)
+	b.updateLimits(now)
 	b.sched.Tick(now)
 	b.poll(now)
 }
@@ -384,6 +385,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sched.BackOff(b.now(), c.req, d)
+	if t := b.targets[c.endpoint.Incarnation()]; t != nil && t.inForce.brittle {
+		t.rejected = true
+		b.requestSlots()
+	}
 }
 
 // removeSend removes a send from the host's own load; mu must be held.
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -38,8 +38,8 @@
 	LeftAtWork, LateAtWork, MuteAtWork, WorkLostMS atomic.Int64
 	// LifeOver counts sends that this host canceled because their endpoint had restarted.
 	LifeOver atomic.Int64
-	// BadRates counts responses whose stated rate is no number.
-	BadRates atomic.Int64
+	// BadLimits counts responses with a stated limit that is no number.
+	BadLimits atomic.Int64
 	// LinesDropped counts log lines about requests that were dropped because they exceeded the limit of their kind.
 	LinesDropped atomic.Int64
 }
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -48,18 +48,18 @@
 	}
 	out := make(map[string]places.Request)
 	for incarnation, t := range b.targets {
-		if grantsOnly && !t.limited {
+		if grantsOnly && !t.inForce.any() {
 			continue
 		}
-		request := places.Request{Running: b.sched.InFlight(incarnation), Rank: -1, Returned: b.slots.returned[incarnation]}
+		request := places.Request{Running: b.sched.InFlight(incarnation), Rank: -1, Returned: b.slots.returned[incarnation], Rejected: t.rejected}
 		rank, wanted := ranks[incarnation]
 		if wanted {
 			request.Rank = rank
 		}
 		known, sent := b.slots.sentRequests[incarnation]
-		if wanted || request.Returned || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
+		if wanted || request.Returned || request.Rejected || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
 			out[incarnation] = request
-			request.Returned = false
+			request.Returned, request.Rejected, t.rejected = false, false, false
 			b.slots.sentRequests[incarnation] = request
 		}
 	}
@@ -84,10 +84,10 @@
 		if t == nil {
 			continue // not listed here yet, or no longer
 		}
-		allocator := b.allocator(t)
+		allocator := b.allocator(now, t)
 		allocator.Update(now, host, hostIncarnation, seq, request)
-		if t.limited && !b.owners.owns(t) {
-			continue // the sender takes this host for the owner, and this host another one
+		if t.inForce.grantsOnly() && !t.mayGrant(now) {
+			continue // the sender may take this host for the owner, and this host another one
 		}
 		for _, to := range allocator.Allocate(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
 			addGrant(out, to, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, to)})
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -441,7 +441,7 @@
 		discardBody(resp)
 		return sendNotExecuted, backoffWrongInstance
 	}
-	c.noteStatedRate(resp.Header, sent)
+	c.noteLimits(resp.Header, sent)
 	if resp.Header.Get(c.s.Headers.NotExecuted) != "" {
 		c.tracker.MarkNotRun()
 		discardBody(resp)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,6 +44,8 @@
 	ListUsable func() bool
 	// DrainTime is the time after it starts to leave during which an endpoint may still get requests.
 	DrainTime time.Duration
+	// ContactTime is the time after which endpoints that say that they are brittle may have less room.
+	ContactTime time.Duration
 	// Host is this host's name.
 	Host string
 	// Zone is the host's availability zone.
@@ -105,6 +107,7 @@
 	s.SetAgeLimits(AgeLimits{Strict: true})
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 	s.balance.coldTolerance = s.ColdTolerance
+	s.balance.brittleDelay = time.Duration(brittleDelayShare * float64(s.ContactTime))
 	s.balance.rollouts.Limits.Share = s.ExposeShare
 }
 
@@ -164,9 +167,9 @@
 // SetRequestSlots sets the callback that makes the host ask slot owners for slots soon; call it before the first request.
 func (s *Server) SetRequestSlots(requestSlots func()) { s.balance.requestSlots = requestSlots }
 
-// SetRateNotifier sets the callback that tells the other hosts soon that an endpoint states another rate; call it before the first
+// SetLimitNotifier sets the callback that tells the other hosts soon that an endpoint states other limits; call it before the first
 // request.
-func (s *Server) SetRateNotifier(notify func()) { s.balance.notifyPeers = notify }
+func (s *Server) SetLimitNotifier(notify func()) { s.balance.notifyPeers = notify }
 
 // SetEndpoints must be called with each new endpoint list.
 func (s *Server) SetEndpoints(list []feed.Endpoint) {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -11,7 +11,6 @@
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/peers"
-	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/sched"
 )
 
@@ -25,10 +24,13 @@
 	sends     map[*call]func()
 	replaced  bool          // a later incarnation has replaced it
 	coldUntil time.Duration // when it is warm, by the host's clock
-	// stated is what the endpoint stated about the rate that it takes, according to all hosts, and ownStated what this host read itself.
-	stated, ownStated places.StatedRate
-	limited           bool    // the stated rate is in force
-	rate              float64 // in requests per second, if limited
+	// stated is what the endpoint stated about its limits, according to all hosts, and ownStated what this host read itself.
+	stated, ownStated statedLimits
+	inForce           limitsInForce
+	brittleAt         time.Duration // when the endpoint that said so counts as brittle
+	owned             bool          // this host owns the slots, if any limit is in force
+	ownedSince        time.Duration // when owned changed
+	rejected          bool          // the endpoint is brittle and rejected a request, and the owner was not told yet
 }
 
 // cancelSends cancels all requests in flight, because a later incarnation has replaced the endpoint.
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -172,6 +172,9 @@
 // Stall delays the host's packets until d has passed.
 func (h *Host) Stall(d time.Duration) { h.net.Stall(d) }
 
+// DropDatagrams drops datagrams to the host while on is true.
+func (h *Host) DropDatagrams(on bool) { h.net.DropDatagrams(on) }
+
 // Stop ends all hosts and servers.
 func (s *Site) Stop() {
 	for _, h := range s.Hosts {
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -72,10 +72,10 @@
 	LoadsReceived()
 	// ProofReceived is called when a peer proved what it knows.
 	ProofReceived(p Proof)
-	// Rates returns all that is known of what endpoints stated about the rates that they take.
-	Rates() map[string]places.RateReport
-	// RatesReceived is called with what endpoints stated to other hosts.
-	RatesReceived(rates map[string]places.RateReport)
+	// Limits returns all that is known of what endpoints stated about their limits.
+	Limits() map[string]places.LimitReports
+	// LimitsReceived is called with what endpoints stated to other hosts.
+	LimitsReceived(limits map[string]places.LimitReports)
 	// Crashes returns evidence about requests under which endpoints crashed.
 	Crashes(to quarantine.Scope) quarantine.Evidence
 	// CrashesReceived is called with a peer's evidence about requests under which endpoints crashed. It returns
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -43,9 +43,9 @@
 	// Crashes is what the sender observed about requests under which endpoints crashed. Relays send each other
 	// all that they know, and their members what concerns all hosts.
 	Crashes quarantine.Evidence `json:"x,omitzero"`
-	// Rates is what endpoints stated about the rates that they take, by incarnation: what the sender read itself,
+	// Limits is what endpoints stated about their limits, by incarnation: what the sender read itself,
 	// or from a relay all that it knows.
-	Rates map[string]places.RateReport `json:"y,omitempty"`
+	Limits map[string]places.LimitReports `json:"y,omitempty"`
 	// Settings and Endpoints are the versions that the sender knows, with their ages.
 	Settings  Stamp `json:"v"`
 	Endpoints Stamp `json:"w"`
--- a/peers/parts.go
+++ b/peers/parts.go
@@ -51,11 +51,11 @@
 	}
 	other := func(name string) bool { return partOf(name, p.Count) != p.Index }
 	out.Part = p
-	out.Load, out.Used, out.Left, out.Rates = maps.Clone(d.Load), maps.Clone(d.Used), maps.Clone(d.Left), maps.Clone(d.Rates)
+	out.Load, out.Used, out.Left, out.Limits = maps.Clone(d.Load), maps.Clone(d.Used), maps.Clone(d.Left), maps.Clone(d.Limits)
 	maps.DeleteFunc(out.Load, func(name string, _ Load) bool { return other(name) })
 	maps.DeleteFunc(out.Used, func(name string, _ float64) bool { return other(name) })
 	maps.DeleteFunc(out.Left, func(name string, _ float64) bool { return other(name) })
-	maps.DeleteFunc(out.Rates, func(name string, _ places.RateReport) bool { return other(name) })
+	maps.DeleteFunc(out.Limits, func(name string, _ places.LimitReports) bool { return other(name) })
 	out.Lost = slices.DeleteFunc(slices.Clone(d.Lost), other)
 	return out
 }
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -103,14 +103,14 @@
 	if ok {
 		a.Host.ProofReceived(proof)
 	}
-	a.receiveRates(b.Rates)
+	a.receiveLimits(b.Limits)
 	a.receiveCrashes(&b.Crashes)
 }
 
-// receiveRates handles what endpoints stated to a peer.
-func (a *Agent) receiveRates(rates map[string]places.RateReport) {
-	if len(rates) > 0 {
-		a.Host.RatesReceived(rates)
+// receiveLimits handles what endpoints stated to a peer.
+func (a *Agent) receiveLimits(limits map[string]places.LimitReports) {
+	if len(limits) > 0 {
+		a.Host.LimitsReceived(limits)
 	}
 }
 
@@ -163,6 +163,6 @@
 	if ok {
 		a.Host.ProofReceived(proof)
 	}
-	a.receiveRates(d.Rates)
+	a.receiveLimits(d.Limits)
 	a.receiveCrashes(&d.Crashes)
 }
--- a/peers/relayed.go
+++ b/peers/relayed.go
@@ -63,8 +63,8 @@
 	}
 	a.addStamps(&partial.Words)
 	a.addStamps(&full.Words)
-	partial.Rates = a.Host.Rates()
-	full.Rates = partial.Rates
+	partial.Limits = a.Host.Limits()
+	full.Limits = partial.Limits
 	partial.Crashes, full.Crashes = a.Host.Crashes(quarantine.All), a.Host.Crashes(quarantine.Repeated)
 	a.sendTo(&partial, relays)
 	if len(members) > 0 {
--- a/places/book.go
+++ b/places/book.go
@@ -31,6 +31,8 @@
 	// Returned says that a granted slot is not taken. A host that no longer wants a slot may still
 	// receive one whose grant was in flight.
 	Returned bool `json:"b,omitempty"`
+	// Rejected says that an endpoint that falls over when it has to reject requests rejected one of the host.
+	Rejected bool `json:"f,omitempty"`
 }
 
 // Grant is the owner's answer.
@@ -44,27 +46,60 @@
 // Allocator allocates the slots of one endpoint, and the requests per second that it takes from all hosts
 // together if it limits them. The zero value is empty and has no such limit.
 type Allocator struct {
-	hosts   map[string]*hostState
-	limited bool
-	rate    float64 // requests per second, if limited
-	pacer   pacer
+	hosts       map[string]*hostState
+	limited     bool
+	rate        float64 // requests per second, if limited
+	pacer       pacer
+	pausedUntil time.Duration // no grants until then
 }
 
+// rejectPause is the time without grants after an endpoint rejected a request: endpoints that fall over count
+// what they reject within a second.
+const rejectPause = time.Second
+
 // SetRate limits the grants per second.
 func (a *Allocator) SetRate(perSecond float64) { a.limited, a.rate = true, perSecond }
 
 // LiftRate ends the limit on the grants per second.
 func (a *Allocator) LiftRate() { a.limited, a.pacer = false, pacer{} }
 
-// TakeOwn takes a request of the owner's own from the rate without a message, and reports whether it may: not
-// while a host wants a slot, so that the owner's requests do not go before those of a higher tier elsewhere.
-func (a *Allocator) TakeOwn(now time.Duration) bool {
-	return !a.Wanted(now) && a.pacer.take(now, a.rate)
+// NoteOwn records the owner's own requests at the endpoint and the grants that it holds, which it knows without
+// a message.
+func (a *Allocator) NoteOwn(now time.Duration, self string, running, granted int) {
+	if a.hosts == nil {
+		a.hosts = make(map[string]*hostState)
+	}
+	h := a.hosts[self]
+	if h == nil {
+		h = &hostState{rank: -1}
+		a.hosts[self] = h
+	}
+	h.running, h.granted, h.grantExpiry = running, granted, now+grantTTL
+	h.updatedAt = max(h.updatedAt, now-requestTTL-1) // its wish for a slot is as old as its message
 }
 
-// ReturnOwn returns what TakeOwn took and was not used.
+// TakeOwn takes a slot for the owner without a message while fewer than limit are taken, and reports whether it
+// may: not while a host wants a slot, so that the owner's requests do not go before those of a higher tier
+// elsewhere.
+func (a *Allocator) TakeOwn(now time.Duration, limit int) bool {
+	return now >= a.pausedUntil && !a.Wanted(now) && a.used(now) < limit && (!a.limited || a.pacer.take(now, a.rate))
+}
+
+// ReturnOwn returns a slot that TakeOwn took and that was not used.
 func (a *Allocator) ReturnOwn() { a.pacer.put(1) }
 
+// used returns the number of slots that are taken or granted.
+func (a *Allocator) used(now time.Duration) int {
+	n := a.Running(now)
+	for _, h := range a.hosts {
+		if now >= h.grantExpiry {
+			h.granted = 0
+		}
+		n += h.granted
+	}
+	return n
+}
+
 // Wanted reports whether a host wants a slot.
 func (a *Allocator) Wanted(now time.Duration) bool {
 	for _, h := range a.hosts {
@@ -108,6 +143,9 @@
 	}
 	req.Running = max(0, req.Running)
 	h.granted = max(0, h.granted-max(0, req.Running-h.running))
+	if req.Rejected {
+		a.pausedUntil = now + rejectPause
+	}
 	if req.Returned {
 		if now < h.grantExpiry {
 			a.pacer.put(h.granted)
@@ -134,15 +172,9 @@
 // endpoint. It returns the hosts that got a slot, higher tiers first and in random order within a
 // tier.
 func (a *Allocator) Allocate(now time.Duration, limit func(rank int) int, r *rand.Rand) []string {
-	used := a.Running(now)
-	for _, h := range a.hosts {
-		if now >= h.grantExpiry {
-			h.granted = 0
-		}
-		used += h.granted
-	}
+	used := a.used(now)
 	var out []string
-	for {
+	for now >= a.pausedUntil {
 		host := a.next(now, r)
 		if host == "" || used >= limit(a.hosts[host].rank) || (a.limited && !a.pacer.take(now, a.rate)) {
 			return out
@@ -153,6 +185,7 @@
 		used++
 		out = append(out, host)
 	}
+	return out
 }
 
 // next returns a random host among those that want a slot for the highest tier and have no grant,
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -26,6 +26,9 @@
 	if s.cfg.Disabled.LateBinding {
 		return 1e9
 	}
+	if rank == 0 && e.Brittle {
+		return n
+	}
 	if rank == 0 {
 		return n * (1 + s.cfg.Overcommit)
 	}
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -73,7 +73,7 @@
 func (s *Scheduler) drawPoolClaims(now, dt time.Duration, p *pool) {
 	free, slots, serviceSum, measured := 0.0, 0.0, time.Duration(0), 0
 	for _, e := range p.members {
-		if p.usable(now, e) && !e.GrantsOnly {
+		if p.usable(now, e) && !e.grantsOnly() {
 			free += max(0, s.freeSlots(now, e))
 			slots += float64(e.slots())
 		}
@@ -108,7 +108,7 @@
 // drawEndpointClaims draws the claims on one endpoint, of whose free slots this host takes the
 // given share. Unused claims expire.
 func (s *Scheduler) drawEndpointClaims(now time.Duration, e *endpointState, share float64) {
-	if e.GrantsOnly {
+	if e.grantsOnly() {
 		return
 	}
 	if s.ownerAnswers(now, e) {
@@ -143,7 +143,7 @@
 
 // mayTakeSlot reports whether a request may take a slot of an endpoint.
 func (s *Scheduler) mayTakeSlot(now time.Duration, r *Request, e *endpointState) bool {
-	if e.GrantsOnly {
+	if e.grantsOnly() {
 		return e.hasGrant(now)
 	}
 	if !r.pool.scarce || e.claims > 0 {
@@ -161,7 +161,7 @@
 
 // takeSlot uses up a vacated slot or a claim.
 func (e *endpointState) takeSlot() {
-	if e.vacated > 0 && !e.GrantsOnly {
+	if e.vacated > 0 && !e.grantsOnly() {
 		e.vacated--
 		return
 	}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -44,13 +44,18 @@
 	CrossZone bool
 	// Cold limits the requests to the endpoint until it is warm.
 	Cold ColdLimit
-	// GrantsOnly says that each request to the endpoint needs a grant of the host that owns its slots,
-	// because the endpoint limits the requests of all hosts together; Rate is that limit in requests per
-	// second.
-	GrantsOnly bool
-	Rate       float64
+	// RateLimited says that the endpoint takes no more than Rate requests per second from all hosts
+	// together.
+	RateLimited bool
+	Rate        float64
+	// Brittle says that the endpoint falls over when it has to reject requests for lack of room.
+	Brittle bool
 }
 
+// grantsOnly reports whether each request to the endpoint needs a grant of the host that owns its
+// slots, because it limits the requests of all hosts together.
+func (e *Endpoint) grantsOnly() bool { return e.RateLimited || e.Brittle }
+
 // loadSample is the load that this host has put on an endpoint at one time.
 type loadSample struct {
 	at                   time.Duration
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -70,7 +70,7 @@
 		if p.waiting == 0 {
 			continue
 		}
-		ask := func(e *endpointState) bool { return e.GrantsOnly || (p.scarce && !grantsOnly) }
+		ask := func(e *endpointState) bool { return e.grantsOnly() || (p.scarce && !grantsOnly) }
 		rank := 0
 		for rank < maxRanks-1 && p.tiers[rank].waiting == 0 {
 			rank++
@@ -113,13 +113,13 @@
 // slot is useful; if not, it is to be returned.
 func (s *Scheduler) ApplyGrant(now time.Duration, name string, g places.Grant) bool {
 	e := s.byName[name]
-	if e == nil || !e.GrantsOnly {
+	if e == nil || !e.grantsOnly() {
 		s.lastOwnerAnswer = max(now, 1)
 	}
 	if e == nil {
 		return g.Slots == 0
 	}
-	if !e.GrantsOnly {
+	if !e.grantsOnly() {
 		e.others, e.ownerReportAt = g.Running, max(now, 1)
 	}
 	e.unansweredSince = 0
@@ -139,12 +139,20 @@
 // grant records granted slots. Where each request needs a grant, they are added to those not used
 // yet: each of them was taken from the endpoint's rate.
 func (e *endpointState) grant(now time.Duration, n int) {
-	if e.GrantsOnly && e.hasGrant(now) {
+	if e.grantsOnly() && e.hasGrant(now) {
 		n += e.claims
 	}
 	e.claims, e.claimedAt = n, now
 }
 
+// Grants returns the number of this host's grants for an endpoint that it may still use.
+func (s *Scheduler) Grants(now time.Duration, name string) int {
+	if e := s.byName[name]; e != nil && e.hasGrant(now) {
+		return e.claims
+	}
+	return 0
+}
+
 // HoldGrant gives this host, as the owner of an endpoint's slots, a grant in advance.
 func (s *Scheduler) HoldGrant(now time.Duration, name string) {
 	if e := s.byName[name]; e != nil {
--- a/sched/order.go
+++ b/sched/order.go
@@ -160,7 +160,7 @@
 	for _, e := range r.pool.members {
 		if r.pool.usable(now, e) {
 			rate := float64(e.slots()) / (e.step().Seconds() * s.slowness(now, e))
-			if e.GrantsOnly {
+			if e.RateLimited {
 				rate = min(rate, e.Rate*r.pool.meanCost)
 			}
 			stepRate += rate
