edge: a host that hears no other grants its part of a stated rate only

A host whose incoming datagrams are lost, which the others still hear, took itself for the owner of all endpoints after 0.7 s and granted whole rates, since members count for longer than they are heard: 0.8 requests in 4 s beyond the bound (TestStatedRates, a host hears no other). Its part is now that of the hosts that it hears.

--- a/edge/rate_test.go
+++ b/edge/rate_test.go
@@ -111,6 +111,12 @@
 				s.StartHost(h)
 			}
 		}},
+		{name: "a host hears no other", boot: smallBoot, hosts: 6, endpoints: 6, rates: []float64{2.2, 1.6}, perSecond: 60, minServed: 0.99, during: func(s *simsite.Site) {
+			s.Hosts[0].DropDatagrams(true)
+		}},
+		{name: "a host was suspended", boot: smallBoot, hosts: 6, endpoints: 6, rates: []float64{2.2, 1.6}, perSecond: 60, minServed: 0.98, during: func(s *simsite.Site) {
+			s.Hosts[0].Suspend(40 * time.Second)
+		}},
 		{name: "all endpoints", boot: smallBoot, hosts: 6, endpoints: 3, rates: []float64{6, 5, 4}, perSecond: 40, minUsed: 0.9},
 		{name: "3 of 12 endpoints, 85 hosts", boot: largeBoot, hosts: 85, endpoints: 12, rates: []float64{2.2, 1.6, 3}, perSecond: 170, minServed: 0.99},
 		{name: "all endpoints, 85 hosts", boot: largeBoot, hosts: 85, endpoints: 12, rates: []float64{3, 3, 3, 3, 3, 3, 5, 5, 5, 5, 5, 5}, perSecond: 170, minUsed: 0.9},
--- a/edge/share.go
+++ b/edge/share.go
@@ -273,7 +273,8 @@
 		f.Hosts = append(f.Hosts, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
 	}
 	f.Count = max(h.mostHosts.note(h.now(), max(len(f.Hosts), len(h.Boot.Seeds))), int(h.hostsInStore.Load()))
-	h.ingress.SetOwners(h.agent.OwnerCandidates(), float64(len(f.Hosts))/float64(max(f.Count, len(f.Hosts))))
+	heard := 1 + len(h.agent.Live())
+	h.ingress.SetOwners(h.agent.OwnerCandidates(), float64(heard)/float64(max(f.Count, heard)))
 	if h.ingress.LimitsCold() {
 		h.ingress.SetFleet(f)
 	}
