--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -127,9 +127,10 @@
 func (s *stream) read(b []byte) (int, error) {
 	for {
 		stalledUntil := s.from.net.stalledUntil(s.to, s.to)
+		heldUp := s.from.net.holdsUp(s.from, s.to)
 		s.mu.Lock()
 		now := time.Now()
-		ready := !stalledUntil.After(now)
+		ready := !stalledUntil.After(now) && !heldUp
 		switch {
 		case s.readClosed:
 			s.mu.Unlock()
@@ -149,7 +150,7 @@
 			s.mu.Unlock()
 			return 0, os.ErrDeadlineExceeded
 		}
-		if !ready {
+		if !ready && !heldUp {
 			s.wakeAt(stalledUntil)
 		}
 		s.changed.Wait()
--- a/internal/simnet/net.go
+++ b/internal/simnet/net.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -36,11 +37,12 @@
 	stalledUntil  time.Time // its packets are delayed until then
 	dropDatagrams bool      // datagrams to it are dropped
 	killed        bool      // it cannot open connections
+	cut           *cut      // from some hosts, or nil
 }
 
 // Errors of a Net.
 var (
-	errRefused = errors.New("connection refused")
+	errRefused = syscall.ECONNREFUSED
 	errInUse   = errors.New("address in use")
 )
 
@@ -105,6 +107,9 @@
 	if err := h.waitRoundTrip(ctx, to.Addr()); err != nil {
 		return nil, err
 	}
+	if err := h.waitCut(ctx, to.Addr()); err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
 	h.net.mu.Lock()
 	defer h.net.mu.Unlock()
 	l := h.net.listeners[to]
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -66,8 +66,8 @@
 
 // Arrival is a request that reached an endpoint.
 type Arrival struct {
-	// From is the IP address of the host that sent the request, and ReceivedAt the time of receipt.
-	From       string
+	// ID is the request's ID, From the IP address of the host that sent the request, and ReceivedAt the time of receipt.
+	ID, From   string
 	ReceivedAt time.Time
 	// AfterLeaving is the time since the store accepted the endpoint's leaving, 0 if it had not.
 	AfterLeaving time.Duration
@@ -80,7 +80,7 @@
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	e.mu.Lock()
-	a := Arrival{From: ip, ReceivedAt: time.Now(), Rate: -1}
+	a := Arrival{ID: r.Header.Get("Heathkeel-Attempt-Id"), From: ip, ReceivedAt: time.Now(), Rate: -1}
 	if !e.leftAt.IsZero() {
 		a.AfterLeaving = time.Since(e.leftAt)
 	}
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,9 @@
 const (
 	storeIP  = "30.0.0.1"
 	callerIP = "40.0.0.1"
+	// hostNet and endpointNet are the first numbers of hosts' and endpoints' addresses.
+	hostNet     = 10
+	endpointNet = 20
 )
 
 // Start starts the store with a configuration, the endpoints and the hosts.
@@ -105,7 +109,7 @@
 func (s *Site) hostBoot(i, hosts int) platform.Boot {
 	b := s.Boot
 	zone := i % s.Zones
-	b.Host, b.Zone, b.Region, b.IP = fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", zone), "local", ip(10, zone, i)
+	b.Host, b.Zone, b.Region, b.IP = fmt.Sprintf("host-%d", i), fmt.Sprintf("zone-%d", zone), "local", ip(hostNet, zone, i)
 	b.Front, b.Ready, b.Control, b.Directory = b.IP+":8221", b.IP+":8224", b.IP+":8229", b.IP+":8220"
 	b.PeerPort, b.Store, b.Bootstrap = 7600, storeIP+":8225", true
 	b.Cores = 0.2
@@ -113,7 +117,7 @@
 		b.Cores = 0.8
 	}
 	for j := range min(3, hosts) {
-		b.Seeds = append(b.Seeds, ip(10, j%s.Zones, j)+":8229")
+		b.Seeds = append(b.Seeds, ip(hostNet, j%s.Zones, j)+":8229")
 	}
 	return b
 }
@@ -175,6 +179,14 @@
 // DropDatagrams drops datagrams to the host while on is true.
 func (h *Host) DropDatagrams(on bool) { h.net.DropDatagrams(on) }
 
+// CutOffEndpoints separates the host from all endpoints until Heal.
+func (h *Host) CutOffEndpoints(mode simnet.CutMode) {
+	h.net.Cut(mode, func(a netip.Addr) bool { return a.As4()[0] == endpointNet })
+}
+
+// Heal ends CutOffEndpoints.
+func (h *Host) Heal() { h.net.Heal() }
+
 // Stop ends all hosts and servers.
 func (s *Site) Stop() {
 	for _, h := range s.Hosts {
@@ -198,7 +210,7 @@
 		Instance: fmt.Sprintf("plain-%d", s.endpointCount), Version: version, Fails: fails, site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones),
 		overload: overload{slots: make(chan struct{}, slots)},
 	}
-	if err := e.start(ip(20, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
+	if err := e.start(ip(endpointNet, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
 		return err
 	}
 	s.Endpoints = append(s.Endpoints, e)
@@ -211,32 +223,48 @@
 
 // SendRequest sends one request without a key to a host and returns the status of the answer, or 0 if
 // there was none.
-func (s *Site) SendRequest(h *Host) int { return s.send(h, "/open/x", "") }
+func (s *Site) SendRequest(h *Host) int { return s.Send(h, "/open/x", "").Status }
 
 // SendRequestWithKey sends one request under a key to a host and returns the status of the answer, or 0
 // if there was none.
-func (s *Site) SendRequestWithKey(h *Host, key string) int { return s.send(h, "/ask/x", key) }
+func (s *Site) SendRequestWithKey(h *Host, key string) int {
+	return s.Send(h, "/ask/x", key).Status
+}
 
-// send sends one request to a host; an empty key is left out.
-func (s *Site) send(h *Host, path, key string) int {
+// Answer is what a caller gets.
+type Answer struct {
+	// ID is the request's ID.
+	ID string
+	// Status is the status of the answer, or 0 if there was none.
+	Status int
+	// Stamped says that the answer is an endpoint's own.
+	Stamped bool
+}
+
+// Send sends one request to a host; an empty key is left out.
+func (s *Site) Send(h *Host, path, key string) Answer {
+	a := Answer{ID: fmt.Sprint("id-", s.sent.Add(1))}
 	t := &http.Transport{DialContext: s.Net.Host(callerIP).DialContext, DisableKeepAlives: true, DisableCompression: true}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Boot.Front+path, nil)
 	if err != nil {
-		return 0
+		return a
 	}
 	req.Host = site.HostName
-	req.Header.Set("Heathkeel-Attempt-Id", fmt.Sprint("id-", s.sent.Add(1)))
+	req.Header.Set("Heathkeel-Attempt-Id", a.ID)
 	req.Header.Set("Heathkeel-Deadline-Ms", "4000")
 	if key != "" {
 		req.Header.Set("Authorization", "Token "+key)
 	}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
-		return 0
+		return a
 	}
 	defer resp.Body.Close()
-	_, _ = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return a
+	}
+	a.Status, a.Stamped = resp.StatusCode, resp.Header.Get("Heathkeel-Response-Stamp") != ""
+	return a
 }
