reach, ingress, edge: hosts that reach no endpoint relay their requests to others

Cause: such a host has nothing to serve a request with but refusal, and address answers go on naming it; the others are not asked. Class: what one host observes of its own paths is taken for the state of the endpoints. Ruled out: refusals for settings or lists (all 58 logged ones are 'no answer from an endpoint'); readiness (200 throughout).

Then it relays requests to hosts that reach endpoints, which treat them like those of callers (key, quota, choice); a request is relayed once, marked with the endpoints that were sent it before. What the other host refuses itself has not run; a hop lost after its first byte may have run, and is never called 503. Address answers and the owners of places leave such hosts out. What a cut-off host saw fail is forgotten, and refused connections there are no crash of an endpoint. It tries a connection each 0.3 s; two to different endpoints bring it back. Ways weighed: leaving the address answers alone (callers keep an answer for up to 5 s, some for 15: not enough alone); looking unready (connections refused count as failed, and callers with old answers stay); relaying (kept) with the first.

--- a/edge/listen.go
+++ b/edge/listen.go
@@ -15,6 +15,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/heathkeel/heathkeel/ingress"
 	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/route"
@@ -200,15 +201,16 @@
 // maxAddresses limits the addresses in an answer.
 const maxAddresses = 64
 
-// addresses returns the addresses for callers to connect to: those of ready hosts with the newest
-// settings, or of all ready hosts if none has them.
+// addresses returns the addresses for callers to connect to: those of ready hosts that reach endpoints
+// and have the newest settings, as far as there are any.
 func (h *Host) addresses() []string {
-	self := peers.HostInfo{Front: h.Boot.Front, Zone: h.Boot.Zone, Ready: h.ready(), Fresh: h.ingress.SettingsFresh()}
+	self := peers.HostInfo{Front: h.Boot.Front, Zone: h.Boot.Zone, Ready: h.ready(), CutOff: h.ingress.CutOff(), Fresh: h.ingress.SettingsFresh()}
 	hosts := []peers.HostInfo{self}
 	for _, m := range h.agent.Live() {
 		hosts = append(hosts, m.Info)
 	}
 	hosts = slices.DeleteFunc(hosts, func(info peers.HostInfo) bool { return !info.Ready })
+	hosts = prefer(hosts, func(info peers.HostInfo) bool { return !info.CutOff })
 	hosts = prefer(hosts, func(info peers.HostInfo) bool { return info.Fresh })
 	rand.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	var out []string
@@ -218,6 +220,20 @@
 	return out
 }
 
+// relays returns the hosts to which this one may relay requests.
+func (h *Host) relays() []ingress.Relay {
+	var out []ingress.Relay
+	for _, m := range h.agent.Live() {
+		if m.Info.Ready && !m.Info.CutOff {
+			out = append(out, ingress.Relay{Host: m.Host, Front: m.Info.Front, Weight: max(minRelayWeight, m.Info.Capacity)})
+		}
+	}
+	return out
+}
+
+// minRelayWeight is the weight of a host in relaying whose capacity is unknown, in cores.
+const minRelayWeight = 0.01
+
 // prefer returns the hosts that satisfy ok, or all hosts if none does.
 func prefer(hosts []peers.HostInfo, ok func(peers.HostInfo) bool) []peers.HostInfo {
 	var out []peers.HostInfo
--- a/edge/share.go
+++ b/edge/share.go
@@ -27,7 +27,7 @@
 func (h *Host) Fill(b *peers.Heartbeat) {
 	b.Info = peers.HostInfo{
 		Address: h.peerAddress(), Front: h.Boot.Front, Control: h.Boot.Control, Zone: h.Boot.Zone, Region: h.Boot.Region,
-		Capacity: h.Boot.Capacity(), Ready: h.ready(), Fresh: h.ingress.SettingsFresh(),
+		Capacity: h.Boot.Capacity(), Ready: h.ready(), CutOff: h.ingress.CutOff(), Fresh: h.ingress.SettingsFresh(),
 	}
 	b.Load, b.Waiting = h.ingress.Loads()
 	usage := h.ingress.Usage()
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -119,6 +119,12 @@
 		return bad(n.AttemptID)
 	}
 	c.id = ids[0]
+	if !c.relayed.parseRelayHeader(h) {
+		return bad(relayHeader)
+	}
+	if c.relayed.from != "" {
+		c.s.Count.RelayedHere.Add(1)
+	}
 	c.deadline = c.arrived + defaultDeadline
 	if v := h.Get(n.Deadline); v != "" {
 		ms, err := strconv.ParseFloat(v, 64)
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -36,6 +36,9 @@
 	// because the caller had left, because the deadline had passed, and because the endpoint had been silent for so
 	// long that the request went to another one. WorkLostMS sums the time from these sends to their cancellation, in milliseconds.
 	LeftAtWork, LateAtWork, MuteAtWork, WorkLostMS atomic.Int64
+	// CutOffs counts how often the host reached no endpoint. Relayed counts the requests that it sent to other hosts then, RelaysLost
+	// those of them without a complete response, and RelayedHere those that other hosts sent to this one.
+	CutOffs, Relayed, RelaysLost, RelayedHere atomic.Int64
 	// LifeOver counts sends that this host canceled because their endpoint had restarted.
 	LifeOver atomic.Int64
 	// BadLimits counts responses with a stated limit that is no number.
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/rotisserie/eris"
 
 	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/quarantine"
@@ -108,6 +109,20 @@
 // 1.2 s, and hosts read within 0.9 s.
 const restartWindow = 3 * time.Second
 
+// errCutOff means that connections are refused because the host reaches no endpoint.
+var errCutOff = eris.New("this host reaches no endpoint")
+
+// dialCrashed opens a connection to an endpoint that lost a request. A refusal by the paths of a host that reaches no endpoint is not
+// the endpoint's.
+func (s *Server) dialCrashed(ctx context.Context, address string) error {
+	err := s.pool.Warm(ctx, address)
+	s.paths.connected(address, err)
+	if err != nil && s.paths.isCutOff() {
+		return errCutOff
+	}
+	return err
+}
+
 // runProbe dials an endpoint; it has crashed if the connection is refused.
 func (k *crashes) runProbe(probe *crashProbe, incarnation, address string) {
 	err := k.dial(context.Background(), address)
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -68,6 +68,7 @@
 	h := in.Clone()
 	removeHopByHop(h)
 	h.Del("Authorization")
+	h.Del(relayHeader)
 	for _, name := range n.Reserved {
 		h.Del(name)
 	}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -45,7 +45,7 @@
 	if len(body) > maxBuffered {
 		return c.forwardLarge(buffered, resp.Body, sent)
 	}
-	if buffered.status >= http.StatusInternalServerError && c.route.MayRepeat() && c.tracker.Sends() < c.route.Attempts {
+	if buffered.status >= http.StatusInternalServerError && c.route.MayRepeat() && c.sends() < c.route.Attempts {
 		c.savedResponse = buffered
 		return sendFailed, 0
 	}
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -29,6 +29,10 @@
 		retryAfter := max(f.retryAfter, minRetryAfter)
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
+	if c.r.Header.Get(relayHeader) != "" {
+		h.Set(relayRefusedHeader, "1")
+		h.Set(c.s.Headers.AttemptID, c.r.Header.Get(c.s.Headers.AttemptID))
+	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(f.status)
 	_, _ = c.w.Write([]byte(f.why + "\n"))
--- /dev/null
+++ b/ingress/relay.go
@@ -0,0 +1,232 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/sched"
+	"github.com/heathkeel/heathkeel/upstream"
+)
+
+// A host that reaches no endpoint relays its requests to other hosts, which treat them like those of callers: they check the key, take
+// the request from the workspace's quota and choose the endpoint. A request is relayed once. Whoever sends the header of a relayed
+// request gets no more than that its request is not relayed again.
+
+const (
+	// relayHeader marks a relayed request. Its value is the name of the relaying host and the number of endpoints that were sent the
+	// request before.
+	relayHeader = "Heathkeel-Relayed-By"
+	// relayRefusedHeader marks a response to a relayed request that the other host made itself.
+	relayRefusedHeader = "Heathkeel-Relay-Refused"
+	// maxRelays limits the hosts to which a request is relayed, one after the other.
+	maxRelays = 3
+	// relaySilenceFactor is the factor by which the silence of another host may be longer than that of an endpoint, which it notices
+	// itself.
+	relaySilenceFactor = 2
+	// relaysTTL is the time for which the list of hosts is kept.
+	relaysTTL = 200 * time.Millisecond
+)
+
+// Relay is a host to which requests may be relayed.
+type Relay struct {
+	// Host is its name, and Front the address for callers.
+	Host, Front string
+	// Weight is its part of the requests, relative to the others.
+	Weight float64
+}
+
+// relayState is the state of relayed requests of a call.
+type relayState struct {
+	from       string // the host that relayed the request to this one, or empty
+	priorSends int    // endpoints that were sent the request before
+	to         string // the host to which this one relayed it last, or empty
+}
+
+// parseRelayHeader parses relayHeader. It returns false if the header is there and wrong.
+func (r *relayState) parseRelayHeader(h http.Header) bool {
+	v := h.Get(relayHeader)
+	if v == "" {
+		return true
+	}
+	host, sends, ok := strings.Cut(v, " ")
+	n, err := strconv.Atoi(sends)
+	if !ok || host == "" || err != nil || n < 0 {
+		return false
+	}
+	r.from, r.priorSends = host, n
+	return true
+}
+
+// sends returns the number of endpoints that were sent the request, by this host and by the one that relayed it.
+func (c *call) sends() int { return c.tracker.Sends() + c.relayed.priorSends }
+
+// relays returns the hosts to which requests may be relayed.
+func (s *Server) relays() []Relay {
+	if s.Relays == nil {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := s.Now(); s.relaysAt == 0 || now-s.relaysAt >= relaysTTL {
+		s.knownRelays, s.relaysAt = s.Relays(), max(now, 1)
+	}
+	return s.knownRelays
+}
+
+// mayRelay reports whether the request should go by another host.
+func (c *call) mayRelay() bool {
+	return c.s.CutOff() && c.relayed.from == "" && len(c.s.relays()) > 0
+}
+
+// pickRelay picks a host at random, in proportion to the weights, among those that were not tried. It returns false if there is none.
+func pickRelay(relays []Relay, tried map[string]bool, random float64) (Relay, bool) {
+	sum := 0.0
+	for _, r := range relays {
+		if !tried[r.Host] {
+			sum += r.Weight
+		}
+	}
+	picked, ok := Relay{}, false
+	at := random * sum
+	for _, r := range relays {
+		if tried[r.Host] {
+			continue
+		}
+		picked, ok = r, true
+		if at -= r.Weight; at < 0 {
+			break
+		}
+	}
+	return picked, ok
+}
+
+// relay relays the request to other hosts and writes the final response. No send of the call may be in flight.
+func (c *call) relay(ctx context.Context) {
+	c.endpoint = feed.Endpoint{}
+	tried := make(map[string]bool)
+	var refused refusal
+	for range maxRelays {
+		to, ok := pickRelay(c.s.relays(), tried, rand.Float64())
+		if !ok || ctx.Err() != nil {
+			break
+		}
+		tried[to.Host] = true
+		result, f := c.sendToRelay(ctx, to)
+		switch result {
+		case sendCompleted, sendAbandoned:
+			c.finish(ctx, result)
+			return
+		case sendNotExecuted:
+			refused = f
+			if f.status != http.StatusServiceUnavailable && !c.tracker.MayHaveRun() {
+				c.refuse(f)
+				return
+			}
+		case sendFailed:
+			c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse})
+			return
+		case sendLost:
+			if !c.route.MayRepeat() || c.sends() >= c.route.Attempts || !c.s.takeRetry(c.service.Name) {
+				c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: backoffLost})
+				return
+			}
+		}
+	}
+	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: max(refused.retryAfter, backoffUnreachable)})
+}
+
+// reasonCutOff is the reason of a refusal by a host that reaches no endpoint, while no other host takes the request.
+const reasonCutOff sched.Reason = "this host reaches no endpoint, and other hosts did not take the request"
+
+// sendToRelay sends the request to another host and forwards its response. A response that the other host made itself is returned.
+func (c *call) sendToRelay(ctx context.Context, to Relay) (sendOutcome, refusal) {
+	conn, _, err := c.s.relayPool.Get(ctx, to.Front)
+	if err != nil {
+		return sendUnsent, refusal{}
+	}
+	remaining := c.deadline - c.s.Now()
+	if remaining <= 0 || ctx.Err() != nil {
+		conn.Release()
+		return sendAbandoned, refusal{}
+	}
+	c.returnQuota() // the other host takes it
+	header := c.relayHeader()
+	header.Set(c.s.Headers.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	c.relayed.to = to.Host
+	c.tracker.MarkSent()
+	c.s.Count.Relayed.Add(1)
+	c.timings.lastSent = c.s.Now()
+	stopCancel := context.AfterFunc(ctx, conn.Close)
+	silence := newSilenceTimer(relaySilenceFactor*c.silenceTimeout(), conn.Close)
+	result, f := c.relayRoundTrip(ctx, conn, header, silence)
+	silence.stop()
+	uncanceled := stopCancel()
+	switch {
+	case !uncanceled && result != sendCompleted:
+		result = sendAbandoned
+	case result == sendLost || result == sendAbandoned:
+		conn.Close()
+	default:
+		conn.Release()
+	}
+	if result == sendLost {
+		c.tracker.MarkLost()
+		c.s.Count.RelaysLost.Add(1)
+		c.logOutcome(outcome.SendLost, 0, "the host to which it was relayed did not send a complete response", 0)
+	}
+	return result, f
+}
+
+// relayHeader returns the header of the request to another host: that of the caller, and what this host adds.
+func (c *call) relayHeader() http.Header {
+	h := c.r.Header.Clone()
+	removeHopByHop(h)
+	h.Set(relayHeader, c.s.Host+" "+strconv.Itoa(c.tracker.Sends()))
+	if c.stream.events > 0 {
+		h.Set(c.s.Headers.LastEvent, strconv.FormatInt(c.stream.lastID, 10))
+	}
+	return h
+}
+
+// relayRoundTrip sends the request on a connection to another host and forwards the response.
+func (c *call) relayRoundTrip(ctx context.Context, conn *upstream.Conn, header http.Header, silence *silenceTimer) (sendOutcome, refusal) {
+	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header, Body: c.body, HasBody: c.hasBody}
+	sent := c.s.Now()
+	if err := conn.Send(&req); err != nil {
+		return sendLost, refusal{}
+	}
+	resp, err := conn.ReadResponse(c.r.Method, c.s.Headers.AttemptID, c.id)
+	if err != nil {
+		return sendLost, refusal{}
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get(relayRefusedHeader) != "" {
+		discardBody(resp)
+		return c.relayRefused(resp)
+	}
+	result, _ := c.forwardResponse(ctx, resp, sent, silence)
+	return result, refusal{}
+}
+
+// relayRefused handles a response that the other host made itself. Some statuses promise that the request has not run.
+func (c *call) relayRefused(resp *http.Response) (sendOutcome, refusal) {
+	f := refusal{status: resp.StatusCode, why: "refused by the host to which it was relayed"}
+	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		f.retryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	if resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable {
+		return sendLost, f // an endpoint may have run it
+	}
+	c.tracker.MarkNotRun()
+	return sendNotExecuted, f
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -58,6 +58,7 @@
 	header        http.Header
 	savedResponse *response // a 5xx response to forward if no retry succeeds
 	stream        stream
+	relayed       relayState
 }
 
 // ServeHTTP implements http.Handler.
@@ -152,12 +153,16 @@
 	if c.service.Engine {
 		c.req.Objective = sched.Objective{FirstToken: c.route.Objective, EventGap: c.route.PauseObjective, EventTokens: c.service.EventTokens}
 	}
+	if c.mayRelay() {
+		c.relay(ctx)
+		return
+	}
 	c.s.noteFirstAttempt(c.service.Name)
 	d := c.s.balance.submit(c)
 	for dials, rejects := 0, 0; ; {
 		d = c.wait(ctx, d)
 		if d.Verdict != sched.Run {
-			c.giveUp(ctx, d)
+			c.relayOrGiveUp(ctx, d)
 			return
 		}
 		c.recordDuration(metrics.QueueWait, c.s.Now()-c.arrived)
@@ -183,10 +188,14 @@
 			rejects++
 			retry = rejects <= maxRejects && c.s.takeRetry(c.service.Name)
 		case sendFailed, sendLost:
-			retry = c.route.MayRepeat() && c.tracker.Sends() < c.route.Attempts+rejects && c.s.takeRetry(c.service.Name)
+			retry = c.route.MayRepeat() && c.sends() < c.route.Attempts+rejects && c.s.takeRetry(c.service.Name)
 		}
-		if !retry || ctx.Err() != nil {
+		if !retry || ctx.Err() != nil || c.mayRelay() {
 			c.s.balance.endSend(c, sched.Canceled, 0, 0)
+			if (retry || result == sendUnsent) && ctx.Err() == nil && c.mayRelay() {
+				c.relay(ctx)
+				return
+			}
 			c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: backoff})
 			return
 		}
@@ -197,6 +206,15 @@
 	}
 }
 
+// relayOrGiveUp ends a request that no endpoint takes: a host that reaches none relays it.
+func (c *call) relayOrGiveUp(ctx context.Context, d sched.Decision) {
+	if ctx.Err() == nil && c.mayRelay() {
+		c.relay(ctx)
+		return
+	}
+	c.giveUp(ctx, d)
+}
+
 // dispatchBy returns the time by which a request must get the slot that it asks for at asked, or 0 for no limit: a request that
 // waits longer is refused while its caller can still retry in time.
 func (c *call) dispatchBy(asked time.Duration) time.Duration {
@@ -291,11 +309,14 @@
 
 // send sends the request to the endpoint c.endpoint and handles its response. It returns the outcome and the backoff.
 func (c *call) send(ctx context.Context) (sendOutcome, time.Duration) {
-	conn, _, err := c.s.pool.Get(ctx, c.endpoint.Address)
+	conn, reused, err := c.s.pool.Get(ctx, c.endpoint.Address)
+	if err != nil && ctx.Err() != nil {
+		return sendAbandoned, 0
+	}
+	if !reused {
+		c.s.paths.connected(c.endpoint.Address, err)
+	}
 	if err != nil {
-		if ctx.Err() != nil {
-			return sendAbandoned, 0
-		}
 		c.s.balance.noteFailure(c, outlier.Unreachable)
 		return sendUnsent, backoffUnreachable
 	}
@@ -325,7 +346,9 @@
 	sentAt := c.s.Now()
 	c.noteSend(sentAt)
 	silence := newSilenceTimer(c.silenceTimeout(), conn.Close)
+	c.s.paths.sendBegun()
 	result, backoff := c.roundTrip(ctx, conn, silence)
+	c.s.paths.sendEnded()
 	timedOut := silence.stop()
 	if timedOut && result == sendLost {
 		backoff = backoffUnreachable
@@ -379,7 +402,7 @@
 // probeCrash probes whether the endpoint that lost a send has crashed. A request that may be retried waits for the result.
 func (c *call) probeCrash(ctx context.Context, gapSeen bool) {
 	done := c.s.crashes.noteLost(c, gapSeen)
-	if !c.route.MayRepeat() || c.tracker.Sends() >= c.route.Attempts {
+	if !c.route.MayRepeat() || c.sends() >= c.route.Attempts {
 		return
 	}
 	t := time.NewTimer(maxProbeWait)
@@ -435,6 +458,7 @@
 	}
 	defer resp.Body.Close()
 	c.responsePending = false
+	c.s.paths.heard(c.s.Now())
 	c.logUnreadHeaders(resp.Header)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		c.tracker.MarkNotRun()
@@ -447,6 +471,11 @@
 		discardBody(resp)
 		return sendNotExecuted, backoffFull
 	}
+	return c.forwardResponse(ctx, resp, sent, silence)
+}
+
+// forwardResponse forwards a response of an endpoint, which may have come by another host.
+func (c *call) forwardResponse(ctx context.Context, resp *http.Response, sent time.Duration, silence *silenceTimer) (sendOutcome, time.Duration) {
 	c.tracker.MarkAnswered()
 	c.serverError = resp.StatusCode >= http.StatusInternalServerError
 	ok := resp.StatusCode >= 200 && resp.StatusCode < 300
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -64,12 +64,16 @@
 	FirstStart bool
 	// BodyMemory limits the bytes of request bodies held at once.
 	BodyMemory int64
+	// Relays returns the hosts to which requests may be relayed while this one reaches no endpoint; nil means that there are none.
+	Relays func() []Relay
 	// Trace logs a line for every request, without a limit on their number.
 	Trace bool
 	// Log receives state changes and failures.
 	Log logr.Logger
 
 	pool          upstream.Pool
+	relayPool     upstream.Pool // connections to other hosts
+	paths         paths
 	balance       *balancer
 	crashes       crashes
 	deadlines     deadlines
@@ -84,6 +88,8 @@
 	retryBudgets map[string]*quota.RetryBudget
 	hostCount    int
 	lineLimiters map[outcome.Kind]*outcome.LineLimiter
+	knownRelays  []Relay
+	relaysAt     time.Duration // when Relays was last called, or 0
 
 	// Count counts outcomes.
 	Count Counters
@@ -96,7 +102,10 @@
 	s.pool.Now = s.Now
 	s.unreadHeaders.init(&s.Headers)
 	s.pool.DialTimeout, s.pool.Dial = dialTimeout, s.Dial
-	s.crashes = crashes{now: s.Now, dial: s.pool.Warm, log: s.Log, notifyPeers: func() {}, probes: make(map[string]*crashProbe)}
+	s.relayPool.Now, s.relayPool.DialTimeout, s.relayPool.Dial = s.Now, dialTimeout, s.Dial
+	s.paths.now, s.paths.dial, s.paths.addresses, s.paths.onChange = s.Now, s.pool.Warm, func() []string { return s.balance.addresses() }, s.noteCutOff
+	s.paths.probing = make(map[string]bool)
+	s.crashes = crashes{now: s.Now, dial: s.dialCrashed, log: s.Log, notifyPeers: func() {}, probes: make(map[string]*crashProbe)}
 	s.crashes.registry.Host = s.Host
 	s.deadlines = deadlines{now: s.Now, calls: make(map[*call]*time.Timer)}
 	s.quotas = quota.NewBook(s.Now())
@@ -287,11 +296,15 @@
 func (s *Server) ClaimSlots() { s.balance.claimSlots(s.Now()) }
 
 // Tick runs periodic work; call it about ten times a second.
-func (s *Server) Tick() { s.balance.tick(s.Now()) }
+func (s *Server) Tick() {
+	s.paths.check()
+	s.balance.tick(s.Now())
+}
 
 // Sweep closes connections that were idle too long and drops expired state; call it about once a second.
 func (s *Server) Sweep() {
 	s.pool.Sweep()
+	s.relayPool.Sweep()
 	s.crashes.sweep(s.balance.endpointCount())
 }
 
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -67,7 +67,7 @@
 // response that cannot be continued elsewhere is never canceled because its endpoint is silent.
 func (c *call) silenceTimeout() time.Duration {
 	r := c.route
-	if !r.MayRepeat() || c.tracker.Sends() >= r.Attempts || r.Objective <= 0 {
+	if !r.MayRepeat() || c.sends() >= r.Attempts || r.Objective <= 0 {
 		return 0
 	}
 	if r.Kind != route.Stream {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -103,6 +103,7 @@
 		}
 		silence.reset()
 		at := c.s.Now()
+		c.noteHeard(at)
 		switch {
 		case n == 0:
 			c.s.balance.noteFirstOutput(c, c.elapsed(sent, at))
@@ -147,6 +148,13 @@
 	return more || c.rc.Flush() == nil
 }
 
+// noteHeard records that an endpoint sent something, unless it came by another host.
+func (c *call) noteHeard(now time.Duration) {
+	if c.endpoint.Instance != "" {
+		c.s.paths.heard(now)
+	}
+}
+
 // notePause records the time since the last event that was forwarded.
 func (c *call) notePause() {
 	now := c.s.Now()
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -71,6 +71,7 @@
 		TokensIn: c.tokensIn, TokensOut: c.tokensOut, TokensGuess: c.lengthHint,
 		LongestPauseMS: c.timings.longestPause.Milliseconds(),
 	}
+	e.RelayedBy, e.RelayedTo = c.relayed.from, c.relayed.to
 	if c.timings.firstSent > 0 {
 		e.QueuedMS = (c.timings.firstSent - c.arrived).Milliseconds()
 	}
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -59,6 +59,10 @@
 	Endpoint string `json:"endpoint"`
 	Sends    int    `json:"sends"`
 	Events   int    `json:"events"`
+	// RelayedBy is the host that relayed the request to this one, and RelayedTo the host to which this one
+	// relayed it; empty if it was not relayed.
+	RelayedBy string `json:"relayed_by,omitempty"`
+	RelayedTo string `json:"relayed_to,omitempty"`
 	// Fingerprint is the same for all attempts of one request at all hosts. SentMS is the time since
 	// the last send, and OtherInFlight the number of other requests known to be at that endpoint.
 	// Events of kind SendLost have all three, those of kind Held the fingerprint only.
@@ -121,5 +125,11 @@
 	case Held:
 		fields = append(fields, "fingerprint", e.Fingerprint)
 	}
+	if e.RelayedBy != "" {
+		fields = append(fields, "relayed_by", e.RelayedBy)
+	}
+	if e.RelayedTo != "" {
+		fields = append(fields, "relayed_to", e.RelayedTo)
+	}
 	return fields
 }
--- a/peers/beat.go
+++ b/peers/beat.go
@@ -65,6 +65,8 @@
 	Capacity float64 `json:"p,omitempty"`
 	// Ready says that the host takes requests; a host that stops clears it first.
 	Ready bool `json:"y"`
+	// CutOff says that the host reaches no endpoint.
+	CutOff bool `json:"n,omitempty"`
 	// Fresh says that the host's settings are recent enough for requests with keys.
 	Fresh bool `json:"w"`
 }
--- a/peers/places.go
+++ b/peers/places.go
@@ -81,11 +81,11 @@
 func (a *Agent) ownerCandidates(now time.Duration) []places.Candidate {
 	var out []places.Candidate
 	for _, m := range a.Table.Live(now) {
-		if m.Info.Ready {
+		if m.Info.Ready && !m.Info.CutOff {
 			out = append(out, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
 		}
 	}
-	if a.info.Ready {
+	if a.info.Ready && !a.info.CutOff {
 		out = append(out, places.Candidate{Host: a.Table.Host, Zone: a.info.Zone})
 	}
 	return out
--- a/sched/health.go
+++ b/sched/health.go
@@ -37,6 +37,14 @@
 	s.updatePanicMode(now)
 }
 
+// ForgetFailures forgets what this host observed of the failures of all endpoints.
+func (s *Scheduler) ForgetFailures() {
+	for _, e := range s.endpoints {
+		e.health, e.downUntil = outlier.Record{}, 0
+	}
+	s.Wake()
+}
+
 // Answered records the first sign of an answer to a dispatched request.
 func (s *Scheduler) Answered(r *Request) {
 	if r.dispatchedTo != nil {
