ingress: what another host answers to a relayed request itself is final, except a refusal; tests of relayed requests

A 502 or 504 that the other host made for want of an endpoint's answer was taken for a lost hop, so that a third host sent a repeatable request to up to two more endpoints. It is passed on now. After a hop that was lost, the next host may use one send only.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -50,6 +50,7 @@
 	from       string // the host that relayed the request to this one, or empty
 	priorSends int    // endpoints that were sent the request before
 	to         string // the host to which this one relayed it last, or empty
+	lost       bool   // that host sent no complete response
 }
 
 // parseRelayHeader parses relayHeader. It returns false if the header is there and wrong.
@@ -133,9 +134,10 @@
 				return
 			}
 		case sendFailed:
-			c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse})
+			c.finishFailedRelay(ctx, f)
 			return
 		case sendLost:
+			c.relayed.lost = true
 			if !c.route.MayRepeat() || c.sends() >= c.route.Attempts || !c.s.takeRetry(c.service.Name) {
 				c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: backoffLost})
 				return
@@ -145,6 +147,15 @@
 	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: max(refused.retryAfter, backoffUnreachable)})
 }
 
+// finishFailedRelay ends a request for which the other host got no answer, or an error of the endpoint.
+func (c *call) finishFailedRelay(ctx context.Context, f refusal) {
+	if c.savedResponse != nil || c.stream.started || c.r.Context().Err() != nil {
+		c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse})
+		return
+	}
+	c.refuse(f)
+}
+
 // reasonCutOff is the reason of a refusal by a host that reaches no endpoint, while no other host takes the request.
 const reasonCutOff sched.Reason = "this host reaches no endpoint, and other hosts did not take the request"
 
@@ -191,7 +202,11 @@
 func (c *call) relayHeader() http.Header {
 	h := c.r.Header.Clone()
 	removeHopByHop(h)
-	h.Set(relayHeader, c.s.Host+" "+strconv.Itoa(c.tracker.Sends()))
+	sends := c.tracker.Sends()
+	if c.relayed.lost {
+		sends = max(sends, c.route.Attempts-1) // the host that was lost may have used all but the last
+	}
+	h.Set(relayHeader, c.s.Host+" "+strconv.Itoa(sends))
 	if c.stream.events > 0 {
 		h.Set(c.s.Headers.LastEvent, strconv.FormatInt(c.stream.lastID, 10))
 	}
@@ -225,7 +240,7 @@
 		f.retryAfter = time.Duration(seconds * float64(time.Second))
 	}
 	if resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable {
-		return sendLost, f // an endpoint may have run it
+		return sendFailed, f // an endpoint may have run it
 	}
 	c.tracker.MarkNotRun()
 	return sendNotExecuted, f
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -38,9 +38,14 @@
 	StoreProxy *link.Proxy
 
 	cancel    context.CancelFunc
+	network   *cuttableNetwork
 	suspended atomic.Int64 // total time of suspension, in nanoseconds
 }
 
+// CutOffEndpoints cuts the host's paths to all endpoints while on is true: open connections are closed, new
+// ones refused. The site must be Cuttable.
+func (h *Host) CutOffEndpoints(on bool) { h.network.setCutOff(on) }
+
 // Suspend advances the host's clock by a time in which its process does not run, as a suspension
 // does. The caller makes the changes that happen elsewhere in that time.
 func (h *Host) Suspend(d time.Duration) { h.suspended.Add(int64(d)) }
@@ -67,6 +72,8 @@
 	Lenient bool
 	// GracePeriod is the time that hosts have from SIGTERM until they end; 0 means 8 s.
 	GracePeriod time.Duration
+	// Cuttable makes the hosts' paths to the endpoints ones that can be cut.
+	Cuttable bool
 	// ProxyEndpoints makes AddExampleEndpoints put a proxy in front of each endpoint.
 	ProxyEndpoints bool
 	// Store is the platform's store.
@@ -189,6 +196,10 @@
 	s.Hosts = append(s.Hosts, restarted)
 	skewed := clock.New().WithOffset(restarted.SuspendedTime)
 	e := &edge.Host{Boot: restarted.Boot, Path: restarted.Path, Trace: s.Trace, Log: s.Log, Clock: skewed}
+	if s.Cuttable {
+		restarted.network = &cuttableNetwork{}
+		e.Network = restarted.network
+	}
 	runErr := make(chan error, 1)
 	go func() {
 		defer close(restarted.Done)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -98,6 +98,11 @@
 // fault, and checks the answer against what callers may be told.
 func TestEndpointFaults(t *testing.T) {
 	s := startTestSite(t, 1)
+	s.testEndpointFaults(t)
+}
+
+// testEndpointFaults sends the requests of TestEndpointFaults to the first host.
+func (s *testSite) testEndpointFaults(t *testing.T) {
 	const cut = -1 // the connection closes before the answer is complete
 	cases := []struct {
 		fault Fault
