ingress: fewer connections are tried to find out whether the host reaches endpoints

Each new connection asked for the list of all endpoints, also while none had failed: 3,000 strings at the largest size. One failure made a host try four others at a time, where the first that opens tells; two now, and four only in silence, where each may hang for 0.7 s. TestHostsWithoutEndpoints holds as before.

--- a/ingress/paths.go
+++ b/ingress/paths.go
@@ -23,8 +23,10 @@
 	silenceCheckInterval = 2 * time.Second
 	// returnCheckInterval is the time between two tries while the host is cut off.
 	returnCheckInterval = 300 * time.Millisecond
-	// maxPathProbes is the number of connections that are tried at a time.
-	maxPathProbes = 4
+	// suspicionProbes and silenceProbes are the numbers of connections that are tried at a time after one failed, and in silence. A
+	// single success ends the suspicion; in silence, each that hangs takes the whole timeout.
+	suspicionProbes = 2
+	silenceProbes   = 4
 	// maxDecideWait is the time within which it is known whether the host is cut off: that of two connections which hang.
 	maxDecideWait = 2 * dialTimeout
 )
@@ -40,6 +42,7 @@
 	waitingSince atomic.Int64 // when the first of them began, in nanoseconds
 	heardAt      atomic.Int64 // when an endpoint last sent a byte, in nanoseconds
 	cutOff       atomic.Bool
+	troubled     atomic.Bool // a connection failed recently, or the host is cut off
 
 	mu          sync.Mutex
 	tracker     reach.Tracker
@@ -63,6 +66,9 @@
 
 // connected records the result of opening a connection to an endpoint.
 func (p *paths) connected(address string, err error) {
+	if err == nil && !p.troubled.Load() {
+		return
+	}
 	addresses := p.addresses()
 	p.mu.Lock()
 	changed := false
@@ -72,7 +78,6 @@
 		changed = p.tracker.Failed(p.now(), address, len(addresses))
 	}
 	cutOff := p.tracker.CutOff()
-	p.cutOff.Store(cutOff)
 	p.settle()
 	p.mu.Unlock()
 	if changed {
@@ -81,9 +86,11 @@
 	p.probe(addresses)
 }
 
-// settle opens or closes undecided; mu must be held.
+// settle updates what follows from the tracker; mu must be held.
 func (p *paths) settle() {
 	suspects := p.tracker.Suspects(p.now())
+	p.cutOff.Store(p.tracker.CutOff())
+	p.troubled.Store(suspects || p.tracker.CutOff())
 	switch {
 	case suspects && p.undecided == nil:
 		p.undecided = make(chan struct{})
@@ -125,7 +132,7 @@
 	if silent || due || suspects {
 		addresses := p.addresses()
 		if silent {
-			p.tryOthers(addresses, maxPathProbes)
+			p.tryOthers(addresses, silenceProbes)
 		}
 		p.probe(addresses)
 	}
@@ -138,7 +145,7 @@
 	n := 0
 	switch {
 	case p.tracker.Suspects(now):
-		n = maxPathProbes
+		n = suspicionProbes
 	case p.tracker.Recovering(), p.tracker.CutOff() && now-p.lastCheck >= returnCheckInterval:
 		n = 1
 	}
