rollout: a version gets enough requests on trial to be judged, also in short roll-outs of small fleets

Cause: on trial it got 2 of 100 requests, some 11 in all, before its share grew from there to all within 1.0 s; slow answers take 1.2 s to show, and five bad ones are the least that is judged. Ruled out: the judgement (16 answers tell the two apart at a chance of 1e-5), restarts (red without). Change: the share on trial is such that 45 answers are expected until it grows, by the answers counted so far, between 0.2 and all of the share that a bad version may get. TestSlowVersionWithFewRequests and TestRollout green; out of KNOWN-RED.

--- a/rollout/rollout.go
+++ b/rollout/rollout.go
@@ -11,8 +11,12 @@
 
 // Parameters of the plan of a roll-out, as shares of its duration or of Limits.Share.
 const (
-	// trialShare is the share of the requests that the new version gets at first.
-	trialShare = 0.2
+	// trialShare is the share of the requests that the new version gets at first, and maxTrialShare the same
+	// where that is less than trialAnswers until moveAfter: a version of which two answers of five are slow is
+	// told apart after 16 answers, and slow answers arrive late.
+	trialShare    = 0.2
+	maxTrialShare = 1.0
+	trialAnswers  = 45
 	// moveAfter is the share of the duration after which that share grows: late, since a version may turn
 	// out bad at any time until then, and early enough for the requests at the old version to end.
 	moveAfter = 0.62
@@ -72,7 +76,7 @@
 	case r.held || now-r.begun < hearTime:
 		return 0
 	}
-	share := trialShare * l.Share
+	share := r.trialShare(now, l)
 	if past := r.past(now) - moveAfter; past > 0 && float64(r.slots.New) >= minSlots*float64(r.slots.Old) {
 		share *= math.Exp2(past / doubling)
 	}
@@ -85,6 +89,20 @@
 	return min(1, share)
 }
 
+// trialShare returns the share of the requests that the new version gets at first.
+func (r *rollout) trialShare(now time.Duration, l Limits) float64 {
+	sum := 0.0
+	for _, t := range r.counts {
+		sum += t.Answers
+	}
+	trialTime := time.Duration(moveAfter*float64(r.Duration)) - hearTime
+	if sum == 0 || trialTime <= 0 {
+		return trialShare * l.Share
+	}
+	expected := sum / (now - r.begun).Seconds() * trialTime.Seconds()
+	return min(max(trialShare*l.Share, trialAnswers/expected), maxTrialShare*l.Share)
+}
+
 // recentShare is the share of the recent answers of other hosts that came from the new version.
 type recentShare struct {
 	newCount, oldCount float64
