--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -115,7 +115,7 @@
 func (c *call) relay(ctx context.Context) {
 	c.endpoint = feed.Endpoint{}
 	tried := make(map[string]bool)
-	var refused refusal
+	retryAfter := backoffUnreachable
 	for range maxRelays {
 		to, ok := pickRelay(c.s.relays(), tried, rand.Float64())
 		if !ok || ctx.Err() != nil {
@@ -128,7 +128,7 @@
 			c.finish(ctx, result)
 			return
 		case sendNotExecuted:
-			refused = f
+			retryAfter = max(retryAfter, f.retryAfter)
 			if f.status != http.StatusServiceUnavailable && !c.tracker.MayHaveRun() {
 				c.refuse(f)
 				return
@@ -144,7 +144,7 @@
 			}
 		}
 	}
-	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: max(refused.retryAfter, backoffUnreachable)})
+	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: retryAfter})
 }
 
 // finishFailedRelay ends a request for which the other host got no answer, or an error of the endpoint.
