edge, ingress: limits cost nothing where no endpoint states one, and fit into a datagram where all do

Each host listed all hosts five times a second to know the owners of limited endpoints, also without any; now only with some, and owners are computed anew when the hosts change. A digest with limits of 3,000 endpoints would be larger than a datagram: 400 go with each, others with the next. The list of hosts to relay to is read without the server's lock.

--- a/edge/share.go
+++ b/edge/share.go
@@ -264,20 +264,24 @@
 	h.ingress.SetHosts(n, peers.ReportInterval(n))
 }
 
-// setFleet tells the ingress which hosts there may be, and which of them may own slots. Hosts that this host has heard of before, or
-// that the entries in the store tell of, count also if it hears them no more: they may be cut off.
+// setFleet tells the ingress which hosts there may be, and which of them may own slots, if endpoints have limits that concern all hosts.
+// Hosts that this host has heard of before, or that the entries in the store tell of, count also if it hears them no more: they may be
+// cut off.
 func (h *Host) setFleet(members []peers.Member) {
+	count := max(h.mostHosts.note(h.now(), max(1+len(members), len(h.Boot.Seeds))), int(h.hostsInStore.Load()))
+	if h.ingress.NeedsOwners() {
+		heard := 1 + len(h.agent.Live())
+		h.ingress.SetOwners(h.agent.OwnerCandidates(), float64(heard)/float64(max(count, heard)))
+	}
+	if !h.ingress.LimitsCold() {
+		return
+	}
 	self := places.Candidate{Host: h.Boot.Host, Zone: h.Boot.Zone}
-	f := places.Fleet{Self: self, Hosts: []places.Candidate{self}}
+	f := places.Fleet{Self: self, Hosts: []places.Candidate{self}, Count: count}
 	for _, m := range members {
 		f.Hosts = append(f.Hosts, places.Candidate{Host: m.Host, Zone: m.Info.Zone})
 	}
-	f.Count = max(h.mostHosts.note(h.now(), max(len(f.Hosts), len(h.Boot.Seeds))), int(h.hostsInStore.Load()))
-	heard := 1 + len(h.agent.Live())
-	h.ingress.SetOwners(h.agent.OwnerCandidates(), float64(heard)/float64(max(f.Count, heard)))
-	if h.ingress.LimitsCold() {
-		h.ingress.SetFleet(f)
-	}
+	h.ingress.SetFleet(f)
 }
 
 // recentMax is the largest of the numbers noted recently.
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -83,16 +83,21 @@
 	defer b.mu.Unlock()
 	changed := !slices.Equal(candidates, b.owners.candidates)
 	b.owners = owners{self: s.Host, candidates: candidates, share: share}
-	if len(b.stating) == 0 {
-		return
-	}
-	b.findOwnLimited()
 	if changed {
+		b.findOwnLimited()
 		b.slots.lastFullSend = 0 // new owners know nothing
 		b.requestSlots()
 	}
 }
 
+// NeedsOwners reports whether any endpoint stated a limit, so that SetOwners has to be called.
+func (s *Server) NeedsOwners() bool {
+	b := s.balance
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.stating) > 0
+}
+
 // findOwnLimited finds the limited endpoints whose slots this host owns; mu must be held.
 func (b *balancer) findOwnLimited() {
 	now := b.now()
@@ -258,6 +263,9 @@
 	return a
 }
 
+// maxReportedLimits limits the endpoints in one heartbeat or digest, which must fit into a datagram.
+const maxReportedLimits = 400
+
 // Limits returns what endpoints stated, for other hosts: what this host read itself, or all that it knows.
 func (s *Server) Limits(all bool) map[string]places.LimitReports {
 	b := s.balance
@@ -269,6 +277,9 @@
 	out := make(map[string]places.LimitReports)
 	now := b.now()
 	for incarnation, t := range b.stating {
+		if len(out) >= maxReportedLimits {
+			break // others, in the random order of maps, with the next heartbeats
+		}
 		stated := &t.ownStated
 		if all {
 			stated = &t.stated
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -76,12 +76,18 @@
 	if s.Relays == nil {
 		return nil
 	}
+	now := s.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now := s.Now(); s.relaysAt == 0 || now-s.relaysAt >= relaysTTL {
-		s.knownRelays, s.relaysAt = s.Relays(), max(now, 1)
+	known, fresh := s.knownRelays, s.relaysAt > 0 && now-s.relaysAt < relaysTTL
+	s.mu.Unlock()
+	if fresh {
+		return known
 	}
-	return s.knownRelays
+	known = s.Relays()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.knownRelays, s.relaysAt = known, max(now, 1)
+	return known
 }
 
 // mayRelay reports whether the request should go by another host.
