ingress: a host that lacks a new key or route does not deny it to callers of a host that relays

By reading: a request that this host admits by newer settings could get 401 or 404 from the host to which it relayed it, for as long as that host may lag (the configuration time). Another host is asked now, at the end 503.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -135,7 +135,7 @@
 			return
 		case sendNotExecuted:
 			retryAfter = max(retryAfter, f.retryAfter)
-			if f.status != http.StatusServiceUnavailable && !c.tracker.MayHaveRun() {
+			if f.concernsRequest() && !c.tracker.MayHaveRun() {
 				c.refuse(f)
 				return
 			}
@@ -153,6 +153,16 @@
 	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: retryAfter})
 }
 
+// concernsRequest reports whether a refusal of another host holds at any host. A key or route that this host knows and the other does
+// not is new, and a host without room says nothing about the others.
+func (f *refusal) concernsRequest() bool {
+	switch f.status {
+	case http.StatusServiceUnavailable, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound:
+		return false
+	}
+	return true
+}
+
 // finishFailedRelay ends a request for which the other host got no answer, or an error of the endpoint.
 func (c *call) finishFailedRelay(ctx context.Context, f refusal) {
 	if c.savedResponse != nil || c.stream.started || c.r.Context().Err() != nil {
