ingress: responses without limits take no lock

Each response asked for the balancer's lock to see whether its endpoint had stated a limit before. An atomic flag answers that where no endpoint ever did.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -49,6 +49,7 @@
 	notifyPeers   func() // triggers a heartbeat to the other hosts
 	owners        owners
 	stating       map[string]*target // endpoints that stated a limit, by incarnation
+	anyStating    atomic.Bool        // stating is not empty
 	ownLimited    []*target          // those with a limit in force whose slots this host owns
 	brittleDelay  time.Duration      // from the first statement that an endpoint is brittle until it counts as brittle
 }
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -92,10 +92,7 @@
 
 // NeedsOwners reports whether any endpoint stated a limit, so that SetOwners has to be called.
 func (s *Server) NeedsOwners() bool {
-	b := s.balance
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return len(b.stating) > 0
+	return s.balance.anyStating.Load()
 }
 
 // findOwnLimited finds the limited endpoints whose slots this host owns; mu must be held.
@@ -120,6 +117,9 @@
 	if !c.parseLimit(h, n.Rate, sent, now, &stated.rate) || !c.parseLimit(h, n.Rejects, sent, now, &stated.rejects) {
 		return
 	}
+	if !stated.rate.Limited && !stated.rejects.Limited && !c.s.balance.anyStating.Load() {
+		return
+	}
 	limits, changed := c.s.balance.noteLimits(c.endpoint.Incarnation(), &stated)
 	if changed {
 		c.s.Log.Info("endpoint states other limits", "endpoint", c.endpoint.Instance, "rate_limited", limits.rateLimited, "rate", limits.rate,
@@ -166,6 +166,7 @@
 	t.stated.merge(stated)
 	if t.stated.known() {
 		b.stating[t.Incarnation()] = t
+		b.anyStating.Store(true)
 	}
 	if !t.applyLimits(b.now(), b.brittleDelay) {
 		return false
@@ -212,6 +213,7 @@
 		}
 		changed = t.applyLimits(now, b.brittleDelay) || changed
 	}
+	b.anyStating.Store(len(b.stating) > 0)
 	if changed {
 		b.applyLimits()
 	}
