--- a/edge/host.go
+++ b/edge/host.go
@@ -186,7 +186,7 @@
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ExposeShare:   b.ExposeShare,
 		ColdTolerance: ingress.ColdTolerance{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack},
-		Relays:        h.relays,
+		RelayTargets:  h.relayTargets,
 		FirstStart:    b.Bootstrap, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
 	h.storeHealth = &feed.StoreHealth{
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -220,12 +220,12 @@
 	return out
 }
 
-// relays returns the hosts to which this one may relay requests.
-func (h *Host) relays() []ingress.Relay {
-	var out []ingress.Relay
+// relayTargets returns the hosts to which this one may relay requests.
+func (h *Host) relayTargets() []ingress.RelayTarget {
+	var out []ingress.RelayTarget
 	for _, m := range h.agent.Live() {
 		if m.Info.Ready && !m.Info.CutOff {
-			out = append(out, ingress.Relay{Host: m.Host, Front: m.Info.Front, Weight: max(minRelayWeight, m.Info.Capacity)})
+			out = append(out, ingress.RelayTarget{Host: m.Host, Front: m.Info.Front, Weight: max(minRelayWeight, m.Info.Capacity)})
 		}
 	}
 	return out
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -33,12 +33,12 @@
 	// relaySilenceFactor is the factor by which the silence of another host may be longer than that of an endpoint, which it notices
 	// itself.
 	relaySilenceFactor = 2
-	// relaysTTL is the time for which the list of hosts is kept.
-	relaysTTL = 200 * time.Millisecond
+	// targetsTTL is the time for which the list of hosts is kept.
+	targetsTTL = 200 * time.Millisecond
 )
 
-// Relay is a host to which requests may be relayed.
-type Relay struct {
+// RelayTarget is a host to which requests may be relayed.
+type RelayTarget struct {
 	// Host is its name, and Front the address for callers.
 	Host, Front string
 	// Weight is its part of the requests, relative to the others.
@@ -71,41 +71,41 @@
 // sends returns the number of endpoints that were sent the request, by this host and by the one that relayed it.
 func (c *call) sends() int { return c.tracker.Sends() + c.relayed.priorSends }
 
-// relays returns the hosts to which requests may be relayed.
-func (s *Server) relays() []Relay {
-	if s.Relays == nil {
+// relayTargets returns the hosts to which requests may be relayed.
+func (s *Server) relayTargets() []RelayTarget {
+	if s.RelayTargets == nil {
 		return nil
 	}
 	now := s.Now()
 	s.mu.Lock()
-	known, fresh := s.knownRelays, s.relaysAt > 0 && now-s.relaysAt < relaysTTL
+	known, fresh := s.knownTargets, s.targetsAt > 0 && now-s.targetsAt < targetsTTL
 	s.mu.Unlock()
 	if fresh {
 		return known
 	}
-	known = s.Relays()
+	known = s.RelayTargets()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.knownRelays, s.relaysAt = known, max(now, 1)
+	s.knownTargets, s.targetsAt = known, max(now, 1)
 	return known
 }
 
 // mayRelay reports whether the request should go by another host.
 func (c *call) mayRelay() bool {
-	return c.s.CutOff() && c.relayed.from == "" && len(c.s.relays()) > 0
+	return c.s.CutOff() && c.relayed.from == "" && len(c.s.relayTargets()) > 0
 }
 
-// pickRelay picks a host at random, in proportion to the weights, among those that were not tried. It returns false if there is none.
-func pickRelay(relays []Relay, tried map[string]bool, random float64) (Relay, bool) {
+// pickTarget picks a host at random, in proportion to the weights, among those that were not tried. It returns false if there is none.
+func pickTarget(targets []RelayTarget, tried map[string]bool, random float64) (RelayTarget, bool) {
 	sum := 0.0
-	for _, r := range relays {
+	for _, r := range targets {
 		if !tried[r.Host] {
 			sum += r.Weight
 		}
 	}
-	picked, ok := Relay{}, false
+	picked, ok := RelayTarget{}, false
 	at := random * sum
-	for _, r := range relays {
+	for _, r := range targets {
 		if tried[r.Host] {
 			continue
 		}
@@ -123,12 +123,12 @@
 	tried := make(map[string]bool)
 	retryAfter := backoffUnreachable
 	for range maxRelays {
-		to, ok := pickRelay(c.s.relays(), tried, rand.Float64())
+		to, ok := pickTarget(c.s.relayTargets(), tried, rand.Float64())
 		if !ok || ctx.Err() != nil {
 			break
 		}
 		tried[to.Host] = true
-		result, f := c.sendToRelay(ctx, to)
+		result, f := c.sendToTarget(ctx, to)
 		switch result {
 		case sendCompleted, sendAbandoned:
 			c.finish(ctx, result)
@@ -175,8 +175,8 @@
 // reasonCutOff is the reason of a refusal by a host that reaches no endpoint, while no other host takes the request.
 const reasonCutOff sched.Reason = "this host reaches no endpoint, and other hosts did not take the request"
 
-// sendToRelay sends the request to another host and forwards its response. A response that the other host made itself is returned.
-func (c *call) sendToRelay(ctx context.Context, to Relay) (sendOutcome, refusal) {
+// sendToTarget sends the request to another host and forwards its response. A response that the other host made itself is returned.
+func (c *call) sendToTarget(ctx context.Context, to RelayTarget) (sendOutcome, refusal) {
 	conn, _, err := c.s.relayPool.Get(ctx, to.Front)
 	if err != nil {
 		return sendUnsent, refusal{}
--- a/ingress/relay_test.go
+++ b/ingress/relay_test.go
@@ -32,9 +32,9 @@
 	}
 }
 
-// TestPickRelay checks that hosts are picked in proportion to their weights and not twice.
-func TestPickRelay(t *testing.T) {
-	relays := []Relay{{Host: "a", Weight: 1}, {Host: "b", Weight: 3}, {Host: "c", Weight: 1}}
+// TestPickTarget checks that hosts are picked in proportion to their weights and not twice.
+func TestPickTarget(t *testing.T) {
+	targets := []RelayTarget{{Host: "a", Weight: 1}, {Host: "b", Weight: 3}, {Host: "c", Weight: 1}}
 	for _, tc := range []struct {
 		name   string
 		tried  map[string]bool
@@ -49,7 +49,7 @@
 		{"all were tried", map[string]bool{"a": true, "b": true, "c": true}, 0.5, ""},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			got, ok := pickRelay(relays, tc.tried, tc.random)
+			got, ok := pickTarget(targets, tc.tried, tc.random)
 			must.Eq(t, tc.want != "", ok)
 			must.Eq(t, tc.want, got.Host)
 		})
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -64,8 +64,8 @@
 	FirstStart bool
 	// BodyMemory limits the bytes of request bodies held at once.
 	BodyMemory int64
-	// Relays returns the hosts to which requests may be relayed while this one reaches no endpoint; nil means that there are none.
-	Relays func() []Relay
+	// RelayTargets returns the hosts to which requests may be relayed while this one reaches no endpoint; nil means that there are none.
+	RelayTargets func() []RelayTarget
 	// Trace logs a line for every request, without a limit on their number.
 	Trace bool
 	// Log receives state changes and failures.
@@ -88,8 +88,8 @@
 	retryBudgets map[string]*quota.RetryBudget
 	hostCount    int
 	lineLimiters map[outcome.Kind]*outcome.LineLimiter
-	knownRelays  []Relay
-	relaysAt     time.Duration // when Relays was last called, or 0
+	knownTargets []RelayTarget
+	targetsAt    time.Duration // when RelayTargets was last called, or 0
 
 	// Count counts outcomes.
 	Count Counters
