--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -115,8 +115,9 @@
 // dialCrashed opens a connection to an endpoint that lost a request. A refusal by the paths of a host that reaches no endpoint is not
 // the endpoint's.
 func (s *Server) dialCrashed(ctx context.Context, address string) error {
+	begun := s.Now()
 	err := s.pool.Warm(ctx, address)
-	s.paths.connected(address, err)
+	s.paths.connected(address, begun, err)
 	if err != nil && s.paths.isCutOff() {
 		return errCutOff
 	}
--- a/ingress/paths.go
+++ b/ingress/paths.go
@@ -42,10 +42,10 @@
 	waitingSince atomic.Int64 // when the first of them began, in nanoseconds
 	heardAt      atomic.Int64 // when an endpoint last sent a byte, in nanoseconds
 	cutOff       atomic.Bool
-	troubled     atomic.Bool // a connection failed recently, or the host is cut off
 
 	mu          sync.Mutex
 	tracker     reach.Tracker
+	troubled    bool            // a connection failed recently, or the host is cut off
 	probing     map[string]bool // addresses that are being tried
 	lastCheck   time.Duration   // when connections were last tried
 	undecided   chan struct{}   // closed once it is known whether the host is cut off; nil if it is
@@ -64,18 +64,23 @@
 // heard records that an endpoint sent something.
 func (p *paths) heard(now time.Duration) { p.heardAt.Store(int64(now)) }
 
-// connected records the result of opening a connection to an endpoint.
-func (p *paths) connected(address string, err error) {
-	if err == nil && !p.troubled.Load() {
+// connected records the result of opening a connection to an endpoint, which began at a time.
+func (p *paths) connected(address string, begun time.Duration, err error) {
+	now := p.now()
+	p.mu.Lock()
+	if err == nil && !p.troubled {
+		p.tracker.Opened(now, address, 0) // the number of addresses matters only while cut off
+		p.mu.Unlock()
 		return
 	}
+	p.mu.Unlock()
 	addresses := p.addresses()
 	p.mu.Lock()
 	changed := false
 	if err == nil {
-		changed = p.tracker.Opened(address, len(addresses))
+		changed = p.tracker.Opened(now, address, len(addresses))
 	} else {
-		changed = p.tracker.Failed(p.now(), address, len(addresses))
+		changed = p.tracker.Failed(now, begun, address, len(addresses))
 	}
 	cutOff := p.tracker.CutOff()
 	p.settle()
@@ -90,7 +95,7 @@
 func (p *paths) settle() {
 	suspects := p.tracker.Suspects(p.now())
 	p.cutOff.Store(p.tracker.CutOff())
-	p.troubled.Store(suspects || p.tracker.CutOff())
+	p.troubled = suspects || p.tracker.CutOff()
 	switch {
 	case suspects && p.undecided == nil:
 		p.undecided = make(chan struct{})
@@ -175,11 +180,12 @@
 
 // try opens one connection.
 func (p *paths) try(address string) {
+	begun := p.now()
 	err := p.dial(context.Background(), address)
 	p.mu.Lock()
 	delete(p.probing, address)
 	p.mu.Unlock()
-	p.connected(address, err)
+	p.connected(address, begun, err)
 }
 
 // addresses returns the addresses of the endpoints that may get requests.
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -314,7 +314,7 @@
 		return sendAbandoned, 0
 	}
 	if !reused {
-		c.s.paths.connected(c.endpoint.Address, err)
+		c.s.paths.connected(c.endpoint.Address, c.timings.chosen, err)
 	}
 	if err != nil {
 		c.s.balance.noteFailure(c, outlier.Unreachable)
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -25,12 +25,17 @@
 	failed   map[string]bool // addresses that failed since the last success
 	failedAt time.Duration   // when the latest of them failed
 	opened   map[string]bool // addresses that succeeded while cut off
+	openedAt time.Duration   // when the latest success was
 	cutOff   bool
 }
 
-// Failed records that a connection to an address could not be opened, of a number of addresses that there are. It
-// reports whether the host is cut off since then.
-func (t *Tracker) Failed(now time.Duration, address string, addresses int) bool {
+// Failed records that a connection to an address, begun at a time, could not be opened, of a number of addresses that
+// there are. It reports whether the host is cut off since then. A connection that was begun before the latest success
+// says nothing: several that hang end together, later than the paths are back.
+func (t *Tracker) Failed(now, begun time.Duration, address string, addresses int) bool {
+	if begun < t.openedAt {
+		return false
+	}
 	if t.failed == nil || now-t.failedAt > failureTTL {
 		t.failed = make(map[string]bool)
 	}
@@ -45,7 +50,8 @@
 
 // Opened records that a connection to an address was opened. It reports whether the host is connected again since
 // then.
-func (t *Tracker) Opened(address string, addresses int) bool {
+func (t *Tracker) Opened(now time.Duration, address string, addresses int) bool {
+	t.openedAt = now
 	if !t.cutOff {
 		clear(t.failed)
 		return false
