--- a/edge/brittle_test.go
+++ b/edge/rejects_test.go
@@ -18,9 +18,9 @@
 	"github.com/heathkeel/heathkeel/platform"
 )
 
-// TestBrittleEndpoints checks that endpoints which fall over when they have to reject requests, and say so in their answers, get no
+// TestRejectLimits checks that endpoints which crash when they have to reject requests, and say so in their answers, get no
 // more than they have room for, summed over all hosts, and that nearly all of their capacity is used.
-func TestBrittleEndpoints(t *testing.T) {
+func TestRejectLimits(t *testing.T) {
 	const (
 		work       = 400 * time.Millisecond
 		slots      = 8
@@ -52,7 +52,7 @@
 				capacity := float64(tc.endpoints*slots) / work.Seconds()
 				sendAtRate(s, 2*time.Second, tc.load*capacity)
 				for _, e := range s.Endpoints {
-					e.TurnBrittle(maxRejects, lessRoom, tc.boot.ContactTime)
+					e.LimitRejects(maxRejects, lessRoom, tc.boot.ContactTime)
 				}
 				if tc.restarts {
 					go func() {
@@ -64,12 +64,12 @@
 					}()
 				}
 				sent, served := sendAtRate(s, play, tc.load*capacity)
-				falls := 0
+				crashes := 0
 				for _, e := range s.Endpoints {
-					falls += e.Falls()
+					crashes += e.Crashes()
 				}
-				t.Logf("%d falls, served %d of %d, capacity %.0f", falls, served, sent, capacity*play.Seconds())
-				must.LessEq(t, 2+float64(tc.endpoints)/10, float64(falls))
+				t.Logf("%d crashes, served %d of %d, capacity %.0f", crashes, served, sent, capacity*play.Seconds())
+				must.LessEq(t, 2+float64(tc.endpoints)/10, float64(crashes))
 				minServed := 0.9
 				if tc.restarts {
 					minServed = 0.8 // callers of the two hosts are not served for a second or two
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -36,22 +36,22 @@
 	rand      *rand.Rand
 	fleet     places.Fleet // all hosts
 	// coldTolerance is by how much the hosts may exceed the rate of a cold endpoint.
-	coldTolerance ColdTolerance
-	limitsCold    atomic.Bool // the configuration limits the requests to cold endpoints of some service
-	table         *route.Table
-	prefillRates  map[string]*sched.Quantile // by service: prompt tokens read in a step
-	effective     map[settingsKey]*settings.Effective
-	ranks         map[string][]rankPair // by service, sorted
-	changedLoads  map[string]bool       // endpoints whose own load changed since it was last reported
-	hadWaiting    bool                  // requests were waiting at the last report
-	slots         slotOwner
-	requestSlots  func() // triggers a request to the slot owners
-	notifyPeers   func() // triggers a heartbeat to the other hosts
-	owners        owners
-	stating       map[string]*target // endpoints that stated a limit, by incarnation
-	anyStating    atomic.Bool        // stating is not empty
-	ownLimited    []*target          // those with a limit in force whose slots this host owns
-	brittleDelay  time.Duration      // from the first statement that an endpoint is brittle until it counts as brittle
+	coldTolerance    ColdTolerance
+	limitsCold       atomic.Bool // the configuration limits the requests to cold endpoints of some service
+	table            *route.Table
+	prefillRates     map[string]*sched.Quantile // by service: prompt tokens read in a step
+	effective        map[settingsKey]*settings.Effective
+	ranks            map[string][]rankPair // by service, sorted
+	changedLoads     map[string]bool       // endpoints whose own load changed since it was last reported
+	hadWaiting       bool                  // requests were waiting at the last report
+	slots            slotOwner
+	requestSlots     func() // triggers a request to the slot owners
+	notifyPeers      func() // triggers a heartbeat to the other hosts
+	owners           owners
+	stating          map[string]*target // endpoints that stated a limit, by incarnation
+	anyStating       atomic.Bool        // stating is not empty
+	ownLimited       []*target          // those with a limit in force whose slots this host owns
+	rejectLimitDelay time.Duration      // from the first statement of a limit on rejections until it is in force
 }
 
 // settingsKey identifies the effective settings of a workspace on a route.
@@ -215,7 +215,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, Brittle: t.inForce.brittle})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -386,7 +386,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sched.BackOff(b.now(), c.req, d)
-	if t := b.targets[c.endpoint.Incarnation()]; t != nil && t.inForce.brittle {
+	if t := b.targets[c.endpoint.Incarnation()]; t != nil && t.inForce.rejectLimited {
 		t.rejected = true
 		b.requestSlots()
 	}
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -33,7 +33,7 @@
 	LengthHint string
 	// Rate on a response is the number of requests per second that the endpoint takes from all hosts together.
 	Rate string
-	// Rejects on a response is the number of requests that the endpoint may reject within a second before it falls over.
+	// Rejects on a response is the number of requests that the endpoint may reject within a second before it crashes.
 	Rejects string
 	// Known are further response headers that mean nothing to the ingress.
 	Known []string
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -16,7 +16,7 @@
 	"github.com/heathkeel/heathkeel/places"
 )
 
-// An endpoint may state in its responses how many requests a second it takes from all hosts together, or that it falls over when it has
+// An endpoint may state in its responses how many requests a second it takes from all hosts together, or that it crashes when it has
 // to reject more than a few for lack of room. Hosts tell each other what endpoints stated, and one host, the owner of the endpoint's
 // slots, grants each request to it: no host could keep its part of a rate of two a second in a fleet of hundreds, and hosts that learn
 // of each other's requests late overfill an endpoint. The owner sends its own requests without asking while no other host wants a slot,
@@ -25,11 +25,11 @@
 const (
 	// badLimitLine limits the log lines about stated limits that are no numbers.
 	badLimitLine outcome.Kind = "bad limit"
-	// brittleDelayShare is the share of the contact time after which a host treats an endpoint as brittle. Endpoints keep their room
+	// rejectLimitDelayShare is the share of the contact time after which a host keeps a limit on rejections. Endpoints keep their room
 	// for the contact time after they first say so, and the owner of the slots needs the numbers of all hosts before it grants any.
-	brittleDelayShare = 0.5
-	// ownerDelay is the time for which a new owner of a brittle endpoint's slots grants none: all hosts have told it by then what they
-	// have running there.
+	rejectLimitDelayShare = 0.5
+	// ownerDelay is the time for which a new owner of the slots of an endpoint with such a limit grants none: by then all hosts have told
+	// it what they have running there.
 	ownerDelay = 500 * time.Millisecond
 )
 
@@ -49,7 +49,7 @@
 
 // statedLimits is what an endpoint stated about its limits.
 type statedLimits struct {
-	// rate is about the requests per second that it takes, rejects about those that it rejects in a second before it falls over.
+	// rate is about the requests per second that it takes, rejects about those that it rejects in a second before it crashes.
 	rate, rejects places.StatedLimit
 }
 
@@ -64,17 +64,17 @@
 
 // limitsInForce are the limits of an endpoint that hosts keep now.
 type limitsInForce struct {
-	rateLimited bool
-	rate        float64 // in requests per second, if rateLimited
-	brittle     bool
-	soonBrittle bool // it has said that it is brittle, and keeps its room for a while
+	rateLimited       bool
+	rate              float64 // in requests per second, if rateLimited
+	rejectLimited     bool
+	soonRejectLimited bool // it has stated such a limit, and keeps its room for a while
 }
 
 // grantsOnly reports whether each request needs a grant.
-func (l *limitsInForce) grantsOnly() bool { return l.rateLimited || l.brittle }
+func (l *limitsInForce) grantsOnly() bool { return l.rateLimited || l.rejectLimited }
 
 // any reports whether the owner of the endpoint's slots has to know what all hosts have running there.
-func (l *limitsInForce) any() bool { return l.grantsOnly() || l.soonBrittle }
+func (l *limitsInForce) any() bool { return l.grantsOnly() || l.soonRejectLimited }
 
 // SetOwners sets the hosts that may own the slots of endpoints, and the share of the hosts that this one hears.
 func (s *Server) SetOwners(candidates []places.Candidate, share float64) {
@@ -123,7 +123,7 @@
 	limits, changed := c.s.balance.noteLimits(c.endpoint.Incarnation(), &stated)
 	if changed {
 		c.s.Log.Info("endpoint states other limits", "endpoint", c.endpoint.Instance, "rate_limited", limits.rateLimited, "rate", limits.rate,
-			"brittle", limits.brittle || limits.soonBrittle)
+			"rejects_limited", limits.rejectLimited || limits.soonRejectLimited)
 		c.s.balance.notifyPeers()
 	}
 }
@@ -168,7 +168,7 @@
 		b.stating[t.Incarnation()] = t
 		b.anyStating.Store(true)
 	}
-	if !t.applyLimits(b.now(), b.brittleDelay) {
+	if !t.applyLimits(b.now(), b.rejectLimitDelay) {
 		return false
 	}
 	b.applyLimits()
@@ -176,17 +176,17 @@
 }
 
 // applyLimits puts the stated limits in force and reports whether they changed.
-func (t *target) applyLimits(now, brittleDelay time.Duration) bool {
+func (t *target) applyLimits(now, rejectLimitDelay time.Duration) bool {
 	var l limitsInForce
 	l.rate, l.rateLimited = t.stated.rate.InForce(now)
 	if !l.rateLimited {
 		l.rate = 0
 	}
 	_, rejects := t.stated.rejects.InForce(now)
-	if rejects && !t.inForce.brittle && !t.inForce.soonBrittle {
-		t.brittleAt = now + brittleDelay
+	if rejects && !t.inForce.rejectLimited && !t.inForce.soonRejectLimited {
+		t.rejectLimitedAt = now + rejectLimitDelay
 	}
-	l.brittle, l.soonBrittle = rejects && now >= t.brittleAt, rejects && now < t.brittleAt
+	l.rejectLimited, l.soonRejectLimited = rejects && now >= t.rejectLimitedAt, rejects && now < t.rejectLimitedAt
 	changed := l != t.inForce
 	t.inForce = l
 	return changed
@@ -211,7 +211,7 @@
 			changed = true
 			continue
 		}
-		changed = t.applyLimits(now, b.brittleDelay) || changed
+		changed = t.applyLimits(now, b.rejectLimitDelay) || changed
 	}
 	b.anyStating.Store(len(b.stating) > 0)
 	if changed {
@@ -243,7 +243,7 @@
 
 // mayGrant reports whether this host may grant slots of a limited endpoint.
 func (t *target) mayGrant(now time.Duration) bool {
-	return t.owned && (!t.inForce.brittle || now-t.ownedSince >= ownerDelay)
+	return t.owned && (!t.inForce.rejectLimited || now-t.ownedSince >= ownerDelay)
 }
 
 // allocator returns the allocator of an endpoint's slots with the limits in force; mu must be held.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,7 +44,7 @@
 	ListUsable func() bool
 	// DrainTime is the time after it starts to leave during which an endpoint may still get requests.
 	DrainTime time.Duration
-	// ContactTime is the time after which endpoints that say that they are brittle may have less room.
+	// ContactTime is the time after which endpoints that limit rejections may have less room.
 	ContactTime time.Duration
 	// Host is this host's name.
 	Host string
@@ -116,7 +116,7 @@
 	s.SetAgeLimits(AgeLimits{Strict: true})
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
 	s.balance.coldTolerance = s.ColdTolerance
-	s.balance.brittleDelay = time.Duration(brittleDelayShare * float64(s.ContactTime))
+	s.balance.rejectLimitDelay = time.Duration(rejectLimitDelayShare * float64(s.ContactTime))
 	s.balance.rollouts.Limits.Share = s.ExposeShare
 }
 
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -27,10 +27,10 @@
 	// stated is what the endpoint stated about its limits, according to all hosts, and ownStated what this host read itself.
 	stated, ownStated statedLimits
 	inForce           limitsInForce
-	brittleAt         time.Duration // when the endpoint that said so counts as brittle
+	rejectLimitedAt   time.Duration // when a limit on rejections comes into force
 	owned             bool          // this host owns the slots, if any limit is in force
 	ownedSince        time.Duration // when owned changed
-	rejected          bool          // the endpoint is brittle and rejected a request, and the owner was not told yet
+	rejected          bool          // the endpoint limits rejections and rejected a request, and the owner was not told yet
 }
 
 // cancelSends cancels all requests in flight, because a later incarnation has replaced the endpoint.
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -40,22 +40,22 @@
 	overload overload
 }
 
-// overload is the state of an endpoint that may fall over.
+// overload is the state of an endpoint that may crash.
 type overload struct {
 	running int           // requests that run or wait
 	slots   chan struct{} // one entry for each request that runs
-	// maxRejects is the number of requests that the endpoint may reject within a second; with one more it falls over. It says so in its
-	// answers. 0 means that it does not fall over.
+	// maxRejects is the number of requests that the endpoint may reject within a second; with one more it crashes. It says so in its
+	// answers. 0 means that it does not crash.
 	maxRejects int
 	rejects    []time.Time // of the last second
 	downUntil  time.Time
-	falls      int
+	crashes    int
 }
 
 // slots is the number of requests that an endpoint runs at once, as its entry says.
 const slots = 8
 
-// downTime is the time for which an endpoint that fell over answers nothing.
+// downTime is the time for which an endpoint that crashed answers nothing.
 const downTime = 4 * time.Second
 
 // statedRate is the rate that an endpoint states in its answers from a moment on; negative means none.
@@ -114,7 +114,7 @@
 	return !time.Now().Before(e.overload.downUntil)
 }
 
-// reject rejects a request if there is no room for it. An endpoint that rejects too many falls over.
+// reject rejects a request if there is no room for it. An endpoint that rejects too many crashes.
 func (e *Endpoint) reject(w http.ResponseWriter, r *http.Request) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -130,7 +130,7 @@
 	o.rejects = slices.DeleteFunc(o.rejects, func(at time.Time) bool { return now.Sub(at) >= time.Second })
 	o.rejects = append(o.rejects, now)
 	if o.maxRejects > 0 && len(o.rejects) > o.maxRejects {
-		o.falls++
+		o.crashes++
 		o.rejects, o.downUntil = nil, now.Add(downTime)
 	}
 	w.Header().Set("Heathkeel-Attempt-Id", r.Header.Get("Heathkeel-Attempt-Id"))
@@ -162,9 +162,9 @@
 	return e.enter()
 }
 
-// TurnBrittle makes the endpoint let only room requests wait, and fall over when it rejects more than maxRejects within a second. It
+// LimitRejects makes the endpoint let only room requests wait, and crash when it rejects more than maxRejects within a second. It
 // says the latter in its answers from now on, and lets fewer wait after a notice.
-func (e *Endpoint) TurnBrittle(maxRejects, room int, notice time.Duration) {
+func (e *Endpoint) LimitRejects(maxRejects, room int, notice time.Duration) {
 	e.mu.Lock()
 	e.overload.maxRejects = maxRejects
 	e.mu.Unlock()
@@ -175,11 +175,11 @@
 	})
 }
 
-// Falls returns how often the endpoint fell over.
-func (e *Endpoint) Falls() int {
+// Crashes returns how often the endpoint crashed.
+func (e *Endpoint) Crashes() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.overload.falls
+	return e.overload.crashes
 }
 
 // StateRate makes the endpoint state in its answers, from now on, the requests a second that it takes from all
--- a/places/book.go
+++ b/places/book.go
@@ -31,7 +31,7 @@
 	// Returned says that a granted slot is not taken. A host that no longer wants a slot may still
 	// receive one whose grant was in flight.
 	Returned bool `json:"b,omitempty"`
-	// Rejected says that an endpoint that falls over when it has to reject requests rejected one of the host.
+	// Rejected says that an endpoint that crashes when it has to reject requests rejected one of the host.
 	Rejected bool `json:"f,omitempty"`
 }
 
@@ -53,7 +53,7 @@
 	pausedUntil time.Duration // no grants until then
 }
 
-// rejectPause is the time without grants after an endpoint rejected a request: endpoints that fall over count
+// rejectPause is the time without grants after an endpoint rejected a request: endpoints that crash count
 // what they reject within a second.
 const rejectPause = time.Second
 
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -26,7 +26,7 @@
 	if s.cfg.Disabled.LateBinding {
 		return 1e9
 	}
-	if rank == 0 && e.Brittle {
+	if rank == 0 && e.RejectLimited {
 		return n
 	}
 	if rank == 0 {
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -48,13 +48,13 @@
 	// together.
 	RateLimited bool
 	Rate        float64
-	// Brittle says that the endpoint falls over when it has to reject requests for lack of room.
-	Brittle bool
+	// RejectLimited says that the endpoint crashes when it has to reject requests for lack of room.
+	RejectLimited bool
 }
 
 // grantsOnly reports whether each request to the endpoint needs a grant of the host that owns its
 // slots, because it limits the requests of all hosts together.
-func (e *Endpoint) grantsOnly() bool { return e.RateLimited || e.Brittle }
+func (e *Endpoint) grantsOnly() bool { return e.RateLimited || e.RejectLimited }
 
 // loadSample is the load that this host has put on an endpoint at one time.
 type loadSample struct {
