ingress: sends have a file of their own; a send to an endpoint and one to another host end in the same way

What both kinds of sends do (time left, deadline, the connection at the end) stood twice, and not alike: a relayed request that was complete when its caller left put its closed connection among the idle ones, where it was found out at its next use.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -182,14 +182,14 @@
 	if err != nil {
 		return sendUnsent, refusal{}
 	}
-	remaining := c.deadline - c.s.Now()
-	if remaining <= 0 || ctx.Err() != nil {
+	remaining, ok := c.timeLeft(ctx)
+	if !ok {
 		conn.Release()
 		return sendAbandoned, refusal{}
 	}
 	c.returnQuota() // the other host takes it
 	header := c.relayHeader()
-	header.Set(c.s.Headers.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
+	header.Set(c.s.Headers.Deadline, formatDeadline(remaining))
 	c.relayed.to = to.Host
 	c.tracker.MarkSent()
 	c.s.Count.Relayed.Add(1)
@@ -198,15 +198,7 @@
 	silence := newSilenceTimer(relaySilenceFactor*c.silenceTimeout(), conn.Close)
 	result, f := c.relayRoundTrip(ctx, conn, header, silence)
 	silence.stop()
-	uncanceled := stopCancel()
-	switch {
-	case !uncanceled && result != sendCompleted:
-		result = sendAbandoned
-	case result == sendLost || result == sendAbandoned:
-		conn.Close()
-	default:
-		conn.Release()
-	}
+	result = settle(conn, result, !stopCancel())
 	if result == sendLost {
 		c.tracker.MarkLost()
 		c.s.Count.RelaysLost.Add(1)
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -7,18 +7,15 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/heathkeel/heathkeel/attempt"
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/outcome"
-	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/quarantine"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
-	"github.com/heathkeel/heathkeel/upstream"
 )
 
 // call is one request of a caller, from its arrival to its end.
@@ -140,8 +137,8 @@
 	maxRejects = 2
 )
 
-// run sends the request to an endpoint, and to further ones where that is allowed.
-func (c *call) run(ctx context.Context) {
+// prepare sets the header of the request to endpoints, and the request to the scheduler.
+func (c *call) prepare() {
 	c.header = c.s.Headers.outgoing(c.r.Header)
 	if c.workspace != nil {
 		c.header.Set(c.s.Headers.Workspace, c.workspace.Name)
@@ -153,6 +150,11 @@
 	if c.service.Engine {
 		c.req.Objective = sched.Objective{FirstToken: c.route.Objective, EventGap: c.route.PauseObjective, EventTokens: c.service.EventTokens}
 	}
+}
+
+// run sends the request to an endpoint, and to further ones where that is allowed.
+func (c *call) run(ctx context.Context) {
+	c.prepare()
 	if c.mayRelay() {
 		c.relay(ctx)
 		return
@@ -306,189 +308,3 @@
 	}
 	c.refuse(refusal{status: status, why: "no answer from an endpoint: " + string(d.Reason), retryAfter: d.RetryAfter})
 }
-
-// send sends the request to the endpoint c.endpoint and handles its response. It returns the outcome and the backoff.
-func (c *call) send(ctx context.Context) (sendOutcome, time.Duration) {
-	conn, reused, err := c.s.pool.Get(ctx, c.endpoint.Address)
-	if err != nil && ctx.Err() != nil {
-		return sendAbandoned, 0
-	}
-	if !reused {
-		c.s.paths.connected(c.endpoint.Address, c.timings.chosen, err)
-	}
-	if err != nil {
-		c.s.balance.noteFailure(c, outlier.Unreachable)
-		return sendUnsent, backoffUnreachable
-	}
-	if c.sendRefusal = c.checkSend(ctx); c.sendRefusal != nil {
-		conn.Release()
-		return sendForbidden, 0
-	}
-	remaining := c.deadline - c.s.Now()
-	if remaining <= 0 || ctx.Err() != nil {
-		conn.Release()
-		return sendAbandoned, 0
-	}
-	unregister, ok := c.s.balance.registerSend(c, func() {
-		c.s.Count.LifeOver.Add(1)
-		conn.Close()
-	})
-	defer unregister()
-	if !ok {
-		conn.Release()
-		return sendUnsent, 0
-	}
-	c.header.Set(c.s.Headers.Deadline, strconv.FormatInt(max(1, remaining.Milliseconds()), 10))
-	c.header.Set(c.s.Headers.ExpectInstance, c.endpoint.Instance)
-	stopCancel := context.AfterFunc(ctx, func() { conn.Close() })
-	c.tracker.MarkSent()
-	c.responsePending = true
-	sentAt := c.s.Now()
-	c.noteSend(sentAt)
-	silence := newSilenceTimer(c.silenceTimeout(), conn.Close)
-	c.s.paths.sendBegun()
-	result, backoff := c.roundTrip(ctx, conn, silence)
-	c.s.paths.sendEnded()
-	timedOut := silence.stop()
-	if timedOut && result == sendLost {
-		backoff = backoffUnreachable
-	}
-	uncanceled := stopCancel()
-	if timedOut || (!uncanceled && c.responsePending && c.s.Now()-sentAt >= closeStaleAfter) {
-		c.s.pool.CloseStale(conn)
-	}
-	if result != sendCompleted && (timedOut || !uncanceled) {
-		c.countCanceledWork(timedOut, c.s.Now()-sentAt)
-	}
-	switch {
-	case !uncanceled && result != sendCompleted:
-		result = sendAbandoned
-	case uncanceled && (result == sendLost || result == sendAbandoned):
-		conn.Close()
-	case uncanceled:
-		conn.Release()
-	}
-	// A send during which this process did not run for a while says nothing about the endpoint.
-	gapSeen := c.s.Watch.GapSince(sentAt)
-	if !gapSeen {
-		c.s.balance.noteVersion(c, result, c.s.Now()-sentAt)
-		c.reportFailure(result, backoff)
-	}
-	if result == sendLost {
-		c.tracker.MarkLost()
-		c.s.Count.Lost.Add(1)
-		c.logOutcome(outcome.SendLost, 0, "the endpoint did not send a complete response", 0)
-		if !timedOut {
-			c.probeCrash(ctx, gapSeen)
-		}
-	}
-	return result, backoff
-}
-
-// noteSend records the age of the endpoint list by which the request is sent. If it exceeds half of DrainTime, or the settings that
-// decided the request were older than their limit, the send is logged.
-func (c *call) noteSend(now time.Duration) {
-	c.timings.lastSent, c.timings.listAge = now, c.s.listAge(now)
-	c.recordDuration(metrics.ListAge, c.timings.listAge)
-	c.recordDuration(metrics.ChoiceToSend, now-c.timings.chosen)
-	if drainTime := c.s.DrainTime; drainTime > 0 && c.timings.listAge > drainTime/2 {
-		c.logOutcome(outcome.SentByStaleList, 0, "the endpoint list may contain endpoints that have left", 0)
-	}
-	if maxAge := c.s.Settings.MaxAge; maxAge > 0 && c.timings.settingsAge > maxAge {
-		c.logOutcome(outcome.SentByStaleSettings, 0, "the settings may contain routes that were removed", 0)
-	}
-}
-
-// probeCrash probes whether the endpoint that lost a send has crashed. A request that may be retried waits for the result.
-func (c *call) probeCrash(ctx context.Context, gapSeen bool) {
-	done := c.s.crashes.noteLost(c, gapSeen)
-	if !c.route.MayRepeat() || c.sends() >= c.route.Attempts {
-		return
-	}
-	t := time.NewTimer(maxProbeWait)
-	defer t.Stop()
-	select {
-	case <-done:
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
-// reportFailure reports a failed send to the scheduler. Completed and abandoned sends were reported when they ended.
-func (c *call) reportFailure(result sendOutcome, backoff time.Duration) {
-	switch {
-	case result == sendLost && c.responsePending:
-		c.s.balance.noteFailure(c, outlier.Unanswered)
-	case result == sendLost:
-		c.s.balance.noteFailure(c, outlier.Broken)
-	case result == sendFailed:
-		c.s.balance.noteFailure(c, outlier.Errored)
-	case result == sendNotExecuted:
-		c.s.balance.backOff(c, backoff)
-		if backoff == backoffFull {
-			c.s.balance.noteFailure(c, outlier.Rejected)
-		}
-	}
-}
-
-// countCanceledWork counts a send that this host canceled, by cause.
-func (c *call) countCanceledWork(timedOut bool, elapsed time.Duration) {
-	n := &c.s.Count
-	switch {
-	case c.r.Context().Err() != nil:
-		n.LeftAtWork.Add(1)
-	case timedOut:
-		n.MuteAtWork.Add(1)
-	default:
-		n.LateAtWork.Add(1)
-	}
-	n.WorkLostMS.Add(elapsed.Milliseconds())
-}
-
-// roundTrip sends the request on a connection and forwards the response.
-func (c *call) roundTrip(ctx context.Context, conn *upstream.Conn, silence *silenceTimer) (sendOutcome, time.Duration) {
-	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: c.header, Body: c.body, HasBody: c.hasBody}
-	sent := c.s.Now()
-	if err := conn.Send(&req); err != nil {
-		return sendLost, backoffLost
-	}
-	resp, err := conn.ReadResponse(c.r.Method, c.s.Headers.AttemptID, c.id)
-	if err != nil {
-		return sendLost, backoffLost
-	}
-	defer resp.Body.Close()
-	c.responsePending = false
-	c.s.paths.heard(c.s.Now())
-	c.logUnreadHeaders(resp.Header)
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		c.tracker.MarkNotRun()
-		discardBody(resp)
-		return sendNotExecuted, backoffWrongInstance
-	}
-	c.noteLimits(resp.Header, sent)
-	if resp.Header.Get(c.s.Headers.NotExecuted) != "" {
-		c.tracker.MarkNotRun()
-		discardBody(resp)
-		return sendNotExecuted, backoffFull
-	}
-	return c.forwardResponse(ctx, resp, sent, silence)
-}
-
-// forwardResponse forwards a response of an endpoint, which may have come by another host.
-func (c *call) forwardResponse(ctx context.Context, resp *http.Response, sent time.Duration, silence *silenceTimer) (sendOutcome, time.Duration) {
-	c.tracker.MarkAnswered()
-	c.serverError = resp.StatusCode >= http.StatusInternalServerError
-	ok := resp.StatusCode >= 200 && resp.StatusCode < 300
-	if ok && resp.Header.Get(c.s.Headers.ResponseStamp) == "" {
-		return sendLost, backoffLost
-	}
-	if ok && c.route.Kind == route.Stream {
-		return c.forwardStream(ctx, resp, sent, silence)
-	}
-	if c.stream.started {
-		// The caller has received part of a stream; a response that is not a stream cannot continue it.
-		discardBody(resp)
-		return sendFailed, backoffLost
-	}
-	return c.forwardPlain(resp, sent)
-}
