--- a/edge/host.go
+++ b/edge/host.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"reflect"
 	"runtime/debug"
 	"sync/atomic"
 	"syscall"
@@ -341,94 +340,3 @@
 		}
 	}
 }
-
-// waitForStop handles signals until one to stop arrives, and stops the host.
-func (h *Host) waitForStop(ctx context.Context, signals <-chan os.Signal) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-h.reloads:
-			h.reload()
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				h.stop()
-				return
-			}
-			h.reload()
-		}
-	}
-}
-
-// reload reads the settings file again and applies what may change while the host runs: the
-// addresses of other hosts and the limits on the age of settings. An invalid file changes nothing.
-func (h *Host) reload() {
-	b, err := platform.ReadBoot(h.Path)
-	if err != nil {
-		h.Log.Error(err, "invalid settings file ignored; the previous one stays in force")
-		return
-	}
-	if reflect.DeepEqual(b, h.lastBoot) {
-		return
-	}
-	h.lastBoot = b
-	h.agent.SetSeeds(h.seedAddresses(b.Seeds))
-	a := ageLimits(&b)
-	h.ingress.SetAgeLimits(a)
-	h.Log.Info("settings file in force", "seeds", len(b.Seeds), "trust", a.MaxKeyAge.String(), "strict", a.Strict)
-}
-
-// ageLimits returns the limits on the age of the settings.
-func ageLimits(b *platform.Boot) ingress.AgeLimits {
-	return ingress.AgeLimits{
-		MaxKeyAge:     time.Duration(maxKeyAgeShare * float64(b.RevokeTime)),
-		Strict:        b.StrictRevoke,
-		MaxUnknownAge: time.Duration(maxUnknownAgeShare * float64(b.ConfigTime)),
-	}
-}
-
-// pollSettingsFile triggers a reload periodically, for changes of the settings file without a
-// signal.
-func (h *Host) pollSettingsFile(ctx context.Context) {
-	if h.Path == "" {
-		return
-	}
-	t := time.NewTicker(filePollInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			h.reloads <- struct{}{}
-		}
-	}
-}
-
-// filePollInterval is the time between two reads of the settings file.
-const filePollInterval = 5 * time.Second
-
-// Times of a graceful stop.
-const (
-	// minLinger is how long callers with old address answers are still served.
-	minLinger = 3500 * time.Millisecond
-	// graceReserve is the part of the grace period that is left unused.
-	graceReserve = 700 * time.Millisecond
-)
-
-// stop announces the stop to callers and peers and returns when no request is active or the grace
-// period is over.
-func (h *Host) stop() {
-	start := h.now()
-	close(h.stopping)
-	h.ingress.Stop()
-	h.agent.TriggerHeartbeat()
-	h.Log.Info("stopping", "active", h.ingress.Active())
-	for h.now()-start < h.Boot.GracePeriod-graceReserve {
-		if h.now()-start > min(minLinger, h.Boot.GracePeriod/2) && h.ingress.Active() == 0 {
-			break
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	h.Log.Info("stopped", "active", h.ingress.Active())
-}
