--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -107,6 +107,26 @@
 	l        net.Listener
 	conns    map[net.Conn]bool
 	crashed  bool
+	limited  bool    // it states rate in its answers
+	rate     float64 // in requests per second
+}
+
+// StateRate makes the endpoint state in its answers, from now on, the requests a second that it takes from all
+// hosts together; a negative rate ends that.
+func (e *Endpoint) StateRate(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limited, e.rate = perSecond >= 0, perSecond
+}
+
+// rateHeader returns the header field that states the endpoint's rate, or nothing.
+func (e *Endpoint) rateHeader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.limited {
+		return ""
+	}
+	return fmt.Sprintf("Server-Limit: %.2f\r\n", e.rate)
 }
 
 // Start listens on loopback and serves connections.
@@ -307,6 +327,7 @@
 // responseHead returns the status line and the first header fields of an answer.
 func (e *Endpoint) responseHead(id string, f Fault, status string) string {
 	h := "HTTP/1.1 " + status + "\r\nHeathkeel-Attempt-Id: " + id + "\r\n"
+	h += e.rateHeader()
 	if f != NoStamp {
 		h += "Heathkeel-Response-Stamp: " + e.Instance + "." + id + "\r\n"
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -120,6 +120,7 @@
 	leftAt           time.Time // when the store accepted its leaving, zero before
 	disturbances     int
 	undisturbedSince time.Time
+	rates            []statedRate // in the order of time
 }
 
 // beginDisturbance records the begin of a fault and returns the function that records its end.
--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -29,13 +29,14 @@
 	arrivals  []arrival
 	runs      map[string][]arrival
 	withdrawn map[int]time.Time
+	endpoints []*fleetEndpoint
 	// late describes arrivals at endpoints that had left, see arrivalWatcher.
 	late []string
 }
 
 // newRecord collects the record of a run.
 func newRecord(f *fleet, c *clients) *record {
-	r := &record{sent: c.requests(), byID: make(map[string]*sentRequest), runs: make(map[string][]arrival), withdrawn: c.withdrawn}
+	r := &record{sent: c.requests(), byID: make(map[string]*sentRequest), runs: make(map[string][]arrival), withdrawn: c.withdrawn, endpoints: f.allEndpoints()}
 	for _, s := range r.sent {
 		r.byID[s.id] = s
 	}
@@ -71,6 +72,7 @@
 	{"repeats stay within their budget", (*record).overBudget},
 	{"an endpoint stops when its caller has left", (*record).ranAfterCallerLeft},
 	{"a planned stop cuts no request", (*record).cutByStop},
+	{"a rate that an endpoint states is kept", (*record).overRate},
 	{"a leaving endpoint gets no work", func(r *record) []string { return r.late }},
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -85,6 +85,7 @@
 	wg.Go(func() { w.run(watchCtx) })
 	injector := &faultInjector{fleet: f, clients: c, rand: random, claimed: make(map[*host]bool), startedAt: time.Now(), configVersion: 1}
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), r.duration)
+	wg.Go(func() { f.stateRates(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), rateSource))) })
 	injector.run(faultCtx)
 	stopFaults()
 	if r.timed {
@@ -117,6 +118,9 @@
 	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %s", r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, statusCounts(rec))
 }
 
+// rateSource is the source of the stated rates, beside those of the callers, which count from 1.
+const rateSource = 1 << 20
+
 // finalRequests is the number of requests to each host after the last fault.
 const finalRequests = 10
 
@@ -210,6 +214,9 @@
 		w.undisturbed[run.AttemptID] = make(map[time.Time]bool)
 	}
 	w.undisturbed[run.AttemptID][run.ReceivedAt] = undisturbed
+	if s != nil && s.host.isUndisturbed(run.ReceivedAt) {
+		m.noteArrival(run.ReceivedAt)
+	}
 	m.mu.Lock()
 	left := m.leftAt
 	m.mu.Unlock()
