--- a/edge/cutoff_test.go
+++ b/edge/cutoff_test.go
@@ -6,13 +6,13 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/internal/simnet"
@@ -77,6 +77,50 @@
 	}
 }
 
+// cutPlay is a play in which some hosts reach no endpoint for a while.
+type cutPlay struct {
+	boot       platform.Boot
+	hosts, cut int // numbers of hosts, and of those that are cut off
+	endpoints  int
+	perSecond  float64
+	once       bool // requests may run once only
+}
+
+// cutFor is the time for which hosts reach no endpoint.
+const cutFor = 12 * time.Second
+
+// path returns the path of the play's requests.
+func (p *cutPlay) path() string {
+	if p.once {
+		return "/push/x"
+	}
+	return "/ask/x"
+}
+
+// run plays a cut. It checks promises on all answers, and that all requests are served afterwards; it returns the answers from the
+// contact time after the begin of the cut until its end.
+func (p *cutPlay) run(t *testing.T, mode simnet.CutMode) answersByHost {
+	s := startWorking(t, site.Example(), p.boot, p.hosts, p.endpoints, 30*time.Millisecond)
+	defer s.Stop()
+	sendToEach(s, 2*time.Second, p.perSecond, p.path())
+	for _, h := range s.Hosts[:p.cut] {
+		h.CutOffEndpoints(mode)
+	}
+	early := sendToEach(s, p.boot.ContactTime, p.perSecond, p.path())
+	bound := sendToEach(s, cutFor-p.boot.ContactTime, p.perSecond, p.path())
+	for _, h := range s.Hosts[:p.cut] {
+		h.Heal()
+	}
+	time.Sleep(2 * time.Second)
+	after := sendToEach(s, 2*time.Second, p.perSecond, p.path())
+	for _, answers := range []answersByHost{early, bound, after} {
+		checkPromises(t, s, answers, p.once)
+	}
+	sent, served := after.served(0, p.hosts)
+	must.Eq(t, sent, served)
+	return bound
+}
+
 // TestHostsWithoutEndpoints checks that callers of hosts that reach no endpoint, while other hosts do, are served nearly as often as
 // those of the others from the contact time on, that nothing runs twice or after a refusal, and that all are served once the paths
 // are back.
@@ -85,60 +129,88 @@
 		name string
 		mode simnet.CutMode
 	}{{"silent", simnet.Silent}, {"reset", simnet.Reset}, {"new ones refused", simnet.RefuseNew}}
-	fleets := []struct {
-		boot       platform.Boot
-		hosts, cut int
-		endpoints  int
-		perSecond  float64
-		once       bool
-	}{
+	plays := []cutPlay{
 		{boot: smallBoot, hosts: 6, cut: 1, endpoints: 6, perSecond: 60},
 		{boot: smallBoot, hosts: 6, cut: 1, endpoints: 6, perSecond: 60, once: true},
 		{boot: smallBoot, hosts: 6, cut: 2, endpoints: 6, perSecond: 60},
 		{boot: smallBoot, hosts: 6, cut: 4, endpoints: 6, perSecond: 60, once: true},
 		{boot: largeBoot, hosts: 85, cut: 28, endpoints: 12, perSecond: 150},
 	}
-	const cutFor = 12 * time.Second
-	for _, f := range fleets {
+	for _, p := range plays {
 		for _, m := range modes {
-			t.Run(fmt.Sprintf("%d of %d hosts, %s, once %v", f.cut, f.hosts, m.name, f.once), func(t *testing.T) {
+			t.Run(fmt.Sprintf("%d of %d hosts, %s, once %v", p.cut, p.hosts, m.name, p.once), func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
-					s := &simsite.Site{Boot: f.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
-					defer s.Stop()
-					must.NoError(t, s.Start(site.Example(), f.endpoints, f.hosts))
-					for _, e := range s.Endpoints {
-						e.Work = 30 * time.Millisecond
-					}
-					path := "/ask/x"
-					if f.once {
-						path = "/push/x"
-					}
-					time.Sleep(5 * time.Second)
-					sendToEach(s, 2*time.Second, f.perSecond, path)
-					for _, h := range s.Hosts[:f.cut] {
-						h.CutOffEndpoints(m.mode)
-					}
-					early := sendToEach(s, f.boot.ContactTime, f.perSecond, path)
-					bound := sendToEach(s, cutFor-f.boot.ContactTime, f.perSecond, path)
-					for _, h := range s.Hosts[:f.cut] {
-						h.Heal()
-					}
-					time.Sleep(2 * time.Second)
-					after := sendToEach(s, 2*time.Second, f.perSecond, path)
-					sentCut, servedCut := bound.served(0, f.cut)
-					sent, served := bound.served(f.cut, f.hosts)
+					answers := p.run(t, m.mode)
+					sentCut, servedCut := answers.served(0, p.cut)
+					sent, served := answers.served(p.cut, p.hosts)
 					t.Logf("%d of %d, the others %d of %d", servedCut, sentCut, served, sent)
 					failed := sentCut - servedCut + sent - served
 					ratio := float64(servedCut) / float64(sentCut) / (float64(served) / float64(sent))
 					must.True(t, ratio >= 2.0/3 || failed <= 10+(sentCut+sent)/50)
-					for _, answers := range []answersByHost{early, bound, after} {
-						checkPromises(t, s, answers, f.once)
-					}
-					sentAfter, servedAfter := after.served(0, f.hosts)
-					must.Eq(t, sentAfter, servedAfter)
 				})
 			})
 		}
 	}
 }
+
+// TestRandomCuts plays random sequences of cuts, of restarts and suspensions of hosts and of lost datagrams, while endpoints state rates:
+// nothing that may run once runs twice or after a refusal, and all requests are served once all is over.
+func TestRandomCuts(t *testing.T) {
+	const play = 20 * time.Second
+	for seed := range uint64(12) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := startWorking(t, site.Example(), smallBoot, 6, 6, 30*time.Millisecond)
+				defer s.Stop()
+				done := make(chan struct{})
+				go func() {
+					defer close(done)
+					disturbRandomly(s, rand.New(rand.NewPCG(seed, 65)), play)
+				}()
+				answers := sendToEach(s, play, 60, "/push/x")
+				<-done
+				time.Sleep(5 * time.Second)
+				after := sendToEach(s, 2*time.Second, 60, "/push/x")
+				checkPromises(t, s, answers, true)
+				checkPromises(t, s, after, true)
+				sent, served := after.served(0, len(s.Hosts))
+				must.Eq(t, sent, served)
+			})
+		})
+	}
+}
+
+// disturbRandomly disturbs a site for d, and ends all disturbances.
+func disturbRandomly(s *simsite.Site, r *rand.Rand, d time.Duration) {
+	modes := []simnet.CutMode{simnet.Silent, simnet.Reset, simnet.RefuseNew}
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		h, e := s.Hosts[r.IntN(len(s.Hosts))], s.Endpoints[r.IntN(len(s.Endpoints))]
+		switch r.IntN(8) {
+		case 0, 1:
+			h.CutOffEndpoints(modes[r.IntN(len(modes))])
+		case 2:
+			h.Heal()
+		case 3:
+			h.Kill()
+			s.StartHost(h)
+		case 4:
+			h.Suspend(time.Duration(r.Int64N(int64(5 * time.Second))))
+		case 5:
+			h.DropDatagrams(r.IntN(2) == 0)
+		case 6:
+			e.StateRate(1 + 5*r.Float64())
+		case 7:
+			e.StateRate(-1)
+		}
+		time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
+	}
+	for _, h := range s.Hosts {
+		h.Heal()
+		h.DropDatagrams(false)
+	}
+	for _, e := range s.Endpoints {
+		e.StateRate(-1)
+	}
+}
--- a/edge/rate_test.go
+++ b/edge/rate_test.go
@@ -21,6 +21,18 @@
 	"github.com/heathkeel/heathkeel/platform"
 )
 
+// startWorking starts hosts and endpoints at which a request takes work, and waits until all hosts serve. The caller stops the site.
+func startWorking(t *testing.T, c site.Config, boot platform.Boot, hosts, endpoints int, work time.Duration) *simsite.Site {
+	t.Helper()
+	s := &simsite.Site{Boot: boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+	must.NoError(t, s.Start(c, endpoints, hosts))
+	for _, e := range s.Endpoints {
+		e.Work = work
+	}
+	time.Sleep(5 * time.Second)
+	return s
+}
+
 // sendAtRate sends requests to the hosts in turn for d, at a rate that does not depend on their answers. It returns the numbers of
 // requests sent and served.
 func sendAtRate(s *simsite.Site, d time.Duration, perSecond float64) (sent, served int64) {
@@ -125,13 +137,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				s := startWorking(t, site.Example(), tc.boot, tc.hosts, tc.endpoints, 50*time.Millisecond)
 				defer s.Stop()
-				must.NoError(t, s.Start(site.Example(), tc.endpoints, tc.hosts))
-				for _, e := range s.Endpoints {
-					e.Work = 50 * time.Millisecond
-				}
-				time.Sleep(5 * time.Second)
 				sendAtRate(s, 2*time.Second, tc.perSecond)
 				for i, rate := range tc.rates {
 					s.Endpoints[i].StateRate(rate)
@@ -167,13 +174,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				s := startWorking(t, site.Example(), tc.boot, tc.hosts, 6, 50*time.Millisecond)
 				defer s.Stop()
-				must.NoError(t, s.Start(site.Example(), 6, tc.hosts))
-				for _, e := range s.Endpoints {
-					e.Work = 50 * time.Millisecond
-				}
-				time.Sleep(5 * time.Second)
 				limited := s.Endpoints[0]
 				limited.StateRate(2)
 				sendAtRate(s, 6*time.Second, tc.perSecond)
--- a/edge/rejects_test.go
+++ b/edge/rejects_test.go
@@ -10,10 +10,8 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
-	"github.com/heathkeel/heathkeel/internal/simsite"
 	"github.com/heathkeel/heathkeel/internal/site"
 	"github.com/heathkeel/heathkeel/platform"
 )
@@ -42,13 +40,11 @@
 				for i := range c.Routes {
 					c.Routes[i].SloMs = 1500
 				}
-				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+				s := startWorking(t, c, tc.boot, tc.hosts, tc.endpoints, work)
 				defer s.Stop()
-				must.NoError(t, s.Start(c, tc.endpoints, tc.hosts))
 				for _, e := range s.Endpoints {
-					e.Work, e.Room = work, room
+					e.Room = room
 				}
-				time.Sleep(5 * time.Second)
 				capacity := float64(tc.endpoints*slots) / work.Seconds()
 				sendAtRate(s, 2*time.Second, tc.load*capacity)
 				for _, e := range s.Endpoints {
--- a/places/doc.go
+++ b/places/doc.go
@@ -10,7 +10,9 @@
 // the number of their requests at the endpoint and ask it for a slot; the owner grants free ones,
 // higher tiers first.
 //
-// A grant is no promise to a caller, and it is not the only right to send. Two hosts that both
-// consider themselves the owner may grant a slot twice, which costs no more than stale information
-// does without owners. An Allocator does no I/O and reads no clock.
+// A grant is no promise to a caller. It is the only right to send to an endpoint that states a limit
+// for all hosts together: the requests a second that it takes, or the rejections after which it
+// crashes. In fleets of any size, the owner then grants no more than that; see StatedLimit. At other
+// endpoints two hosts that both consider themselves the owner may grant a slot twice, which costs no
+// more than stale information does without owners. The package does no I/O and reads no clock.
 package places
