--- a/ingress/paths.go
+++ b/ingress/paths.go
@@ -45,7 +45,6 @@
 
 	mu          sync.Mutex
 	tracker     reach.Tracker
-	troubled    bool            // a connection failed recently, or the host is cut off
 	probing     map[string]bool // addresses that are being tried
 	lastCheck   time.Duration   // when connections were last tried
 	undecided   chan struct{}   // closed once it is known whether the host is cut off; nil if it is
@@ -68,7 +67,7 @@
 func (p *paths) connected(address string, begun time.Duration, err error) {
 	now := p.now()
 	p.mu.Lock()
-	if err == nil && !p.troubled {
+	if err == nil && p.undecided == nil && !p.tracker.CutOff() {
 		p.tracker.Opened(now, address, 0) // the number of addresses matters only while cut off
 		p.mu.Unlock()
 		return
@@ -95,7 +94,6 @@
 func (p *paths) settle() {
 	suspects := p.tracker.Suspects(p.now())
 	p.cutOff.Store(p.tracker.CutOff())
-	p.troubled = suspects || p.tracker.CutOff()
 	switch {
 	case suspects && p.undecided == nil:
 		p.undecided = make(chan struct{})
