ingress: streams that go on are logged with the version of the endpoint, and counted

A line of the kind "continued" names the endpoint, the version, the attempt that the caller resumes and the last event; TakenUp counts streams that callers took up.

--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -28,8 +28,9 @@
 	Trials, TrialsUnknown atomic.Int64
 	// Rejected counts sends that endpoints did not execute, Lost those without a complete response.
 	Rejected, Lost atomic.Int64
-	// Repeated counts retries, Resumed streams that were continued at another endpoint.
-	Repeated, Resumed atomic.Int64
+	// Repeated counts retries, Resumed streams that were continued at another endpoint in the same response, and TakenUp streams that
+	// callers took up with another request.
+	Repeated, Resumed, TakenUp atomic.Int64
 	// Cut counts responses that broke off, Gone callers that left.
 	Cut, Gone atomic.Int64
 	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host canceled while an endpoint may have been working on them:
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -19,6 +19,8 @@
 	PromptParts string
 	// LastEvent is the number of the last event received.
 	LastEvent string
+	// Resumes is the ID of the request that brought the caller the first event of the stream that it takes up.
+	Resumes string
 	// ResponseStamp marks a response as the endpoint's own.
 	ResponseStamp string
 	// Workspace tells the endpoint for which workspace the request runs.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/metrics"
+	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/sched"
 )
 
@@ -90,9 +91,7 @@
 	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer)}
 	var lastAt time.Duration
 	n := 0
-	if c.stream.started {
-		c.s.Count.Resumed.Add(1)
-	}
+	c.noteContinued()
 	for {
 		e, err := r.next()
 		if errors.Is(err, io.EOF) {
@@ -129,6 +128,19 @@
 	}
 }
 
+// noteContinued counts and logs that a stream goes on that another send or another request of its caller began.
+func (c *call) noteContinued() {
+	switch {
+	case c.stream.started:
+		c.s.Count.Resumed.Add(1)
+	case c.r.Header.Get(c.s.Headers.LastEvent) != "":
+		c.s.Count.TakenUp.Add(1)
+	default:
+		return
+	}
+	c.logOutcome(outcome.Continued, http.StatusOK, "a stream that was begun before goes on", 0)
+}
+
 // forwardEvent writes one event, and the header before the first. more says that further bytes are buffered, so that the flush can wait.
 func (c *call) forwardEvent(resp *http.Response, e *event, more bool) bool {
 	if !c.stream.started {
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -23,6 +23,9 @@
 	switch kind {
 	case outcome.SendLost:
 		e.Fingerprint, e.SentMS, e.OtherInFlight = c.fingerprint().String(), (now - c.timings.lastSent).Milliseconds(), c.s.balance.concurrent(c)
+		e.Version = c.endpoint.Version
+	case outcome.Continued:
+		e.Version, e.Resumes, e.LastEvent = c.endpoint.Version, c.r.Header.Get(c.s.Headers.Resumes), c.header.Get(c.s.Headers.LastEvent)
 	case outcome.Held:
 		e.Fingerprint = c.fingerprint().String()
 	}
--- a/outcome/cause.go
+++ b/outcome/cause.go
@@ -40,7 +40,11 @@
 // Final reports whether the event ends its request. The events of single sends do not,
 // since another send may follow.
 func (e *Event) Final() bool {
-	return e.Outcome != SendLost && e.Outcome != SentByStaleList && e.Outcome != SentByStaleSettings
+	switch e.Outcome {
+	case SendLost, SentByStaleList, SentByStaleSettings, Continued:
+		return false
+	}
+	return true
 }
 
 // Loss returns the loss of a request, given the event that ended it.
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -32,6 +32,9 @@
 	// SentByStaleSettings means that a request was sent by settings older than their limit, since the
 	// store failed for the host. It does not say how the send ended.
 	SentByStaleSettings Kind = "sent by old settings"
+	// Continued means that a stream goes on at an endpoint that did not begin it. It does not say how the
+	// send ended.
+	Continued Kind = "continued"
 	// Served means that the caller got an endpoint's complete answer. Only hosts that trace
 	// all requests log it.
 	Served Kind = "served"
@@ -59,6 +62,12 @@
 	Endpoint string `json:"endpoint"`
 	Sends    int    `json:"sends"`
 	Events   int    `json:"events"`
+	// Version is the version of that endpoint's software. Resumes is the ID of the attempt that, according to
+	// the caller, brought the first event of the stream, and LastEvent the number of the last event that the
+	// caller has. Events of kind Continued have all three, those of kind SendLost the version only.
+	Version   string `json:"version,omitempty"`
+	Resumes   string `json:"resumes,omitempty"`
+	LastEvent string `json:"last_event,omitempty"`
 	// RelayedBy is the host that relayed the request to this one, and RelayedTo the host to which this one
 	// relayed it; empty if it was not relayed.
 	RelayedBy string `json:"relayed_by,omitempty"`
@@ -121,7 +130,9 @@
 	}
 	switch e.Outcome {
 	case SendLost:
-		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight)
+		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight, "version", e.Version)
+	case Continued:
+		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent)
 	case Held:
 		fields = append(fields, "fingerprint", e.Fingerprint)
 	}
--- a/outcome/story.go
+++ b/outcome/story.go
@@ -125,6 +125,8 @@
 		return fmt.Sprintf("It was sent to endpoint %s by a list that was %d ms old, and ended well, or the host ended.", e.Endpoint, e.ListAgeMS)
 	case e.Outcome == SentByStaleSettings:
 		return fmt.Sprintf("It was sent to endpoint %s by settings %d that were %d ms old, since the store failed for the host, and ended well, or the host ended.", e.Endpoint, e.Revision, e.SettingsAgeMS)
+	case e.Outcome == Continued:
+		return fmt.Sprintf("Its stream went on after event %s at endpoint %s of version %s, and ended well, or the host ended.", e.LastEvent, e.Endpoint, e.Version)
 	case e.Outcome == SendLost:
 		return fmt.Sprintf("The send to endpoint %s was lost; the request went on and ended well, or the host ended.", e.Endpoint)
 	case e.Status == http.StatusTooManyRequests:
