edge: streams stay at the version that began them: failing tests

Whole hosts on simulated time before engines of two versions; callers read streams and take them up at any host when they break.

--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -17,10 +17,12 @@
 	"github.com/heathkeel/heathkeel/platform"
 )
 
-// Endpoint is a plain service that answers at once, or after Work.
+// Endpoint is a plain service that answers at once, or after Work, or an engine.
 type Endpoint struct {
-	// Instance is the endpoint's name, and Version that of its software.
-	Instance, Version string
+	// Instance is the endpoint's name, Service that of its service, and Version that of its software.
+	Instance, Service, Version string
+	// Streams makes the endpoint an engine; nil means that it is a plain service.
+	Streams *Streams
 	// Work is the time that a request takes.
 	Work time.Duration
 	// Room is the number of requests that wait while all slots are taken; further ones are rejected. 0 means no limit on requests.
@@ -93,13 +95,17 @@
 	if e.reject(w, r) {
 		return
 	}
+	if e.Streams != nil {
+		defer e.leaveSlot()
+		e.setHead(w, r)
+		e.stream(w, r)
+		return
+	}
 	if !e.work(r) {
 		panic(http.ErrAbortHandler)
 	}
 	e.stateRate(w, n)
-	id := r.Header.Get("Heathkeel-Attempt-Id")
-	w.Header().Set("Heathkeel-Attempt-Id", id)
-	w.Header().Set("Heathkeel-Response-Stamp", e.Instance+"."+id)
+	id := e.setHead(w, r)
 	if e.Fails != nil && e.Fails() {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
@@ -107,6 +113,21 @@
 	_, _ = w.Write([]byte("ran " + id))
 }
 
+// setHead sets the header of the endpoint's own answer and returns the request's ID.
+func (e *Endpoint) setHead(w http.ResponseWriter, r *http.Request) string {
+	id := r.Header.Get("Heathkeel-Attempt-Id")
+	w.Header().Set("Heathkeel-Attempt-Id", id)
+	w.Header().Set("Heathkeel-Response-Stamp", e.Instance+"."+id)
+	return id
+}
+
+// leaveSlot records that a request runs and waits no longer.
+func (e *Endpoint) leaveSlot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.overload.running--
+}
+
 // enter reports whether the endpoint is up.
 func (e *Endpoint) enter() bool {
 	e.mu.Lock()
@@ -141,11 +162,7 @@
 
 // work runs a request once there is a slot for it, and reports whether it ran to its end.
 func (e *Endpoint) work(r *http.Request) bool {
-	defer func() {
-		e.mu.Lock()
-		e.overload.running--
-		e.mu.Unlock()
-	}()
+	defer e.leaveSlot()
 	if e.Room > 0 {
 		select {
 		case e.overload.slots <- struct{}{}:
@@ -243,7 +260,7 @@
 // putEntry writes the endpoint's entry with the given state.
 func (e *Endpoint) putEntry(state string) {
 	e.site.Store.Put(platform.PrefixEndpoints+e.Instance, site.EndpointEntry{
-		Service: site.Plain, Address: e.address, Zone: e.zone, Version: e.Version, Slots: slots, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
+		Service: e.Service, Address: e.address, Zone: e.zone, Version: e.Version, Slots: slots, State: state, ColdLeftMs: float64(e.coldLeft.Milliseconds()),
 	})
 }
 
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -206,10 +206,21 @@
 
 // AddVersion starts an endpoint of a version; fails decides which requests it answers with an error.
 func (s *Site) AddVersion(version string, fails func() bool) error {
-	e := &Endpoint{
-		Instance: fmt.Sprintf("plain-%d", s.endpointCount), Version: version, Fails: fails, site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones),
+	e := s.newEndpoint(version)
+	e.Fails = fails
+	return s.addEndpoint(e)
+}
+
+// newEndpoint returns an endpoint of the plain service.
+func (s *Site) newEndpoint(version string) *Endpoint {
+	return &Endpoint{
+		Instance: fmt.Sprintf("endpoint-%d", s.endpointCount), Service: site.Plain, Version: version, site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones),
 		overload: overload{slots: make(chan struct{}, slots)},
 	}
+}
+
+// addEndpoint starts an endpoint.
+func (s *Site) addEndpoint(e *Endpoint) error {
 	if err := e.start(ip(endpointNet, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
 		return err
 	}
