ingress, sched: a stream that breaks off goes on at the version that began it, within one response

What callers saw: events of two versions of the endpoints' software in one stream. Cause: the scheduler knew no versions; a second send of a broken stream went to any endpoint of the service. Ruled out: roll-out orders (there was none), restarts under the same name (each life has its own). Change: an endpoint's version is known to the scheduler; the version of the endpoint that sent the first event is kept with the stream, and each further send of that request may go to endpoints of that version only. If none gets requests, the send is given up at once (callers are told to come back). A request that needs a version does not hold up lower tiers, and may go to the same endpoint again if it is the only one. Why it holds: the version is that of the life that was sent the request (the endpoint checks its name), and it is set before the first event goes out. Ways: keep the version in the scheduler's choice (this), or one pool for each version (all estimates of room and rations would be split, also for requests without a version): not tried. Over a caller's tries streams still mix (TestStreamsStayAtOneVersion, KNOWN-RED).

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -214,7 +214,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: t.Version, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -233,7 +233,7 @@
 	for incarnation, t := range b.targets {
 		b.sched.ApplyReport(now, incarnation, sched.Report{
 			At: now, Running: t.ownLoad.Running + t.peerLoad.Running, PrefillTokens: t.ownLoad.Prefill + t.peerLoad.Prefill,
-			Estimated: true, Slots: t.Slots, Step: cmp.Or(t.stepTime(), mean[t.Service]), PrefillPerStep: b.prefillRate(t.Service), Model: b.poolName(t), AcceptsPrompts: true,
+			Estimated: true, Slots: t.Slots, Step: cmp.Or(t.stepTime(), mean[t.Service]), PrefillPerStep: b.prefillRate(t.Service), Model: b.poolOf(t.Service, t.Version), AcceptsPrompts: true,
 		})
 	}
 }
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -17,7 +17,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.req.Settings = b.effectiveSettings(c)
-	c.req.Model = b.pickPool(b.now(), c.service.Name)
+	c.req.Model = b.pickPool(b.now(), c)
 	b.holdGrants(b.now())
 	d := b.sched.Submit(b.now(), c.req)
 	b.noteDispatch(d)
@@ -35,7 +35,8 @@
 	now := b.now()
 	b.removeSend(c)
 	c.req.DispatchBy = c.dispatchBy(now)
-	c.req.Model = b.pickPool(now, c.service.Name)
+	c.req.Version = c.stream.version
+	c.req.Model = b.pickPool(now, c)
 	b.holdGrants(now)
 	d := b.sched.Redispatch(now, c.req)
 	b.noteDispatch(d)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -25,6 +25,7 @@
 	events  int           // events forwarded
 	lastID  int64         // number of the last event forwarded
 	lastAt  time.Duration // when it was forwarded
+	version string        // the version of the endpoints' software that sent the first event, empty if unknown
 }
 
 // Sizes of events, in bytes.
@@ -152,6 +153,9 @@
 	if _, err := c.w.Write(e.bytes); err != nil {
 		return false
 	}
+	if c.stream.events == 0 {
+		c.stream.version = c.endpoint.Version
+	}
 	c.stream.events++
 	if e.hasID {
 		c.stream.lastID = e.id
--- a/ingress/versions.go
+++ b/ingress/versions.go
@@ -65,17 +65,22 @@
 // newVersionSuffix marks the pool of the endpoints of a service's new version. It occurs in no name.
 const newVersionSuffix = "\x00new"
 
-// poolName returns the name of the pool of an endpoint; mu must be held. The endpoints of a version that is rolled out are a pool of
-// their own.
-func (b *balancer) poolName(t *target) string {
-	if v, ok := b.rollouts.NewVersion(t.Service); ok && t.Version == v {
-		return t.Service + newVersionSuffix
+// poolOf returns the name of the pool of the endpoints of a service that are of a version; mu must be held. The endpoints of a version
+// that is rolled out are a pool of their own.
+func (b *balancer) poolOf(service, version string) string {
+	if v, ok := b.rollouts.NewVersion(service); ok && version == v {
+		return service + newVersionSuffix
 	}
-	return t.Service
+	return service
 }
 
-// pickPool returns the name of the pool for a request to a service; mu must be held.
-func (b *balancer) pickPool(now time.Duration, service string) string {
+// pickPool returns the name of the pool for a request; mu must be held. A request that one version has to serve goes to the pool of
+// that version.
+func (b *balancer) pickPool(now time.Duration, c *call) string {
+	service := c.service.Name
+	if c.req.Version != "" {
+		return b.poolOf(service, c.req.Version)
+	}
 	if b.rollouts.Active() && b.rollouts.PicksNew(now, service, b.rand.Float64()) {
 		return service + newVersionSuffix
 	}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -78,7 +78,7 @@
 	best := time.Duration(1<<63 - 1)
 	for _, e := range r.pool.members {
 		load := s.load(now, e)
-		if e == r.avoid || !s.admits(now, r, e, load) {
+		if e == r.avoid || !r.accepts(e) || !s.admits(now, r, e, load) {
 			continue
 		}
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -36,6 +36,8 @@
 	Name string
 	// Engine is true for a model engine.
 	Engine bool
+	// Version is the version of its software.
+	Version string
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Leaving says that the endpoint gets no new requests.
--- a/sched/order.go
+++ b/sched/order.go
@@ -28,6 +28,9 @@
 
 // admit runs, queues or refuses a request.
 func (s *Scheduler) admit(now time.Duration, r *Request) Decision {
+	if !s.versionServes(r, nil) {
+		return s.refuse(now, r, ReasonNoEndpoint, versionRetryAfter)
+	}
 	if r.pool.floor.excludes(now, r.rank()) {
 		return s.refuse(now, r, ReasonFloor, r.pool.floor.until-now)
 	}
@@ -314,8 +317,8 @@
 }
 
 // dispatchWaiting dispatches the waiting requests of a pool that can run, highest tier first.
-// A tier whose head finds no room blocks the tiers below it, unless the head is long or has an
-// objective. Behind a head with an objective, later requests of its tier are tried as well.
+// A tier whose head finds no room blocks the tiers below it, unless the head is long, has an
+// objective or needs a certain version. Behind a head with an objective, later requests of its tier are tried as well.
 func (s *Scheduler) dispatchWaiting(now time.Duration, p *pool, out []Decision) []Decision {
 	for rank := 0; rank < maxRanks; rank++ {
 		q := &p.tiers[rank]
@@ -334,7 +337,7 @@
 				out = s.dispatchPassing(now, q, out)
 				break
 			}
-			if !ok && r.long {
+			if !ok && (r.long || r.Version != "") {
 				break
 			}
 			if !ok {
--- a/sched/request.go
+++ b/sched/request.go
@@ -19,6 +19,8 @@
 	Settings *settings.Effective
 	// Model is the requested model; empty for a plain service.
 	Model string
+	// Version is the version of the endpoints' software that has to serve it, because that version began its answer; empty means any.
+	Version string
 	// Blocks are the hashes of the prompt's cache blocks and PromptTokens is its length.
 	Blocks       []uint64
 	PromptTokens int
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -219,7 +219,8 @@
 }
 
 // Redispatch ends a dispatch whose request is to go to another endpoint, and decides again. The
-// request's model may have changed since.
+// request's model and version may have changed since. Only a request that needs a version of which
+// there is no other endpoint may go to the same one again.
 func (s *Scheduler) Redispatch(now time.Duration, r *Request) Decision {
 	e := r.dispatchedTo
 	e.removeRequest(now, r)
@@ -228,8 +229,10 @@
 	r.progressAt = 0
 	r.tokens = 0
 	r.rationExempt = true // its caller has already waited for an answer
-	r.avoid = e
 	r.pool = s.poolOf(r)
+	if s.versionServes(r, e) {
+		r.avoid = e
+	}
 	return s.admit(now, r)
 }
 
--- a/sched/value.go
+++ b/sched/value.go
@@ -120,7 +120,7 @@
 	target := s.firstTokenTarget(now, r)
 	best, ideal, silentLoad := math.Inf(-1), 0.0, s.silentLoad(r.pool)
 	for _, e := range r.pool.members {
-		if !e.available(now) {
+		if !e.available(now) || !r.accepts(e) {
 			continue
 		}
 		idle := e.prefillTime(r.PromptTokens) + e.step()
