origin, ingress, peers: a stream that its caller takes up goes on at the version that began it, at any host

What callers saw: a stream that broke was taken up with a new request, at any host, and went on at whatever version the scheduler chose. Cause: what binds a stream, the version that began it, was known to one process and one response alone, and no host read Resumes. Class: a decision that binds something which outlives the process that made it. Ruled out: the versions' order (there is none), list age (the example's list held both versions). Change: package origin remembers at which version streams began, by a key of workspace, route, service and the ID of the request that brought the first event. While a service has had two versions within a minute, hosts tell each other of their streams within 25 ms: all of them in fleets of up to 9 hosts, else three chosen by the key. A host that does not remember a stream asks those; one that hears no other asks by HTTP and tells the seeds. Where nobody knows, a version that alone was listed for a minute (or since the first start) proves it; otherwise the request is refused with a true 503, to come back in 1 s. Why it holds: a stream goes on only at a version that is remembered by name, or at the only one that can have begun it; nothing is guessed. Ways weighed: a record of each stream in the store (100 to 45,000 writes a second of 400; not tried); the version chosen by a hash of the ID (not fixed while the versions change; not tried); all hosts told always (bytes grow with the fleet); told only once versions mix, by key (kept).

--- a/edge/host.go
+++ b/edge/host.go
@@ -274,8 +274,9 @@
 		Table: &peers.Table{Host: h.Boot.Host, Incarnation: h.incarnation}, Conn: conn, Seeds: h.seedAddresses(h.Boot.Seeds), Host: h, Now: h.now, CheckGap: h.gapDetector.Check,
 		Rand: rand.New(rand.NewPCG(h.incarnation, 1)), Log: h.Log.WithName("peers"),
 	}
-	h.agent.Slots, h.agent.OnFewKnown = h.ingress, h.requestHosts
+	h.agent.Slots, h.agent.Origins, h.agent.OnFewKnown = h.ingress, h.ingress, h.requestHosts
 	h.agent.Init()
+	h.ingress.SetOriginAsker(h.askOrigins)
 	h.ingress.SetRequestSlots(h.agent.TriggerSlotRequests)
 	h.ingress.SetLimitNotifier(h.agent.TriggerHeartbeat)
 	h.ingress.SetCrashNotifier(h.agent.TriggerHeartbeat)
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -176,6 +176,7 @@
 	router.HandleFunc(pathSettings, h.serveSettings).Methods(http.MethodGet)
 	router.HandleFunc(pathEndpoints, h.serveEndpoints).Methods(http.MethodGet)
 	router.HandleFunc(pathHosts, h.serveHosts).Methods(http.MethodGet)
+	router.HandleFunc(pathOrigins, h.serveOrigins).Methods(http.MethodGet)
 	router.HandleFunc(PathQuarantine, h.serveSuspects).Methods(http.MethodGet)
 	router.HandleFunc(PathQuarantine+"/{fingerprint}", h.releaseSuspect).Methods(http.MethodDelete)
 	router.HandleFunc("/debug/vars", h.serveVars).Methods(http.MethodGet)
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -119,6 +119,9 @@
 		return bad(n.AttemptID)
 	}
 	c.id = ids[0]
+	if resumes := h[http.CanonicalHeaderKey(n.Resumes)]; len(resumes) > 1 || (len(resumes) == 1 && len(resumes[0]) > maxResumesBytes) {
+		return bad(n.Resumes)
+	}
 	if !c.relayed.parseRelayHeader(h) {
 		return bad(relayHeader)
 	}
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -214,7 +214,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: t.Version, Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: versionOf(&t.Endpoint), Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -31,6 +31,8 @@
 	// Repeated counts retries, Resumed streams that were continued at another endpoint in the same response, and TakenUp streams that
 	// callers took up with another request.
 	Repeated, Resumed, TakenUp atomic.Int64
+	// NoOrigin counts requests to take up a stream that were refused because no host knew at which version it began.
+	NoOrigin atomic.Int64
 	// Cut counts responses that broke off, Gone callers that left.
 	Cut, Gone atomic.Int64
 	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host canceled while an endpoint may have been working on them:
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -17,6 +17,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.req.Settings = b.effectiveSettings(c)
+	c.req.Version = c.stream.version
 	c.req.Model = b.pickPool(b.now(), c)
 	b.holdGrants(b.now())
 	d := b.sched.Submit(b.now(), c.req)
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -218,6 +218,9 @@
 	h.Set(relayHeader, c.s.Host+" "+strconv.Itoa(sends))
 	if c.stream.events > 0 {
 		h.Set(c.s.Headers.LastEvent, strconv.FormatInt(c.stream.lastID, 10))
+		if c.resumes() == "" {
+			h.Set(c.s.Headers.Resumes, c.id)
+		}
 	}
 	return h
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -159,6 +159,10 @@
 		c.relay(ctx)
 		return
 	}
+	if f := c.bindOrigin(ctx); f != nil {
+		c.refuse(*f)
+		return
+	}
 	c.s.noteFirstAttempt(c.service.Name)
 	d := c.s.balance.submit(c)
 	for dials, rejects := 0, 0; ; {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -16,6 +16,7 @@
 	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/metrics"
+	"github.com/heathkeel/heathkeel/origin"
 	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/quota"
 	"github.com/heathkeel/heathkeel/route"
@@ -76,6 +77,7 @@
 	paths         paths
 	balance       *balancer
 	crashes       crashes
+	origins       origins
 	deadlines     deadlines
 	unreadHeaders headerLog
 	active        atomic.Int64
@@ -107,6 +109,8 @@
 	s.paths.probing = make(map[string]bool)
 	s.crashes = crashes{now: s.Now, dial: s.dialCrashed, log: s.Log, notifyPeers: func() {}, probes: make(map[string]*crashProbe)}
 	s.crashes.registry.Host = s.Host
+	s.origins = origins{now: s.Now, ask: func(origin.Keys) int { return 0 }, queries: make(map[origin.Key]map[*originQuery]bool)}
+	s.origins.history.Complete, s.origins.history.Since = s.FirstStart, s.Now()
 	s.deadlines = deadlines{now: s.Now, calls: make(map[*call]*time.Timer)}
 	s.quotas = quota.NewBook(s.Now())
 	s.quotas.Tolerance, s.quotas.StartFull = s.Tolerance, s.FirstStart
@@ -182,6 +186,7 @@
 
 // SetEndpoints must be called with each new endpoint list.
 func (s *Server) SetEndpoints(list []feed.Endpoint) {
+	s.origins.setEndpoints(list)
 	for _, incarnation := range s.balance.setEndpoints(s.Now(), list) {
 		s.crashes.noteRestarted(incarnation)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -25,7 +25,8 @@
 	events  int           // events forwarded
 	lastID  int64         // number of the last event forwarded
 	lastAt  time.Duration // when it was forwarded
-	version string        // the version of the endpoints' software that sent the first event, empty if unknown
+	version string        // the version of the endpoints' software that began it, empty if unknown
+	source  originSource  // how the version is known of a stream that another request of the caller began
 }
 
 // Sizes of events, in bytes.
@@ -154,7 +155,7 @@
 		return false
 	}
 	if c.stream.events == 0 {
-		c.stream.version = c.endpoint.Version
+		c.noteOrigin()
 	}
 	c.stream.events++
 	if e.hasID {
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -25,7 +25,7 @@
 		e.Fingerprint, e.SentMS, e.OtherInFlight = c.fingerprint().String(), (now - c.timings.lastSent).Milliseconds(), c.s.balance.concurrent(c)
 		e.Version = c.endpoint.Version
 	case outcome.Continued:
-		e.Version, e.Resumes, e.LastEvent = c.endpoint.Version, c.r.Header.Get(c.s.Headers.Resumes), c.header.Get(c.s.Headers.LastEvent)
+		e.Version, e.Resumes, e.LastEvent, e.Origin = c.endpoint.Version, c.resumes(), c.header.Get(c.s.Headers.LastEvent), string(c.stream.source)
 	case outcome.Held:
 		e.Fingerprint = c.fingerprint().String()
 	}
--- /dev/null
+++ b/origin/book.go
@@ -0,0 +1,122 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package origin
+
+import "time"
+
+// Limits of a Book.
+const (
+	// Memory is the time for which the origin of a stream is remembered, at least: longer than callers
+	// wait for one.
+	Memory = time.Minute
+	// maxGeneration limits the streams remembered in each of two generations, to some megabytes in all.
+	// Where more streams begin, they are remembered for less than Memory.
+	maxGeneration = 1 << 15
+)
+
+// Book remembers the origins of recent streams. The zero value remembers none. It is not safe for
+// concurrent use.
+type Book struct {
+	current, previous map[Key]entry // generations of Memory each
+	rotatedAt         time.Duration
+	untold            Report
+}
+
+// entry is what is remembered of a stream.
+type entry struct {
+	version string
+	service string // of streams that this host began; else empty
+}
+
+// Report holds origins that one host tells another.
+type Report struct {
+	// Known holds the streams by the version that began them.
+	Known map[string]Keys `json:"v,omitempty"`
+	// Unknown holds the streams that the sender was asked about and does not remember.
+	Unknown Keys `json:"u,omitempty"`
+}
+
+// add adds a stream to the report.
+func (r *Report) add(k Key, version string) {
+	if r.Known == nil {
+		r.Known = make(map[string]Keys)
+	}
+	r.Known[version] = append(r.Known[version], k)
+}
+
+// Note remembers that a stream of a service began at a version at this host. With tell set, other hosts
+// are to be told. A stream that is remembered already keeps its version.
+func (b *Book) Note(now time.Duration, k Key, service, version string, tell bool) {
+	if _, known := b.Version(k); known {
+		return
+	}
+	b.put(now, k, entry{version, service})
+	if tell {
+		b.untold.add(k, version)
+	}
+}
+
+// TellAll makes other hosts be told of all streams of a service that began at this host.
+func (b *Book) TellAll(service string) {
+	for _, generation := range []map[Key]entry{b.previous, b.current} {
+		for k, e := range generation {
+			if e.service == service {
+				b.untold.add(k, e.version)
+			}
+		}
+	}
+}
+
+// TakeUntold returns the streams that other hosts are to be told of, each once.
+func (b *Book) TakeUntold() Report {
+	r := b.untold
+	b.untold = Report{}
+	return r
+}
+
+// Merge remembers what another host told.
+func (b *Book) Merge(now time.Duration, r *Report) {
+	for version, keys := range r.Known {
+		for _, k := range keys {
+			if _, known := b.Version(k); !known {
+				b.put(now, k, entry{version: version})
+			}
+		}
+	}
+}
+
+// Version returns the version at which a stream began, and false if it is not remembered.
+func (b *Book) Version(k Key) (string, bool) {
+	e, ok := b.current[k]
+	if !ok {
+		e, ok = b.previous[k]
+	}
+	return e.version, ok
+}
+
+// LookUp returns what is remembered of some streams.
+func (b *Book) LookUp(keys Keys) Report {
+	var r Report
+	for _, k := range keys {
+		if version, ok := b.Version(k); ok {
+			r.add(k, version)
+		} else {
+			r.Unknown = append(r.Unknown, k)
+		}
+	}
+	return r
+}
+
+// Len returns the number of streams that are remembered.
+func (b *Book) Len() int { return len(b.current) + len(b.previous) }
+
+// put adds an entry and begins a new generation when the current one is old or full.
+func (b *Book) put(now time.Duration, k Key, e entry) {
+	if b.current == nil || now-b.rotatedAt >= Memory || len(b.current) >= maxGeneration {
+		b.current, b.previous = make(map[Key]entry), b.current
+		b.rotatedAt = now
+	}
+	b.current[k] = e
+}
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,116 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestKeysText(t *testing.T) {
+	for _, keys := range []Keys{nil, {0}, {1, 1 << 63, 42}} {
+		text, err := keys.MarshalText()
+		must.NoError(t, err)
+		var got Keys
+		must.NoError(t, got.UnmarshalText(text))
+		must.SliceEqFunc(t, keys, got, func(a, b Key) bool { return a == b })
+	}
+	for _, text := range []string{"AAA", "!", "AAAAAAAAAAAA"} {
+		must.Error(t, new(Keys).UnmarshalText([]byte(text)))
+	}
+}
+
+// TestKeysDiffer checks that neither workspaces, routes, services nor IDs share a key, also where their concatenation is the same.
+func TestKeysDiffer(t *testing.T) {
+	seen := make(map[Key]string)
+	for _, parts := range [][4]string{{"w", "r", "s", "1"}, {"w", "r", "s", "2"}, {"w", "r", "t", "1"}, {"w", "q", "s", "1"}, {"v", "r", "s", "1"}, {"", "wr", "s", "1"}, {"wr", "", "s", "1"}} {
+		k := KeyOf(parts[0], parts[1], parts[2], parts[3])
+		must.EqOp(t, "", seen[k])
+		seen[k] = fmt.Sprint(parts)
+	}
+}
+
+// TestBook checks what is remembered, for how long, and what is told to other hosts.
+func TestBook(t *testing.T) {
+	var b Book
+	b.Note(0, 1, "s", "v1", false)
+	b.Note(0, 2, "s", "v1", true)
+	b.Note(0, 3, "other", "v7", false)
+	b.Note(time.Second, 2, "s", "v2", true) // a stream keeps the version that began it
+	must.Eq(t, Report{Known: map[string]Keys{"v1": {2}}}, b.TakeUntold())
+	must.Eq(t, Report{}, b.TakeUntold())
+
+	b.Merge(time.Second, &Report{Known: map[string]Keys{"v2": {4, 1}}})
+	must.Eq(t, Report{Known: map[string]Keys{"v1": {1}, "v2": {4}}, Unknown: Keys{9}}, b.LookUp(Keys{1, 4, 9}))
+
+	b.TellAll("s")
+	told := b.TakeUntold()
+	must.SliceContainsAll(t, Keys{1, 2}, told.Known["v1"])
+	must.MapLen(t, 1, told.Known)
+
+	b.Note(Memory-time.Second, 5, "s", "v1", false)
+	b.Note(Memory+time.Second, 6, "s", "v1", false)
+	for _, k := range []Key{1, 2, 4, 5, 6} {
+		_, ok := b.Version(k)
+		must.True(t, ok)
+	}
+	b.Note(2*Memory+2*time.Second, 7, "s", "v1", false)
+	_, ok := b.Version(1)
+	must.False(t, ok)
+}
+
+// TestBookIsBounded checks that a flood of streams takes bounded memory.
+func TestBookIsBounded(t *testing.T) {
+	var b Book
+	for k := range Key(5 * maxGeneration) {
+		b.Merge(0, &Report{Known: map[string]Keys{"v1": {k}}})
+	}
+	must.LessEq(t, 2*maxGeneration, b.Len())
+}
+
+// TestHistory checks when a version is known to be the only one that can have begun a stream.
+func TestHistory(t *testing.T) {
+	type list map[string]map[string]bool
+	one, two, both := list{"s": {"v1": true}}, list{"s": {"v2": true}}, list{"s": {"v1": true, "v2": true}}
+	cases := []struct {
+		name     string
+		complete bool
+		lists    []list // one each second
+		after    time.Duration
+		sole     string // "" for none
+		mixed    bool
+	}{
+		{"from the first start on", true, []list{one}, 0, "v1", false},
+		{"after another start", false, []list{one}, 0, "", false},
+		{"long after another start", false, []list{one}, Memory, "v1", false},
+		{"two versions", true, []list{one, both}, 10 * Memory, "", true},
+		{"the old one has just gone", true, []list{one, both, two}, 0, "", true},
+		{"the old one went a while ago", true, []list{one, both, two}, Memory / 2, "", true},
+		{"the old one went long ago", true, []list{one, both, two}, Memory, "v2", false},
+		{"all went at once", true, []list{one, {}, two}, 0, "", true},
+		{"no endpoints", true, []list{{}}, 0, "", false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			h := History{Complete: tc.complete}
+			now := time.Duration(0)
+			becameMixed := 0
+			for i, l := range tc.lists {
+				now = time.Duration(i) * time.Second
+				becameMixed += len(h.SetListed(now, l))
+			}
+			version, ok := h.Sole(now+tc.after, "s")
+			must.EqOp(t, tc.sole != "", ok)
+			if ok {
+				must.EqOp(t, tc.sole, version)
+			}
+			must.EqOp(t, tc.mixed, h.Mixed(now+tc.after, "s"))
+			must.EqOp(t, becameMixed > 0, h.Mixed(now, "s"))
+		})
+	}
+}
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -64,10 +64,13 @@
 	Events   int    `json:"events"`
 	// Version is the version of that endpoint's software. Resumes is the ID of the attempt that, according to
 	// the caller, brought the first event of the stream, and LastEvent the number of the last event that the
-	// caller has. Events of kind Continued have all three, those of kind SendLost the version only.
+	// caller has. Origin says how the host knows at which version the stream began that the caller takes up:
+	// remembered, asked (another host knew it) or sole (only one version has served for long). Events of kind
+	// Continued have them, those of kind SendLost the version only.
 	Version   string `json:"version,omitempty"`
 	Resumes   string `json:"resumes,omitempty"`
 	LastEvent string `json:"last_event,omitempty"`
+	Origin    string `json:"origin,omitempty"`
 	// RelayedBy is the host that relayed the request to this one, and RelayedTo the host to which this one
 	// relayed it; empty if it was not relayed.
 	RelayedBy string `json:"relayed_by,omitempty"`
@@ -132,7 +135,7 @@
 	case SendLost:
 		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight, "version", e.Version)
 	case Continued:
-		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent)
+		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
 	case Held:
 		fields = append(fields, "fingerprint", e.Fingerprint)
 	}
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -107,6 +107,8 @@
 	Host Host
 	// Slots is the program as an owner of slots and as a host that asks for them, or nil.
 	Slots SlotHost
+	// Origins is the program as a host that knows where streams began, or nil.
+	Origins OriginHost
 	// Now is the host's clock; it includes the time in which the host is suspended.
 	Now func() time.Duration
 	// CheckGap checks whether the process did not run for a while and, if so, calls NoteGap; it may be nil. It
@@ -336,7 +338,8 @@
 	}
 }
 
-// shareLoadChanges sends changed loads to the others and notifies the program of theirs, until ctx ends.
+// shareLoadChanges sends changed loads and the origins of new streams to the others, and notifies the program of their loads, until
+// ctx ends.
 func (a *Agent) shareLoadChanges(ctx context.Context) {
 	t := time.NewTicker(updateInterval)
 	defer t.Stop()
@@ -346,6 +349,9 @@
 			return
 		case <-t.C:
 		}
+		if a.Origins != nil {
+			a.sendOrigins()
+		}
 		a.sendLoadChanges()
 		a.mu.Lock()
 		received := a.loadsReceived
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -34,12 +34,14 @@
 	kindUpdate       = 'u' // JSON of an Update, too short for deflating to pay
 	kindSlotRequests = 'a' // JSON of SlotRequests
 	kindGrants       = 'g' // JSON of Grants
+	kindOrigins      = 'o' // JSON of Origins
+	kindOriginQuery  = 'q' // JSON of OriginQuery
 )
 
 // memberHeartbeat is a heartbeat to a relay, which passes on its content.
 type memberHeartbeat struct{ Heartbeat }
 
-// encode encodes a *Heartbeat, *memberHeartbeat, *Digest, *memberDigest, *Update, *SlotRequests or *Grants.
+// encode encodes a *Heartbeat, *memberHeartbeat, *Digest, *memberDigest, *Update, *SlotRequests, *Grants, *Origins or *OriginQuery.
 func encode(msg any) ([]byte, error) {
 	switch msg := msg.(type) {
 	case *Heartbeat:
@@ -60,6 +62,10 @@
 		return encodeJSON(kindSlotRequests, msg)
 	case *Grants:
 		return encodeJSON(kindGrants, msg)
+	case *Origins:
+		return encodeJSON(kindOrigins, msg)
+	case *OriginQuery:
+		return encodeJSON(kindOriginQuery, msg)
 	}
 	return nil, errUnknownKind
 }
@@ -105,8 +111,8 @@
 // errTruncated means that a datagram ends before its content begins.
 var errTruncated = eris.New("datagram is too short")
 
-// decode decodes a datagram: a *Heartbeat, *memberHeartbeat, *Digest, *memberDigest, *Update, *SlotRequests or
-// *Grants.
+// decode decodes a datagram: a *Heartbeat, *memberHeartbeat, *Digest, *memberDigest, *Update, *SlotRequests,
+// *Grants, *Origins or *OriginQuery.
 func decode(data []byte) (any, error) {
 	if len(data) == 0 {
 		return nil, errUnknownKind
@@ -136,6 +142,12 @@
 	case kindGrants:
 		var m Grants
 		return &m, json.Unmarshal(data, &m)
+	case kindOrigins:
+		var m Origins
+		return &m, json.Unmarshal(data, &m)
+	case kindOriginQuery:
+		var m OriginQuery
+		return &m, json.Unmarshal(data, &m)
 	}
 	return nil, errUnknownKind
 }
--- /dev/null
+++ b/peers/origin.go
@@ -0,0 +1,165 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package peers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/heathkeel/heathkeel/origin"
+)
+
+// Parameters of telling where streams began.
+const (
+	// originWitnesses is the number of hosts that are told where a stream began, in fleets that use relays; they are chosen by the
+	// stream's key, so that any host finds them. In smaller fleets all hosts are told.
+	originWitnesses = 3
+	// maxOriginKeys limits the streams in one datagram, to about 12 KB.
+	maxOriginKeys = 1000
+)
+
+// Origins tells other hosts where streams began. It is one datagram of JSON.
+type Origins struct {
+	// Host is the name of the sender.
+	Host string `json:"h"`
+	origin.Report
+}
+
+// OriginQuery asks other hosts where streams began. It is one datagram of JSON.
+type OriginQuery struct {
+	// Host is the name of the sender.
+	Host string `json:"h"`
+	// Keys identify the streams.
+	Keys origin.Keys `json:"k"`
+}
+
+// OriginHost is what an agent needs from the program for telling where streams began.
+type OriginHost interface {
+	// TakeOrigins returns the streams of which other hosts are to be told, each once.
+	TakeOrigins() origin.Report
+	// LookUpOrigins returns what the program knows of streams that another host asks about.
+	LookUpOrigins(keys origin.Keys) origin.Report
+	// OriginsReceived is called with what another host told.
+	OriginsReceived(host string, r *origin.Report)
+}
+
+// witnesses returns the members that are told of a stream and asked about it. mu must be held.
+func (a *Agent) witnesses(now time.Duration, k origin.Key) []*Member {
+	live := a.Table.Live(now)
+	if !a.usesRelays() {
+		return live
+	}
+	type ranked struct {
+		m   *Member
+		sum uint64
+	}
+	list := make([]ranked, 0, len(live)+1)
+	for _, m := range append(slices.Clone(live), nil) { // nil is this host
+		name := a.Table.Host
+		if m != nil {
+			name = m.Host
+		}
+		list = append(list, ranked{m, rendezvous(k, name)})
+	}
+	slices.SortFunc(list, func(x, y ranked) int { return cmp.Compare(y.sum, x.sum) })
+	var out []*Member
+	for _, r := range list[:min(originWitnesses, len(list))] {
+		if r.m != nil {
+			out = append(out, r.m)
+		}
+	}
+	return out
+}
+
+// rendezvous returns the weight of a host for a stream (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
+// 1998).
+func rendezvous(k origin.Key, host string) uint64 {
+	var d xxhash.Digest
+	d.ResetWithSeed(uint64(k))
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
+
+// originAddresses returns the addresses at which hosts are told of a stream. A host that hears no other tells the seeds, which may hear
+// it. mu must be held.
+func (a *Agent) originAddresses(now time.Duration, k origin.Key) []string {
+	if members := a.witnesses(now, k); len(members) > 0 {
+		return addressesOf(members)
+	}
+	return append(addressesOf(a.Table.Unexpired(now)), a.Seeds...)
+}
+
+// sendOrigins tells other hosts of new streams.
+func (a *Agent) sendOrigins() {
+	r := a.Origins.TakeOrigins()
+	if len(r.Known) == 0 {
+		return
+	}
+	reports := make(map[string]*origin.Report) // by address
+	a.mu.Lock()
+	now := a.Now()
+	for version, keys := range r.Known {
+		for _, k := range keys {
+			for _, address := range a.originAddresses(now, k) {
+				to := reports[address]
+				if to == nil {
+					to = &origin.Report{Known: make(map[string]origin.Keys)}
+					reports[address] = to
+				}
+				to.Known[version] = append(to.Known[version], k)
+			}
+		}
+	}
+	a.mu.Unlock()
+	for address, report := range reports {
+		a.sendOriginReport(address, report)
+	}
+}
+
+// sendOriginReport sends a report in datagrams of limited size.
+func (a *Agent) sendOriginReport(address string, r *origin.Report) {
+	for version, keys := range r.Known {
+		for part := range slices.Chunk(keys, maxOriginKeys) {
+			a.sendTo(&Origins{Host: a.Table.Host, Report: origin.Report{Known: map[string]origin.Keys{version: part}}}, []string{address})
+		}
+	}
+	for part := range slices.Chunk(r.Unknown, maxOriginKeys) {
+		a.sendTo(&Origins{Host: a.Table.Host, Report: origin.Report{Unknown: part}}, []string{address})
+	}
+}
+
+// AskOrigins asks the hosts that were told of some streams where they began, and returns the number of hosts asked. The keys are
+// those of one stream.
+func (a *Agent) AskOrigins(keys origin.Keys) int {
+	a.mu.Lock()
+	now := a.Now()
+	var addresses []string
+	for _, k := range keys {
+		addresses = append(addresses, addressesOf(a.witnesses(now, k))...)
+	}
+	a.mu.Unlock()
+	slices.Sort(addresses)
+	addresses = slices.Compact(addresses)
+	a.sendTo(&OriginQuery{Host: a.Table.Host, Keys: keys}, addresses)
+	return len(addresses)
+}
+
+// answerOriginQuery answers another host.
+func (a *Agent) answerOriginQuery(q *OriginQuery) {
+	a.mu.Lock()
+	address := ""
+	if m := a.Table.members[q.Host]; m != nil {
+		address = m.Info.Address
+	}
+	a.mu.Unlock()
+	if address == "" {
+		return
+	}
+	r := a.Origins.LookUpOrigins(q.Keys[:min(maxOriginKeys, len(q.Keys))])
+	a.sendOriginReport(address, &r)
+}
--- a/peers/receive.go
+++ b/peers/receive.go
@@ -72,6 +72,14 @@
 			a.markAlive(msg.Host, 0)
 			a.Slots.HandleGrants(msg.Grants)
 		}
+	case *Origins:
+		if a.Origins != nil {
+			a.Origins.OriginsReceived(msg.Host, &msg.Report)
+		}
+	case *OriginQuery:
+		if a.Origins != nil {
+			a.answerOriginQuery(msg)
+		}
 	}
 }
 
