edge, origin: hosts that start again read whether a service has had several versions; a host out of contact proves nothing

(1) When all hosts are killed at once nobody remembers a stream. They start without a history, so that all streams taken up within a minute were refused, also where only one version ever served; taking the listed version for the only one instead would be wrong where another one's last endpoints have just left the list and still serve. Now the first three hosts write a record (one call, and a lease, each minute while a service has several versions); hosts that start read it with the entries that they read anyway, and have the proof where there is none. (2) A host that is cut off, with an old list and no answer from any other, took the version that it knew for the only one; it refuses now. TestSoleVersionNeedsContact. Ways: no proof after a start (standing), the list alone (wrong, as above), each host's entry in the store (written by eight hosts only, not renewed with new content), a record (kept).

--- a/edge/host.go
+++ b/edge/host.go
@@ -153,7 +153,7 @@
 	if err := h.serve(ctx); err != nil {
 		return err
 	}
-	for _, run := range []func(context.Context){h.followStore, h.agent.Run, h.runPeriodically, h.pollSettingsFile, h.fetchSettings, h.fetchEndpoints, h.fetchHosts, h.maintainRecords, h.maintainRollouts} {
+	for _, run := range []func(context.Context){h.followStore, h.agent.Run, h.runPeriodically, h.pollSettingsFile, h.fetchSettings, h.fetchEndpoints, h.fetchHosts, h.maintainRecords, h.maintainRollouts, h.maintainVersions} {
 		go run(ctx)
 	}
 	if !h.Clock.CountsSuspension() {
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -112,16 +112,20 @@
 }
 
 // applyOwnEntries applies the entries that hosts have written to the store: host entries and
-// records.
+// records. All of them were read, so that services without a record have had one version.
 func (h *Host) applyOwnEntries(items []feed.Item) {
 	var hosts []feed.Item
 	for _, it := range items {
-		if strings.HasPrefix(it.Key, platform.PrefixRecords) {
+		switch {
+		case strings.HasPrefix(it.Key, platform.PrefixRecords):
 			h.restoreRecord(it)
-		} else {
+		case strings.HasPrefix(it.Key, platform.PrefixVersions):
+			h.applyVersions(it)
+		default:
 			hosts = append(hosts, it)
 		}
 	}
+	h.ingress.NoteHistoryRead()
 	h.applyHostEntries(hosts)
 }
 
--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -32,9 +32,10 @@
 type streamPlay struct {
 	site *simsite.Site
 	// leaveShare is the share of the callers that close the connection of their first request in the middle of the stream, and tries
-	// the number of requests with which a caller reads one stream.
+	// the number of requests with which a caller reads one stream, with a pause between two of them.
 	leaveShare float64
 	tries      int
+	pause      time.Duration
 
 	mu     sync.Mutex
 	rand   *rand.Rand
@@ -76,7 +77,7 @@
 			c.Resumes = c.ID
 		}
 		c.LastEvent, c.ID = a.LastEvent, fmt.Sprintf("%s-%d", id, try+1)
-		time.Sleep(max(20*time.Millisecond, min(a.RetryAfter, time.Second)))
+		time.Sleep(max(p.pause, min(a.RetryAfter, time.Second)))
 	}
 	slices.Sort(versions)
 	p.mu.Lock()
@@ -132,6 +133,8 @@
 	leaveShare float64
 	trouble    func(s *simsite.Site) // runs beside the callers; nil means none
 	large      bool                  // also played in a fleet of 85 hosts
+	oneVersion bool                  // all engines are of one version
+	pause      time.Duration         // between two requests of a caller
 	// minShare is the least share of the requests to take up streams that go on, over that of the first requests that begin.
 	minShare float64
 }
@@ -152,6 +155,17 @@
 	}
 }
 
+// restartAll kills all hosts and starts them again.
+func restartAll(s *simsite.Site) {
+	for _, h := range s.Hosts {
+		h.Kill()
+	}
+	time.Sleep(300 * time.Millisecond)
+	for _, h := range s.Hosts {
+		s.StartHost(h)
+	}
+}
+
 // endVersion ends all endpoints of a version after d.
 func endVersion(version string, d time.Duration) func(s *simsite.Site) {
 	return func(s *simsite.Site) {
@@ -204,6 +218,27 @@
 	}
 }
 
+// TestStreamsGoOnAfterRestartOfAllHosts checks that streams whose origin nobody remembers, because all hosts were killed, go on if only
+// one version has served for long, and not if endpoints of another one served until just before, which are no longer listed.
+func TestStreamsGoOnAfterRestartOfAllHosts(t *testing.T) {
+	const pause = 250 * time.Millisecond // so that callers still try when the hosts are back
+	t.Run("one version", func(t *testing.T) {
+		playStreams(t, &streamCase{oneVersion: true, pause: pause, trouble: func(s *simsite.Site) { killEach(5*time.Second, len(s.Hosts))(s) }, minShare: 0.5}, smallBoot, 6, 12, 4)
+	})
+	t.Run("a version that has just left", func(t *testing.T) {
+		playStreams(t, &streamCase{pause: pause, trouble: func(s *simsite.Site) {
+			time.Sleep(8 * time.Second)
+			for _, e := range s.Endpoints {
+				if e.Version == "v1" {
+					e.Leave(false)
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+			restartAll(s)
+		}}, smallBoot, 6, 6, 4)
+	})
+}
+
 // TestResponseStaysAtOneVersion checks that a host continues a stream that breaks off, within the same response, at the version that
 // began it.
 func TestResponseStaysAtOneVersion(t *testing.T) {
@@ -216,7 +251,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &simsite.Site{Boot: boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
 		defer s.Stop()
-		p := &streamPlay{site: s, leaveShare: tc.leaveShare, tries: tries, rand: rand.New(rand.NewPCG(11, 12))}
+		p := &streamPlay{site: s, leaveShare: tc.leaveShare, tries: tries, pause: max(tc.pause, 20*time.Millisecond), rand: rand.New(rand.NewPCG(11, 12))}
 		must.NoError(t, s.Start(site.Example(), 0, hosts))
 		streams := simsite.Streams{Events: playedEvents, Pace: playedPace, BreakAfter: func() int {
 			if float64(p.draw(1000)) < 1000*tc.breakShare {
@@ -226,7 +261,9 @@
 		}}
 		for range engines {
 			must.NoError(t, s.AddEngine("v1", streams))
-			must.NoError(t, s.AddEngine("v2", streams))
+			if !tc.oneVersion {
+				must.NoError(t, s.AddEngine("v2", streams))
+			}
 		}
 		time.Sleep(4 * time.Second)
 		if tc.trouble != nil {
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -118,8 +118,8 @@
 }
 
 // askOthers asks other hosts where a stream began and waits until one of them knows, all have answered, or originWait is over. ask
-// sends the question and returns how many hosts it asked.
-func (o *origins) askOthers(ctx context.Context, keys origin.Keys, ask func(origin.Keys) int) {
+// sends the question and returns how many hosts it asked. It reports whether one answered, or there was none to ask.
+func (o *origins) askOthers(ctx context.Context, keys origin.Keys, ask func(origin.Keys) int) (heard bool) {
 	q := o.openQuery(keys)
 	defer o.closeQuery(q)
 	ctx, cancel := context.WithTimeout(ctx, originWait)
@@ -128,13 +128,13 @@
 	defer retry.Stop()
 	for {
 		if o.setAsked(q, ask(keys)) {
-			return
+			return true
 		}
 		select {
 		case <-q.done:
-			return
+			return true
 		case <-ctx.Done():
-			return
+			return o.heard(q)
 		case <-retry.C:
 		}
 	}
@@ -174,6 +174,13 @@
 	return q.asked == 0
 }
 
+// heard reports whether a host has answered a question.
+func (o *origins) heard(q *originQuery) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(q.unknown) > 0
+}
+
 // merge applies what another host told, and answers the questions that it settles.
 func (o *origins) merge(host string, r *origin.Report) {
 	o.mu.Lock()
@@ -226,13 +233,14 @@
 	if !c.resumable() || (!takesUp && c.resumes() == "") {
 		return nil
 	}
-	if c.findOrigin(ctx) {
+	found, heard := c.findOrigin(ctx)
+	if found {
 		return nil
 	}
 	if !takesUp {
 		return nil // the caller has no event, so that the stream begins anew
 	}
-	if version, ok := c.s.origins.sole(c.service.Name); ok {
+	if version, ok := c.s.origins.sole(c.service.Name); ok && heard && c.listIsFresh() {
 		c.stream.version, c.stream.source = version, originSole
 		return nil
 	}
@@ -243,12 +251,19 @@
 	}
 }
 
-// findOrigin looks for the stream that the caller names, first among those that this host remembers, then at other hosts. It binds the
-// request to the service and the version that began it.
-func (c *call) findOrigin(ctx context.Context) bool {
+// listIsFresh reports whether the list of endpoints is as young as it has to be for sends. A host that is cut off serves by an older
+// one and may miss a version at which other hosts began streams since.
+func (c *call) listIsFresh() bool {
+	return c.s.DrainTime == 0 || c.s.listAge(c.s.Now()) < c.s.DrainTime
+}
+
+// findOrigin looks for the stream that the caller names, first among those that this host remembers, then at other hosts. If it finds
+// it, it binds the request to the service and the version that began it. It also reports whether another host answered, if there is
+// any: one that hears no other cannot know what the others began.
+func (c *call) findOrigin(ctx context.Context) (found, heard bool) {
 	id := c.resumes()
 	if id == "" {
-		return false
+		return false, true
 	}
 	var keys origin.Keys
 	for i := range c.route.Targets {
@@ -257,19 +272,19 @@
 	source := originRemembered
 	version, i, ok := c.s.origins.find(keys)
 	if !ok {
-		c.s.origins.askOthers(ctx, keys, c.s.origins.ask)
+		heard = c.s.origins.askOthers(ctx, keys, c.s.origins.ask)
 		source = originAsked
 		version, i, ok = c.s.origins.find(keys)
 	}
 	if !ok {
-		return false
+		return false, heard
 	}
 	service := c.table.Service(c.route.Targets[i].Service)
 	if service == nil {
-		return false
+		return false, heard
 	}
 	c.service, c.stream.version, c.stream.source = service, version, source
-	return true
+	return true, heard
 }
 
 // noteOrigin remembers where the stream began, when its first event goes to the caller.
@@ -289,6 +304,27 @@
 // request.
 func (s *Server) SetOriginAsker(ask func(keys origin.Keys) int) { s.origins.ask = ask }
 
+// NoteMixed applies a record which says that streams of a service may have begun at several versions until a time.
+func (s *Server) NoteMixed(service string, until time.Duration) {
+	s.origins.mu.Lock()
+	defer s.origins.mu.Unlock()
+	s.origins.history.NoteMixed(service, until)
+}
+
+// NoteHistoryRead records that all records were read that NoteMixed applies. Services without one have had one version for long.
+func (s *Server) NoteHistoryRead() {
+	s.origins.mu.Lock()
+	defer s.origins.mu.Unlock()
+	s.origins.history.Complete = true
+}
+
+// MixedServices returns the services whose endpoints have had several versions lately.
+func (s *Server) MixedServices() []string {
+	s.origins.mu.Lock()
+	defer s.origins.mu.Unlock()
+	return s.origins.history.MixedServices(s.Now())
+}
+
 // TakeOrigins returns the streams of which other hosts are to be told, each once.
 func (s *Server) TakeOrigins() origin.Report {
 	s.origins.mu.Lock()
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -165,6 +165,39 @@
 	}
 }
 
+// TestSoleVersionNeedsContact checks that a host takes the only version that it knows for the one that began a stream only if its list of
+// endpoints is young and another host has answered: other hosts may have begun streams at a version that it has not heard of.
+func TestSoleVersionNeedsContact(t *testing.T) {
+	cases := []struct {
+		name    string
+		listAge time.Duration
+		asked   int
+		answers int
+		goesOn  bool
+	}{
+		{"in contact", 0, 2, 1, true},
+		{"alone in its fleet", 0, 0, 0, true},
+		{"no answer", 0, 2, 0, false},
+		{"an old list", 2 * time.Second, 2, 2, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := originServer("v1")
+				s.DrainTime = 2 * time.Second
+				s.ListConfirmedAt = func() (time.Duration, bool) { return s.Now() - tc.listAge, true }
+				s.SetOriginAsker(func(keys origin.Keys) int {
+					for i := range tc.answers {
+						time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys}) })
+					}
+					return tc.asked
+				})
+				must.EqOp(t, tc.goesOn, originCall(s, "r", "w", "elsewhere", "3").bindOrigin(context.Background()) == nil)
+			})
+		})
+	}
+}
+
 // TestStreamsAreToldOnceVersionsMix checks that other hosts are told of no stream while one version serves, and of all recent ones as
 // soon as a second one is listed, before a stream can begin there.
 func TestStreamsAreToldOnceVersionsMix(t *testing.T) {
--- a/origin/history.go
+++ b/origin/history.go
@@ -14,7 +14,8 @@
 	Complete bool
 	Since    time.Duration
 
-	services map[string]map[string]*listing
+	services   map[string]map[string]*listing
+	mixedUntil map[string]time.Duration // services of which a record says that they have had several versions
 }
 
 // listing says when endpoints of a version were listed.
@@ -55,17 +56,37 @@
 	return mixed
 }
 
-// Mixed reports whether more than one version of a service was listed within Memory.
+// NoteMixed applies a record which says that streams of a service may have begun at several versions until a time.
+func (h *History) NoteMixed(service string, until time.Duration) {
+	if h.mixedUntil == nil {
+		h.mixedUntil = make(map[string]time.Duration)
+	}
+	h.mixedUntil[service] = max(h.mixedUntil[service], until)
+}
+
+// MixedServices returns the services of which more than one version was listed within Memory, as this host saw.
+func (h *History) MixedServices(now time.Duration) []string {
+	var out []string
+	for service := range h.services {
+		if _, n := h.recent(now, service); n > 1 {
+			out = append(out, service)
+		}
+	}
+	return out
+}
+
+// Mixed reports whether streams of a service may have begun at more than one version: several were listed within Memory, or a record
+// says so.
 func (h *History) Mixed(now time.Duration, service string) bool {
 	_, n := h.recent(now, service)
-	return n > 1
+	return n > 1 || now < h.mixedUntil[service]
 }
 
 // Sole returns the version of a service that alone was listed for Memory, and false if there were
 // several or that is not known.
 func (h *History) Sole(now time.Duration, service string) (string, bool) {
 	version, n := h.recent(now, service)
-	return version, n == 1 && (h.Complete || now-h.Since >= Memory)
+	return version, n == 1 && now >= h.mixedUntil[service] && (h.Complete || now-h.Since >= Memory)
 }
 
 // recent returns the number of versions of a service that were listed within Memory, and one of them.
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -75,6 +75,7 @@
 
 // TestHistory checks when a version is known to be the only one that can have begun a stream.
 func TestHistory(t *testing.T) {
+	const recorded = 5 * time.Second // until when a record says that there were several, if it does
 	type list map[string]map[string]bool
 	one, two, both := list{"s": {"v1": true}}, list{"s": {"v2": true}}, list{"s": {"v1": true, "v2": true}}
 	cases := []struct {
@@ -84,20 +85,26 @@
 		after    time.Duration
 		sole     string // "" for none
 		mixed    bool
+		record   bool
 	}{
-		{"from the first start on", true, []list{one}, 0, "v1", false},
-		{"after another start", false, []list{one}, 0, "", false},
-		{"long after another start", false, []list{one}, Memory, "v1", false},
-		{"two versions", true, []list{one, both}, 10 * Memory, "", true},
-		{"the old one has just gone", true, []list{one, both, two}, 0, "", true},
-		{"the old one went a while ago", true, []list{one, both, two}, Memory / 2, "", true},
-		{"the old one went long ago", true, []list{one, both, two}, Memory, "v2", false},
-		{"all went at once", true, []list{one, {}, two}, 0, "", true},
-		{"no endpoints", true, []list{{}}, 0, "", false},
+		{"from the first start on", true, []list{one}, 0, "v1", false, false},
+		{"after another start", false, []list{one}, 0, "", false, false},
+		{"long after another start", false, []list{one}, Memory, "v1", false, false},
+		{"two versions", true, []list{one, both}, 10 * Memory, "", true, false},
+		{"the old one has just gone", true, []list{one, both, two}, 0, "", true, false},
+		{"the old one went a while ago", true, []list{one, both, two}, Memory / 2, "", true, false},
+		{"the old one went long ago", true, []list{one, both, two}, Memory, "v2", false, false},
+		{"all went at once", true, []list{one, {}, two}, 0, "", true, false},
+		{"a record", true, []list{one}, recorded - 1, "", true, true},
+		{"a record that is over", true, []list{one}, recorded, "v1", false, true},
+		{"no endpoints", true, []list{{}}, 0, "", false, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			h := History{Complete: tc.complete}
+			if tc.record {
+				h.NoteMixed("s", recorded)
+			}
 			now := time.Duration(0)
 			becameMixed := 0
 			for i, l := range tc.lists {
