--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"strings"
 	"time"
 
 	"github.com/heathkeel/heathkeel/outcome"
@@ -23,7 +24,7 @@
 	switch kind {
 	case outcome.SendLost:
 		e.Fingerprint, e.SentMS, e.OtherInFlight = c.fingerprint().String(), (now - c.timings.lastSent).Milliseconds(), c.s.balance.concurrent(c)
-		e.Version = c.endpoint.Version
+		e.Version, e.Parts = c.endpoint.Version, c.loggedParts()
 	case outcome.Continued:
 		e.Version, e.Resumes, e.LastEvent, e.Origin = c.endpoint.Version, c.resumes(), c.header.Get(c.s.Headers.LastEvent), string(c.stream.source)
 	case outcome.Held:
@@ -66,6 +67,16 @@
 	return c.cachedFingerprint
 }
 
+// maxLoggedParts limits the bytes of the prompt's parts in a log line.
+const maxLoggedParts = 200
+
+// loggedParts returns the parts of the prompt but the last, for a log line.
+func (c *call) loggedParts() string {
+	parts := c.r.Header.Get(c.s.Headers.PromptParts)
+	shared := parts[:max(0, strings.LastIndexByte(parts, ','))]
+	return shared[:min(len(shared), maxLoggedParts)]
+}
+
 // outcomeEvent returns what is known of the request, for its log line.
 func (c *call) outcomeEvent(now time.Duration) outcome.Event {
 	e := outcome.Event{
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -75,6 +75,9 @@
 	// relayed it; empty if it was not relayed.
 	RelayedBy string `json:"relayed_by,omitempty"`
 	RelayedTo string `json:"relayed_to,omitempty"`
+	// Parts lists the parts of the prompt but the last, as the caller stated them, cut to some of them if they
+	// are many. Events of kind SendLost have it.
+	Parts string `json:"parts,omitempty"`
 	// Fingerprint is the same for all attempts of one request at all hosts. SentMS is the time since
 	// the last send, and OtherInFlight the number of other requests known to be at that endpoint.
 	// Events of kind SendLost have all three, those of kind Held the fingerprint only.
@@ -133,7 +136,7 @@
 	}
 	switch e.Outcome {
 	case SendLost:
-		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight, "version", e.Version)
+		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight, "version", e.Version, "parts", e.Parts)
 	case Continued:
 		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
 	case Held:
