--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -31,12 +31,14 @@
 	Fails func() bool
 
 	site     *Site
+	server   *http.Server
 	address  string
 	zone     string
 	coldLeft time.Duration // as its entry says
 
 	mu       sync.Mutex
 	arrivals []Arrival
+	crashed  bool
 	leftAt   time.Time // when the store accepted the endpoint's leaving, zero before
 	rates    []statedRate
 	overload overload
@@ -273,7 +275,7 @@
 	}
 	srv := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = srv.Serve(l) }()
-	e.site.servers = append(e.site.servers, srv)
+	e.server = srv
 	e.putEntry("ready")
 	return nil
 }
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,8 +42,11 @@
 	Hosts     []*Host
 	Endpoints []*Endpoint
 
+	mu            sync.Mutex
 	servers       []*http.Server
 	endpointCount int
+	crashTimes    []time.Time
+	stopped       bool
 	sent          atomic.Int64
 }
 
@@ -192,12 +196,22 @@
 	for _, h := range s.Hosts {
 		h.Kill()
 	}
+	s.mu.Lock()
+	s.stopped = true
 	for _, srv := range s.servers {
 		_ = srv.Close()
 	}
+	s.mu.Unlock()
 	time.Sleep(timerDrainTime)
 }
 
+// isStopped reports whether the site has been stopped.
+func (s *Site) isStopped() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stopped
+}
+
 // timerDrainTime is long enough for all pending timers to fire and their goroutines to end.
 const timerDrainTime = time.Minute
 
@@ -206,24 +220,19 @@
 
 // AddVersion starts an endpoint of a version; fails decides which requests it answers with an error.
 func (s *Site) AddVersion(version string, fails func() bool) error {
-	e := s.newEndpoint(version)
-	e.Fails = fails
-	return s.addEndpoint(e)
-}
-
-// newEndpoint returns an endpoint of the plain service.
-func (s *Site) newEndpoint(version string) *Endpoint {
-	return &Endpoint{
-		Instance: fmt.Sprintf("endpoint-%d", s.endpointCount), Service: site.Plain, Version: version, site: s, zone: fmt.Sprintf("zone-%d", s.endpointCount%s.Zones),
-		overload: overload{slots: make(chan struct{}, slots)},
-	}
+	return s.addEndpoint(&Endpoint{Service: site.Plain, Version: version, Fails: fails})
 }
 
-// addEndpoint starts an endpoint.
+// addEndpoint names and starts an endpoint.
 func (s *Site) addEndpoint(e *Endpoint) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e.Instance, e.zone = fmt.Sprintf("endpoint-%d", s.endpointCount), fmt.Sprintf("zone-%d", s.endpointCount%s.Zones)
+	e.site, e.overload.slots = s, make(chan struct{}, slots)
 	if err := e.start(ip(endpointNet, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
 		return err
 	}
+	s.servers = append(s.servers, e.server)
 	s.Endpoints = append(s.Endpoints, e)
 	s.endpointCount++
 	return nil
--- a/internal/simsite/stream.go
+++ b/internal/simsite/stream.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
@@ -25,6 +26,13 @@
 	// BreakAfter returns for each run the number of its events after which it breaks off, within the next event; 0 means that it does
 	// not. A nil BreakAfter means never.
 	BreakAfter func() int
+	// Unframed makes answers end with their connection, without a length or chunks.
+	Unframed bool
+	// CrashPart is the ID of a part of a prompt that crashes the engine, once it has written CrashAfter events on a request that holds
+	// it; empty means none. Downtime is the time until an engine with another name takes its place.
+	CrashPart  string
+	CrashAfter int
+	Downtime   time.Duration
 }
 
 // stream answers a request with the events that follow the last one of the caller. The data of each is the endpoint's version.
@@ -35,6 +43,10 @@
 	}
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	w.Header().Set("Content-Type", "text/event-stream")
+	if e.Streams.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
+	crashes := e.Streams.CrashPart != "" && strings.Contains(r.Header.Get("Heathkeel-Prompt-Prefix"), e.Streams.CrashPart+":")
 	rc := http.NewResponseController(w)
 	for n := last + 1; n <= e.Streams.Events; n++ {
 		select {
@@ -42,6 +54,9 @@
 		case <-r.Context().Done():
 			return
 		}
+		if crashes && n > last+e.Streams.CrashAfter {
+			e.Crash()
+		}
 		if !e.enter() {
 			panic(http.ErrAbortHandler)
 		}
@@ -65,11 +80,54 @@
 	e.Lapse()
 }
 
+// Crash ends the process of an engine: its port refuses connections, and open ones end. Another engine takes its place after the
+// downtime.
+func (e *Endpoint) Crash() {
+	e.mu.Lock()
+	if e.crashed {
+		e.mu.Unlock()
+		return
+	}
+	e.crashed = true
+	e.overload.downUntil = time.Now().Add(time.Hour)
+	e.mu.Unlock()
+	_ = e.server.Close()
+	e.site.noteCrash(e)
+}
+
+// noteCrash records a crash and starts another engine after the downtime.
+func (s *Site) noteCrash(e *Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashTimes = append(s.crashTimes, time.Now())
+	time.AfterFunc(e.Streams.Downtime, func() {
+		if s.isStopped() {
+			return
+		}
+		e.Lapse()
+		if err := s.AddEngine(e.Version, *e.Streams); err != nil {
+			panic(err) // addresses are not reused
+		}
+	})
+}
+
+// CrashTimes returns the times of all crashes, in order.
+func (s *Site) CrashTimes() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.crashTimes...)
+}
+
+// AllEndpoints returns the endpoints that have been started so far.
+func (s *Site) AllEndpoints() []*Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]*Endpoint(nil), s.Endpoints...)
+}
+
 // AddEngine starts an engine of a version.
 func (s *Site) AddEngine(version string, streams Streams) error {
-	e := s.newEndpoint(version)
-	e.Service, e.Streams = site.Engines, &streams
-	return s.addEndpoint(e)
+	return s.addEndpoint(&Endpoint{Service: site.Engines, Version: version, Streams: &streams})
 }
 
 // StreamCall is one request for a stream, or for the rest of one.
@@ -80,6 +138,9 @@
 	// are left out.
 	Resumes   string
 	LastEvent int
+	// Path is the path of the request, and Parts its parts of a prompt, as ID:TOKENS separated by commas. An empty path is that of a
+	// route whose streams may be taken up.
+	Path, Parts string
 	// LeaveAfter is the number of events after which the caller closes the connection; 0 means that it does not.
 	LeaveAfter int
 }
@@ -102,7 +163,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	a := StreamAnswer{LastEvent: c.LastEvent}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Boot.Front+"/review/x", strings.NewReader("prompt"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.Boot.Front+cmp.Or(c.Path, "/review/x"), strings.NewReader("prompt of "+c.ID))
 	if err != nil {
 		return a
 	}
@@ -112,6 +173,9 @@
 	} {
 		req.Header.Set(name, value)
 	}
+	if c.Parts != "" {
+		req.Header.Set("Heathkeel-Prompt-Prefix", c.Parts)
+	}
 	if c.Resumes != "" {
 		req.Header.Set("Resumes", c.Resumes)
 	}
