quarantine, ingress: requests are known again by the parts of their prompts, too

What callers saw: endpoint after endpoint crashed under requests of which no two were alike; sound requests beside them were lost with the endpoints. Ruled out: ends that were missed (40 of 40 askings were refused ports), parts cleared by sound answers (nothing was counted by parts). Change: a second registry counts crashes under each part of a prompt but the last, by service. From the third crash on each send of a request with that part must be granted by the store, three in all; with the third the part is held, at all hosts, over restarts, and shown and released by hkctl quarantine. A part that any host answered within a minute is not suspected; a host that knows of such an answer tells those that suspect the part. The verdict by chance is not used: many requests hold a part at the same time. Why it holds: what crashes each endpoint is never answered, and the sends are counted in one place; what sound requests share is answered all the time. Ways: crashes by part with the verdict by chance (a third of the endpoints crashing at once holds the common part; by reasoning), only crashes since the last answer (six guilty requests a second bring three of them between two answers of the common part; by reasoning), an answer acquits for a minute (kept). TestPartAttribution: 0 of 357,000 sound requests refused for a part, 4 to 7 crashes by a guilty one. Crash tests of internal/site, edge and peers: green.

--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -22,8 +22,9 @@
 	Unproven atomic.Int64
 	// OldList counts requests refused because the endpoint list was too old.
 	OldList atomic.Int64
-	// Held counts requests refused because endpoints crash while running them.
-	Held atomic.Int64
+	// Held counts requests refused because endpoints crash while running them, and PartsHeld those of them that were refused for a part
+	// of their prompts.
+	Held, PartsHeld atomic.Int64
 	// Trials counts sends of requests on trial, TrialsUnknown those not made because the store gave no answer.
 	Trials, TrialsUnknown atomic.Int64
 	// Rejected counts sends that endpoints did not execute, Lost those without a complete response.
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -40,10 +41,59 @@
 	records Records
 
 	mu       sync.Mutex
-	registry quarantine.Registry
+	registry quarantine.Registry    // of whole requests
+	parts    quarantine.Registry    // of parts of prompts
 	probes   map[string]*crashProbe // by incarnation
 }
 
+// subject is what crashes of endpoints are booked on: a request, or a part of its prompt.
+type subject struct {
+	registry    *quarantine.Registry
+	fingerprint quarantine.Fingerprint
+	description string // for operators
+}
+
+// subjects returns the request and the parts of its prompt that other requests may share. The body must have been read.
+func (c *call) subjects() []subject {
+	return append([]subject{c.requestSubject()}, c.partSubjects()...)
+}
+
+// requestSubject returns the request as what crashes are booked on.
+func (c *call) requestSubject() subject {
+	return subject{&c.s.crashes.registry, c.fingerprint(), c.summary()}
+}
+
+// partSubjects returns the parts of the request's prompt that other requests may share.
+func (c *call) partSubjects() []subject {
+	if c.cachedParts != nil {
+		return c.cachedParts
+	}
+	c.cachedParts = []subject{}
+	for _, id := range quarantine.SharedParts(c.r.Header.Get(c.s.Headers.PromptParts)) {
+		p := quarantine.Part{Service: c.service.Name, ID: id}
+		c.cachedParts = append(c.cachedParts, subject{&c.s.crashes.parts, p.Fingerprint(), "prompt part " + id + " at service " + p.Service})
+	}
+	return c.cachedParts
+}
+
+// suspects returns those of a request's subjects on whose kind any crash is booked; mu must be held. Where there is none, no body is
+// hashed.
+func (k *crashes) suspects(c *call) []subject {
+	var out []subject
+	if !k.registry.Empty() {
+		out = append(out, c.requestSubject())
+	}
+	if !k.parts.Empty() {
+		out = append(out, c.partSubjects()...)
+	}
+	return out
+}
+
+// registries returns both registries.
+func (k *crashes) registries() [2]*quarantine.Registry {
+	return [2]*quarantine.Registry{&k.registry, &k.parts}
+}
+
 // crashProbe finds out whether an endpoint has crashed.
 type crashProbe struct {
 	startedAt time.Duration
@@ -54,11 +104,10 @@
 
 // loss is a request that an endpoint lost.
 type loss struct {
-	fingerprint  quarantine.Fingerprint
+	subjects     []subject
 	requestAge   time.Duration
 	noResponse   bool
 	inconclusive bool // the endpoint was leaving, or this process did not run for a while
-	request      string
 }
 
 // noteLost records that an endpoint lost a request, and probes the endpoint: its process has ended if its port refuses
@@ -68,7 +117,7 @@
 func (k *crashes) noteLost(c *call, gapSeen bool) (done <-chan struct{}) {
 	now, incarnation := k.now(), c.endpoint.Incarnation()
 	l := loss{
-		fingerprint: c.fingerprint(), requestAge: now - c.timings.lastSent, noResponse: !c.firstOutputSeen, inconclusive: gapSeen || c.s.balance.isLeaving(incarnation), request: c.summary(),
+		subjects: c.subjects(), requestAge: now - c.timings.lastSent, noResponse: !c.firstOutputSeen, inconclusive: gapSeen || c.s.balance.isLeaving(incarnation),
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -143,39 +192,62 @@
 
 // noteCrash records that an endpoint crashed under a request; mu must be held.
 func (k *crashes) noteCrash(l *loss, incarnation string, at time.Duration) {
-	f := l.fingerprint
-	_, before := k.registry.Held(k.now(), f)
-	if k.registry.NoteCrash(k.now(), f, quarantine.Termination{Incarnation: incarnation, At: at, RequestAge: l.requestAge, NoResponse: l.noResponse, Inconclusive: l.inconclusive, Request: l.request}) {
+	for i := range l.subjects {
+		k.noteSubjectCrash(l, &l.subjects[i], incarnation, at)
+	}
+}
+
+// noteSubjectCrash records that an endpoint crashed under a request or a part of its prompt; mu must be held.
+func (k *crashes) noteSubjectCrash(l *loss, sub *subject, incarnation string, at time.Duration) {
+	reg, f := sub.registry, sub.fingerprint
+	_, before := reg.Held(k.now(), f)
+	if reg.NoteCrash(k.now(), f, quarantine.Termination{Incarnation: incarnation, At: at, RequestAge: l.requestAge, NoResponse: l.noResponse, Inconclusive: l.inconclusive, Request: sub.description}) {
 		k.notifyPeers()
-		if v := k.registry.Verdict(k.now(), f); v.Crashes > 1 {
-			k.log.Info("endpoint ended under a request again", "fingerprint", f.String(), "endpoint", incarnation, "ran_ms", l.requestAge.Milliseconds(),
-				"ends", v.Crashes, "mute", v.NoResponse, "surprise", v.Surprisal, "on_trial", k.registry.OnTrial(k.now(), f))
+		if v := reg.Verdict(k.now(), f); v.Crashes > 1 {
+			k.log.Info("endpoint ended under a request again", "fingerprint", f.String(), "request", sub.description, "endpoint", incarnation, "ran_ms", l.requestAge.Milliseconds(),
+				"ends", v.Crashes, "mute", v.NoResponse, "surprise", v.Surprisal, "on_trial", reg.OnTrial(k.now(), f))
 		}
 	}
-	if left, held := k.registry.Held(k.now(), f); held && !before {
-		k.log.Info("request held: endpoints crash under it", "fingerprint", f.String(), "request", l.request, "endpoints", k.registry.Incarnations(f), "held_s", left.Seconds())
+	if left, held := reg.Held(k.now(), f); held && !before {
+		k.log.Info("request held: endpoints crash under it", "fingerprint", f.String(), "request", sub.description, "endpoints", reg.Incarnations(f), "held_s", left.Seconds())
 	}
 }
 
-// noteAnswer records that a request was answered completely, which clears it.
+// noteAnswer records that a request was answered completely, which clears it. A success clears the parts of its prompt too.
 func (k *crashes) noteAnswer(c *call) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.registry.Empty() && k.registry.NoteAnswer(k.now(), c.fingerprint()) {
+	cleared := !k.registry.Empty() && k.registry.NoteAnswer(k.now(), c.fingerprint())
+	if c.succeeded {
+		for _, sub := range c.partSubjects() {
+			cleared = k.parts.NoteAnswer(k.now(), sub.fingerprint) || cleared
+		}
+	}
+	if cleared {
 		k.notifyPeers()
 	}
 }
 
-// held reports whether a request is refused because endpoints crash under it, when it may be retried, and how many crashed.
-func (k *crashes) held(c *call) (retryAfter time.Duration, endpoints int, held bool) {
+// heldState says that a request is refused because endpoints crash under it or a part of its prompt.
+type heldState struct {
+	subject    subject
+	retryAfter time.Duration // when it may be retried
+	endpoints  int           // that crashed
+}
+
+// held returns why a request is refused, or nil. What was granted to the send is left out.
+func (k *crashes) held(c *call) *heldState {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.registry.Empty() {
-		return 0, 0, false
+	for _, sub := range k.suspects(c) {
+		if slices.Contains(c.granted, sub.fingerprint) {
+			continue
+		}
+		if _, held := sub.registry.Held(k.now(), sub.fingerprint); held {
+			return &heldState{sub, sub.registry.RetryAfter(k.now(), sub.fingerprint), len(sub.registry.Incarnations(sub.fingerprint))}
+		}
 	}
-	f := c.fingerprint()
-	_, held = k.registry.Held(k.now(), f)
-	return k.registry.RetryAfter(k.now(), f), len(k.registry.Incarnations(f)), held
+	return nil
 }
 
 // summary describes the request for operators, in at most maxSummary bytes.
@@ -195,8 +267,10 @@
 func (k *crashes) sweep(endpoints int) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.registry.Endpoints = endpoints
-	k.registry.Sweep(k.now())
+	for _, reg := range k.registries() {
+		reg.Endpoints = endpoints
+		reg.Sweep(k.now())
+	}
 	for incarnation, probe := range k.probes {
 		if k.now()-probe.startedAt > crashedProbeTTL {
 			delete(k.probes, incarnation)
@@ -207,85 +281,119 @@
 // crashedProbeTTL is the time after which a crashed endpoint is forgotten: its entry is gone by then.
 const crashedProbeTTL = time.Minute
 
-// checkHeld refuses a request under which endpoints crash.
+// checkHeld refuses a request under which endpoints crash, or whose prompt has a part under which they do.
 func (c *call) checkHeld() *refusal {
-	if c.trialGranted {
-		return nil
-	}
-	retryAfter, endpoints, held := c.s.crashes.held(c)
-	if !held {
+	h := c.s.crashes.held(c)
+	if h == nil {
 		return nil
 	}
 	c.s.Count.Held.Add(1)
-	return &refusal{
-		status: http.StatusServiceUnavailable, retryAfter: retryAfter, kind: outcome.Held,
-		why: fmt.Sprintf("%d endpoints crashed while they ran this request (%s); do not send it again unchanged", endpoints, c.fingerprint()),
+	f := &refusal{status: http.StatusServiceUnavailable, retryAfter: h.retryAfter, kind: outcome.Held}
+	if h.subject.registry.Parts {
+		c.s.Count.PartsHeld.Add(1)
+		f.why = fmt.Sprintf("%d endpoints crashed while they ran requests with a part of this prompt (%s, %s); do not send it again with that part", h.endpoints, h.subject.description, h.subject.fingerprint)
+	} else {
+		f.why = fmt.Sprintf("%d endpoints crashed while they ran this request (%s); do not send it again unchanged", h.endpoints, h.subject.fingerprint)
 	}
+	return f
 }
 
 // SetCrashNotifier sets the callback that makes the host report crashes to the other hosts soon; call it before the first request.
 func (s *Server) SetCrashNotifier(notifyPeers func()) { s.crashes.notifyPeers = notifyPeers }
 
-// Crashes returns the evidence about requests under which endpoints crashed, to be sent to other hosts.
+// Crashes returns the evidence about requests under which endpoints crashed, and about parts of prompts, to be sent to other hosts.
 func (s *Server) Crashes(to quarantine.Scope) quarantine.Evidence {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.Outgoing(k.now(), to)
+	e := k.registry.Outgoing(k.now(), to)
+	if parts := k.parts.Outgoing(k.now(), to); !parts.Empty() {
+		e.Parts = &parts
+	}
+	return e
 }
 
-// MergeCrashes merges another host's evidence about requests under which endpoints crashed. It returns true if some of it is new.
+// MergeCrashes merges another host's evidence about requests under which endpoints crashed, and about parts of prompts. It returns true
+// if some of it is new.
 func (s *Server) MergeCrashes(t *quarantine.Evidence) bool {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.Merge(k.now(), t)
+	news := k.registry.Merge(k.now(), t)
+	if t.Parts != nil {
+		news = k.parts.Merge(k.now(), t.Parts) || news
+	}
+	return news
 }
 
-// SuspectCounts returns the number of requests under which endpoints crashed, and how many of them are refused now.
+// SuspectCounts returns the number of requests and parts of prompts under which endpoints crashed, and how many of them are refused now.
 func (s *Server) SuspectCounts() (suspects, held int) {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.Suspects(), k.registry.CountHeld(k.now())
+	for _, reg := range k.registries() {
+		suspects += reg.Suspects()
+		held += reg.CountHeld(k.now())
+	}
+	return suspects, held
 }
 
-// UnsavedRecords returns the records of requests on trial and held that are to be written to the store, which outlasts all hosts.
+// UnsavedRecords returns the records of requests and parts on trial and held that are to be written to the store, which outlasts all
+// hosts.
 func (s *Server) UnsavedRecords() []quarantine.Record {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.Unsaved(k.now(), time.Now().UnixMilli())
+	var out []quarantine.Record
+	for _, reg := range k.registries() {
+		out = append(out, reg.Unsaved(k.now(), time.Now().UnixMilli())...)
+	}
+	return out
 }
 
-// RecordsToRemove returns the requests whose records this host is to remove, each once, and how long ago they were answered.
+// RecordsToRemove returns the requests and parts whose records this host is to remove, each once, and how long ago they were answered.
 func (s *Server) RecordsToRemove() []quarantine.Clear {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.TakeRecordsToRemove(k.now())
+	var out []quarantine.Clear
+	for _, reg := range k.registries() {
+		out = append(out, reg.TakeRecordsToRemove(k.now())...)
+	}
+	return out
 }
 
 // Restore applies a stored record.
 func (s *Server) Restore(r *quarantine.Record) { s.crashes.restore(r) }
 
-// Suspects lists the requests under which endpoints crashed, for operators.
+// Suspects lists the requests and parts of prompts under which endpoints crashed, for operators.
 func (s *Server) Suspects() []quarantine.Entry {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.registry.List(k.now())
+	out := []quarantine.Entry{}
+	for _, reg := range k.registries() {
+		out = append(out, reg.List(k.now())...)
+	}
+	quarantine.SortEntries(out)
+	return out
 }
 
-// Release lets a request run again on all hosts, as a complete response would. It returns false if the request is not suspected.
+// Release lets a request, or all requests with a part of prompts, run again on all hosts, as a complete response would. It returns false
+// if nothing is suspected under the fingerprint.
 func (s *Server) Release(f quarantine.Fingerprint) bool {
 	k := &s.crashes
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.registry.NoteAnswer(k.now(), f) {
-		return false
+	released := false
+	for _, reg := range k.registries() {
+		if reg.Suspected(f) {
+			released = reg.NoteAnswer(k.now(), f) || released
+		}
+	}
+	if released {
+		k.log.Info("request released by an operator", "fingerprint", f.String())
+		k.notifyPeers()
 	}
-	k.log.Info("request released by an operator", "fingerprint", f.String())
-	k.notifyPeers()
-	return true
+	return released
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -40,9 +40,11 @@
 	hasBody           bool
 	heldBytes         int64
 	cachedFingerprint quarantine.Fingerprint // zero until it is first computed
+	cachedParts       []subject              // nil until they are first computed
 
-	sendRefusal     *refusal // why the request may not be sent any more
-	trialGranted    bool     // the next send was granted
+	sendRefusal *refusal // why the request may not be sent any more
+	// granted are the fingerprints of what is on trial and was granted to the next send.
+	granted         []quarantine.Fingerprint
 	tracker         attempt.Tracker
 	req             *sched.Request
 	endpoint        feed.Endpoint
@@ -50,6 +52,8 @@
 	// responsePending says that no response to the newest send has begun.
 	responsePending bool
 	timings         timings
+	// succeeded says that the endpoint's newest response had a 2xx status.
+	succeeded bool
 	// serverError says that the endpoint's newest response had a 5xx status.
 	serverError   bool
 	header        http.Header
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -108,7 +108,7 @@
 	s.paths.now, s.paths.dial, s.paths.addresses, s.paths.onChange = s.Now, s.pool.Warm, func() []string { return s.balance.addresses() }, s.noteCutOff
 	s.paths.probing = make(map[string]bool)
 	s.crashes = crashes{now: s.Now, dial: s.dialCrashed, log: s.Log, notifyPeers: func() {}, probes: make(map[string]*crashProbe)}
-	s.crashes.registry.Host = s.Host
+	s.crashes.registry.Host, s.crashes.parts.Host, s.crashes.parts.Parts = s.Host, s.Host, true
 	s.origins = origins{now: s.Now, ask: func(origin.Keys) int { return 0 }, queries: make(map[origin.Key]map[*originQuery]bool)}
 	s.origins.history.Complete, s.origins.history.Since = s.FirstStart, s.Now()
 	s.deadlines = deadlines{now: s.Now, calls: make(map[*call]*time.Timer)}
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -35,51 +35,60 @@
 // errContention means that other hosts changed the record before each of maxSwapAttempts attempts.
 var errContention = eris.New("other hosts keep writing the same record; the grant is retried when the request comes again")
 
-// checkSend checks, at the last moment before a send, whether the request may be sent. A request on trial needs a grant for each send.
+// checkSend checks, at the last moment before a send, whether the request may be sent. A request on trial, or with a part on trial,
+// needs a grant for each send.
 func (c *call) checkSend(ctx context.Context) *refusal {
-	c.trialGranted = false
-	if f := c.takeTrial(ctx); f != nil {
+	c.granted = nil
+	if f := c.checkHeld(); f != nil {
 		return f
 	}
+	for _, sub := range c.s.crashes.onTrial(c) {
+		if f := c.takeTrial(ctx, &sub); f != nil {
+			return f
+		}
+	}
 	return c.recheck()
 }
 
-// takeTrial asks for a grant if the request is on trial.
-func (c *call) takeTrial(ctx context.Context) *refusal {
-	k := &c.s.crashes
-	if !k.onTrial(c) {
-		return nil
-	}
+// takeTrial asks for a grant for a request on trial, or a part on trial.
+func (c *call) takeTrial(ctx context.Context, sub *subject) *refusal {
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	granted, err := k.grant(ctx, c.fingerprint())
+	granted, err := c.s.crashes.grant(ctx, sub)
 	if err != nil {
 		c.s.Count.TrialsUnknown.Add(1)
-		c.s.Log.V(1).Info("request on trial not sent: no grant", "fingerprint", c.fingerprint().String(), "cause", err.Error())
+		c.s.Log.V(1).Info("request on trial not sent: no grant", "fingerprint", sub.fingerprint.String(), "request", sub.description, "cause", err.Error())
 		return &refusal{
 			status: http.StatusServiceUnavailable, retryAfter: trialRetryAfter, kind: outcome.Held,
-			why: "endpoints ended while they ran this request, and the store does not tell whether it may be sent once more; come back",
+			why: "endpoints ended while they ran this request or others with a part of its prompt, and the store does not tell whether it may be sent once more; come back",
 		}
 	}
-	if c.trialGranted = granted; granted {
+	if granted {
+		c.granted = append(c.granted, sub.fingerprint)
 		c.s.Count.Trials.Add(1)
 	}
 	return nil
 }
 
-// onTrial reports whether a request needs a grant for each send.
-func (k *crashes) onTrial(c *call) bool {
+// onTrial returns what needs a grant for each send of a request.
+func (k *crashes) onTrial(c *call) []subject {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.registry.Empty() && k.registry.OnTrial(k.now(), c.fingerprint())
+	var out []subject
+	for _, sub := range k.suspects(c) {
+		if sub.registry.OnTrial(k.now(), sub.fingerprint) {
+			out = append(out, sub)
+		}
+	}
+	return out
 }
 
 // grant counts one more send of a request on trial in the records shared by all hosts, before it is made: so no two hosts make the
 // same send, and the sends made are known even after the loss of any host. It returns false if no grant is left.
-func (k *crashes) grant(ctx context.Context, f quarantine.Fingerprint) (bool, error) {
+func (k *crashes) grant(ctx context.Context, sub *subject) (bool, error) {
 	revision := uint64(0)
 	for range maxSwapAttempts {
-		r, ok := k.nextGrant(f)
+		r, ok := k.nextGrant(sub)
 		if !ok {
 			return false, nil
 		}
@@ -103,11 +112,11 @@
 }
 
 // nextGrant returns the record of a request with one more send, or false if no grant is left.
-func (k *crashes) nextGrant(f quarantine.Fingerprint) (quarantine.Record, bool) {
+func (k *crashes) nextGrant(sub *subject) (quarantine.Record, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	unixMS := time.Now().UnixMilli()
-	r := k.registry.Record(k.now(), unixMS, f)
+	r := sub.registry.Record(k.now(), unixMS, sub.fingerprint)
 	return r, r.Grant(unixMS)
 }
 
@@ -122,7 +131,11 @@
 func (k *crashes) restore(r *quarantine.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.registry.Restore(k.now(), time.Now().UnixMilli(), r)
+	reg := &k.registry
+	if r.Part {
+		reg = &k.parts
+	}
+	reg.Restore(k.now(), time.Now().UnixMilli(), r)
 }
 
 // SetRecords sets the store of records; call it before the first request.
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -69,7 +69,10 @@
 	Host string
 	// Endpoints is the number of endpoints in use.
 	Endpoints int
+	// Parts makes it a registry of parts of prompts in place of whole requests; see part.go.
+	Parts bool
 
+	answers         recentAnswers // to parts, by this host
 	suspects        map[Fingerprint]*suspect
 	terminations    map[string]pastTermination // by incarnation
 	restricted      []Fingerprint              // requests that are on trial or held, or were held, in the order in which they are sent to peers
@@ -85,6 +88,9 @@
 // held.
 func (reg *Registry) Suspects() int { return len(reg.suspects) }
 
+// Suspected reports whether there is a state of a request or part.
+func (reg *Registry) Suspected(f Fingerprint) bool { return reg.suspects[f] != nil }
+
 // Incarnations returns the incarnations of endpoints that this host knows to have crashed under a
 // request.
 func (reg *Registry) Incarnations(f Fingerprint) []string {
@@ -171,10 +177,13 @@
 // reports whether that is new.
 func (reg *Registry) addCrash(now time.Duration, f Fingerprint, incarnation string, c crash) bool {
 	if s := reg.suspects[f]; s != nil {
-		if _, known := s.crashes[incarnation]; known || c.at <= s.clearedAt {
+		if _, known := s.crashes[incarnation]; known || c.at <= s.clearedAt+reg.acquittal() {
 			return false
 		}
 	}
+	if reg.acquits(now, f, c.at, c.host == reg.Host) {
+		return false
+	}
 	s := reg.suspect(f)
 	s.crashes[incarnation], s.lastCrash = c, max(s.lastCrash, c.at)
 	if !c.inconclusive {
@@ -260,6 +269,9 @@
 // NoteAnswer records that a request was answered completely. It reports whether the request was
 // suspected.
 func (reg *Registry) NoteAnswer(now time.Duration, f Fingerprint) bool {
+	if reg.Parts {
+		reg.answers.note(now, f)
+	}
 	return reg.clearCrashes(now, f, now, true)
 }
 
@@ -272,8 +284,9 @@
 	}
 	s.clearedAt = at
 	reg.events = append(reg.events, event{at: now, fingerprint: f, local: local})
-	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return c.at <= at })
-	if max(s.lastCrash, s.lastTrial) <= at {
+	acquitted := at + reg.acquittal()
+	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return c.at <= acquitted })
+	if max(s.lastCrash, s.lastTrial) <= acquitted {
 		if local && (s.savedAt > 0 || s.trials > 0) {
 			reg.recordsToRemove = append(reg.recordsToRemove, f)
 		}
--- a/quarantine/evidence.go
+++ b/quarantine/evidence.go
@@ -59,6 +59,8 @@
 	Crashes []Crash `json:"c,omitempty"`
 	Clears  []Clear `json:"k,omitempty"`
 	Holds   []Hold  `json:"h,omitempty"`
+	// Parts is the evidence on parts of prompts, nil if there is none.
+	Parts *Evidence `json:"p,omitempty"`
 }
 
 // Scope selects the evidence to send by the receivers.
@@ -78,7 +80,7 @@
 
 // Empty reports whether there is no evidence.
 func (e *Evidence) Empty() bool {
-	return len(e.Crashes) == 0 && len(e.Clears) == 0 && len(e.Holds) == 0
+	return len(e.Crashes) == 0 && len(e.Clears) == 0 && len(e.Holds) == 0 && (e.Parts == nil || e.Parts.Empty())
 }
 
 // clampSpan converts milliseconds to a duration from 0 to evidenceTTL; values outside are clamped.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -16,6 +16,8 @@
 	// Fingerprint identifies the request, and Request describes it for operators.
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Request     string      `json:"request"`
+	// Part reports that it is the record of a part of prompts.
+	Part bool `json:"part,omitempty"`
 	// WrittenMS is the time of the write as a Unix time in milliseconds.
 	WrittenMS int64 `json:"written_ms"`
 	// Trials is the number of sends granted since the last answer.
@@ -45,7 +47,7 @@
 
 // Record returns the state of a request as it is to be written at a Unix time in milliseconds.
 func (reg *Registry) Record(now time.Duration, unixMS int64, f Fingerprint) Record {
-	r := Record{Fingerprint: f, WrittenMS: unixMS}
+	r := Record{Fingerprint: f, WrittenMS: unixMS, Part: reg.Parts}
 	s := reg.suspects[f]
 	if s == nil {
 		return r
@@ -124,6 +126,8 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	// Request describes the request, empty if only other hosts know it.
 	Request string `json:"request"`
+	// Part reports that it is a part of prompts; all requests that hold it are refused with it.
+	Part bool `json:"part,omitempty"`
 	// Held reports that the request is refused for another LeftMS milliseconds. HoldCount is the
 	// number of holds so far, and Saved reports that the hold is in the store and survives the loss
 	// of all hosts.
@@ -149,11 +153,17 @@
 			continue // cleared
 		}
 		out = append(out, Entry{
-			Fingerprint: f, Request: s.request, Held: held, LeftMS: left.Milliseconds(), HoldCount: s.holdCount, Saved: s.savedAt != 0,
+			Fingerprint: f, Request: s.request, Part: reg.Parts, Held: held, LeftMS: left.Milliseconds(), HoldCount: s.holdCount, Saved: s.savedAt != 0,
 			OnTrial: s.onTrial, Trials: s.trials, Crashes: s.crashList(now, f),
 		})
 	}
-	slices.SortFunc(out, func(x, y Entry) int {
+	SortEntries(out)
+	return out
+}
+
+// SortEntries sorts entries: those that are held first, then by number of crashes, most first.
+func SortEntries(list []Entry) {
+	slices.SortFunc(list, func(x, y Entry) int {
 		if x.Held != y.Held {
 			if x.Held {
 				return -1
@@ -162,7 +172,6 @@
 		}
 		return cmp.Or(cmp.Compare(len(y.Crashes), len(x.Crashes)), cmp.Compare(x.Fingerprint.String(), y.Fingerprint.String()))
 	})
-	return out
 }
 
 // crashList returns the crashes under a request, the oldest first.
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -100,9 +100,13 @@
 	if !isHold && !h.OnTrial {
 		return
 	}
-	s := reg.suspect(h.Fingerprint)
 	lastCrash := momentAt(now, h.AgeMS)
-	if lastCrash <= s.clearedAt && (h.Trials == 0 || momentAt(now, h.LastTrialMS) <= s.clearedAt) {
+	if reg.acquits(now, h.Fingerprint, lastCrash, false) {
+		return
+	}
+	s := reg.suspect(h.Fingerprint)
+	acquitted := s.clearedAt + reg.acquittal()
+	if lastCrash <= acquitted && (h.Trials == 0 || momentAt(now, h.LastTrialMS) <= acquitted) {
 		return // only a send granted after the answer counts, even if its host did not know of the answer
 	}
 	if s.request == "" && len(h.Request) <= maxNameBytes {
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -83,6 +83,9 @@
 // causesCrashes reports whether a request is taken to crash endpoints. Crashes caused by a held
 // request are no evidence against the other requests that the endpoint had.
 func (reg *Registry) causesCrashes(now time.Duration, f Fingerprint) bool {
+	if reg.Parts {
+		return false // the count alone decides
+	}
 	v := reg.Verdict(now, f)
 	return v.NoResponse >= noResponseCrashes || v.Surprisal >= minSurprisal
 }
