--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -49,6 +49,7 @@
 	crashes, lateSends        int
 	beginsBefore, begunBefore int // sound requests before the first crash
 	beginsLate, begunLate     int // from twice the contact time after the fifth crash on
+	cutShort                  int // streams that ended as whole ones before their last event
 }
 
 // partTime is the time for which requests that crash endpoints come; sound ones begin partQuiet earlier.
@@ -80,6 +81,12 @@
 	}
 	var mu sync.Mutex
 	var sounds []sound
+	cutShort := 0
+	noteEnd := func(a *simsite.StreamAnswer) {
+		if a.Complete && a.LastEvent < playedEvents {
+			cutShort++
+		}
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() {
 		call := func(n int) simsite.StreamCall {
@@ -89,6 +96,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			sounds = append(sounds, sound{sent, len(a.Versions) > 0})
+			noteEnd(a)
 		})
 	})
 	time.Sleep(partQuiet)
@@ -108,10 +116,14 @@
 	first := time.Now()
 	sendStreams(s, partTime, tc.perSecond, func(n int) simsite.StreamCall {
 		return simsite.StreamCall{ID: fmt.Sprint("guilty-", n), Path: tc.path, Parts: fmt.Sprintf("%s,%x:20", tc.parts, 1<<24+n)}
-	}, func(time.Time, *simsite.StreamAnswer) {})
+	}, func(_ time.Time, a *simsite.StreamAnswer) {
+		mu.Lock()
+		defer mu.Unlock()
+		noteEnd(a)
+	})
 	wg.Wait()
 
-	var r partResult
+	r := partResult{cutShort: cutShort}
 	crashes := s.CrashTimes()
 	r.crashes = len(crashes)
 	fifth := crashes[min(boundedCrashes, len(crashes))-1]
@@ -159,6 +171,32 @@
 			restartAll(s)
 		}},
 	}
+	playPartCases(t, cases, func(t *testing.T, tc *partCase, got partResult) {
+		must.LessEq(t, maxLateSends, got.lateSends)
+		if tc.trouble == nil {
+			must.GreaterEq(t, minBegunShare*share(got.begunBefore, got.beginsBefore), share(got.begunLate, got.beginsLate))
+		}
+	})
+}
+
+// TestUnframedAnswersOfCrashedEndpoints checks that an answer which ends with its connection, without a length or chunks, because the
+// endpoint crashed, is not taken for a whole one: its caller sees it break off, and it clears no part.
+func TestUnframedAnswersOfCrashedEndpoints(t *testing.T) {
+	bad := crashingPart + ":30"
+	cases := []partCase{
+		{name: "before an event", parts: "a0:60," + bad, soundParts: "a0:60", path: "/draft/x", unframed: true, perSecond: 6},
+		{name: "after some events", parts: "a0:60," + bad, soundParts: "a0:60", path: "/draft/x", crashAfter: 2, unframed: true, perSecond: 6},
+		{name: "after some events, streams may go on", parts: "a0:60," + bad, soundParts: "a0:60", crashAfter: 2, unframed: true, perSecond: 6},
+	}
+	playPartCases(t, cases, func(t *testing.T, _ *partCase, got partResult) {
+		must.EqOp(t, 0, got.cutShort)
+		must.LessEq(t, maxLateSends, got.lateSends)
+		must.GreaterEq(t, minBegunShare*share(got.begunBefore, got.beginsBefore), share(got.begunLate, got.beginsLate))
+	})
+}
+
+// playPartCases plays cases in fleets of 6 and 24 hosts and checks what they show.
+func playPartCases(t *testing.T, cases []partCase, check func(t *testing.T, tc *partCase, got partResult)) {
 	for _, fleet := range []struct {
 		boot  platform.Boot
 		hosts int
@@ -179,10 +217,7 @@
 					got := playParts(s, &tc, fleet.boot.ContactTime)
 					t.Logf("%+v", got)
 					must.Positive(t, got.beginsLate)
-					must.LessEq(t, maxLateSends, got.lateSends)
-					if tc.trouble == nil {
-						must.GreaterEq(t, minBegunShare*share(got.begunBefore, got.beginsBefore), share(got.begunLate, got.beginsLate))
-					}
+					check(t, &tc, got)
 				})
 			})
 		}
