ingress: an answer that ends with its connection is whole only if its endpoint still takes connections

What callers saw: streams that a crash cut short, ended as whole ones; and such an answer cleared the request and the parts of its prompt under which endpoints crash, so that they were never held. Cause: an answer with neither a length nor chunks ends with its connection, and a process that crashes may close its connections in order. Change: when such an answer ends, the endpoint's port is asked first (one round trip; the connection serves later requests). Refused: the send is lost, like any that breaks off. No answer within 0.1 s: the answer is passed on, and clears nothing. A stream without any event is none. Why it holds: a process that has ended takes no connections; one that is there has written what it had. Ways: pass it on as whole (standing), take each unframed end for a loss (sound answers would be lost), ask the port (kept). Known limit: an endpoint that ends in order right after its last answer, unframed, has that answer taken for lost; endpoints serve on for the drain time after they have said that they leave.

--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -34,6 +34,8 @@
 	Repeated, Resumed, TakenUp atomic.Int64
 	// NoOrigin counts requests to take up a stream that were refused because no host knew at which version it began.
 	NoOrigin atomic.Int64
+	// CutUnframed counts responses without a length or chunks whose endpoint had crashed when they ended.
+	CutUnframed atomic.Int64
 	// Cut counts responses that broke off, Gone callers that left.
 	Cut, Gone atomic.Int64
 	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host canceled while an endpoint may have been working on them:
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -41,9 +41,12 @@
 	if err != nil {
 		return sendLost, backoffLost
 	}
+	if len(body) <= maxBuffered && !c.endIsWhole(c.r.Context(), resp, len(body) > 0) {
+		return sendLost, backoffLost
+	}
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if len(body) > maxBuffered {
-		return c.forwardLarge(buffered, resp.Body, sent)
+		return c.forwardLarge(buffered, resp, sent)
 	}
 	if buffered.status >= http.StatusInternalServerError && c.route.MayRepeat() && c.sends() < c.route.Attempts {
 		c.savedResponse = buffered
@@ -80,7 +83,7 @@
 }
 
 // forwardLarge forwards a large response as it arrives.
-func (c *call) forwardLarge(buffered *response, rest io.Reader, sent time.Duration) (sendOutcome, time.Duration) {
+func (c *call) forwardLarge(buffered *response, resp *http.Response, sent time.Duration) (sendOutcome, time.Duration) {
 	c.timings.firstWritten = c.s.Now()
 	c.copyHeader(buffered.header)
 	c.stream.started = true
@@ -90,12 +93,15 @@
 	}
 	buf := make([]byte, 32<<10)
 	for {
-		n, err := rest.Read(buf)
+		n, err := resp.Body.Read(buf)
 		if n > 0 {
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
 				return sendAbandoned, 0
 			}
 		}
+		if err == io.EOF && !c.endIsWhole(c.r.Context(), resp, true) {
+			return sendLost, backoffLost
+		}
 		if err == io.EOF {
 			c.s.balance.noteFirstOutput(c, c.elapsed(sent, c.s.Now()))
 			c.s.balance.endSend(c, sched.Completed, 1, 0)
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -208,7 +208,7 @@
 	c.tracker.MarkAnswered()
 	c.serverError = resp.StatusCode >= http.StatusInternalServerError
 	ok := resp.StatusCode >= 200 && resp.StatusCode < 300
-	c.succeeded = ok
+	c.succeeded, c.endUnknown = ok, false
 	if ok && resp.Header.Get(c.s.Headers.ResponseStamp) == "" {
 		return sendLost, backoffLost
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -54,6 +54,8 @@
 	timings         timings
 	// succeeded says that the endpoint's newest response had a 2xx status.
 	succeeded bool
+	// endUnknown says that the newest response ended with its connection and that it is not known whether the endpoint crashed.
+	endUnknown bool
 	// serverError says that the endpoint's newest response had a 5xx status.
 	serverError   bool
 	header        http.Header
@@ -267,7 +269,7 @@
 func (c *call) finish(ctx context.Context, result sendOutcome) {
 	if result == sendCompleted {
 		c.s.Count.Served.Add(1)
-		if !c.serverError {
+		if !c.serverError && !c.endUnknown {
 			c.s.crashes.noteAnswer(c)
 		}
 		c.recordDuration(metrics.TotalTime, c.s.Now()-c.arrived)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -96,6 +96,9 @@
 	c.noteContinued()
 	for {
 		e, err := r.next()
+		if errors.Is(err, io.EOF) && !c.endIsWhole(ctx, resp, n > 0) {
+			return sendLost, backoffLost
+		}
 		if errors.Is(err, io.EOF) {
 			return c.finishStream(resp, n, sent)
 		}
