origin: hosts that are asked tell which services have several versions

A host whose list of endpoints is up to a drain time old took the version that it knew for the only one, although the host that it asked, which had started again and forgotten its streams, had seen another one. The answer names such services now. By reasoning, on a sequence that a model of it shows; TestSoleVersionNeedsContact has the case.

--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -17,6 +17,7 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/heathkeel/heathkeel/internal/simnet"
 	"github.com/heathkeel/heathkeel/internal/simsite"
 	"github.com/heathkeel/heathkeel/internal/site"
 	"github.com/heathkeel/heathkeel/platform"
@@ -197,6 +198,19 @@
 			s.Hosts[0].DropDatagrams(true)
 			s.Hosts[1].DropDatagrams(true)
 		}, minShare: 0.5, large: true},
+		{name: "two hosts reach no endpoint", breakShare: 0.3, leaveShare: 0.3, trouble: func(s *simsite.Site) {
+			time.Sleep(3 * time.Second)
+			for _, h := range s.Hosts[:2] {
+				h.CutOffEndpoints(simnet.Silent)
+				time.AfterFunc(playedTime, h.Heal)
+			}
+		}, minShare: 0.5},
+		{name: "hosts are suspended", breakShare: 0.3, leaveShare: 0.3, trouble: func(s *simsite.Site) {
+			for n := range int(playedTime / time.Second) {
+				time.Sleep(time.Second)
+				s.Hosts[n%len(s.Hosts)].Suspend(4 * time.Second)
+			}
+		}, minShare: 0.5},
 		{name: "a version ends", breakShare: 0.3, leaveShare: 0.5, trouble: endVersion("v2", playedTime/2)},
 		{name: "the store is away", breakShare: 0.3, leaveShare: 0.3, trouble: func(s *simsite.Site) {
 			s.SetStoreBehavior(simsite.Refuse)
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -185,7 +185,11 @@
 func (o *origins) merge(host string, r *origin.Report) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.book.Merge(o.now(), r)
+	now := o.now()
+	o.book.Merge(now, r)
+	for _, service := range r.Mixed {
+		o.history.NoteMixed(service, now+origin.Memory)
+	}
 	for _, keys := range r.Known {
 		for _, k := range keys {
 			for q := range o.queries[k] {
@@ -336,7 +340,9 @@
 func (s *Server) LookUpOrigins(keys origin.Keys) origin.Report {
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
-	return s.origins.book.LookUp(keys)
+	r := s.origins.book.LookUp(keys)
+	r.Mixed = s.origins.history.MixedServices(s.Now())
+	return r
 }
 
 // FindOrigins returns what this host knows of a stream, given its keys. If that is nothing, it asks other hosts with ask first, which
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -173,12 +173,15 @@
 		listAge time.Duration
 		asked   int
 		answers int
+		mixed   []string // in the answers
 		goesOn  bool
 	}{
-		{"in contact", 0, 2, 1, true},
-		{"alone in its fleet", 0, 0, 0, true},
-		{"no answer", 0, 2, 0, false},
-		{"an old list", 2 * time.Second, 2, 2, false},
+		{"in contact", 0, 2, 1, nil, true},
+		{"another service has several versions", 0, 2, 2, []string{"t"}, true},
+		{"another host has seen several versions", 0, 2, 2, []string{"s"}, false},
+		{"alone in its fleet", 0, 0, 0, nil, true},
+		{"no answer", 0, 2, 0, nil, false},
+		{"an old list", 2 * time.Second, 2, 2, nil, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -188,7 +191,7 @@
 				s.ListConfirmedAt = func() (time.Duration, bool) { return s.Now() - tc.listAge, true }
 				s.SetOriginAsker(func(keys origin.Keys) int {
 					for i := range tc.answers {
-						time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys}) })
+						time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys, Mixed: tc.mixed}) })
 					}
 					return tc.asked
 				})
--- a/origin/book.go
+++ b/origin/book.go
@@ -36,6 +36,9 @@
 	Known map[string]Keys `json:"v,omitempty"`
 	// Unknown holds the streams that the sender was asked about and does not remember.
 	Unknown Keys `json:"u,omitempty"`
+	// Mixed names the services of which the sender has seen several versions within Memory. A host whose list
+	// of endpoints is older takes none of them for the only one.
+	Mixed []string `json:"m,omitempty"`
 }
 
 // add adds a stream to the report.
