--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -81,7 +81,13 @@
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, service := range o.history.SetListed(o.now(), versions) {
+	o.history.SetListed(o.now(), versions)
+	o.tellNewlyMixed()
+}
+
+// tellNewlyMixed makes other hosts be told of all streams of services that have come to have several versions; mu must be held.
+func (o *origins) tellNewlyMixed() {
+	for _, service := range o.history.TakeNewlyMixed(o.now()) {
 		o.book.TellAll(service)
 	}
 }
@@ -187,9 +193,8 @@
 	defer o.mu.Unlock()
 	now := o.now()
 	o.book.Merge(now, r)
-	for _, service := range r.Mixed {
-		o.history.NoteMixed(service, now+origin.Memory)
-	}
+	o.history.NoteSeen(now, r.Seen)
+	o.tellNewlyMixed()
 	for _, keys := range r.Known {
 		for _, k := range keys {
 			for q := range o.queries[k] {
@@ -313,6 +318,7 @@
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
 	s.origins.history.NoteMixed(service, until)
+	s.origins.tellNewlyMixed()
 }
 
 // NoteHistoryRead records that all records were read that NoteMixed applies. Services without one have had one version for long.
@@ -341,7 +347,7 @@
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
 	r := s.origins.book.LookUp(keys)
-	r.Mixed = s.origins.history.MixedServices(s.Now())
+	r.Seen = s.origins.history.Seen(s.Now())
 	return r
 }
 
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -173,12 +173,14 @@
 		listAge time.Duration
 		asked   int
 		answers int
-		mixed   []string // in the answers
+		seen    map[string]map[string]int64 // in the answers
 		goesOn  bool
 	}{
 		{"in contact", 0, 2, 1, nil, true},
-		{"another service has several versions", 0, 2, 2, []string{"t"}, true},
-		{"another host has seen several versions", 0, 2, 2, []string{"s"}, false},
+		{"another host has seen the same", 0, 2, 2, map[string]map[string]int64{"s": {"v1": 0}, "t": {"v1": 0, "v2": 0}}, true},
+		{"another host lists another version", 0, 2, 2, map[string]map[string]int64{"s": {"v2": 0}}, false},
+		{"another host has listed another version", 0, 2, 2, map[string]map[string]int64{"s": {"v1": 0, "v0": 59_000}}, false},
+		{"another host listed another version long ago", 0, 2, 2, map[string]map[string]int64{"s": {"v1": 0, "v0": 60_000}}, true},
 		{"alone in its fleet", 0, 0, 0, nil, true},
 		{"no answer", 0, 2, 0, nil, false},
 		{"an old list", 2 * time.Second, 2, 2, nil, false},
@@ -191,7 +193,7 @@
 				s.ListConfirmedAt = func() (time.Duration, bool) { return s.Now() - tc.listAge, true }
 				s.SetOriginAsker(func(keys origin.Keys) int {
 					for i := range tc.answers {
-						time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys, Mixed: tc.mixed}) })
+						time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys, Seen: tc.seen}) })
 					}
 					return tc.asked
 				})
--- a/origin/book.go
+++ b/origin/book.go
@@ -36,9 +36,10 @@
 	Known map[string]Keys `json:"v,omitempty"`
 	// Unknown holds the streams that the sender was asked about and does not remember.
 	Unknown Keys `json:"u,omitempty"`
-	// Mixed names the services of which the sender has seen several versions within Memory. A host whose list
-	// of endpoints is older takes none of them for the only one.
-	Mixed []string `json:"m,omitempty"`
+	// Seen holds the versions of each service that the sender has listed within Memory, each with the time in
+	// milliseconds since it was listed last, 0 if it is now. A host whose list of endpoints is older learns of
+	// versions that it has not listed.
+	Seen map[string]map[string]int64 `json:"s,omitempty"`
 }
 
 // add adds a stream to the report.
--- a/origin/history.go
+++ b/origin/history.go
@@ -16,6 +16,7 @@
 
 	services   map[string]map[string]*listing
 	mixedUntil map[string]time.Duration // services of which a record says that they have had several versions
+	wasMixed   map[string]bool          // services that were mixed at the last call of TakeNewlyMixed
 }
 
 // listing says when endpoints of a version were listed.
@@ -24,15 +25,12 @@
 	until  time.Duration // when they were listed last, unless they are now
 }
 
-// SetListed applies a list of endpoints: the versions of each service. It returns the services that have
-// become mixed by it.
-func (h *History) SetListed(now time.Duration, versions map[string]map[string]bool) (mixed []string) {
+// SetListed applies a list of endpoints: the versions of each service.
+func (h *History) SetListed(now time.Duration, versions map[string]map[string]bool) {
 	if h.services == nil {
 		h.services = make(map[string]map[string]*listing)
 	}
-	before := make(map[string]bool)
 	for service, listings := range h.services {
-		before[service] = h.Mixed(now, service)
 		for version, l := range listings {
 			if l.listed && !versions[service][version] {
 				l.listed, l.until = false, now
@@ -49,11 +47,23 @@
 		for version := range listed {
 			h.services[service][version] = &listing{listed: true}
 		}
-		if !before[service] && h.Mixed(now, service) {
-			mixed = append(mixed, service)
+	}
+}
+
+// TakeNewlyMixed returns the services that are mixed and were not when it was called last.
+func (h *History) TakeNewlyMixed(now time.Duration) []string {
+	var out []string
+	mixed := make(map[string]bool)
+	for service := range h.services {
+		if h.Mixed(now, service) {
+			mixed[service] = true
+			if !h.wasMixed[service] {
+				out = append(out, service)
+			}
 		}
 	}
-	return mixed
+	h.wasMixed = mixed
+	return out
 }
 
 // NoteMixed applies a record which says that streams of a service may have begun at several versions until a time.
@@ -64,6 +74,57 @@
 	h.mixedUntil[service] = max(h.mixedUntil[service], until)
 }
 
+// Seen returns the versions of each service that were listed within Memory, each with the time in milliseconds since it was listed
+// last.
+func (h *History) Seen(now time.Duration) map[string]map[string]int64 {
+	out := make(map[string]map[string]int64)
+	for service, listings := range h.services {
+		for version, l := range listings {
+			age := now - l.until
+			if l.listed {
+				age = 0
+			}
+			if age >= Memory {
+				continue
+			}
+			if out[service] == nil {
+				out[service] = make(map[string]int64)
+			}
+			out[service][version] = age.Milliseconds()
+		}
+	}
+	return out
+}
+
+// NoteSeen applies the versions that another host has listed.
+func (h *History) NoteSeen(now time.Duration, seen map[string]map[string]int64) {
+	for service, versions := range seen {
+		for version, ageMS := range versions {
+			h.noteListed(now, service, version, now-time.Duration(max(0, ageMS))*time.Millisecond)
+		}
+	}
+}
+
+// maxVersions limits the versions of a service that are learned from other hosts.
+const maxVersions = 100
+
+// noteListed records that a version was listed at a time.
+func (h *History) noteListed(now time.Duration, service, version string, at time.Duration) {
+	listings := h.services[service]
+	if listings == nil || now-at >= Memory {
+		return // a service without endpoints at this host, or long ago
+	}
+	l := listings[version]
+	if l == nil {
+		if len(listings) >= maxVersions {
+			return
+		}
+		l = &listing{until: at}
+		listings[version] = l
+	}
+	l.until = max(l.until, at)
+}
+
 // MixedServices returns the services of which more than one version was listed within Memory, as this host saw.
 func (h *History) MixedServices(now time.Duration) []string {
 	var out []string
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -109,7 +109,8 @@
 			becameMixed := 0
 			for i, l := range tc.lists {
 				now = time.Duration(i) * time.Second
-				becameMixed += len(h.SetListed(now, l))
+				h.SetListed(now, l)
+				becameMixed += len(h.TakeNewlyMixed(now))
 			}
 			version, ok := h.Sole(now+tc.after, "s")
 			must.EqOp(t, tc.sole != "", ok)
--- a/peers/origin.go
+++ b/peers/origin.go
@@ -129,7 +129,7 @@
 		}
 	}
 	for part := range slices.Chunk(r.Unknown, maxOriginKeys) {
-		a.sendTo(&Origins{Host: a.Table.Host, Report: origin.Report{Unknown: part, Mixed: r.Mixed}}, []string{address})
+		a.sendTo(&Origins{Host: a.Table.Host, Report: origin.Report{Unknown: part, Seen: r.Seen}}, []string{address})
 	}
 }
 
