--- a/internal/simsite/stream.go
+++ b/internal/simsite/stream.go
@@ -8,10 +8,12 @@
 	"bufio"
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/heathkeel/heathkeel/internal/site"
@@ -153,6 +155,8 @@
 	// Versions holds the versions that wrote the events, in order. LastEvent is the number of the last one.
 	Versions  []string
 	LastEvent int
+	// NoHost says that no process took the connection.
+	NoHost bool
 	// Complete says that the stream ended without an error.
 	Complete bool
 }
@@ -184,6 +188,7 @@
 	}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
+		a.NoHost = errors.Is(err, syscall.ECONNREFUSED)
 		return a
 	}
 	defer resp.Body.Close()
