--- a/peers/origin.go
+++ b/peers/origin.go
@@ -5,7 +5,6 @@
 package peers
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -54,28 +53,40 @@
 	if !a.usesRelays() {
 		return live
 	}
-	type ranked struct {
-		m   *Member
-		sum uint64
+	// The hosts with the largest weights, the largest first; this one may be among them.
+	top := make([]weighted, 0, originWitnesses+1)
+	top = insertWeighted(top, weighted{nil, rendezvous(k, a.Table.Host)})
+	for _, m := range live {
+		top = insertWeighted(top, weighted{m, rendezvous(k, m.Host)})
 	}
-	list := make([]ranked, 0, len(live)+1)
-	for _, m := range append(slices.Clone(live), nil) { // nil is this host
-		name := a.Table.Host
-		if m != nil {
-			name = m.Host
-		}
-		list = append(list, ranked{m, rendezvous(k, name)})
-	}
-	slices.SortFunc(list, func(x, y ranked) int { return cmp.Compare(y.sum, x.sum) })
-	var out []*Member
-	for _, r := range list[:min(originWitnesses, len(list))] {
-		if r.m != nil {
-			out = append(out, r.m)
+	out := make([]*Member, 0, originWitnesses)
+	for _, w := range top {
+		if w.m != nil {
+			out = append(out, w.m)
 		}
 	}
 	return out
 }
 
+// weighted is a host with its weight for a stream; a nil member is this host.
+type weighted struct {
+	m      *Member
+	weight uint64
+}
+
+// insertWeighted inserts a host into the list of the originWitnesses largest weights.
+func insertWeighted(top []weighted, w weighted) []weighted {
+	i := len(top)
+	for i > 0 && top[i-1].weight < w.weight {
+		i--
+	}
+	if i >= originWitnesses {
+		return top
+	}
+	top = slices.Insert(top, i, w)
+	return top[:min(len(top), originWitnesses)]
+}
+
 // rendezvous returns the weight of a host for a stream (Thaler and Ravishankar, "Using name-based mappings to increase hit rates",
 // 1998).
 func rendezvous(k origin.Key, host string) uint64 {
--- a/peers/origin_test.go
+++ b/peers/origin_test.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -21,7 +22,7 @@
 	a.Init()
 	for i := range n {
 		if i != host {
-			a.Table.ReceiveHeartbeat(time.Second, &Heartbeat{Host: fmt.Sprint("host-", i), Incarnation: 1, Seq: 1, Info: HostInfo{Address: fmt.Sprint("address-", i), Zone: fmt.Sprint(i % 3), Ready: true}})
+			a.Table.ReceiveHeartbeat(time.Second, &Heartbeat{Host: fmt.Sprint("host-", i), Incarnation: 1, Seq: 1, Info: HostInfo{Address: fmt.Sprintf("10.0.%d.%d:7600", i/250, 1+i%250), Zone: fmt.Sprint(i % 3), Ready: true}})
 		}
 	}
 	return a
@@ -59,6 +60,47 @@
 	}
 }
 
+// countingConn counts the datagrams and bytes that are sent.
+type countingConn struct {
+	net.PacketConn
+	datagrams, bytes int
+}
+
+// WriteTo implements net.PacketConn.
+func (c *countingConn) WriteTo(b []byte, _ net.Addr) (int, error) {
+	c.datagrams++
+	c.bytes += len(b)
+	return len(b), nil
+}
+
+// untoldStreams is a program at which streams have begun.
+type untoldStreams struct{ keys origin.Keys }
+
+func (u *untoldStreams) TakeOrigins() origin.Report {
+	return origin.Report{Known: map[string]origin.Keys{"v1.1": u.keys}}
+}
+func (u *untoldStreams) LookUpOrigins(origin.Keys) origin.Report { return origin.Report{} }
+func (u *untoldStreams) OriginsReceived(string, *origin.Report)  {}
+
+// BenchmarkSendOrigins tells other hosts of one stream. With all weights sorted 85 hosts took 31 us and 985 hosts 182 us; with the
+// largest ones kept they take 17 and 45 us.
+func BenchmarkSendOrigins(b *testing.B) {
+	for _, n := range []int{6, 85, 985} {
+		b.Run(fmt.Sprint(n, " hosts"), func(b *testing.B) {
+			conn := &countingConn{}
+			u := &untoldStreams{}
+			a := originAgent(0, n)
+			a.Conn, a.Origins = conn, u
+			for i := range b.N {
+				u.keys = origin.Keys{origin.Key(i) << 32}
+				a.sendOrigins()
+			}
+			b.ReportMetric(float64(conn.bytes)/float64(b.N), "B/stream")
+			b.ReportMetric(float64(conn.datagrams)/float64(b.N), "datagrams/stream")
+		})
+	}
+}
+
 // TestOriginDatagrams checks that messages about streams survive the wire, and that a report to a host comes in datagrams of limited
 // size.
 func TestOriginDatagrams(t *testing.T) {
