soak: engines of two versions, and callers who take streams up at any host, with real processes

The check that a stream has events of one version works out from the runs at the endpoints and from what each request brought its caller which versions wrote them.

--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -55,11 +55,14 @@
 
 // sentRequest is a request and its outcome, as its caller saw it.
 type sentRequest struct {
-	id              string
-	kind            kind
-	host            *host
-	generation      int
-	small           bool
+	id         string
+	kind       kind
+	host       *host
+	generation int
+	small      bool
+	// resumes and lastEvent say which stream the request takes up, and after which event.
+	resumes         string
+	lastEvent       int
 	sentAt, endedAt time.Time
 	callerLeft      bool // the caller disconnected at endedAt
 	status          int
@@ -154,6 +157,10 @@
 	req.Header.Set("Authorization", "Token "+k)
 	req.Header.Set("Heathkeel-Token-Count", fmt.Sprintf("%d,%d", requestTokens/2, requestTokens/2))
 	req.Header.Set("Heathkeel-Deadline-Ms", "8000")
+	if s.resumes != "" {
+		req.Header.Set("Resumes", s.resumes)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(s.lastEvent))
+	}
 	resp, err := t.RoundTrip(req)
 	if err != nil {
 		return
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -20,7 +21,8 @@
 func TestPromisesAreChecked(t *testing.T) {
 	start := time.Unix(1000, 0)
 	plain := &fleetEndpoint{Endpoint: &site.Endpoint{Instance: "p"}, service: site.Plain}
-	engine := &fleetEndpoint{Endpoint: &site.Endpoint{Instance: "e"}, service: site.Engines}
+	engine := &fleetEndpoint{Endpoint: &site.Endpoint{Instance: "e"}, service: site.Engines, version: "v1"}
+	other := &fleetEndpoint{Endpoint: &site.Endpoint{Instance: "f"}, service: site.Engines, version: "v2"}
 	cases := []struct {
 		promise string
 		// violate makes the record violate the promise, with as many requests as the check takes to
@@ -32,6 +34,12 @@
 		{"a complete answer is the endpoint's answer to this request", func(r *record) { r.byID["push"].body = "ran another" }},
 		{"a complete answer is the endpoint's answer to this request", func(r *record) { r.byID["push"].stamp = "p.other" }},
 		{"a complete answer is the endpoint's answer to this request", func(r *record) { r.byID["review"].body = site.EventText(2) }},
+		{"a stream has events of one version", func(r *record) {
+			addRequest(r, "taken-up", kinds[3], other, start)
+			s := r.byID["taken-up"]
+			s.resumes, s.lastEvent, s.body = "review", 4, strings.TrimPrefix(site.StreamBody(streamEvents), site.StreamBody(4))
+			r.runs["taken-up"][0].LastEvent = 4
+		}},
 		{"an endpoint runs what a caller sent, and for its own service", func(r *record) { r.arrivals[0].endpoint = engine }},
 		{"an endpoint runs what a caller sent, and for its own service", func(r *record) { r.arrivals[0].AttemptID = "unknown" }},
 		{"an endpoint runs what a caller sent, and for its own service", func(r *record) { r.arrivals[0].Header = http.Header{} }},
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -115,6 +116,7 @@
 	limits
 	*site.Endpoint
 	service string
+	version string // of its software
 
 	mu               sync.Mutex
 	leftAt           time.Time // when the store accepted its leaving, zero before
@@ -367,7 +369,7 @@
 	f.endpointCount++
 	m := &fleetEndpoint{limits: f.limits, Endpoint: &site.Endpoint{Instance: fmt.Sprintf("%s-%d", service, f.endpointCount), Pace: 20 * time.Millisecond, Proxy: &link.Proxy{}}, service: service}
 	if service == site.Engines {
-		m.Events = streamEvents
+		m.Events, m.version = streamEvents, engineVersions[f.endpointCount%len(engineVersions)]
 	}
 	if err := m.Start(); err != nil {
 		return err
@@ -379,7 +381,7 @@
 
 // entry returns an endpoint's entry for the store.
 func (f *fleet) entry(m *fleetEndpoint, state string) site.EndpointEntry {
-	return site.EndpointEntry{Service: m.service, Address: m.Address, Zone: "zone-1", Version: "v1", Slots: 8, State: state}
+	return site.EndpointEntry{Service: m.service, Address: m.Address, Zone: "zone-1", Version: cmp.Or(m.version, "v1"), Slots: 8, State: state}
 }
 
 // stayingEndpoints returns the endpoints of a service that are not leaving. An empty service means
--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -62,6 +62,7 @@
 	{"what is refused as not run has not run", (*record).falseRefusals},
 	{"a complete answer is the endpoint's answer to this request", (*record).wrongAnswers},
 	{"an endpoint runs what a caller sent, and for its own service", (*record).unexpectedRuns},
+	{"a stream has events of one version", (*record).mixedStreams},
 	{"a valid request is not rejected as invalid", (*record).wrongRejections},
 }
 
@@ -103,7 +104,7 @@
 	for _, s := range r.sent {
 		want := "ran " + s.id + " with body of " + s.id
 		if s.kind.stream {
-			want = site.StreamBody(streamEvents)
+			want = s.wantedStream()
 		}
 		switch {
 		case s.status != http.StatusOK:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -80,6 +80,10 @@
 		own := rand.New(rand.NewPCG(uint64(r.seed), uint64(i)+1))
 		wg.Go(func() { c.run(ctx, own) })
 	}
+	for i := range readers {
+		own := rand.New(rand.NewPCG(uint64(r.seed), readerSource+uint64(i)))
+		wg.Go(func() { c.readStreams(ctx, own) })
+	}
 	w := &arrivalWatcher{fleet: f, clients: c}
 	watchCtx, stopWatcher := context.WithCancel(context.Background())
 	wg.Go(func() { w.run(watchCtx) })
@@ -115,7 +119,9 @@
 			t.Log(line)
 		}
 	}
-	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %s", r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, statusCounts(rec))
+	asked, wentOn := rec.takenUp()
+	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %d of %d streams that were taken up went on, %s",
+		r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, wentOn, asked, statusCounts(rec))
 }
 
 // rateSource is the source of the stated rates, beside those of the callers, which count from 1.
