--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -5,6 +5,7 @@
 package edge_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -138,6 +139,8 @@
 	trouble    func(s *simsite.Site) // runs beside the callers; nil means none
 	large      bool                  // also played in a fleet of 85 hosts
 	oneVersion bool                  // all engines are of one version
+	few        int                   // engines of the second version, if they are fewer than the others
+	perSecond  float64               // streams that begin; 0 for 20
 	pause      time.Duration         // between two requests of a caller
 	// minShare is the least share of the requests to take up streams that go on, over that of the first requests that begin.
 	minShare float64
@@ -256,6 +259,15 @@
 	})
 }
 
+// TestStreamsOfFewEndpointsGoOn checks that streams of a version with few endpoints are taken up while all endpoints are busy.
+func TestStreamsOfFewEndpointsGoOn(t *testing.T) {
+	for _, perSecond := range []float64{140, 240} {
+		t.Run(fmt.Sprint(perSecond, " a second"), func(t *testing.T) {
+			playStreams(t, &streamCase{few: 2, perSecond: perSecond, breakShare: 0.1, leaveShare: 0.2, minShare: 0.5}, smallBoot, 6, 10, 3)
+		})
+	}
+}
+
 // TestResponseStaysAtOneVersion checks that a host continues a stream that breaks off, within the same response, at the version that
 // began it.
 func TestResponseStaysAtOneVersion(t *testing.T) {
@@ -276,9 +288,9 @@
 			}
 			return 0
 		}}
-		for range engines {
+		for i := range engines {
 			must.NoError(t, s.AddEngine("v1", streams))
-			if !tc.oneVersion {
+			if !tc.oneVersion && (tc.few == 0 || i < tc.few) {
 				must.NoError(t, s.AddEngine("v2", streams))
 			}
 		}
@@ -286,7 +298,7 @@
 		if tc.trouble != nil {
 			go tc.trouble(s)
 		}
-		got := p.run(playedTime, 50*time.Millisecond)
+		got := p.run(playedTime, time.Duration(float64(time.Second)/cmp.Or(tc.perSecond, 20)))
 		t.Logf("%+v", got)
 		time.Sleep(playedTime) // until the trouble is over
 		must.Greater(t, 300, got.streams)
