site: requests that share a part under which endpoints crash, with real connections

The stand-in's endpoints crash on a part of a prompt, too. TestHeldPart: both hosts refuse with 503, a Retry-After of minutes and the part's name; requests without the part are served; once an operator has released it, requests that hold it run again. While the hosts find no endpoint, since all have just crashed, the test waits: four that refuse make a host take itself for cut off (docs/design/relays.md).

--- a/internal/site/crash.go
+++ b/internal/site/crash.go
@@ -36,7 +36,7 @@
 
 // crashesOn reports whether a request crashes the endpoint.
 func (e *Endpoint) crashesOn(r *http.Request, body string) bool {
-	return e.CrashText != "" && (strings.Contains(r.RequestURI, e.CrashText) || strings.Contains(body, e.CrashText))
+	return e.CrashText != "" && (strings.Contains(r.RequestURI, e.CrashText) || strings.Contains(body, e.CrashText) || strings.Contains(r.Header.Get("Heathkeel-Prompt-Prefix"), e.CrashText))
 }
 
 // Crash simulates the end of the endpoint's process: its port refuses connections, and open
--- a/internal/site/crash_test.go
+++ b/internal/site/crash_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -15,7 +16,9 @@
 	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
+	"github.com/heathkeel/heathkeel/edge"
 	"github.com/heathkeel/heathkeel/platform"
+	"github.com/heathkeel/heathkeel/quarantine"
 )
 
 // crashText is a text in the body of a request that crashes an endpoint.
@@ -201,6 +204,47 @@
 	must.EqOp(t, 200, send().Status)
 }
 
+// TestHeldPart checks the refusal of requests that share no more than a part of their prompts under which endpoints crash: it is true,
+// states when to retry and names the part, and comes from both hosts. A request without that part is not held, and once an operator has
+// released the part, requests that hold it run again.
+func TestHeldPart(t *testing.T) {
+	f := newCrashingSite(t, 2, Engines)
+	sends := 0
+	send := func(part string) Answer {
+		sends++
+		return Do(f.hosts[sends%2].Boot.Front, Call{
+			Path: "/review/a", Key: Key, ID: fmt.Sprint("part-", sends), Body: fmt.Sprint("body ", sends),
+			Header: http.Header{"Heathkeel-Prompt-Prefix": {fmt.Sprintf("shared:60,%s:20,%x:5", part, sends)}},
+		})
+	}
+	must.EqOp(t, 200, send("sound").Status)
+	// While the last send on trial is under way, callers are told to come back soon.
+	heldForLong := func() bool {
+		after, err := strconv.ParseFloat(send(crashText).Header.Get("Retry-After"), 64)
+		return err == nil && after > 60
+	}
+	(&testSite{Site: f.Site}).await(t, "both hosts refuse for long", func() bool { return heldForLong() && heldForLong() })
+	f.awaitServing(t) // the endpoints that crashed are back
+	runsBefore := len(f.CrashTimes())
+	for range 4 {
+		a := send(crashText)
+		must.EqOp(t, 503, a.Status)
+		must.StrContains(t, a.Body, "with a part of this prompt (prompt part "+crashText)
+		a = send("sound")
+		must.EqOp(t, 200, a.Status, must.Sprint(a.Body))
+	}
+	must.EqOp(t, runsBefore, len(f.CrashTimes()))
+	p := quarantine.Part{Service: Engines, ID: crashText}
+	req, err := http.NewRequest(http.MethodDelete, "http://"+f.hosts[0].Boot.Control+edge.PathQuarantine+"/"+p.Fingerprint().String(), nil)
+	must.NoError(t, err)
+	resp, err := http.DefaultClient.Do(req)
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.EqOp(t, http.StatusNoContent, resp.StatusCode)
+	send(crashText)
+	(&testSite{Site: f.Site}).await(t, "it runs again", func() bool { return len(f.CrashTimes()) > runsBefore || send(crashText).Status != 503 })
+}
+
 // TestAnsweredRequestIsNotHeld checks that a request which is sent often and mostly answered is not
 // held when endpoints that run it crash for other reasons.
 func TestAnsweredRequestIsNotHeld(t *testing.T) {
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -85,7 +85,7 @@
 	// Pace is the time before each event, the first one included. Use SetPace to change it while
 	// the endpoint runs.
 	Pace time.Duration
-	// A request whose URI or body contains CrashText crashes the endpoint CrashDelay after it began
+	// A request whose URI, body or list of prompt parts contains CrashText crashes the endpoint CrashDelay after it began
 	// to run; empty means none. With AnswersBeforeCrash set, the endpoint answers as usual until
 	// then; otherwise it sends nothing.
 	CrashText          string
