--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -78,7 +78,7 @@
 	c.s.Count.NoOrigin.Add(1)
 	return &refusal{
 		status: http.StatusServiceUnavailable, retryAfter: originRetryAfter,
-		why: "no host knows at which version of the endpoints' software this stream began, and there were several; come back",
+		why: "no host knows at which version of the endpoints' software this stream began, and another one may have; come back",
 	}
 }
 
--- a/internal/site/crash_test.go
+++ b/internal/site/crash_test.go
@@ -223,7 +223,10 @@
 		after, err := strconv.ParseFloat(send(crashText).Header.Get("Retry-After"), 64)
 		return err == nil && after > 60
 	}
-	(&testSite{Site: f.Site}).await(t, "both hosts refuse for long", func() bool { return heldForLong() && heldForLong() })
+	(&testSite{Site: f.Site}).await(t, "both hosts refuse for long", func() bool {
+		one := heldForLong()
+		return heldForLong() && one
+	})
 	f.awaitServing(t) // the endpoints that crashed are back
 	runsBefore := len(f.CrashTimes())
 	for range 4 {
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -47,7 +47,9 @@
 // tells, and that it ends a trial and a hold.
 func TestPartAcquittal(t *testing.T) {
 	f := (&Part{Service: "s", ID: "a"}).Fingerprint()
-	crashAt := func(at time.Duration, n int) Termination { return Termination{Incarnation: fmt.Sprint("life-", n), At: at} }
+	crashAt := func(at time.Duration, n int) Termination {
+		return Termination{Incarnation: fmt.Sprint("life-", n), At: at}
+	}
 	t.Run("answered before", func(t *testing.T) {
 		reg := Registry{Host: "h", Parts: true}
 		reg.NoteAnswer(0, f)
