--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -36,7 +36,7 @@
 	name       string
 	parts      string // of the requests that crash endpoints; the last part, which is each request's own, is added
 	soundParts string
-	path       string // empty for a route whose streams may be taken up
+	path       string // empty for a route whose streams callers may resume
 	crashAfter int    // events
 	unframed   bool
 	perSecond  float64
--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -30,7 +30,7 @@
 	playedPace   = 100 * time.Millisecond
 )
 
-// streamPlay plays callers that read streams and take them up at any host when they break.
+// streamPlay plays callers that read streams and resume them at any host when they break.
 type streamPlay struct {
 	site *simsite.Site
 	// leaveShare is the share of the callers that close the connection of their first request in the middle of the stream, and tries
@@ -49,7 +49,7 @@
 	streams, complete int
 	mixed             int // streams with events of two versions
 	begins, begun     int // first requests at hosts that were there, and those that brought an event
-	resumes, resumed  int // the same of requests to take a stream up, and those that brought an event or the end
+	resumes, resumed  int // the same of requests to resume a stream, and those that brought an event or the end
 }
 
 // draw returns a random number below n.
@@ -142,7 +142,7 @@
 	few        int                   // engines of the second version, if they are fewer than the others
 	perSecond  float64               // streams that begin; 0 for 20
 	pause      time.Duration         // between two requests of a caller
-	// minShare is the least share of the requests to take up streams that go on, over that of the first requests that begin.
+	// minShare is the least share of the requests to resume streams that go on, over that of the first requests that begin.
 	minShare float64
 }
 
@@ -188,12 +188,12 @@
 // playedTime is the time for which callers begin streams.
 const playedTime = 20 * time.Second
 
-// minResumedShare is the share of the requests to take up streams that have to go on where one version serves all the time and no
+// minResumedShare is the share of the requests to resume streams that have to go on where one version serves all the time and no
 // more than one host is killed at a time: the platform asks for half, and this is the aim.
 const minResumedShare = 0.95
 
 // TestStreamsStayAtOneVersion checks that no stream has events of two versions of the endpoints' software, whatever breaks it, and
-// that streams are taken up as often as new ones begin.
+// that streams are resumed as often as new ones begin.
 func TestStreamsStayAtOneVersion(t *testing.T) {
 	cases := []streamCase{
 		{name: "runs break", breakShare: 0.3, minShare: minResumedShare},
@@ -259,7 +259,7 @@
 	})
 }
 
-// TestStreamsOfFewEndpointsGoOn checks that streams of a version with few endpoints are taken up while all endpoints are busy.
+// TestStreamsOfFewEndpointsGoOn checks that streams of a version with few endpoints are resumed while all endpoints are busy.
 func TestStreamsOfFewEndpointsGoOn(t *testing.T) {
 	for _, perSecond := range []float64{140, 240} {
 		t.Run(fmt.Sprint(perSecond, " a second"), func(t *testing.T) {
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -29,10 +29,10 @@
 	Trials, TrialsUnknown atomic.Int64
 	// Rejected counts sends that endpoints did not execute, Lost those without a complete response.
 	Rejected, Lost atomic.Int64
-	// Repeated counts retries, Resumed streams that were continued at another endpoint in the same response, and TakenUp streams that
-	// callers took up with another request.
-	Repeated, Resumed, TakenUp atomic.Int64
-	// NoOrigin counts requests to take up a stream that were refused because no host knew at which version it began.
+	// Repeated counts retries, Resumed streams that were continued at another endpoint in the same response, and ResumedByCallers streams that
+	// callers resumed with another request.
+	Repeated, Resumed, ResumedByCallers atomic.Int64
+	// NoOrigin counts requests to resume a stream that were refused because no host knew at which version it began.
 	NoOrigin atomic.Int64
 	// CutUnframed counts responses without a length or chunks whose endpoint had crashed when they ended.
 	CutUnframed atomic.Int64
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -19,7 +19,7 @@
 	PromptParts string
 	// LastEvent is the number of the last event received.
 	LastEvent string
-	// Resumes is the ID of the request that brought the caller the first event of the stream that it takes up.
+	// Resumes is the ID of the request that brought the caller the first event of the stream that it resumes.
 	Resumes string
 	// ResponseStamp marks a response as the endpoint's own.
 	ResponseStamp string
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -14,7 +14,7 @@
 	"github.com/heathkeel/heathkeel/route"
 )
 
-// Parameters of requests that take up streams.
+// Parameters of requests that resume streams.
 const (
 	// originRetryAfter is the Retry-After of a request whose stream's origin no host knows. Another host may know it once they hear
 	// each other again.
@@ -42,10 +42,10 @@
 	return e.Version
 }
 
-// resumable reports whether callers may take up the streams of the route.
+// resumable reports whether callers may resume the streams of the route.
 func (c *call) resumable() bool { return c.route.Kind == route.Stream && c.route.Resumable }
 
-// resumes returns the ID of the request that brought the caller the first event of the stream that it takes up, or "".
+// resumes returns the ID of the request that brought the caller the first event of the stream that it resumes, or "".
 func (c *call) resumes() string { return c.r.Header.Get(c.s.Headers.Resumes) }
 
 // originKey returns the key of the stream that a request of the call's workspace and route began at a service.
@@ -57,18 +57,18 @@
 	return origin.KeyOf(workspace, c.route.Name, service, id)
 }
 
-// bindOrigin finds out at which version the stream began that the caller takes up, and makes the request one for that version. It
+// bindOrigin finds out at which version the stream began that the caller resumes, and makes the request one for that version. It
 // refuses a request whose stream may have begun at several versions.
 func (c *call) bindOrigin(ctx context.Context) *refusal {
-	takesUp := c.r.Header.Get(c.s.Headers.LastEvent) != ""
-	if !c.resumable() || (!takesUp && c.resumes() == "") {
+	hasEvents := c.r.Header.Get(c.s.Headers.LastEvent) != ""
+	if !c.resumable() || (!hasEvents && c.resumes() == "") {
 		return nil
 	}
 	found, heard := c.findOrigin(ctx)
 	if found {
 		return nil
 	}
-	if !takesUp {
+	if !hasEvents {
 		return nil // the caller has no event, so that the stream begins anew
 	}
 	if version, ok := c.s.origins.sole(c.service.Name); ok && heard && c.listIsFresh() {
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -33,7 +33,7 @@
 	return route.NewTable(d, 1)
 }
 
-// originCall returns a call of a workspace on a route that takes up a stream.
+// originCall returns a call of a workspace on a route that resumes a stream.
 func originCall(s *Server, routeName, workspace, resumes, lastEvent string) *call {
 	t := originTable()
 	c := &call{s: s, r: &http.Request{Header: make(http.Header)}, table: t, service: t.Service("s"), workspace: &route.Workspace{Name: workspace}, id: "new"}
@@ -69,8 +69,8 @@
 	return s
 }
 
-// TestTakenUpStreams checks at which version a stream goes on that a caller takes up, and when it is refused.
-func TestTakenUpStreams(t *testing.T) {
+// TestStreamsResumedByCallers checks at which version a stream goes on that a caller resumes, and when it is refused.
+func TestStreamsResumedByCallers(t *testing.T) {
 	cases := []struct {
 		name                            string
 		route, workspace, resumes, last string
@@ -86,7 +86,7 @@
 		{name: "another route's stream", route: "other", workspace: "w", resumes: "begun", last: "3", service: "s", unproven: true},
 		{name: "no request named", route: "r", workspace: "w", last: "3", service: "s", unproven: true},
 		{name: "no event received", route: "r", workspace: "w", resumes: "lost", service: "s"},
-		{name: "a route whose streams are not taken up", route: "once", workspace: "w", resumes: "begun", last: "3", service: "s"},
+		{name: "a route whose streams are not resumed", route: "once", workspace: "w", resumes: "begun", last: "3", service: "s"},
 	}
 	for _, tc := range cases {
 		for _, versions := range [][]string{{"v1"}, {"v1", "v2"}} {
--- a/ingress/origins.go
+++ b/ingress/origins.go
@@ -15,7 +15,7 @@
 
 // Parameters of asking other hosts where a stream began.
 const (
-	// originWait is the time for which a request that takes up a stream waits for other hosts to tell where it began: some round
+	// originWait is the time for which a request that resumes a stream waits for other hosts to tell where it began: some round
 	// trips between zones. originRetry is the time after which they are asked once more, since datagrams are lost.
 	originWait  = 120 * time.Millisecond
 	originRetry = 40 * time.Millisecond
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -139,7 +139,7 @@
 	case c.stream.started:
 		c.s.Count.Resumed.Add(1)
 	case c.r.Header.Get(c.s.Headers.LastEvent) != "":
-		c.s.Count.TakenUp.Add(1)
+		c.s.Count.ResumedByCallers.Add(1)
 	default:
 		return
 	}
--- a/internal/simsite/stream.go
+++ b/internal/simsite/stream.go
@@ -141,7 +141,7 @@
 	Resumes   string
 	LastEvent int
 	// Path is the path of the request, and Parts its parts of a prompt, as ID:TOKENS separated by commas. An empty path is that of a
-	// route whose streams may be taken up.
+	// route whose streams callers may resume.
 	Path, Parts string
 	// LeaveAfter is the number of events after which the caller closes the connection; 0 means that it does not.
 	LeaveAfter int
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -60,7 +60,7 @@
 	host       *host
 	generation int
 	small      bool
-	// resumes and lastEvent say which stream the request takes up, and after which event.
+	// resumes and lastEvent say which stream the request resumes, and after which event.
 	resumes         string
 	lastEvent       int
 	sentAt, endedAt time.Time
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -35,10 +35,10 @@
 		{"a complete answer is the endpoint's answer to this request", func(r *record) { r.byID["push"].stamp = "p.other" }},
 		{"a complete answer is the endpoint's answer to this request", func(r *record) { r.byID["review"].body = site.EventText(2) }},
 		{"a stream has events of one version", func(r *record) {
-			addRequest(r, "taken-up", kinds[3], other, start)
-			s := r.byID["taken-up"]
+			addRequest(r, "resumed", kinds[3], other, start)
+			s := r.byID["resumed"]
 			s.resumes, s.lastEvent, s.body = "review", 4, strings.TrimPrefix(site.StreamBody(streamEvents), site.StreamBody(4))
-			r.runs["taken-up"][0].LastEvent = 4
+			r.runs["resumed"][0].LastEvent = 4
 		}},
 		{"an endpoint runs what a caller sent, and for its own service", func(r *record) { r.arrivals[0].endpoint = engine }},
 		{"an endpoint runs what a caller sent, and for its own service", func(r *record) { r.arrivals[0].AttemptID = "unknown" }},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -119,8 +119,8 @@
 			t.Log(line)
 		}
 	}
-	asked, wentOn := rec.takenUp()
-	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %d of %d streams that were taken up went on, %s",
+	asked, wentOn := rec.resumed()
+	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %d of %d streams that callers resumed went on, %s",
 		r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, wentOn, asked, statusCounts(rec))
 }
 
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -16,7 +16,7 @@
 	"github.com/heathkeel/heathkeel/internal/site"
 )
 
-// Readers are callers who take a stream up at any host when it breaks. Half of the engines are of another version than the rest.
+// Readers are callers who resume a stream at any host when it breaks. Half of the engines are of another version than the rest.
 const (
 	readers      = 4
 	readerSource = 1 << 21 // of the readers' random choices, beside those of the other callers
@@ -113,8 +113,8 @@
 	return out
 }
 
-// takenUp returns the number of requests that took a stream up, and of those that brought an event or the end.
-func (r *record) takenUp() (asked, wentOn int) {
+// resumed returns the number of requests that resumed a stream, and of those that brought an event or the end.
+func (r *record) resumed() (asked, wentOn int) {
 	for _, s := range r.sent {
 		if s.resumes == "" {
 			continue
--- a/origin/doc.go
+++ b/origin/doc.go
@@ -4,7 +4,7 @@
 
 // Package origin knows at which version of the endpoints' software a stream began. What two versions
 // write does not fit together, so a stream may go on only at the version that began it, and callers
-// may take it up at any host.
+// may resume it at any host.
 //
 // A Book remembers the origins of recent streams: those that this host began and those that other
 // hosts told it. A History remembers which versions of each service were listed lately. Where no host
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -64,7 +64,7 @@
 	Events   int    `json:"events"`
 	// Version is the version of that endpoint's software. Resumes is the ID of the attempt that, according to
 	// the caller, brought the first event of the stream, and LastEvent the number of the last event that the
-	// caller has. Origin says how the host knows at which version the stream began that the caller takes up:
+	// caller has. Origin says how the host knows at which version the stream began that the caller resumes:
 	// remembered, asked (another host knew it) or sole (only one version has served for long). Events of kind
 	// Continued have them, those of kind SendLost the version only.
 	Version   string `json:"version,omitempty"`
--- a/quarantine/book.go
+++ b/quarantine/book.go
@@ -177,11 +177,11 @@
 // reports whether that is new.
 func (reg *Registry) addCrash(now time.Duration, f Fingerprint, incarnation string, c crash) bool {
 	if s := reg.suspects[f]; s != nil {
-		if _, known := s.crashes[incarnation]; known || c.at <= s.clearedAt+reg.acquittal() {
+		if _, known := s.crashes[incarnation]; known || c.at <= s.clearedAt+reg.clearedFor() {
 			return false
 		}
 	}
-	if reg.acquits(now, f, c.at, c.host == reg.Host) {
+	if reg.clearedHere(now, f, c.at, c.host == reg.Host) {
 		return false
 	}
 	s := reg.suspect(f)
@@ -284,9 +284,9 @@
 	}
 	s.clearedAt = at
 	reg.events = append(reg.events, event{at: now, fingerprint: f, local: local})
-	acquitted := at + reg.acquittal()
-	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return c.at <= acquitted })
-	if max(s.lastCrash, s.lastTrial) <= acquitted {
+	clearedUntil := at + reg.clearedFor()
+	maps.DeleteFunc(s.crashes, func(_ string, c crash) bool { return c.at <= clearedUntil })
+	if max(s.lastCrash, s.lastTrial) <= clearedUntil {
 		if local && (s.savedAt > 0 || s.trials > 0) {
 			reg.recordsToRemove = append(reg.recordsToRemove, f)
 		}
--- a/quarantine/part.go
+++ b/quarantine/part.go
@@ -13,14 +13,14 @@
 // parts counts crashes under parts in the way that one of requests counts them under whole requests,
 // but for two differences. Many requests hold a part at the same time, so that an end of an endpoint
 // says little about it: neither the state of the request nor the time that it had run are counted.
-// And most parts are shared with sound requests, which are answered all the time: a part that was
-// answered within partAcquittal is not suspected. What crashes endpoints is never answered.
+// And most parts are shared with innocent requests, which are answered all the time: a part that was
+// answered within clearTime is not suspected. What crashes endpoints is never answered.
 
 const (
-	// partAcquittal is the time after an answer for which a part is not suspected. It is long enough
+	// clearTime is the time after an answer for which a part is not suspected. It is long enough
 	// for parts that come once in some seconds at one of many hosts, and short enough that a part which
 	// begins to crash endpoints, for instance at a new version of their software, is found in a minute.
-	partAcquittal = time.Minute
+	clearTime = time.Minute
 	// maxParts limits the parts of a prompt that are counted, and maxPartBytes the length of a part's
 	// ID; further and longer ones are left out.
 	maxParts     = 64
@@ -59,10 +59,10 @@
 	return out
 }
 
-// recentAnswers remembers when parts were answered last, for partAcquittal at least. The zero value
+// recentAnswers remembers when parts were answered last, for clearTime at least. The zero value
 // remembers none.
 type recentAnswers struct {
-	current, previous map[Fingerprint]time.Duration // generations of partAcquittal each
+	current, previous map[Fingerprint]time.Duration // generations of clearTime each
 	rotatedAt         time.Duration
 }
 
@@ -71,7 +71,7 @@
 
 // note records an answer.
 func (a *recentAnswers) note(now time.Duration, f Fingerprint) {
-	if a.current == nil || now-a.rotatedAt >= partAcquittal || len(a.current) >= maxAnswers {
+	if a.current == nil || now-a.rotatedAt >= clearTime || len(a.current) >= maxAnswers {
 		a.current, a.previous = make(map[Fingerprint]time.Duration), a.current
 		a.rotatedAt = now
 	}
@@ -87,19 +87,19 @@
 	return at, ok
 }
 
-// acquittal returns the time after an answer for which crashes are not counted.
-func (reg *Registry) acquittal() time.Duration {
+// clearedFor returns the time after an answer for which crashes are not counted.
+func (reg *Registry) clearedFor() time.Duration {
 	if reg.Parts {
-		return partAcquittal
+		return clearTime
 	}
 	return 0
 }
 
-// acquits reports whether this host has answered a part so recently that a crash at a time is not
+// clearedHere reports whether this host has answered a part so recently that a crash at a time is not
 // counted, and tells the hosts that do not know of the answer.
-func (reg *Registry) acquits(now time.Duration, f Fingerprint, at time.Duration, local bool) bool {
+func (reg *Registry) clearedHere(now time.Duration, f Fingerprint, at time.Duration, local bool) bool {
 	answered, ok := reg.answers.last(f)
-	if !ok || at > answered+partAcquittal {
+	if !ok || at > answered+clearTime {
 		return false
 	}
 	if !local {
--- a/quarantine/part_test.go
+++ b/quarantine/part_test.go
@@ -43,9 +43,9 @@
 	must.NotEq(t, p.Fingerprint(), (&Part{Service: "sa"}).Fingerprint())
 }
 
-// TestPartAcquittal checks that an answer keeps a part from being suspected for a while, at the host that saw it and at those that it
+// TestAnswersClearParts checks that an answer keeps a part from being suspected for a while, at the host that saw it and at those that it
 // tells, and that it ends a trial and a hold.
-func TestPartAcquittal(t *testing.T) {
+func TestAnswersClearParts(t *testing.T) {
 	f := (&Part{Service: "s", ID: "a"}).Fingerprint()
 	crashAt := func(at time.Duration, n int) Termination {
 		return Termination{Incarnation: fmt.Sprint("life-", n), At: at}
@@ -54,13 +54,13 @@
 		reg := Registry{Host: "h", Parts: true}
 		reg.NoteAnswer(0, f)
 		for n := range 10 {
-			must.False(t, reg.NoteCrash(partAcquittal, f, crashAt(partAcquittal, n)))
+			must.False(t, reg.NoteCrash(clearTime, f, crashAt(clearTime, n)))
 		}
 		must.True(t, reg.Empty())
 		for n := range trialCrashes {
-			must.True(t, reg.NoteCrash(partAcquittal+1, f, crashAt(partAcquittal+1, n)))
+			must.True(t, reg.NoteCrash(clearTime+1, f, crashAt(clearTime+1, n)))
 		}
-		must.True(t, reg.OnTrial(partAcquittal+1, f))
+		must.True(t, reg.OnTrial(clearTime+1, f))
 	})
 	t.Run("answered by another host", func(t *testing.T) {
 		one, other := Registry{Host: "one", Parts: true}, Registry{Host: "other", Parts: true}
@@ -240,7 +240,7 @@
 	flapping    bool            // a quarter of the endpoints crash again as soon as they are up
 	endRate     float64         // ends of an endpoint per second
 	guiltyRate  float64         // requests per second with the crashing part, from 10 to 60 s
-	idle        bool            // nothing came before for longer than partAcquittal
+	idle        bool            // nothing came before for longer than clearTime
 }
 
 // play plays a case.
--- a/quarantine/tell.go
+++ b/quarantine/tell.go
@@ -101,12 +101,12 @@
 		return
 	}
 	lastCrash := momentAt(now, h.AgeMS)
-	if reg.acquits(now, h.Fingerprint, lastCrash, false) {
+	if reg.clearedHere(now, h.Fingerprint, lastCrash, false) {
 		return
 	}
 	s := reg.suspect(h.Fingerprint)
-	acquitted := s.clearedAt + reg.acquittal()
-	if lastCrash <= acquitted && (h.Trials == 0 || momentAt(now, h.LastTrialMS) <= acquitted) {
+	clearedUntil := s.clearedAt + reg.clearedFor()
+	if lastCrash <= clearedUntil && (h.Trials == 0 || momentAt(now, h.LastTrialMS) <= clearedUntil) {
 		return // only a send granted after the answer counts, even if its host did not know of the answer
 	}
 	if s.request == "" && len(h.Request) <= maxNameBytes {
--- a/spec/stream.pml
+++ b/spec/stream.pml
@@ -1,5 +1,5 @@
 /*
- * A stream that its callers take up at any host: packages origin (Book,
+ * A stream that its callers resume at any host: packages origin (Book,
  * History), ingress (origin.go), peers (origin.go) and edge (versions.go).
  *
  * A service has endpoints of version 0; endpoints of version 1 are listed at
@@ -9,7 +9,7 @@
  * it. Hosts that have seen both versions tell the others, in datagrams that may
  * be lost, and a record in the store says so, if it is written. Hosts are killed
  * and start again without memory; they read the list and then the record. The
- * stream breaks at any time, also with its host, and a caller takes it up at
+ * stream breaks at any time, also with its host, and a caller resumes it at
  * any host. That one asks the others that are up, whose answers may be lost.
  *
  * An assertion checks that the stream goes on at the version that began it.
@@ -116,8 +116,8 @@
 	at = i; knows[i] = v
 }
 
-/* A caller takes the stream up at host i. */
-inline takeUp(i, j, heard) {
+/* A caller resumes the stream at host i. */
+inline resume(i, j, heard) {
 	heard = false;
 	j = 0;
 	do
@@ -167,7 +167,7 @@
 	:: atomic { up[i] && list[i] != listed -> sync(i, j) }
 	:: atomic { up[i] && origin == 0 && (list[i] & 1) -> begin(i, 1, j) }
 	:: atomic { up[i] && origin == 0 && (list[i] & 2) -> begin(i, 2, j) }
-	:: atomic { up[i] && origin != 0 && at == HOSTS -> takeUp(i, j, heard) }
+	:: atomic { up[i] && origin != 0 && at == HOSTS -> resume(i, j, heard) }
 	:: atomic { at == i && breaks < BREAKS -> at = HOSTS; breaks++ }
 	:: up[i] && seen[i] == BOTH && !recorded && RECORDS -> recorded = true
 	:: atomic { up[i] && !complete[i] -> complete[i] = true; warned[i] = warned[i] || recorded }
