--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -99,20 +99,20 @@
 			noteEnd(a)
 		})
 	})
-	time.Sleep(partQuiet)
-	if tc.trouble != nil {
-		go tc.trouble(s)
-	}
 	if tc.otherCrash > 0 {
 		wg.Go(func() {
 			r := rand.New(rand.NewPCG(5, 6))
-			for range int(partTime / tc.otherCrash) {
+			for range int((partQuiet + partTime) / tc.otherCrash) {
 				time.Sleep(tc.otherCrash)
 				all := s.AllEndpoints()
 				all[len(all)-1-r.IntN(6)].Crash()
 			}
 		})
 	}
+	time.Sleep(partQuiet)
+	if tc.trouble != nil {
+		go tc.trouble(s)
+	}
 	first := time.Now()
 	sendStreams(s, partTime, tc.perSecond, func(n int) simsite.StreamCall {
 		return simsite.StreamCall{ID: fmt.Sprint("guilty-", n), Path: tc.path, Parts: fmt.Sprintf("%s,%x:20", tc.parts, 1<<24+n)}
