ingress: a refused connection ends an unframed answer early also where the host reaches no endpoint

Cause: the question to the endpoint's port went by the way that hides refusals while the host takes itself for one that reaches no endpoint, as hosts do when several endpoints crash together; the end was then taken for unknown and passed on. The refusal itself counts now. TestEndOfUnframedResponse failed before in two of its six cases.

--- a/ingress/unframed.go
+++ b/ingress/unframed.go
@@ -19,8 +19,9 @@
 }
 
 // endIsWhole reports whether the end of a response's body is the end of the response. An endpoint that crashes may close its connections
-// in order, so that an unframed response which it did not complete looks complete: its port then refuses connections. Where the port
-// gives no answer the response is passed on, but says nothing about the request. hasBody says that anything of the body has come; a
+// in order, so that an unframed response which it did not complete looks complete: its port then refuses connections. That counts also
+// where this host reaches no endpoint, or takes several that crash together for that: whatever refuses the connection may have ended the
+// other one. Where the port gives no answer the response is passed on, but says nothing about the request. hasBody says that anything of the body has come; a
 // stream without any is none.
 func (c *call) endIsWhole(ctx context.Context, resp *http.Response, hasBody bool) bool {
 	if !isUnframed(resp) || !bodyAllowed(c.r.Method, resp.StatusCode) || c.endpoint.Instance == "" {
@@ -28,7 +29,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxProbeWait)
 	defer cancel()
-	err := c.s.dialCrashed(ctx, c.endpoint.Address)
+	begun := c.s.Now()
+	err := c.s.pool.Warm(ctx, c.endpoint.Address)
+	c.s.paths.connected(c.endpoint.Address, begun, err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.s.Count.CutUnframed.Add(1)
 		return false
