--- a/edge/parts_test.go
+++ b/edge/parts_test.go
@@ -73,61 +73,88 @@
 	wg.Wait()
 }
 
-// playParts plays a case.
-func playParts(s *simsite.Site, tc *partCase, contactTime time.Duration) partResult {
-	type sound struct {
-		sent  time.Time
-		begun bool
+// soundRequest is a request without the part that crashes endpoints.
+type soundRequest struct {
+	sent  time.Time
+	begun bool
+}
+
+// partPlay is a play of a case, with what its callers saw so far.
+type partPlay struct {
+	site *simsite.Site
+	tc   *partCase
+
+	mu       sync.Mutex
+	sounds   []soundRequest
+	cutShort int
+}
+
+// noteEnd counts a stream that ended as a whole one before its last event; mu must be held.
+func (p *partPlay) noteEnd(a *simsite.StreamAnswer) {
+	if a.Complete && a.LastEvent < playedEvents {
+		p.cutShort++
 	}
-	var mu sync.Mutex
-	var sounds []sound
-	cutShort := 0
-	noteEnd := func(a *simsite.StreamAnswer) {
-		if a.Complete && a.LastEvent < playedEvents {
-			cutShort++
-		}
+}
+
+// sendSound sends the sound requests.
+func (p *partPlay) sendSound() {
+	call := func(n int) simsite.StreamCall {
+		return simsite.StreamCall{ID: fmt.Sprint("sound-", n), Path: p.tc.path, Parts: fmt.Sprintf("%s,%x:20", p.tc.soundParts, 1<<20+n)}
 	}
-	var wg sync.WaitGroup
-	wg.Go(func() {
-		call := func(n int) simsite.StreamCall {
-			return simsite.StreamCall{ID: fmt.Sprint("sound-", n), Path: tc.path, Parts: fmt.Sprintf("%s,%x:20", tc.soundParts, 1<<20+n)}
-		}
-		sendStreams(s, partQuiet+partTime, 25, call, func(sent time.Time, a *simsite.StreamAnswer) {
-			mu.Lock()
-			defer mu.Unlock()
-			sounds = append(sounds, sound{sent, len(a.Versions) > 0})
-			noteEnd(a)
-		})
+	sendStreams(p.site, partQuiet+partTime, 25, call, func(sent time.Time, a *simsite.StreamAnswer) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.sounds = append(p.sounds, soundRequest{sent, len(a.Versions) > 0})
+		p.noteEnd(a)
+	})
+}
+
+// sendGuilty sends the requests that crash endpoints.
+func (p *partPlay) sendGuilty() {
+	call := func(n int) simsite.StreamCall {
+		return simsite.StreamCall{ID: fmt.Sprint("guilty-", n), Path: p.tc.path, Parts: fmt.Sprintf("%s,%x:20", p.tc.parts, 1<<24+n)}
+	}
+	sendStreams(p.site, partTime, p.tc.perSecond, call, func(_ time.Time, a *simsite.StreamAnswer) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.noteEnd(a)
 	})
+}
+
+// crashOthers crashes endpoints that no request crashes.
+func (p *partPlay) crashOthers() {
+	r := rand.New(rand.NewPCG(5, 6))
+	for range int((partQuiet + partTime) / p.tc.otherCrash) {
+		time.Sleep(p.tc.otherCrash)
+		all := p.site.AllEndpoints()
+		all[len(all)-1-r.IntN(6)].Crash()
+	}
+}
+
+// playParts plays a case.
+func playParts(s *simsite.Site, tc *partCase, contactTime time.Duration) partResult {
+	p := &partPlay{site: s, tc: tc}
+	var wg sync.WaitGroup
+	wg.Go(p.sendSound)
 	if tc.otherCrash > 0 {
-		wg.Go(func() {
-			r := rand.New(rand.NewPCG(5, 6))
-			for range int((partQuiet + partTime) / tc.otherCrash) {
-				time.Sleep(tc.otherCrash)
-				all := s.AllEndpoints()
-				all[len(all)-1-r.IntN(6)].Crash()
-			}
-		})
+		wg.Go(p.crashOthers)
 	}
 	time.Sleep(partQuiet)
 	if tc.trouble != nil {
 		go tc.trouble(s)
 	}
 	first := time.Now()
-	sendStreams(s, partTime, tc.perSecond, func(n int) simsite.StreamCall {
-		return simsite.StreamCall{ID: fmt.Sprint("guilty-", n), Path: tc.path, Parts: fmt.Sprintf("%s,%x:20", tc.parts, 1<<24+n)}
-	}, func(_ time.Time, a *simsite.StreamAnswer) {
-		mu.Lock()
-		defer mu.Unlock()
-		noteEnd(a)
-	})
+	p.sendGuilty()
 	wg.Wait()
+	return p.result(first, contactTime)
+}
 
-	r := partResult{cutShort: cutShort}
-	crashes := s.CrashTimes()
-	r.crashes = len(crashes)
+// result sums a play up; first is when the first request came that crashes endpoints.
+func (p *partPlay) result(first time.Time, contactTime time.Duration) partResult {
+	crashes := p.site.CrashTimes()
+	r := partResult{cutShort: p.cutShort, crashes: len(crashes)}
 	fifth := crashes[min(boundedCrashes, len(crashes))-1]
-	for _, e := range s.AllEndpoints() {
+	for _, e := range p.site.AllEndpoints() {
 		for _, a := range e.Arrivals() {
 			if strings.HasPrefix(a.ID, "guilty-") && a.ReceivedAt.Sub(fifth) > contactTime {
 				r.lateSends++
@@ -140,7 +167,7 @@
 			*ok++
 		}
 	}
-	for _, x := range sounds {
+	for _, x := range p.sounds {
 		switch {
 		case x.sent.Before(first):
 			count(x.begun, &r.beginsBefore, &r.begunBefore)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -5,7 +5,6 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -111,41 +110,6 @@
 	cores         []int
 }
 
-// fleetEndpoint is an endpoint with the disturbances of its proxy.
-type fleetEndpoint struct {
-	limits
-	*site.Endpoint
-	service string
-	version string // of its software
-
-	mu               sync.Mutex
-	leftAt           time.Time // when the store accepted its leaving, zero before
-	disturbances     int
-	undisturbedSince time.Time
-	rates            []statedRate // in the order of time
-}
-
-// beginDisturbance records the begin of a fault and returns the function that records its end.
-func (m *fleetEndpoint) beginDisturbance() func() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.disturbances++
-	return func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.disturbances--
-		m.undisturbedSince = time.Now()
-	}
-}
-
-// isUndisturbed reports whether nothing has disturbed the endpoint's proxy for the contact time
-// before at.
-func (m *fleetEndpoint) isUndisturbed(at time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.disturbances == 0 && at.Sub(m.undisturbedSince) > m.contact
-}
-
 // buildProgram builds hkedge once for all runs and returns its path.
 var buildProgram = sync.OnceValues(func() (string, error) {
 	dir, err := os.MkdirTemp("", "soak")
@@ -362,51 +326,6 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// addEndpoint starts an endpoint behind a proxy and writes its entry.
-func (f *fleet) addEndpoint(service string) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endpointCount++
-	m := &fleetEndpoint{limits: f.limits, Endpoint: &site.Endpoint{Instance: fmt.Sprintf("%s-%d", service, f.endpointCount), Pace: 20 * time.Millisecond, Proxy: &link.Proxy{}}, service: service}
-	if service == site.Engines {
-		m.Events, m.version = streamEvents, engineVersions[f.endpointCount%len(engineVersions)]
-	}
-	if err := m.Start(); err != nil {
-		return err
-	}
-	f.endpoints = append(f.endpoints, m)
-	f.store.Put(platform.PrefixEndpoints+m.Instance, f.entry(m, "ready"))
-	return nil
-}
-
-// entry returns an endpoint's entry for the store.
-func (f *fleet) entry(m *fleetEndpoint, state string) site.EndpointEntry {
-	return site.EndpointEntry{Service: m.service, Address: m.Address, Zone: "zone-1", Version: cmp.Or(m.version, "v1"), Slots: 8, State: state}
-}
-
-// stayingEndpoints returns the endpoints of a service that are not leaving. An empty service means
-// all services.
-func (f *fleet) stayingEndpoints(service string) []*fleetEndpoint {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []*fleetEndpoint
-	for _, m := range f.endpoints {
-		m.mu.Lock()
-		if m.leftAt.IsZero() && (service == "" || m.service == service) {
-			out = append(out, m)
-		}
-		m.mu.Unlock()
-	}
-	return out
-}
-
-// allEndpoints returns all endpoints started so far.
-func (f *fleet) allEndpoints() []*fleetEndpoint {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return append([]*fleetEndpoint(nil), f.endpoints...)
-}
-
 // stop ends everything that was started.
 func (f *fleet) stop() {
 	// Signal all hosts before waiting for one: those that still run compete for the processor.
