--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -248,9 +248,7 @@
 // relayRefused handles a response that the other host made itself. Some statuses promise that the request has not run.
 func (c *call) relayRefused(resp *http.Response) (sendOutcome, refusal) {
 	f := refusal{status: resp.StatusCode, why: "refused by the host to which it was relayed"}
-	if seconds, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-		f.retryAfter = time.Duration(seconds * float64(time.Second))
-	}
+	f.retryAfter, _ = parseRetryAfter(resp.Header.Get("Retry-After"), time.Now())
 	if resp.StatusCode >= http.StatusInternalServerError && resp.StatusCode != http.StatusServiceUnavailable {
 		return sendFailed, f // an endpoint may have run it
 	}
