--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -41,6 +41,7 @@
 	crashed  bool
 	leftAt   time.Time // when the store accepted the endpoint's leaving, zero before
 	rates    []statedRate
+	wishes   wishes
 	overload overload
 }
 
@@ -78,6 +79,9 @@
 	// AnsweredAt is the time of the answer, zero before, and Rate the rate stated in it, negative if none was.
 	AnsweredAt time.Time
 	Rate       float64
+	// SaidLeaving says that the answer said that the endpoint leaves, and Rest is the time of rest that it asked for, 0 for none.
+	SaidLeaving bool
+	Rest        time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -94,11 +98,12 @@
 	if !e.enter() {
 		panic(http.ErrAbortHandler)
 	}
-	if e.reject(w, r) {
+	if e.turnAway(w, r, n) || e.reject(w, r, n) {
 		return
 	}
 	if e.Streams != nil {
 		defer e.leaveSlot()
+		e.state(w, n)
 		e.setHead(w, r)
 		e.stream(w, r)
 		return
@@ -106,7 +111,7 @@
 	if !e.work(r) {
 		panic(http.ErrAbortHandler)
 	}
-	e.stateRate(w, n)
+	e.state(w, n)
 	id := e.setHead(w, r)
 	if e.Fails != nil && e.Fails() {
 		w.WriteHeader(http.StatusInternalServerError)
@@ -138,7 +143,7 @@
 }
 
 // reject rejects a request if there is no room for it. An endpoint that rejects too many crashes.
-func (e *Endpoint) reject(w http.ResponseWriter, r *http.Request) bool {
+func (e *Endpoint) reject(w http.ResponseWriter, r *http.Request, n int) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	o := &e.overload
@@ -156,10 +161,16 @@
 		o.crashes++
 		o.rejects, o.downUntil = nil, now.Add(downTime)
 	}
+	e.stateLeaving(w, n)
+	writeNotExecuted(w, r)
+	return true
+}
+
+// writeNotExecuted answers that the request was not run.
+func writeNotExecuted(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Heathkeel-Attempt-Id", r.Header.Get("Heathkeel-Attempt-Id"))
 	w.Header().Set("Heathkeel-Not-Executed", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
-	return true
 }
 
 // work runs a request once there is a slot for it, and reports whether it ran to its end.
@@ -209,12 +220,12 @@
 	e.rates = append(e.rates, statedRate{time.Now(), perSecond})
 }
 
-// stateRate adds the stated rate to the answer to arrival n.
-func (e *Endpoint) stateRate(w http.ResponseWriter, n int) {
+// state adds what the endpoint states to the answer to arrival n.
+func (e *Endpoint) state(w http.ResponseWriter, n int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stateLeaving(w, n)
 	a := &e.arrivals[n]
-	a.AnsweredAt = time.Now()
 	if len(e.rates) > 0 {
 		a.Rate = e.rates[len(e.rates)-1].perSecond
 	}
