ingress: an endpoint that says in an answer that it leaves gets nothing more, whatever the list says

Cause: only the list of endpoints told hosts who leaves; it comes from the store, which was away when the endpoint wrote that. The header Server-Leaving was read by nobody. Ruled out: a list that takes the word back (nothing kept it), requests under way (sent by their callers 11 s later). Class: a fact that an endpoint states itself has to outrank a list, and outlive it.

The incarnation is kept as a leaver: for the choice, for a send that waits for its connection, for pools of versions, for the paths that are probed. Lists cannot take it back, nor can an entry that goes and comes back; another incarnation at the address is served at once.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -30,7 +30,8 @@
 	mu        sync.Mutex
 	sched     *sched.Scheduler
 	targets   map[string]*target // by incarnation
-	evacuated map[string]bool    // availability zones whose endpoints get no new requests
+	leavers   leavers
+	evacuated map[string]bool // availability zones whose endpoints get no new requests
 	rollouts  rollout.Book
 	rand      *rand.Rand
 	fleet     places.Fleet // all hosts
@@ -156,7 +157,7 @@
 		listed[incarnation], newestStartMS[e.Instance] = true, e.StartedMS
 		t := b.targets[incarnation]
 		if t == nil {
-			t = &target{sends: make(map[*call]func())}
+			t = &target{sends: make(map[*call]func()), saidLeaving: b.leavers.has(incarnation)}
 			b.targets[incarnation] = t
 		}
 		t.update(now, e)
@@ -167,7 +168,7 @@
 		}
 		if t.StartedMS < newestStartMS[t.Instance] {
 			t.cancelSends()
-			if !t.Leaving {
+			if !t.leaves() {
 				restarted = append(restarted, incarnation)
 			}
 		}
@@ -199,7 +200,7 @@
 
 // getsRequests reports whether an endpoint gets new requests; mu must be held.
 func (b *balancer) getsRequests(t *target) bool {
-	return !t.Leaving && !t.replaced && !b.evacuated[t.Zone] && !b.rollouts.Excludes(t.Service, t.Version)
+	return !t.leaves() && !t.replaced && !b.evacuated[t.Zone] && !b.rollouts.Excludes(t.Service, t.Version)
 }
 
 // isLeaving reports whether an endpoint is leaving or no longer known.
@@ -207,7 +208,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[incarnation]
-	return t == nil || t.Leaving
+	return t == nil || t.leaves()
 }
 
 // syncEndpoints passes the endpoints to the scheduler; mu must be held.
--- a/ingress/paths.go
+++ b/ingress/paths.go
@@ -192,7 +192,7 @@
 	defer b.mu.Unlock()
 	out := make([]string, 0, len(b.targets))
 	for _, t := range b.targets {
-		if !t.Leaving {
+		if !t.leaves() {
 			out = append(out, t.Address)
 		}
 	}
--- a/ingress/stated.go
+++ b/ingress/stated.go
@@ -47,12 +47,31 @@
 func (c *call) noteLeaving() {
 	now := c.s.Now()
 	c.s.Count.LeavingStated.Add(1)
+	if !c.s.balance.noteLeaver(now, c.endpoint.Incarnation()) {
+		return
+	}
 	if c.allowLine(statedLeavingLine, now) {
 		c.s.Log.Info("endpoint says that it leaves", "endpoint", c.endpoint.Instance, "id", c.id, "listed_as_leaving", c.endpoint.Leaving,
 			"list_age_ms", c.timings.listAge.Milliseconds())
 	}
 }
 
+// noteLeaver records that an endpoint said that it leaves, and reports whether that is new. It gets nothing from this host any more.
+func (b *balancer) noteLeaver(now time.Duration, incarnation string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := func(incarnation string) bool { return b.targets[incarnation] != nil }
+	if !b.leavers.add(now, incarnation, listed) {
+		return false
+	}
+	if t := b.targets[incarnation]; t != nil {
+		t.saidLeaving = true
+		b.syncEndpoints(now)
+		b.poll(now)
+	}
+	return true
+}
+
 // noteRest records that the endpoint asks for rest with the value of a Retry-After header, if there is one.
 func (c *call) noteRest(v string) {
 	if v == "" {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -21,9 +21,10 @@
 	peerLoad peers.Load
 	step     sched.Quantile // time of a token with little concurrent load, or of a request at a plain service
 	// sends are the requests in flight at the endpoint, each with the function that cancels it.
-	sends     map[*call]func()
-	replaced  bool          // a later incarnation has replaced it
-	coldUntil time.Duration // when it is warm, by the host's clock
+	sends       map[*call]func()
+	saidLeaving bool          // it said itself that it leaves; its list entry may say otherwise
+	replaced    bool          // a later incarnation has replaced it
+	coldUntil   time.Duration // when it is warm, by the host's clock
 	// stated is what the endpoint stated about its limits, according to all hosts, and ownStated what this host read itself.
 	stated, ownStated statedLimits
 	inForce           limitsInForce
@@ -33,6 +34,9 @@
 	rejected          bool          // the endpoint limits rejections and rejected a request, and the owner was not told yet
 }
 
+// leaves reports whether the endpoint leaves, by its entry or by its own words.
+func (t *target) leaves() bool { return t.Leaving || t.saidLeaving }
+
 // cancelSends cancels all requests in flight, because a later incarnation has replaced the endpoint.
 func (t *target) cancelSends() {
 	t.replaced = true
--- a/ingress/versions.go
+++ b/ingress/versions.go
@@ -100,7 +100,7 @@
 			continue
 		}
 		s := slots[t.Service]
-		inUse := !t.Leaving && !b.evacuated[t.Zone]
+		inUse := !t.leaves() && !b.evacuated[t.Zone]
 		switch {
 		case t.Version == v && inUse:
 			s.New += t.Slots
