sched, ingress: an endpoint that turns a request away with Retry-After gets no request of this host for that time

Cause: a 503 of an endpoint was taken for a lack of room whatever it asked for; the endpoint got nothing for 60 ms. Retry-After was read nowhere. Ruled out: requests under way, and ways beside the choice of an endpoint. Class: a wish that binds taken for a hint.

Change: rest is kept by endpoint incarnation in the scheduler; of two the one that ends later holds. It binds every way to the endpoint: choice, probes, panic mode, last chances, granted slots, streams that go on there, a send that still waits for its connection. It binds this host alone: the owner of the endpoint's slots still grants them to others. It is extended by up to a tenth at random, and one request at a time follows it until one is answered. While all endpoints rest for longer than a request may wait, it is refused at once, and Retry-After names the end of the first rest (0.1 s before). Dates and fractions are read; an hour is the longest.

--- a/edge/vars.go
+++ b/edge/vars.go
@@ -58,6 +58,8 @@
 	Ejections        int `json:"ejections"`
 	// EndpointsLimited counts the endpoints that take requests with grants only, because of limits that they state.
 	EndpointsLimited int `json:"endpoints_limited"`
+	// EndpointsResting is the number of endpoints that asked this host for rest that is not over.
+	EndpointsResting int `json:"endpoints_resting"`
 	// RequestsSuspected counts the requests under which an endpoint crashed in the last hour, and
 	// RequestsHeld those of them that are refused now.
 	RequestsSuspected int `json:"requests_suspected"`
@@ -97,6 +99,7 @@
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
+	v.EndpointsResting = h.ingress.RestingEndpoints()
 	v.Gaps, v.GapMS = h.gaps.count.Load(), h.gaps.totalMS.Load()
 	v.RequestsSuspected, v.RequestsHeld = h.ingress.SuspectCounts()
 	v.EndpointsForeign = h.endpoints.ForeignCount()
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -103,7 +103,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	t := b.targets[c.endpoint.Incarnation()]
-	if t == nil || !b.getsRequests(t) {
+	if t == nil || !b.getsRequests(t) || b.sched.Rests(b.now(), t.Incarnation()) {
 		return func() {}, false
 	}
 	t.sends[c] = cancel
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -226,10 +226,11 @@
 // held.
 func (b *balancer) holdGrants(now time.Duration) {
 	for _, t := range b.ownLimited {
-		if !t.inForce.grantsOnly() || !t.mayGrant(now) {
+		name := t.Incarnation()
+		if !t.inForce.grantsOnly() || !t.mayGrant(now) || b.sched.Rests(now, name) {
 			continue
 		}
-		a, name := b.allocator(now, t), t.Incarnation()
+		a := b.allocator(now, t)
 		switch {
 		case a.Wanted(now):
 			for range b.sched.DropGrants(now, name) {
--- a/ingress/stated.go
+++ b/ingress/stated.go
@@ -88,11 +88,35 @@
 	}
 	rest = min(rest, maxRest)
 	c.s.Count.RestsStated.Add(1)
+	c.s.balance.noteRest(now, c.endpoint.Incarnation(), rest)
 	if c.allowLine(statedRestLine, now) {
 		c.s.Log.Info("endpoint asks for rest", "endpoint", c.endpoint.Instance, "id", c.id, "rest_ms", rest.Milliseconds())
 	}
 }
 
+// noteRest records that an endpoint asked this host for rest. Waiting requests are decided again.
+func (b *balancer) noteRest(now time.Duration, incarnation string, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sched.Rest(now, incarnation, d)
+	b.poll(now)
+}
+
+// restLeft returns the time until the first rest ends of the endpoints that a call may go to, and 0 unless all of them rest.
+func (b *balancer) restLeft(c *call) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sched.RestLeft(b.now(), c.req)
+}
+
+// RestingEndpoints returns the number of endpoints that asked this host for rest that is not over.
+func (s *Server) RestingEndpoints() int {
+	b := s.balance
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sched.Resting(b.now())
+}
+
 // parseRetryAfter returns the time that a Retry-After header names, in seconds with fractions or as a date (RFC 9110, section 10.2.3),
 // 0 for a date that has passed. It returns false for other values.
 func parseRetryAfter(v string, now time.Time) (time.Duration, bool) {
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -162,6 +162,9 @@
 		o.rejects, o.downUntil = nil, now.Add(downTime)
 	}
 	e.stateLeaving(w, n)
+	if e.wishes.whenFull {
+		e.stateRest(w, n)
+	}
 	writeNotExecuted(w, r)
 	return true
 }
--- a/internal/simsite/wishes.go
+++ b/internal/simsite/wishes.go
@@ -15,6 +15,7 @@
 	leaving  bool
 	rest     time.Duration // the rest that it asks for
 	busyTill time.Time     // until then it turns all requests away and asks for rest
+	whenFull bool          // it asks for rest when it has no room
 }
 
 // SayLeaving makes the endpoint say in all its answers, from now on, that it leaves. Its entry stays as it is.
@@ -31,6 +32,13 @@
 	e.wishes.busyTill, e.wishes.rest = time.Now().Add(busyFor), rest
 }
 
+// AskRestWhenFull makes the endpoint let only room requests wait, and ask each host for rest that it turns away for lack of room.
+func (e *Endpoint) AskRestWhenFull(room int, rest time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Room, e.wishes.rest, e.wishes.whenFull = room, rest, true
+}
+
 // stateLeaving says in the answer to arrival n whether the endpoint leaves, and records the answer; mu must be held.
 func (e *Endpoint) stateLeaving(w http.ResponseWriter, n int) {
 	a := &e.arrivals[n]
@@ -48,8 +56,13 @@
 		return false
 	}
 	e.stateLeaving(w, n)
-	e.arrivals[n].Rest = e.wishes.rest
-	w.Header().Set("Retry-After", strconv.FormatFloat(e.wishes.rest.Seconds(), 'f', -1, 64))
+	e.stateRest(w, n)
 	writeNotExecuted(w, r)
 	return true
 }
+
+// stateRest asks for rest in the answer to arrival n; mu must be held.
+func (e *Endpoint) stateRest(w http.ResponseWriter, n int) {
+	e.arrivals[n].Rest = e.wishes.rest
+	w.Header().Set("Retry-After", strconv.FormatFloat(e.wishes.rest.Seconds(), 'f', -1, 64))
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -77,6 +77,7 @@
 	report    Report
 	hasReport bool
 	downUntil time.Duration // no new requests until then
+	rest      rest
 	health    outlier.Record
 
 	ownerReportAt   time.Duration // when the slot owner last reported the requests of other hosts
@@ -194,6 +195,7 @@
 	}
 	e.ownPrefill[r.rank()] += r.PromptTokens
 	e.inflight = append(e.inflight, r)
+	e.noteRestDispatch(r)
 	e.recordLoad(now)
 }
 
@@ -206,6 +208,7 @@
 // removeRequest records the end of a request.
 func (e *endpointState) removeRequest(now time.Duration, r *Request) {
 	e.health.Inconclusive()
+	e.noteRestEnd(r)
 	e.own--
 	e.vacated++
 	e.vacatedAt = now
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -183,10 +183,10 @@
 }
 
 // TierLimit returns a function that gives the number of requests up to which a tier may fill an
-// endpoint.
+// endpoint. A rest that this host was asked for does not bind the others.
 func (s *Scheduler) TierLimit(now time.Duration, name string) func(rank int) int {
 	e := s.byName[name]
-	if e == nil || !e.available(now) {
+	if e == nil || !e.availableToOthers(now) {
 		return func(int) int { return 0 }
 	}
 	return func(rank int) int { return int(s.slotLimit(rank, e)) }
--- a/sched/health.go
+++ b/sched/health.go
@@ -49,6 +49,7 @@
 func (s *Scheduler) Answered(r *Request) {
 	if r.dispatchedTo != nil {
 		r.dispatchedTo.health.AnswerStarted()
+		r.dispatchedTo.noteRestAnswer(r)
 	}
 }
 
@@ -107,8 +108,13 @@
 	}
 }
 
-// available reports whether an endpoint accepts new requests, regardless of its failures.
+// available reports whether an endpoint accepts new requests of this host, regardless of its failures.
 func (e *endpointState) available(now time.Duration) bool {
+	return e.availableToOthers(now) && e.restAdmits(now)
+}
+
+// availableToOthers reports whether an endpoint accepts new requests of other hosts, as far as this host knows.
+func (e *endpointState) availableToOthers(now time.Duration) bool {
 	return e.present && !e.Leaving && now >= e.downUntil && e.coldAdmits(now)
 }
 
--- a/sched/order.go
+++ b/sched/order.go
@@ -7,7 +7,8 @@
 import "time"
 
 // Submit decides a new request. It checks, in this order: the rate limits set by operators, the
-// retry budget, whether any endpoint could serve the request, the shedding floor, whether it can
+// retry budget, whether any endpoint could serve the request, whether all of them rest for longer
+// than it may wait, the shedding floor, whether it can
 // meet its deadline, room at an endpoint, the tier's ration, and room in the queue.
 func (s *Scheduler) Submit(now time.Duration, r *Request) Decision {
 	r.pool = s.poolOf(r)
@@ -31,6 +32,9 @@
 	if !s.versionServes(r, nil) {
 		return s.refuse(now, r, ReasonNoEndpoint, versionRetryAfter)
 	}
+	if s.outwaitsRest(now, r) {
+		return s.refuse(now, r, ReasonRest, 0)
+	}
 	if r.pool.floor.excludes(now, r.rank()) {
 		return s.refuse(now, r, ReasonFloor, r.pool.floor.until-now)
 	}
@@ -140,7 +144,7 @@
 			s.noteUnplaced(now, r)
 		}
 	}
-	d := Decision{Request: r, Verdict: Refuse, Reason: reason, RetryAfter: max(retryAfter, minRetryAfter)}
+	d := Decision{Request: r, Verdict: Refuse, Reason: reason, RetryAfter: max(retryAfter, minRetryAfter, s.RestLeft(now, r))}
 	s.logDecision(now, d, nil)
 	return d
 }
@@ -327,6 +331,11 @@
 				return out
 			}
 			r := q.head()
+			if s.outwaitsRest(now, r) {
+				s.unqueue(r)
+				out = append(out, s.refuse(now, r, ReasonRest, 0))
+				continue
+			}
 			if s.tooLate(now, r) {
 				s.unqueue(r)
 				out = append(out, s.refuse(now, r, ReasonDeadline, s.estimateWait(now, r)))
--- a/sched/request.go
+++ b/sched/request.go
@@ -110,6 +110,7 @@
 	ReasonRate        Reason = "rate limit"
 	ReasonRetryBudget Reason = "retry budget"
 	ReasonLength      Reason = "long answer while places are short"
+	ReasonRest        Reason = "all endpoints asked for rest"
 )
 
 // Overload reports whether the reason is a lack of capacity rather than a limit set by operators.
