--- a/edge/rest_test.go
+++ b/edge/rest_test.go
@@ -103,3 +103,39 @@
 		})
 	}
 }
+
+// TestEndpointsThatAskForRestWhenFullServe checks that endpoints that ask for rest when they have no room serve nine tenths of what they
+// can serve, and get it.
+func TestEndpointsThatAskForRestWhenFullServe(t *testing.T) {
+	const (
+		work = 500 * time.Millisecond
+		room = 2
+	)
+	cases := []struct {
+		name      string
+		boot      platform.Boot
+		hosts     int
+		endpoints int
+		perSecond float64 // nine tenths of what the endpoints serve in a second
+	}{
+		{"6 hosts", smallBoot, 6, 6, 86},
+		{"85 hosts", largeBoot, 85, 12, 172},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := startWorking(t, site.Example(), tc.boot, tc.hosts, tc.endpoints, work)
+				defer s.Stop()
+				for _, e := range s.Endpoints {
+					e.AskRestWhenFull(room, time.Second)
+				}
+				sent, served := sendToEach(s, 12*time.Second, tc.perSecond, "/open/x").served(0, tc.hosts)
+				beyond, asked := disturbed(s)
+				t.Logf("rest was asked for %d times, %d of %d requests served", asked, served, sent)
+				must.Zero(t, beyond)
+				must.GreaterEq(t, 0.9, float64(served)/float64(sent))
+			})
+		})
+	}
+}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -21,12 +21,12 @@
 const maxCandidates = 8
 
 // slotLimit returns the number of requests up to which a tier may fill an endpoint.
-func (s *Scheduler) slotLimit(rank int, e *endpointState) float64 {
+func (s *Scheduler) slotLimit(now time.Duration, rank int, e *endpointState) float64 {
 	n := float64(e.slots())
 	if s.cfg.Disabled.LateBinding {
 		return 1e9
 	}
-	if rank == 0 && e.RejectLimited {
+	if rank == 0 && (e.RejectLimited || now < e.rest.fillUntil) {
 		return n
 	}
 	if rank == 0 {
@@ -40,7 +40,7 @@
 
 // admits reports whether an endpoint may take a request now.
 func (s *Scheduler) admits(now time.Duration, r *Request, e *endpointState, load float64) bool {
-	limit := s.slotLimit(r.rank(), e)
+	limit := s.slotLimit(now, r.rank(), e)
 	if r.spareOnly {
 		limit *= spareFill
 	}
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -189,7 +189,7 @@
 	if e == nil || !e.availableToOthers(now) {
 		return func(int) int { return 0 }
 	}
-	return func(rank int) int { return int(s.slotLimit(rank, e)) }
+	return func(rank int) int { return int(s.slotLimit(now, rank, e)) }
 }
 
 // InFlight returns the number of this host's requests at an endpoint.
--- a/sched/rest.go
+++ b/sched/rest.go
@@ -16,12 +16,16 @@
 	// asked for rest at one moment do not all return at one moment.
 	restSpread    = 0.1
 	maxRestSpread = 500 * time.Millisecond
+	// restMemory is the time after a rest was asked for in which the endpoint gets no more requests than it has slots: one that it turns
+	// away costs the whole rest.
+	restMemory = time.Minute
 )
 
 // rest is the rest that an endpoint asked this host for. The zero value is none.
 type rest struct {
-	until time.Duration // no requests before, 0 for no rest
-	probe *Request      // the request sent since, until it shows whether the endpoint takes work again
+	until     time.Duration // no requests before, 0 for no rest
+	probe     *Request      // the request sent since, until it shows whether the endpoint takes work again
+	fillUntil time.Duration // no more requests than slots before
 }
 
 // Rest records that an endpoint asked this host for rest for d. Of two rests the one that ends later holds.
@@ -30,6 +34,7 @@
 	if e == nil || d <= 0 {
 		return
 	}
+	e.rest.fillUntil = now + restMemory
 	e.rest.probe = nil // its answer says nothing about a later wish
 	spread := min(maxRestSpread, time.Duration(restSpread*float64(d)))
 	e.rest.until = max(e.rest.until, now+d+time.Duration(s.Rand.Float64()*float64(spread)))
@@ -71,7 +76,7 @@
 // noteRestAnswer ends a rest for good if the request was the first after it.
 func (e *endpointState) noteRestAnswer(r *Request) {
 	if e.rest.probe == r {
-		e.rest = rest{}
+		e.rest.until, e.rest.probe = 0, nil
 	}
 }
 
--- a/sched/rest_test.go
+++ b/sched/rest_test.go
@@ -108,3 +108,16 @@
 	s.Rest(s.now, "a", 3*time.Second)
 	must.Positive(t, s.TierLimit(s.now, "a")(0))
 }
+
+// TestEndpointThatAskedForRestIsNotOverfilled checks that an endpoint gets no more requests than it has slots for a minute after it asked
+// for rest.
+func TestEndpointThatAskedForRestIsNotOverfilled(t *testing.T) {
+	const slots = 8
+	s := newTestScheduler(Config{Overcommit: 0.25}, engine{name: "a", slots: slots})
+	s.SharingHosts = 2
+	must.Greater(t, slots, s.TierLimit(s.now, "a")(0))
+	s.Rest(s.now, "a", time.Second)
+	must.EqOp(t, slots, s.TierLimit(s.now, "a")(0))
+	s.now += restMemory
+	must.Greater(t, slots, s.TierLimit(s.now, "a")(0))
+}
