ingress: a relayed answer tells the host that relayed the request who leaves

A host that reaches no endpoint relays its requests, and passes the answers on, those of endpoints that say that they leave as well.

The host that sends to the endpoint names its incarnation in a header of the response to the relaying host, which reads and drops it. An endpoint that sets that header itself is not heard. Rest is asked of the host that sends and needs no word.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -28,6 +28,9 @@
 	relayHeader = "Heathkeel-Relayed-By"
 	// relayRefusedHeader marks a response to a relayed request that the other host made itself.
 	relayRefusedHeader = "Heathkeel-Relay-Refused"
+	// relayLeavingHeader on a response to a relayed request names the incarnation of its endpoint, which said in it that it leaves: the
+	// host that relayed the request passes the response on, too, and then sends the endpoint nothing either.
+	relayLeavingHeader = "Heathkeel-Relay-Leaving"
 	// maxRelays limits the hosts to which a request is relayed, one after the other.
 	maxRelays = 3
 	// relaySilenceFactor is the factor by which the silence of another host may be longer than that of an endpoint, which it notices
@@ -241,6 +244,10 @@
 		discardBody(resp)
 		return c.relayRefused(resp)
 	}
+	if incarnation := resp.Header.Get(relayLeavingHeader); incarnation != "" {
+		resp.Header.Del(relayLeavingHeader)
+		c.noteLeaving(incarnation)
+	}
 	result, _ := c.forwardResponse(ctx, resp, sent, silence)
 	return result, refusal{}
 }
--- a/ingress/stated.go
+++ b/ingress/stated.go
@@ -29,8 +29,12 @@
 
 // noteStatements records what a response says about its endpoint. The response must be that of the endpoint to which the request was sent.
 func (c *call) noteStatements(resp *http.Response) {
+	resp.Header.Del(relayLeavingHeader) // only hosts set it
 	if statesLeaving(resp.Header.Get(c.s.Headers.Leaving)) {
-		c.noteLeaving()
+		c.noteLeaving(c.endpoint.Incarnation())
+		if c.relayed.from != "" {
+			resp.Header.Set(relayLeavingHeader, c.endpoint.Incarnation())
+		}
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable {
 		c.noteRest(resp.Header.Get("Retry-After"))
@@ -43,15 +47,15 @@
 	return v != "" && v != "0"
 }
 
-// noteLeaving records that the endpoint says that it leaves.
-func (c *call) noteLeaving() {
+// noteLeaving records that an endpoint says that it leaves.
+func (c *call) noteLeaving(incarnation string) {
 	now := c.s.Now()
 	c.s.Count.LeavingStated.Add(1)
-	if !c.s.balance.noteLeaver(now, c.endpoint.Incarnation()) {
+	if !c.s.balance.noteLeaver(now, incarnation) {
 		return
 	}
 	if c.allowLine(statedLeavingLine, now) {
-		c.s.Log.Info("endpoint says that it leaves", "endpoint", c.endpoint.Instance, "id", c.id, "listed_as_leaving", c.endpoint.Leaving,
+		c.s.Log.Info("endpoint says that it leaves", "endpoint", incarnation, "id", c.id, "relayed_to", c.relayed.to, "listed_as_leaving", c.endpoint.Leaving,
 			"list_age_ms", c.timings.listAge.Milliseconds())
 	}
 }
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -109,6 +109,24 @@
 	crashed  bool
 	limited  bool    // it states rate in its answers
 	rate     float64 // in requests per second
+	leaving  bool    // it says in its answers that it leaves
+}
+
+// SayLeaving makes the endpoint say in its answers, from now on, whether it leaves.
+func (e *Endpoint) SayLeaving(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = on
+}
+
+// leavingHeader returns the header field that says that the endpoint leaves, or nothing.
+func (e *Endpoint) leavingHeader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.leaving {
+		return ""
+	}
+	return "Server-Leaving: 1\r\n"
 }
 
 // StateRate makes the endpoint state in its answers, from now on, the requests a second that it takes from all
@@ -271,7 +289,7 @@
 	}
 	f := e.nextFault()
 	if f == Full {
-		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n", id)
+		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, e.leavingHeader())
 		return true
 	}
 	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
@@ -327,7 +345,7 @@
 // responseHead returns the status line and the first header fields of an answer.
 func (e *Endpoint) responseHead(id string, f Fault, status string) string {
 	h := "HTTP/1.1 " + status + "\r\nHeathkeel-Attempt-Id: " + id + "\r\n"
-	h += e.rateHeader()
+	h += e.rateHeader() + e.leavingHeader()
 	if f != NoStamp {
 		h += "Heathkeel-Response-Stamp: " + e.Instance + "." + id + "\r\n"
 	}
