platform, edge: a store that comes back from an older copy is logged and counted

Nothing in the logs told that the store had gone back. The era that its answers name is read, and a change of it logged. Nothing is decided by it yet.

--- a/edge/host.go
+++ b/edge/host.go
@@ -112,6 +112,7 @@
 	mostHosts    recentMax    // number of hosts that were heard
 	peerHTTP     *http.Client
 	fetchStats   fetchStats
+	storeEras    atomic.Int64 // times that the store came back from an older copy
 	answers      answers
 	// versions that peers proved and that this host has to fetch from them
 	settingsToFetch, endpointsToFetch chan peers.Proof
@@ -164,6 +165,17 @@
 	return nil
 }
 
+// noteStoreEra logs that the store has come back from an older copy, and up to where this host had read it.
+func (h *Host) noteStoreEra(before, now uint64) {
+	if before == 0 {
+		h.Log.Info("era of the store", "era", now)
+		return
+	}
+	h.storeEras.Add(1)
+	view, _ := h.endpoints.View()
+	h.Log.Info("store came back from an older copy", "era", now, "before", before, "settings_revision", h.settings.Age.Revision(), "endpoints_revision", view.Revision)
+}
+
 // assemble creates the components of the host.
 func (h *Host) assemble() {
 	b := &h.Boot
@@ -173,6 +185,7 @@
 			MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second,
 			DialContext: h.dial(storeDialTimeout),
 		}},
+		OnEra: h.noteStoreEra,
 	}
 	h.peerHTTP = &http.Client{Transport: &http.Transport{
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -56,6 +56,8 @@
 	// counts how often this host ejected an endpoint because its own requests failed there.
 	EndpointsEjected int `json:"endpoints_ejected"`
 	Ejections        int `json:"ejections"`
+	// StoreEras counts how often the store came back from an older copy.
+	StoreEras int64 `json:"store_eras"`
 	// EndpointsLimited counts the endpoints that take requests with grants only, because of limits that they state.
 	EndpointsLimited int `json:"endpoints_limited"`
 	// EndpointsResting is the number of endpoints that asked this host for rest that is not over.
@@ -96,6 +98,7 @@
 	calls, failing := h.storeHealth.CallCounts()
 	v.StoreAnswered, v.StoreRefused, v.StoreUnanswered = calls.Answered, calls.Refused, calls.Unanswered
 	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
+	v.StoreEras = h.storeEras.Load()
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
