--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -260,6 +260,9 @@
 	e.leftAt = time.Now()
 }
 
+// AnnounceAgain writes once more that the endpoint leaves, as it does after the store has lost that.
+func (e *Endpoint) AnnounceAgain() { e.putEntry("draining") }
+
 // Lapse removes the entry of an endpoint that continues to serve, as the store does after an outage in
 // which the endpoint could not renew it.
 func (e *Endpoint) Lapse() { e.site.Store.Remove(platform.PrefixEndpoints + e.Instance) }
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -6,7 +6,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -55,6 +57,46 @@
 	changed        chan struct{}
 	fault          StoreFault
 	calls          int
+	era            uint64
+}
+
+// StoreCopy is the state of a store at one moment.
+type StoreCopy struct {
+	items    map[string]StoreItem
+	history  []StoreItem
+	revision uint64
+	oldest   uint64
+	leases   map[uint64]*storeLease
+}
+
+// Copy returns a copy of the state.
+func (s *Store) Copy() *StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := &StoreCopy{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, oldest: s.oldestRevision, leases: make(map[uint64]*storeLease)}
+	for id, l := range s.leases {
+		lease := *l
+		c.leases[id] = &lease
+	}
+	return c
+}
+
+// GoBack puts the state of a copy in place of the present one, and begins the next era. Revisions that were given since are given out
+// again. Watches that wait are cut.
+func (s *Store) GoBack(c *StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.history, s.revision, s.oldestRevision, s.leases = c.items, c.history, c.revision, c.oldest, c.leases
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// currentEra returns the era.
+func (s *Store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 // storeLease is a lease with its TTL and the time at which it expires.
@@ -65,7 +107,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{items: make(map[string]StoreItem), leases: make(map[uint64]*storeLease), changed: make(chan struct{})}
+	return &Store{items: make(map[string]StoreItem), leases: make(map[uint64]*storeLease), changed: make(chan struct{}), era: 1}
 }
 
 // Handler returns a handler for the store's HTTP protocol.
@@ -79,6 +121,7 @@
 	m.HandleFunc("/-/kv-keep/{id}", s.renewLease).Methods(http.MethodPost)
 	m.HandleFunc("/-/kv-lease-end/{id}", s.endLease).Methods(http.MethodDelete)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.currentEra(), 10))
 		if s.applyFault(w, r) {
 			m.ServeHTTP(w, r)
 		}
@@ -278,10 +321,15 @@
 	since, _ := strconv.ParseUint(q.Get("SinceRev"), 10, 64)
 	ms, _ := strconv.Atoi(q.Get("WaitMs"))
 	timeout := time.After(time.Duration(ms) * time.Millisecond)
+	era := s.currentEra()
 	for timedOut := false; ; {
 		s.mu.Lock()
 		s.expire()
-		if since < s.oldestRevision {
+		if s.era != era {
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		}
+		if since < s.oldestRevision || since > s.revision {
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
