feed, platform: revisions of the store are ordered over its eras

Cause: a store that comes back from an older copy gives revisions out again, and hosts used them as if they ordered all writes. A read of all entries at a lower revision was left aside as older than what was known, so that nothing was proven; a watch from a number that had been given out again was accepted, and the changes in between were never read. Both were seen in the records and in the test. Class: an order that holds within one history, used across histories.

Settings keep a document of a higher version when the store comes back with an older one, until it is written again; a host that read the older one fetches the kept one, by the version that heartbeats carry now, and neither proves the other's. Within an era the later write counts, as before. Ruled out: forgetting all at a new era (an empty list serves nobody while the store is away again, and versions go back). A store without the header is era 0, as before.

--- a/edge/host.go
+++ b/edge/host.go
@@ -173,7 +173,7 @@
 	}
 	h.storeEras.Add(1)
 	view, _ := h.endpoints.View()
-	h.Log.Info("store came back from an older copy", "era", now, "before", before, "settings_revision", h.settings.Age.Revision(), "endpoints_revision", view.Revision)
+	h.Log.Info("store came back from an older copy", "era", now, "before", before, "settings_revision", ownRevision(h.settings.Age.Revision()), "endpoints_revision", ownRevision(view.Revision))
 }
 
 // assemble creates the components of the host.
--- a/edge/share.go
+++ b/edge/share.go
@@ -47,6 +47,9 @@
 	}
 	if age, ok := h.settings.Age.At(now); ok {
 		settings = peers.Stamp{Revision: h.settings.Age.Revision(), AgeMS: age.Milliseconds() + 1}
+		if c := h.settings.Current(); c != nil {
+			settings.Sum = uint64(c.Version())
+		}
 	}
 	if v, ok := h.endpoints.View(); ok {
 		endpoints = peers.Stamp{Revision: v.Revision, Sum: v.Checksum, AgeMS: (now - v.ProvenAt).Milliseconds() + 1}
@@ -85,7 +88,7 @@
 func (h *Host) ProofReceived(p peers.Proof) {
 	fetchSettings, fetchEndpoints := false, false
 	if v := p.Settings; v.Known {
-		fetchSettings = h.settings.ReceiveProof(v.Revision, v.At)
+		fetchSettings = h.settings.ReceiveProof(v.Revision, int64(v.Sum), v.At)
 	}
 	if v := p.Endpoints; v.Known {
 		fetchEndpoints = h.endpoints.ReceiveView(feedView(v))
@@ -176,13 +179,13 @@
 	var b settingsBody
 	path := pathSettings
 	if src := h.settings.Current(); src != nil {
-		path += "?" + knownRevision + "=" + strconv.FormatUint(src.Revision, 10)
+		path += "?" + knownConfig + "=" + configName(src)
 	}
 	if h.fetchJSON(ctx, p.Control, path, &b) {
 		h.settings.Offer(b.Value, b.Revision)
 		h.settings.OfferOrders(b.Orders)
 		// A peer that has restarted may send older settings than it had proven.
-		h.settings.ReceiveProof(p.Settings.Revision, p.Settings.At)
+		h.settings.ReceiveProof(p.Settings.Revision, int64(p.Settings.Sum), p.Settings.At)
 	}
 }
 
@@ -315,8 +318,12 @@
 	Orders feed.Orders `json:"orders"`
 }
 
-// knownRevision is the query parameter with the revision of the configuration that a host already has.
-const knownRevision = "known"
+// knownConfig is the query parameter with the name of the configuration that a host already has.
+const knownConfig = "known"
+
+// configName returns what identifies a configuration among hosts. The version tells one that a host has kept from the older one with
+// which the store came back.
+func configName(c *feed.Config) string { return fmt.Sprintf("%d-%d", c.Revision, c.Version()) }
 
 // Paths at which other hosts fetch the settings and the endpoints in force, and the hosts that are known.
 const (
@@ -333,10 +340,10 @@
 		return
 	}
 	body := settingsBody{Revision: src.Revision, Value: src.Value, Orders: h.settings.Orders()}
-	if r.URL.Query().Get(knownRevision) == strconv.FormatUint(src.Revision, 10) {
+	if r.URL.Query().Get(knownConfig) == configName(src) {
 		body.Value = nil
 	}
-	version := fmt.Sprint(body.Revision, len(body.Value), body.Orders.Revision)
+	version := fmt.Sprint(configName(src), len(body.Value), body.Orders.Revision)
 	h.noteAnswer(h.answers.write(w, r, version, 0, func() any { return body }))
 }
 
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -82,11 +82,14 @@
 	SettingsFresh bool `json:"fresh"`
 }
 
+// ownRevision returns the store's own revision of a number that orders the revisions of all eras.
+func ownRevision(revision uint64) uint64 { _, own := feed.SplitEra(revision); return own }
+
 // vars collects the variables.
 func (h *Host) vars() vars {
 	v := vars{
 		Requests: h.ingress.Count.All(), Series: h.ingress.Metrics.Export(), Active: h.ingress.Active(), SettingsAgeMS: -1,
-		SettingsRevision: h.settings.Age.Revision(), SettingsRefused: h.settings.RefusedCount(),
+		SettingsRevision: ownRevision(h.settings.Age.Revision()), SettingsRefused: h.settings.RefusedCount(),
 		PeersLive: len(h.agent.Live()), PeersUnexpired: len(h.agent.Unexpired()),
 		ConnectionsOpened: h.ingress.OpenedConnections(), Ready: h.ready(), SettingsFresh: h.ingress.SettingsFresh(),
 	}
@@ -107,7 +110,7 @@
 	v.RequestsSuspected, v.RequestsHeld = h.ingress.SuspectCounts()
 	v.EndpointsForeign = h.endpoints.ForeignCount()
 	if view, ok := h.endpoints.View(); ok {
-		v.EndpointsRevision, v.EndpointsAgeMS = view.Revision, (h.now() - view.ProvenAt).Milliseconds()
+		v.EndpointsRevision, v.EndpointsAgeMS = ownRevision(view.Revision), (h.now() - view.ProvenAt).Milliseconds()
 	}
 	return v
 }
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -180,7 +180,7 @@
 	defer e.mu.Unlock()
 	e.compacted = true
 	e.StoreHealth.noteAnswer(sent)
-	e.Log.Info("store compacted its history; reading all entries", "for", e.Prefix, "revision", e.revision)
+	e.Log.Info("store compacted its history; reading all entries", "for", e.Prefix, "revision", ownRevision(e.revision), "era", eraOf(e.revision))
 }
 
 // logStoreState logs when the store is lost or regained; mu must be held.
@@ -299,7 +299,7 @@
 	n, err := e.Parse(it.Key, it.Value)
 	if err != nil {
 		if e.foreign.add(e.instanceOf(it), err) {
-			e.Log.Error(err, "endpoint entry refused", "key", it.Key, "bytes", len(it.Value), "revision", it.Revision)
+			e.Log.Error(err, "endpoint entry refused", "key", it.Key, "bytes", len(it.Value), "revision", ownRevision(it.Revision))
 		}
 		e.noteDeleted(e.instanceOf(it), asOf)
 		return
@@ -308,7 +308,7 @@
 	now := e.Now()
 	n, ok := e.incarnations.admit(n, now)
 	if !ok {
-		e.Log.Info("endpoint entry of an older incarnation held back", "instance", n.Instance, "born", n.StartedMS, "revision", it.Revision)
+		e.Log.Info("endpoint entry of an older incarnation held back", "instance", n.Instance, "born", n.StartedMS, "revision", ownRevision(it.Revision))
 		e.drop(n.Instance, asOf)
 		return
 	}
@@ -384,7 +384,7 @@
 	now := e.Now()
 	answered, failed := e.StoreHealth.lastCalls()
 	for _, t := range transitions(e.published, next) {
-		e.Log.Info("endpoints changed", "was", t.From, "now", t.To, "instances", t.Instances, "revision", e.revision,
+		e.Log.Info("endpoints changed", "was", t.From, "now", t.To, "instances", t.Instances, "revision", ownRevision(e.revision),
 			"proven_ms", (now - e.provenAt).Milliseconds(), "proven_before_ms", (now - e.provenBefore).Milliseconds(), "answered_ms", (now - answered).Milliseconds(),
 			"failed_ms", (now - failed).Milliseconds(), "failing", e.failing)
 	}
--- /dev/null
+++ b/feed/era_test.go
@@ -0,0 +1,86 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package feed
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/shoenig/test/must"
+
+	"github.com/heathkeel/heathkeel/route"
+)
+
+func TestEraOrdersRevisions(t *testing.T) {
+	must.Eq(t, 7, InEra(0, 7))
+	must.Less(t, InEra(2, 1), InEra(1, 1<<40))
+	era, own := SplitEra(InEra(3, 99))
+	must.Eq(t, 3, era)
+	must.Eq(t, 99, own)
+}
+
+// numbered returns settings whose documents are the numbers of their versions.
+func numbered() *Settings {
+	return &Settings{
+		Parse: func(b []byte) (*route.Document, error) {
+			v, err := strconv.ParseInt(string(b), 10, 64)
+			return &route.Document{Version: v}, err
+		},
+		OnChange: func(*route.Table) {}, Log: logr.Discard(), Now: func() time.Duration { return 10 * time.Second },
+	}
+}
+
+// TestOlderCopyDoesNotSetVersionBack checks which version is in force after documents were read, in order, at revisions of several eras.
+func TestOlderCopyDoesNotSetVersionBack(t *testing.T) {
+	type read struct {
+		version       string
+		era, revision uint64
+		want          int64
+	}
+	cases := []struct {
+		name  string
+		reads []read
+	}{
+		{"within an era the later write counts", []read{{"5", 1, 10, 5}, {"3", 1, 11, 3}, {"4", 1, 9, 3}}},
+		{"an older copy", []read{{"5", 1, 10, 5}, {"3", 2, 4, 5}, {"6", 2, 5, 6}}},
+		{"what was lost is written again in order", []read{{"5", 1, 10, 5}, {"3", 2, 4, 5}, {"4", 2, 5, 5}, {"5", 2, 6, 5}, {"4", 2, 7, 4}}},
+		{"twice", []read{{"5", 1, 10, 5}, {"3", 2, 4, 5}, {"2", 3, 3, 5}, {"5", 3, 4, 5}, {"7", 3, 5, 7}}},
+		{"an answer of the era before is late", []read{{"5", 2, 4, 5}, {"6", 1, 90, 5}}},
+		{"a newer version with a number given out again", []read{{"5", 1, 10, 5}, {"6", 2, 10, 6}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := numbered()
+			for _, r := range tc.reads {
+				s.Offer([]byte(r.version), InEra(r.era, r.revision))
+				must.Eq(t, r.want, s.Current().Version(), must.Sprint(r))
+			}
+		})
+	}
+}
+
+// TestKeptVersionIsPassedOn checks that a host that read an older copy fetches the version that another host has kept, and does not take
+// its own for proven by it, nor the other way round.
+func TestKeptVersionIsPassedOn(t *testing.T) {
+	keeper, starter := numbered(), numbered()
+	keeper.Offer([]byte("5"), InEra(1, 10))
+	for _, s := range []*Settings{keeper, starter} {
+		s.Offer([]byte("3"), InEra(2, 4))
+	}
+	must.EqOp(t, keeper.Current().Revision, starter.Current().Revision)
+	must.False(t, keeper.ReceiveProof(InEra(2, 4), starter.Current().Version(), 9*time.Second))
+	_, known := keeper.Age.At(10 * time.Second)
+	must.False(t, known)
+	must.True(t, starter.ReceiveProof(InEra(2, 4), keeper.Current().Version(), 9*time.Second))
+	_, known = starter.Age.At(10 * time.Second)
+	must.False(t, known)
+	starter.Offer(keeper.Current().Value, keeper.Current().Revision)
+	must.Eq(t, 5, starter.Current().Version())
+	must.False(t, starter.ReceiveProof(InEra(2, 4), 5, 9*time.Second))
+	_, known = starter.Age.At(10 * time.Second)
+	must.True(t, known)
+}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -298,9 +298,9 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			s := &Settings{Parse: parseVersion, OnChange: func(*route.Table) {}, Log: logr.Discard(), Now: func() time.Duration { return 10 * time.Second }}
-			must.True(t, s.ReceiveProof(tc.revision, 9*time.Second)) // no settings yet
+			must.True(t, s.ReceiveProof(tc.revision, 0, 9*time.Second)) // no settings yet
 			s.Offer([]byte("five"), 5)
-			must.EqOp(t, tc.fetch, s.ReceiveProof(tc.revision, 9*time.Second))
+			must.EqOp(t, tc.fetch, s.ReceiveProof(tc.revision, 0, 9*time.Second))
 			c, age := s.InForce()
 			must.EqOp(t, 5, c.Revision)
 			must.EqOp(t, tc.proven, age >= 0)
--- a/feed/orders.go
+++ b/feed/orders.go
@@ -113,7 +113,7 @@
 	}
 	if len(it.Value) > maxOrderBytes {
 		s.refusedCount.Add(1)
-		s.Log.Info("order refused: it is too large", "key", it.Key, "bytes", len(it.Value), "revision", it.Revision)
+		s.Log.Info("order refused: it is too large", "key", it.Key, "bytes", len(it.Value), "revision", ownRevision(it.Revision))
 		return false
 	}
 	return true
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -5,6 +5,7 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"sync"
@@ -72,6 +73,8 @@
 	Revision uint64
 	// Table is the routing table made from the document.
 	Table *route.Table
+
+	kept bool // the store came back with an older document, whose revision is Revision
 }
 
 // Current returns the configuration in force, or nil.
@@ -127,17 +130,22 @@
 	return age >= 0 && (age <= s.MaxAge || s.StoreHealth.FailedRecently(s.poller.lastAnswer()))
 }
 
-// ReceiveProof takes a peer's proof that a revision was the newest at a moment. It reports whether that
-// revision is newer than the one in force, so that it has to be fetched.
-func (s *Settings) ReceiveProof(revision uint64, at time.Duration) bool {
+// ReceiveProof takes a peer's proof that a revision was the newest at a moment, with the version of the configuration in force there. It
+// reports whether what is in force there is newer than here, so that it has to be fetched: the revision, or the version where the store came
+// back with an older configuration than the peer has kept.
+func (s *Settings) ReceiveProof(revision uint64, version int64, at time.Duration) bool {
 	newest := s.newestRevision()
 	if newest == 0 || revision > newest {
 		return true
 	}
-	if revision == newest {
+	if revision < newest {
+		return false
+	}
+	own := s.current.Load().Version()
+	if version == own || version == 0 { // hosts of earlier releases do not tell the version
 		s.Age.Prove(revision, at)
 	}
-	return false
+	return version > own
 }
 
 // step waits until this host has to watch, or polls the store once.
@@ -270,24 +278,45 @@
 func (s *Settings) Offer(value []byte, revision uint64) {
 	for {
 		old := s.current.Load()
-		if old != nil && old.Revision >= revision {
+		if old != nil && (old.Revision > revision || (old.Revision == revision && bytes.Equal(old.Value, value))) {
 			return
 		}
 		d, err := s.Parse(value)
 		if err != nil {
 			s.refusedCount.Add(1)
-			s.Log.Error(err, "configuration refused", "revision", revision)
+			s.Log.Error(err, "configuration refused", "revision", ownRevision(revision))
 			return
 		}
 		next := &Config{Value: value, Revision: revision, Table: route.NewTable(d, revision)}
-		if s.current.CompareAndSwap(old, next) {
-			s.Log.Info("configuration in force", "revision", revision, "version", d.Version, "routes", len(d.Routes))
-			s.OnChange(next.Table)
+		if old != nil && old.outlasts(d.Version, revision) {
+			next = &Config{Value: old.Value, Revision: revision, Table: old.Table, kept: true}
+		}
+		if old != nil && old.Revision == revision && next.Version() <= old.Version() {
+			return
+		}
+		if !s.current.CompareAndSwap(old, next) {
+			continue
+		}
+		if next.kept {
+			s.Log.Info("store came back with an older configuration; the one in force stays", "version", next.Version(), "stored_version", d.Version, "revision", ownRevision(revision))
 			return
 		}
+		s.Log.Info("configuration in force", "revision", ownRevision(revision), "era", eraOf(revision), "version", d.Version, "routes", len(d.Routes))
+		s.OnChange(next.Table)
+		return
 	}
 }
 
+// Version returns the version that the operator gave the document.
+func (c *Config) Version() int64 { return c.Table.Document.Version }
+
+// outlasts reports whether the document stays in force although one of a version was read at a later revision: within an era the later
+// write is the newer one, but a store that came back from an older copy holds older documents until the operator has written the newest
+// one again.
+func (c *Config) outlasts(version int64, revision uint64) bool {
+	return version < c.Version() && (c.kept || eraOf(revision) != eraOf(c.Revision))
+}
+
 // logRegained and logLost log changes of state only.
 func (s *Settings) logRegained() {
 	if s.failing {
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/outcome"
 	"github.com/heathkeel/heathkeel/quarantine"
 )
@@ -116,7 +117,8 @@
 		e.StepUS, e.Load = c.req.Step().Microseconds(), c.req.Load()
 	}
 	if c.table != nil {
-		e.Revision, e.SettingsAgeMS = c.table.Revision, c.timings.settingsAge.Milliseconds()
+		_, e.Revision = feed.SplitEra(c.table.Revision)
+		e.SettingsAgeMS = c.timings.settingsAge.Milliseconds()
 	}
 	return e
 }
