feed: entries that an older copy of the store lacks are kept for a while, and those removed since do not come back with it

A store that comes back from an older copy has the entries of endpoints that left since, and lacks those of endpoints that came since.

Hosts remember removals for 30 s with the era in which they saw them. An entry read in a later era counts only if it was written after the host first knew of that era; the store drops the others, since nobody renews them. What the first read of an era lacks is kept as lapsed for the time in which endpoints write their entries again; a removal that is seen after that counts at once.

Weighed: taking the copy's list as it is (the standing way; endpoints that left get requests, and a service whose endpoints all came since has none); keeping all that was known until it is written again (a removal in the new era is not seen then).

--- a/edge/era_test.go
+++ b/edge/era_test.go
@@ -124,3 +124,50 @@
 		})
 	}
 }
+
+// TestOlderCopyKeepsWhoCameAndWhoLeft checks that, when the store comes back from an older copy, endpoints that came since serve until they
+// have written their entries again, and that those which left since, without a word, get nothing although the copy has their entries.
+func TestOlderCopyKeepsWhoCameAndWhoLeft(t *testing.T) {
+	const oldEndpoints, newEndpoints = 6, 4
+	for _, p := range []eraPlay{
+		{name: "6 hosts", boot: smallBoot, hosts: 6, lost: 30},
+		{name: "85 hosts", boot: largeBoot, hosts: 85, lost: 30},
+	} {
+		t.Run(p.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				s := startWorking(t, site.Example(), p.boot, p.hosts, oldEndpoints, 30*time.Millisecond)
+				defer s.Stop()
+				old := s.Store.Copy()
+				for i := range p.lost {
+					s.Store.Put(fmt.Sprint("other/", i), i)
+				}
+				for range newEndpoints {
+					must.NoError(t, s.AddEndpoint())
+				}
+				time.Sleep(time.Second)
+				for _, e := range s.Endpoints[:oldEndpoints] {
+					e.Leave(false)
+				}
+				time.Sleep(copyAge - time.Second)
+				s.Store.SetFault(site.StoreFault{Reset: true})
+				time.Sleep(storeAway)
+				s.Store.GoBack(old)
+				s.Store.SetFault(site.StoreFault{})
+				time.AfterFunc(rewriteDelay, func() {
+					for _, e := range s.Endpoints[oldEndpoints:] {
+						e.Renew()
+					}
+				})
+				time.AfterFunc(3*time.Second, func() {
+					for _, e := range s.Endpoints[:oldEndpoints] {
+						e.Lapse()
+					}
+				})
+				sent, served := sendToEach(s, 6*time.Second, 60, "/open/x").served(0, p.hosts)
+				must.GreaterEq(t, 0.95, float64(served)/float64(sent), must.Sprint(served, " of ", sent))
+				must.LessEq(t, p.boot.DrainTime, s.MaxArrivalAfterLeaving())
+			})
+		})
+	}
+}
--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -60,6 +60,9 @@
 	provenBefore time.Duration // provenAt before the last change
 	poller       poller
 	leavers      leavers
+	gone         gone
+	eraBegin     uint64        // the first revision that this host knew of the store's era
+	eraKeepUntil time.Duration // until then entries that an older copy lacks are kept as lapsed
 	incarnations incarnations
 	foreign      foreign
 	expiryTimer  *time.Timer // drops lapsed entries
@@ -72,7 +75,7 @@
 // Init prepares the Endpoints; call it before any other method.
 func (e *Endpoints) Init() {
 	e.known = make(map[string]Endpoint)
-	e.leavers = make(leavers)
+	e.leavers, e.gone = make(leavers), make(gone)
 	e.incarnations = make(incarnations)
 	e.foreign = make(foreign)
 	e.publishedSum = checksum(nil)
@@ -208,13 +211,19 @@
 		e.compacted = false
 		return nil // a peer has reported newer entries in the meantime
 	}
+	older := e.noteEra(p.Revision)
 	present := make(map[string]bool, len(p.Items))
 	for _, it := range p.Items {
 		present[e.instanceOf(it)] = true
 		e.applyEntry(it, sent)
 	}
-	for name := range e.known {
-		if !present[name] {
+	for name, n := range e.known {
+		switch {
+		case present[name]:
+		case older && !n.Leaving:
+			n.Lapsed = true // its endpoint writes it again
+			e.known[name] = n
+		default:
 			e.noteDeleted(name, sent)
 		}
 	}
@@ -227,6 +236,17 @@
 	return nil
 }
 
+// noteEra records the first revision known of a later era of the store, and reports whether this is one; mu must be held.
+func (e *Endpoints) noteEra(revision uint64) bool {
+	if !e.loaded || eraOf(revision) <= eraOf(e.revision) {
+		return false
+	}
+	renewTime := e.StoreHealth.LapseTimes.RenewTime
+	e.eraBegin, e.eraKeepUntil = revision, e.Now()+renewTime
+	e.expiryTimer.Reset(renewTime)
+	return true
+}
+
 // watch reads the changes since a revision, with a call sent at the given moment. The answer proves the
 // state of that moment.
 func (e *Endpoints) watch(ctx context.Context, since uint64, sent, wait time.Duration) error {
@@ -306,6 +326,11 @@
 	}
 	e.foreign.remove(n.Instance)
 	now := e.Now()
+	if it.Revision <= e.eraBegin && e.gone.holds(n.Incarnation(), it.Revision) {
+		e.drop(n.Instance, asOf)
+		return
+	}
+	delete(e.gone, n.Incarnation())
 	n, ok := e.incarnations.admit(n, now)
 	if !ok {
 		e.Log.Info("endpoint entry of an older incarnation held back", "instance", n.Instance, "born", n.StartedMS, "revision", ownRevision(it.Revision))
@@ -331,6 +356,7 @@
 	}
 	if !e.mayHaveLapsed(n, asOf) {
 		delete(e.known, name)
+		e.gone.add(n.Incarnation(), e.Now(), e.revision)
 		return
 	}
 	n.Lapsed = true
@@ -360,7 +386,8 @@
 		e.known[n.Instance] = e.leavers.mark(n, now)
 	}
 	e.leavers.prune(now, e.known)
-	if !e.StoreHealth.mayLapse(e.provenAt) {
+	e.gone.prune(now)
+	if now >= e.eraKeepUntil && !e.StoreHealth.mayLapse(e.provenAt) {
 		maps.DeleteFunc(e.known, func(_ string, n Endpoint) bool { return n.Lapsed })
 	}
 	list := make([]Endpoint, 0, len(e.known))
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -134,6 +134,7 @@
 		if v.Revision > e.revision {
 			clear(e.foreign) // the view does not say whether they are still there
 		}
+		e.noteEra(v.Revision)
 		e.revision = max(e.revision, v.Revision)
 		e.prove(v.ProvenAt)
 		return false
@@ -163,9 +164,13 @@
 		l.Endpoints = applyChanges(e.published, l.Endpoints, l.Removed)
 	}
 	now := e.Now()
+	e.noteEra(l.Revision)
 	e.leavers.add(l.RecentlyLeft, now)
 	known := make(map[string]Endpoint, len(l.Endpoints))
 	for _, n := range l.Endpoints {
+		if e.gone.holds(n.Incarnation(), l.Revision) {
+			continue // the peer may not know that it was removed
+		}
 		e.incarnations.adopt(n, now)
 		known[n.Instance] = e.leavers.mark(n, now)
 	}
