feed: orders that were in force stay when the store comes back from an older copy

A store that comes back from an older copy lacks the operators' orders since, such as the evacuation of an availability zone, and shows those that were cancelled since. Hosts would have put the copy's orders in force until operators had written them again, and would have taken an order read in the new era for another one, so that a roll-out would have begun anew.

Orders in force stay for the time in which what was lost is written again (2 s); changes in the new era count at once; then all are read. An order with the same value in a later era keeps its number.

TestOlderCopyKeepsOrders fails without the change (the copy's orders at once, with new numbers).

--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -84,3 +84,42 @@
 	_, known = starter.Age.At(10 * time.Second)
 	must.True(t, known)
 }
+
+// TestOlderCopyKeepsOrders checks which orders are in force when the store comes back from an older copy: those that were known stay while
+// operators may write them again, and an order that is written again is the same one.
+func TestOlderCopyKeepsOrders(t *testing.T) {
+	const renewTime = 2 * time.Second
+	now := 10 * time.Second
+	s := numbered()
+	s.Prefix, s.Key, s.Now = "op/", "op/config", func() time.Duration { return now }
+	s.StoreHealth = &StoreHealth{Now: s.Now, LapseTimes: LapseTimes{RenewTime: renewTime}}
+	order := func(key, value string, era, revision uint64) Item {
+		return Item{Key: "op/" + key, Value: []byte(value), Revision: InEra(era, revision)}
+	}
+	keys := func() (out []string) {
+		for _, o := range s.Orders().List {
+			out = append(out, o.Key+" "+string(o.Value))
+		}
+		return out
+	}
+	s.readOrders([]Item{order("cancelled", "x", 1, 3), order("kept", "y", 1, 4)}, InEra(1, 4))
+	s.applyOrderChanges([]Item{{Key: "op/cancelled", Deleted: true, Revision: InEra(1, 5)}, order("lost", "z", 1, 6)})
+	known := []string{"op/kept y", "op/lost z"}
+	must.Eq(t, known, keys())
+	kept := s.Orders().List[0].Revision
+
+	copied := []Item{order("cancelled", "x", 2, 3), order("kept", "y", 2, 4)}
+	s.readOrders(copied, InEra(2, 4))
+	must.Eq(t, known, keys())
+	s.OfferOrders(Orders{List: []Order{{Key: "op/cancelled", Value: []byte("x"), Revision: InEra(2, 3)}}, Revision: InEra(2, 4)})
+	must.Eq(t, known, keys())
+	must.False(t, s.ordersAreDue())
+	s.applyOrderChanges([]Item{order("lost", "z", 2, 5), order("new", "n", 2, 6)})
+	must.Eq(t, append(known, "op/new n"), keys())
+
+	now += renewTime
+	must.True(t, s.ordersAreDue())
+	s.readOrders([]Item{order("kept", "y", 2, 4), order("new", "n", 2, 6)}, InEra(2, 8))
+	must.Eq(t, []string{"op/kept y", "op/new n"}, keys())
+	must.EqOp(t, kept, s.Orders().List[0].Revision)
+}
--- a/feed/orders.go
+++ b/feed/orders.go
@@ -32,11 +32,18 @@
 // 200 bytes.
 const maxOrderBytes = 4 << 10
 
-// with returns the orders after an order or a cancellation.
+// with returns the orders after an order or a cancellation. An order that is read in a later era of the store with the same value is the
+// same one: what it asks for does not begin anew.
 func (o Orders) with(it Item) Orders {
-	list := slices.DeleteFunc(slices.Clone(o.List), func(old Order) bool { return old.Key == it.Key })
+	revision := it.Revision
+	list := slices.DeleteFunc(slices.Clone(o.List), func(old Order) bool {
+		if old.Key == it.Key && eraOf(old.Revision) != eraOf(revision) && bytes.Equal(old.Value, it.Value) {
+			revision = old.Revision
+		}
+		return old.Key == it.Key
+	})
 	if !it.Deleted {
-		list = append(list, Order{Key: it.Key, Value: it.Value, Revision: it.Revision})
+		list = append(list, Order{Key: it.Key, Value: it.Value, Revision: revision})
 		slices.SortFunc(list, func(a, b Order) int { return strings.Compare(a.Key, b.Key) })
 	}
 	return Orders{list, max(o.Revision, it.Revision)}
@@ -64,11 +71,33 @@
 func (s *Settings) OfferOrders(o Orders) {
 	s.ordersMu.Lock()
 	defer s.ordersMu.Unlock()
-	if o.Revision > s.Orders().Revision {
+	if o.Revision > s.Orders().Revision && s.Now() >= s.ordersKeptUntil {
 		s.setOrders(o)
 	}
 }
 
+// keepsOrders reports whether the orders in force stay although the store shows others at a revision: when it has come back from an older
+// copy, operators have some time to write again what it lost. ordersMu must be held.
+func (s *Settings) keepsOrders(revision uint64) bool {
+	era := eraOf(revision)
+	if known := s.ordersEra; era > known {
+		s.ordersEra = era
+		if s.ordersRead {
+			s.ordersKeptUntil = s.Now() + s.StoreHealth.LapseTimes.RenewTime
+			s.ordersDue.Store(true)
+		}
+	}
+	s.ordersRead = true
+	return s.Now() < s.ordersKeptUntil
+}
+
+// ordersAreDue reports once whether orders that were kept have to be read again.
+func (s *Settings) ordersAreDue() bool {
+	s.ordersMu.Lock()
+	defer s.ordersMu.Unlock()
+	return s.Now() >= s.ordersKeptUntil && s.ordersDue.Swap(false)
+}
+
 // readOrders puts in force what a read of all keys at a revision of the store shows. A cancellation removes
 // the key and with it the revision of the cancellation, so that the revision of the read stands for it.
 func (s *Settings) readOrders(items []Item, revision uint64) {
@@ -78,11 +107,18 @@
 	if revision < old.Revision {
 		return // a peer has reported a newer order in the meantime
 	}
+	if s.keepsOrders(revision) {
+		return
+	}
 	next := Orders{Revision: old.Revision}
 	for _, it := range items {
-		if s.isOrder(it) {
-			next = next.with(it)
+		if !s.isOrder(it) {
+			continue
+		}
+		if i := slices.IndexFunc(old.List, func(o Order) bool { return o.Key == it.Key }); i >= 0 {
+			next.List = append(next.List, old.List[i]) // for with, which replaces it
 		}
+		next = next.with(it)
 	}
 	for _, o := range old.List {
 		if !next.has(o.Key) {
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -51,15 +51,21 @@
 	// Age tracks how old the configuration may be.
 	Age Age
 
-	current       atomic.Pointer[Config]
-	orders        atomic.Pointer[Orders]
-	ordersMu      sync.Mutex // held while orders change
-	refusedCount  atomic.Int64
-	failing       bool
-	poller        poller
-	interrupter   interrupter
-	rereadPending atomic.Bool // the next step reads the key again
-	readNow       bool        // so does this one; used by Run only
+	current    atomic.Pointer[Config]
+	orders     atomic.Pointer[Orders]
+	ordersMu   sync.Mutex // held while orders change
+	ordersRead bool       // all orders were read
+	ordersEra  uint64     // the latest era of the store in which all orders were read
+	// ordersKeptUntil is the time until which orders stay that were known when the store came back from an older copy, and ordersDue
+	// says that they have to be read then.
+	ordersKeptUntil time.Duration
+	ordersDue       atomic.Bool
+	refusedCount    atomic.Int64
+	failing         bool
+	poller          poller
+	interrupter     interrupter
+	rereadPending   atomic.Bool // the next step reads the key again
+	readNow         bool        // so does this one; used by Run only
 
 	mu       sync.Mutex
 	revision uint64 // the store's revision that was read last
@@ -190,6 +196,9 @@
 	s.mu.Lock()
 	revision, loaded := s.revision, s.loaded
 	s.mu.Unlock()
+	if s.ordersDue.Load() && s.ordersAreDue() {
+		loaded = false
+	}
 	if !loaded {
 		return s.readKey(ctx, sent)
 	}
