feed, edge: what hosts wrote is written again when the store comes back from an older copy

In a later era the store may lack a host's entry although the lease is there, and a lease of the era before may be gone or another host's. A host renewed its lease and wrote nothing, so that hosts that start found it nowhere; records of held requests hung on a lease of that era.

Entries, leases of records, records of services with several versions and the states of roll-outs are written again in a new era, by the hosts that wrote them before: a few calls a host and era, none while the era stays. Records of requests on trial and held are not: what hosts know of them they know by themselves, and a host that starts learns it from the others (docs/OPEN.md).

TestHostEntryIsWrittenInEachEra and TestRecordsLeaseOfAnEarlierEra fail without the change.

--- a/edge/host.go
+++ b/edge/host.go
@@ -216,7 +216,7 @@
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
-	h.records = &records{store: h.store, now: h.now, log: h.Log.WithName("records")}
+	h.records = &records{store: h.store, era: h.store.Era, now: h.now, log: h.Log.WithName("records")}
 	h.ingress.SetRecords(h.records)
 	h.ingress.SetAgeLimits(ageLimits(b))
 	h.endpoints = &feed.Endpoints{
@@ -228,7 +228,7 @@
 	h.endpoints.Init()
 	h.hostRegistry = &feed.HostRegistry{
 		Store: h.store, Key: platform.PrefixHosts + b.Host, Prefix: platform.PrefixOwn, Value: h.hostEntry,
-		ShouldRegister: h.shouldRegister, HostCount: h.hostCount, TTL: 10 * time.Second, OnEntries: h.applyOwnEntries, Log: h.Log.WithName("entry"),
+		ShouldRegister: h.shouldRegister, HostCount: h.hostCount, TTL: 10 * time.Second, Era: h.store.Era, OnEntries: h.applyOwnEntries, Log: h.Log.WithName("entry"),
 	}
 }
 
--- a/edge/orders.go
+++ b/edge/orders.go
@@ -48,6 +48,7 @@
 // rolloutRecord is what this host knows of the state of a service's roll-out in the store.
 type rolloutRecord struct {
 	order    uint64        // revision of the order
+	era      uint64        // of the store, in which written and revision were known
 	written  bool          // a state of this order is known to be in the store
 	state    rollout.State // the state in the store, if written
 	revision uint64        // the store's revision of that key as far as it is known
@@ -84,7 +85,7 @@
 // maintainRollout writes the state of one roll-out if it is this host's turn.
 func (h *Host) maintainRollout(ctx context.Context, s *rollout.Status) {
 	rank := h.readRank()
-	rec := h.rollouts.record(h.now(), s)
+	rec := h.rollouts.record(h.now(), h.store.Era(), s)
 	h.ingress.HoldRollout(s.Service, rank == 0 && !rec.written)
 	if !rec.isDue(h.now(), rank) {
 		return
@@ -102,12 +103,15 @@
 }
 
 // record returns the record of a roll-out with the state that this host has come to.
-func (m rolloutStatuses) record(now time.Duration, s *rollout.Status) *rolloutRecord {
+func (m rolloutStatuses) record(now time.Duration, era uint64, s *rollout.Status) *rolloutRecord {
 	rec := m[s.Service]
 	if rec == nil || rec.order != s.Revision {
-		rec = &rolloutRecord{order: s.Revision, wantedAt: now}
+		rec = &rolloutRecord{order: s.Revision, era: era, wantedAt: now}
 		m[s.Service] = rec
 	}
+	if rec.era != era {
+		rec.era, rec.written, rec.revision = era, false, 0 // the store may have lost it
+	}
 	if rec.want != s.State {
 		rec.want, rec.wantedAt = s.State, now
 	}
--- a/edge/records.go
+++ b/edge/records.go
@@ -42,8 +42,11 @@
 	now   func() time.Duration
 	log   logr.Logger
 
+	era func() uint64 // of the store; nil means that it has one only
+
 	mu             sync.Mutex
 	lease          uint64 // 0 for none
+	leaseEra       uint64 // the era in which it was granted: in a later one it may be gone, or another host's
 	leaseGrantedAt time.Duration
 }
 
@@ -114,10 +117,14 @@
 
 // currentLease returns a lease for a record that is written now.
 func (recs *records) currentLease(ctx context.Context) (uint64, error) {
+	era := uint64(0)
+	if recs.era != nil {
+		era = recs.era()
+	}
 	recs.mu.Lock()
-	lease, grantedAt := recs.lease, recs.leaseGrantedAt
+	lease, grantedAt, leaseEra := recs.lease, recs.leaseGrantedAt, recs.leaseEra
 	recs.mu.Unlock()
-	if lease != 0 && recs.now()-grantedAt < leaseReusePeriod {
+	if lease != 0 && leaseEra == era && recs.now()-grantedAt < leaseReusePeriod {
 		return lease, nil
 	}
 	start := recs.now()
@@ -127,7 +134,7 @@
 	}
 	recs.mu.Lock()
 	defer recs.mu.Unlock()
-	recs.lease, recs.leaseGrantedAt = lease, start
+	recs.lease, recs.leaseGrantedAt, recs.leaseEra = lease, start, era
 	return lease, nil
 }
 
--- a/edge/records_test.go
+++ b/edge/records_test.go
@@ -161,3 +161,27 @@
 		})
 	}
 }
+
+// TestRecordsLeaseOfAnEarlierEra checks that a lease is not used any more once the store has come back from an older copy: it may be gone,
+// or another host's.
+func TestRecordsLeaseOfAnEarlierEra(t *testing.T) {
+	now, era, store := time.Duration(0), uint64(1), &leaseCounter{}
+	recs := &records{store: store, era: func() uint64 { return era }, now: func() time.Duration { return now }, log: logr.Discard()}
+	for _, tc := range []struct{ era, lease uint64 }{{1, 1}, {1, 1}, {2, 2}, {2, 2}, {3, 3}} {
+		era = tc.era
+		lease, err := recs.currentLease(context.Background())
+		must.NoError(t, err)
+		must.EqOp(t, tc.lease, lease)
+	}
+}
+
+// leaseCounter is a store that numbers the leases that it grants.
+type leaseCounter struct {
+	recordStore
+	granted uint64
+}
+
+func (s *leaseCounter) Grant(context.Context, time.Duration) (uint64, error) {
+	s.granted++
+	return s.granted, nil
+}
--- a/edge/versions.go
+++ b/edge/versions.go
@@ -39,9 +39,18 @@
 // versionsWriter is what this host has written.
 type versionsWriter struct {
 	lease uint64
+	era   uint64                   // of the store, in which it was written
 	until map[string]time.Duration // by service
 }
 
+// noteEra forgets what was written before the store came back from an older copy.
+func (w *versionsWriter) noteEra(era uint64) {
+	if era != w.era {
+		w.era, w.lease = era, 0
+		clear(w.until)
+	}
+}
+
 // maintainVersions writes records of the services with several versions until ctx ends.
 func (h *Host) maintainVersions(ctx context.Context) {
 	w := versionsWriter{until: make(map[string]time.Duration)}
@@ -57,6 +66,7 @@
 		if len(services) == 0 || h.agent.Rank() >= versionsWriters {
 			continue
 		}
+		w.noteEra(h.store.Era())
 		for _, service := range services {
 			if w.until[service]-h.now() < origin.Memory {
 				h.writeVersions(ctx, &w, service)
--- a/feed/entry.go
+++ b/feed/entry.go
@@ -55,12 +55,15 @@
 	HostCount func() int
 	// TTL is the time to live of the entry.
 	TTL time.Duration
+	// Era returns the era of the store; nil means that it has one only. In a later era the store may lack the entry and its lease.
+	Era func() uint64
 	// OnEntries is called with the entries of all hosts.
 	OnEntries func([]Item)
 	// Log receives changes of state.
 	Log logr.Logger
 
 	lease       uint64
+	era         uint64 // in which the entry was written under that lease
 	written     []byte
 	interrupter interrupter
 }
@@ -133,6 +136,10 @@
 	callCtx, cancel := context.WithTimeout(ctx, shortCallTimeout)
 	defer cancel()
 	value := r.Value()
+	era := r.currentEra()
+	if era != r.era {
+		r.lease = 0
+	}
 	lease := r.lease
 	if lease != 0 {
 		err := r.Store.Renew(callCtx, lease)
@@ -152,6 +159,14 @@
 	if err := r.Store.Put(callCtx, r.Key, value, lease); err != nil {
 		return err
 	}
-	r.lease, r.written = lease, value
+	r.lease, r.era, r.written = lease, era, value
 	return nil
 }
+
+// currentEra returns the era of the store.
+func (r *HostRegistry) currentEra() uint64 {
+	if r.Era == nil {
+		return 0
+	}
+	return r.Era()
+}
--- a/feed/entry_test.go
+++ b/feed/entry_test.go
@@ -135,3 +135,19 @@
 		t.Run(tc.name, func(t *testing.T) { must.Eq(t, tc.want, ParseHostEntry([]byte(tc.value))) })
 	}
 }
+
+// TestHostEntryIsWrittenInEachEra checks that a host writes its entry under a new lease when the store has come back from an older copy,
+// which may lack the entry although the lease is there, and not again in the same era.
+func TestHostEntryIsWrittenInEachEra(t *testing.T) {
+	s, era := &countingStore{}, uint64(1)
+	r := &HostRegistry{Store: s, Value: func() []byte { return []byte("x") }, Era: func() uint64 { return era }, TTL: 10 * time.Second, Log: logr.Discard()}
+	for _, tc := range []struct {
+		era    uint64
+		grants int
+	}{{1, 1}, {1, 1}, {2, 2}, {2, 2}, {4, 3}} {
+		era = tc.era
+		must.NoError(t, r.renew(context.Background()))
+		must.EqOp(t, tc.grants, s.grants)
+		must.EqOp(t, tc.grants, s.puts)
+	}
+}
