--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -5,6 +5,7 @@
 package site
 
 import (
+	"bytes"
 	"encoding/json"
 	"maps"
 	"net/http"
@@ -82,16 +83,35 @@
 }
 
 // GoBack puts the state of a copy in place of the present one, and begins the next era. Revisions that were given since are given out
-// again. Watches that wait are cut.
-func (s *Store) GoBack(c *StoreCopy) {
+// again. Watches that wait are cut. What stands below the given prefixes now is written again, as operators and endpoints do.
+func (s *Store) GoBack(c *StoreCopy, rewritten ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.items, s.history, s.revision, s.oldestRevision, s.leases = c.items, c.history, c.revision, c.oldest, c.leases
+	newest := s.items
+	s.items, s.history, s.revision, s.oldestRevision, s.leases = maps.Clone(c.items), slices.Clone(c.history), c.revision, c.oldest, c.leases
 	s.era++
+	s.rewrite(newest, rewritten)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// rewrite makes the items below prefixes what they were; mu must be held.
+func (s *Store) rewrite(items map[string]StoreItem, prefixes []string) {
+	below := func(key string) bool {
+		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
+	}
+	for key, it := range items {
+		if below(key) && !bytes.Equal(s.items[key].Value, it.Value) {
+			s.write(StoreItem{TLSKey: key, Value: it.Value})
+		}
+	}
+	for key := range s.items {
+		if _, stood := items[key]; below(key) && !stood {
+			s.write(StoreItem{TLSKey: key, Removed: true})
+		}
+	}
+}
+
 // currentEra returns the era.
 func (s *Store) currentEra() uint64 {
 	s.mu.Lock()
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -136,6 +136,26 @@
 	}
 }
 
+// storeGoesBack makes the store go back to a copy some seconds old again and again until ctx ends; what operators and endpoints had written
+// since is written again at its return. It draws from a source of its own, so that the faults of a seed stay the same.
+func (c *faultInjector) storeGoesBack(ctx context.Context, r *rand.Rand) {
+	for ctx.Err() == nil {
+		pause(ctx, 4*time.Second+time.Duration(r.Int64N(int64(6*time.Second))))
+		old := c.fleet.store.Copy()
+		pause(ctx, time.Duration(r.Int64N(int64(5*time.Second))))
+		if ctx.Err() != nil {
+			return
+		}
+		c.logFault("store-goes-back")
+		end := c.disturbAllHosts()
+		c.fleet.store.SetFault(site.StoreFault{Reset: true})
+		time.Sleep(time.Duration(r.Int64N(int64(time.Second))))
+		c.fleet.store.GoBack(old, platform.PrefixConfig, platform.PrefixEndpoints)
+		c.fleet.store.SetFault(site.StoreFault{})
+		end()
+	}
+}
+
 // disturbStoreProxy disturbs the connections between a host and the store.
 func (c *faultInjector) disturbStoreProxy() func() {
 	h, mode, duration := c.randomHost(), c.rand.IntN(4), c.randomDuration(500*time.Millisecond, 6*time.Second)
@@ -261,6 +281,7 @@
 	} else {
 		f.store.Remove(key)
 	}
+	m.SayLeaving(true)
 	m.mu.Lock()
 	m.leftAt = time.Now()
 	m.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -90,6 +90,7 @@
 	injector := &faultInjector{fleet: f, clients: c, rand: random, claimed: make(map[*host]bool), startedAt: time.Now(), configVersion: 1}
 	faultCtx, stopFaults := context.WithTimeout(context.Background(), r.duration)
 	wg.Go(func() { f.stateRates(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), rateSource))) })
+	wg.Go(func() { injector.storeGoesBack(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), eraSource))) })
 	injector.run(faultCtx)
 	stopFaults()
 	if r.timed {
@@ -124,8 +125,11 @@
 		r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, wentOn, asked, statusCounts(rec))
 }
 
-// rateSource is the source of the stated rates, beside those of the callers, which count from 1.
-const rateSource = 1 << 20
+// Sources of chance beside those of the callers, which count from 1.
+const (
+	rateSource = 1 << 20 // of the stated rates
+	eraSource  = 1 << 21 // of the times at which the store goes back
+)
 
 // finalRequests is the number of requests to each host after the last fault.
 const finalRequests = 10
