feed: entries that went are remembered from the lists of other hosts, too, and forgotten once they are back

Found in reading the change of the eras: a host that learns of removals by other hosts' lists did not remember them, and would have taken an endpoint that left from the list of a host that had just started and read the older copy; one that saw a removal itself, and the entry's return by such a list, would have held back an endpoint that serves. An endpoint that lapsed and did not write its entry again is remembered as well.

TestRemovedEntriesOfAnOlderCopy: its first play failed before; the second guards against the other half, which needs both ways.

--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -330,7 +329,6 @@
 		e.drop(n.Instance, asOf)
 		return
 	}
-	delete(e.gone, n.Incarnation())
 	n, ok := e.incarnations.admit(n, now)
 	if !ok {
 		e.Log.Info("endpoint entry of an older incarnation held back", "instance", n.Instance, "born", n.StartedMS, "revision", ownRevision(it.Revision))
@@ -386,9 +384,9 @@
 		e.known[n.Instance] = e.leavers.mark(n, now)
 	}
 	e.leavers.prune(now, e.known)
-	e.gone.prune(now)
+	e.gone.prune(now, e.known)
 	if now >= e.eraKeepUntil && !e.StoreHealth.mayLapse(e.provenAt) {
-		maps.DeleteFunc(e.known, func(_ string, n Endpoint) bool { return n.Lapsed })
+		e.dropLapsed()
 	}
 	list := make([]Endpoint, 0, len(e.known))
 	for _, n := range e.known {
@@ -405,6 +403,16 @@
 	e.OnChange(list)
 }
 
+// dropLapsed drops the endpoints that did not write their entries again; mu must be held.
+func (e *Endpoints) dropLapsed() {
+	for name, n := range e.known {
+		if n.Lapsed {
+			delete(e.known, name)
+			e.gone.add(n.Incarnation(), e.Now(), e.revision)
+		}
+	}
+}
+
 // logTransitions writes a line for each kind of change between the list in force and the next one; mu
 // must be held. There are few lines, since entries change only when endpoints come, leave or lapse.
 func (e *Endpoints) logTransitions(next []Endpoint) {
--- a/feed/era_test.go
+++ b/feed/era_test.go
@@ -123,3 +123,40 @@
 	must.Eq(t, []string{"op/kept y", "op/new n"}, keys())
 	must.EqOp(t, kept, s.Orders().List[0].Revision)
 }
+
+// TestRemovedEntriesOfAnOlderCopy checks which endpoints of a peer's list are known after lists of several eras.
+func TestRemovedEntriesOfAnOlderCopy(t *testing.T) {
+	type list struct {
+		era, revision uint64
+		endpoints     []string
+	}
+	cases := []struct {
+		name  string
+		lists []list
+		want  []string
+	}{
+		{"an endpoint that left comes back with an older copy", []list{{1, 5, []string{"a", "b"}}, {1, 6, []string{"b"}}, {2, 3, []string{"a", "b"}}}, []string{"b"}},
+		{"one that left and came back in the same era stays", []list{{1, 5, []string{"a", "b"}}, {1, 6, []string{"b"}}, {1, 7, []string{"a", "b"}}, {2, 3, []string{"a", "b"}}}, []string{"a", "b"}},
+		{"one that came since the copy", []list{{1, 5, []string{"b"}}, {2, 3, []string{"b"}}, {2, 4, []string{"a", "b"}}}, []string{"a", "b"}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			now := func() time.Duration { return 10 * time.Second }
+			e := &Endpoints{Now: now, StoreHealth: testHealth(now), OnChange: func([]Endpoint) {}, Log: logr.Discard(), Parse: parseEndpoint}
+			e.Init()
+			for _, l := range tc.lists {
+				var offered []Endpoint
+				for _, name := range l.endpoints {
+					offered = append(offered, Endpoint{Instance: name})
+				}
+				e.Offer(EndpointList{Revision: InEra(l.era, l.revision), Endpoints: offered})
+			}
+			var got []string
+			known, _ := e.List()
+			for _, n := range known.Endpoints {
+				got = append(got, n.Instance)
+			}
+			must.Eq(t, tc.want, got)
+		})
+	}
+}
--- a/feed/gone.go
+++ b/feed/gone.go
@@ -31,7 +31,13 @@
 	return ok && r.era < eraOf(revision)
 }
 
-// prune forgets the removals of longer than leaverTTL ago.
-func (g gone) prune(now time.Duration) {
+// prune forgets the removals of longer than leaverTTL ago, and those of endpoints that have an entry again.
+func (g gone) prune(now time.Duration, known map[string]Endpoint) {
+	for _, n := range known {
+		if len(g) == 0 {
+			return
+		}
+		delete(g, n.Incarnation())
+	}
 	maps.DeleteFunc(g, func(_ string, r removal) bool { return now-r.at > leaverTTL })
 }
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -164,7 +164,7 @@
 		l.Endpoints = applyChanges(e.published, l.Endpoints, l.Removed)
 	}
 	now := e.Now()
-	e.noteEra(l.Revision)
+	older := e.noteEra(l.Revision)
 	e.leavers.add(l.RecentlyLeft, now)
 	known := make(map[string]Endpoint, len(l.Endpoints))
 	for _, n := range l.Endpoints {
@@ -180,11 +180,23 @@
 		e.keepLapsed(known, now, now-l.FollowedFor > e.provenAt)
 	}
 	e.noteLoaded()
+	if !older {
+		e.noteRemovals(known, l.Revision)
+	}
 	e.known, e.revision, e.provenBefore = known, l.Revision, e.provenAt
 	e.compacted = false
 	e.publish()
 }
 
+// noteRemovals remembers the endpoints that the next list lacks, which has a revision; mu must be held.
+func (e *Endpoints) noteRemovals(next map[string]Endpoint, revision uint64) {
+	for name, n := range e.known {
+		if _, ok := next[name]; !ok {
+			e.gone.add(n.Incarnation(), e.Now(), revision)
+		}
+	}
+}
+
 // keepLapsed adds to a peer's list the endpoints that it lacks and that may have lapsed: those that are held as
 // lapsed and, if the peer knows no more than this host, all others; mu must be held.
 func (e *Endpoints) keepLapsed(list map[string]Endpoint, now time.Duration, others bool) {
