--- a/feed/endpoints.go
+++ b/feed/endpoints.go
@@ -235,17 +235,6 @@
 	return nil
 }
 
-// noteEra records the first revision known of a later era of the store, and reports whether this is one; mu must be held.
-func (e *Endpoints) noteEra(revision uint64) bool {
-	if !e.loaded || eraOf(revision) <= eraOf(e.revision) {
-		return false
-	}
-	renewTime := e.StoreHealth.LapseTimes.RenewTime
-	e.eraBegin, e.eraKeepUntil = revision, e.Now()+renewTime
-	e.expiryTimer.Reset(renewTime)
-	return true
-}
-
 // watch reads the changes since a revision, with a call sent at the given moment. The answer proves the
 // state of that moment.
 func (e *Endpoints) watch(ctx context.Context, since uint64, sent, wait time.Duration) error {
@@ -361,20 +350,6 @@
 	e.known[name] = n
 }
 
-// mayHaveLapsed reports whether an endpoint without an entry as of a moment may still serve; mu must be
-// held. An outage that this host has seen since a gap says nothing about entries that it knows only from
-// before the gap: they may have been removed in between, while the store served.
-func (e *Endpoints) mayHaveLapsed(n Endpoint, asOf time.Duration) bool {
-	return !n.Leaving && e.provenAt >= e.gapEndedAt && e.StoreHealth.mayLapse(asOf)
-}
-
-// dropExpired drops lapsed entries that were not renewed in time.
-func (e *Endpoints) dropExpired() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.publish()
-}
-
 // publish drops the entries whose time as lapsed is over, and passes the list on if it changed; mu
 // must be held.
 func (e *Endpoints) publish() {
@@ -403,16 +378,6 @@
 	e.OnChange(list)
 }
 
-// dropLapsed drops the endpoints that did not write their entries again; mu must be held.
-func (e *Endpoints) dropLapsed() {
-	for name, n := range e.known {
-		if n.Lapsed {
-			delete(e.known, name)
-			e.gone.add(n.Incarnation(), e.Now(), e.revision)
-		}
-	}
-}
-
 // logTransitions writes a line for each kind of change between the list in force and the next one; mu
 // must be held. There are few lines, since entries change only when endpoints come, leave or lapse.
 func (e *Endpoints) logTransitions(next []Endpoint) {
--- a/feed/gone.go
+++ b/feed/gone.go
@@ -41,3 +41,23 @@
 	}
 	maps.DeleteFunc(g, func(_ string, r removal) bool { return now-r.at > leaverTTL })
 }
+
+// noteEra records the first revision known of a later era of the store, and reports whether this is one; mu must be held.
+func (e *Endpoints) noteEra(revision uint64) bool {
+	if !e.loaded || eraOf(revision) <= eraOf(e.revision) {
+		return false
+	}
+	renewTime := e.StoreHealth.LapseTimes.RenewTime
+	e.eraBegin, e.eraKeepUntil = revision, e.Now()+renewTime
+	e.expiryTimer.Reset(renewTime)
+	return true
+}
+
+// noteRemovals remembers the endpoints that the next list lacks, which has a revision; mu must be held.
+func (e *Endpoints) noteRemovals(next map[string]Endpoint, revision uint64) {
+	for name, n := range e.known {
+		if _, ok := next[name]; !ok {
+			e.gone.add(n.Incarnation(), e.Now(), revision)
+		}
+	}
+}
--- a/feed/lapse.go
+++ b/feed/lapse.go
@@ -21,3 +21,27 @@
 	// must observe the drain time again.
 	MaxKeep time.Duration
 }
+
+// mayHaveLapsed reports whether an endpoint without an entry as of a moment may still serve; mu must be
+// held. An outage that this host has seen since a gap says nothing about entries that it knows only from
+// before the gap: they may have been removed in between, while the store served.
+func (e *Endpoints) mayHaveLapsed(n Endpoint, asOf time.Duration) bool {
+	return !n.Leaving && e.provenAt >= e.gapEndedAt && e.StoreHealth.mayLapse(asOf)
+}
+
+// dropExpired drops lapsed entries that were not renewed in time.
+func (e *Endpoints) dropExpired() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.publish()
+}
+
+// dropLapsed drops the endpoints that did not write their entries again; mu must be held.
+func (e *Endpoints) dropLapsed() {
+	for name, n := range e.known {
+		if n.Lapsed {
+			delete(e.known, name)
+			e.gone.add(n.Incarnation(), e.Now(), e.revision)
+		}
+	}
+}
--- a/feed/shared.go
+++ b/feed/shared.go
@@ -188,15 +188,6 @@
 	e.publish()
 }
 
-// noteRemovals remembers the endpoints that the next list lacks, which has a revision; mu must be held.
-func (e *Endpoints) noteRemovals(next map[string]Endpoint, revision uint64) {
-	for name, n := range e.known {
-		if _, ok := next[name]; !ok {
-			e.gone.add(n.Incarnation(), e.Now(), revision)
-		}
-	}
-}
-
 // keepLapsed adds to a peer's list the endpoints that it lacks and that may have lapsed: those that are held as
 // lapsed and, if the peer knows no more than this host, all others; mu must be held.
 func (e *Endpoints) keepLapsed(list map[string]Endpoint, now time.Duration, others bool) {
--- a/internal/site/store.go
+++ b/internal/site/store.go
@@ -5,11 +5,8 @@
 package site
 
 import (
-	"bytes"
 	"encoding/json"
-	"maps"
 	"net/http"
-	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -61,57 +58,6 @@
 	era            uint64
 }
 
-// StoreCopy is the state of a store at one moment.
-type StoreCopy struct {
-	items    map[string]StoreItem
-	history  []StoreItem
-	revision uint64
-	oldest   uint64
-	leases   map[uint64]*storeLease
-}
-
-// Copy returns a copy of the state.
-func (s *Store) Copy() *StoreCopy {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c := &StoreCopy{items: maps.Clone(s.items), history: slices.Clone(s.history), revision: s.revision, oldest: s.oldestRevision, leases: make(map[uint64]*storeLease)}
-	for id, l := range s.leases {
-		lease := *l
-		c.leases[id] = &lease
-	}
-	return c
-}
-
-// GoBack puts the state of a copy in place of the present one, and begins the next era. Revisions that were given since are given out
-// again. Watches that wait are cut. What stands below the given prefixes now is written again, as operators and endpoints do.
-func (s *Store) GoBack(c *StoreCopy, rewritten ...string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	newest := s.items
-	s.items, s.history, s.revision, s.oldestRevision, s.leases = maps.Clone(c.items), slices.Clone(c.history), c.revision, c.oldest, c.leases
-	s.era++
-	s.rewrite(newest, rewritten)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// rewrite makes the items below prefixes what they were; mu must be held.
-func (s *Store) rewrite(items map[string]StoreItem, prefixes []string) {
-	below := func(key string) bool {
-		return slices.ContainsFunc(prefixes, func(p string) bool { return strings.HasPrefix(key, p) })
-	}
-	for key, it := range items {
-		if below(key) && !bytes.Equal(s.items[key].Value, it.Value) {
-			s.write(StoreItem{TLSKey: key, Value: it.Value})
-		}
-	}
-	for key := range s.items {
-		if _, stood := items[key]; below(key) && !stood {
-			s.write(StoreItem{TLSKey: key, Removed: true})
-		}
-	}
-}
-
 // currentEra returns the era.
 func (s *Store) currentEra() uint64 {
 	s.mu.Lock()
@@ -430,45 +376,3 @@
 	}
 	reply(w, http.StatusOK, struct{ Revision uint64 }{s.revision})
 }
-
-// leaseBody is the body of calls on leases and of their answers.
-type leaseBody struct {
-	Lease uint64 `json:"lease,omitempty"`
-	TTL   int64  `json:"ttl_ms,omitempty"`
-}
-
-func (s *Store) grantLease(w http.ResponseWriter, r *http.Request) {
-	var b leaseBody
-	if json.NewDecoder(r.Body).Decode(&b) != nil || b.TTL <= 0 {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.revision++
-	ttl := time.Duration(b.TTL) * time.Millisecond
-	s.leases[s.revision] = &storeLease{ttl, time.Now().Add(ttl)}
-	reply(w, http.StatusOK, leaseBody{s.revision, b.TTL})
-}
-
-func (s *Store) renewLease(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.expire()
-	l := s.leases[id]
-	if l == nil {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	l.expiresAt = time.Now().Add(l.ttl)
-	reply(w, http.StatusOK, leaseBody{TTL: l.ttl.Milliseconds()})
-}
-
-func (s *Store) endLease(w http.ResponseWriter, r *http.Request) {
-	id, _ := strconv.ParseUint(mux.Vars(r)["id"], 10, 64)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.removeLease(id)
-	reply(w, http.StatusOK, leaseBody{})
-}
