sched: slots are scarce also for short requests where slot owners answer

Cause: where requests took less time than peer loads are old (0.45 s), no slot counted as scarce and slot owners were not asked. Before the first reports, two rules admitted everything: the zero age of peer state counted as fresh, and a pool without measured requests drew claims from unknown loads.

Where an owner does not answer, and before any has answered, a host claims its own share of an endpoint's slots and then of those that become free.

--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -12,6 +12,8 @@
 	"os"
 	"os/signal"
 
+	"github.com/rotisserie/eris"
+
 	"github.com/heathkeel/heathkeel/edge"
 	"github.com/heathkeel/heathkeel/internal/program"
 	"github.com/heathkeel/heathkeel/internal/version"
@@ -22,6 +24,8 @@
 type args struct {
 	Settings string `arg:"--settings,env:HEATHKEEL_SETTINGS,required" help:"path of the platform's settings file"`
 	Trace    bool   `arg:"--trace,env:HEATHKEEL_TRACE" help:"log a line for every request, without a bound; for measurements, see hkctl account"`
+
+	SharedSlots edge.SharedSlots `arg:"--shared-slots,env:HEATHKEEL_SHARED_SLOTS" default:"auto" help:"auto: in fleets with relays, one host grants an endpoint's slots to all others; off: only where requests take longer than reports between hosts"`
 }
 
 // Version returns the line that --version prints.
@@ -39,8 +43,11 @@
 	if err != nil {
 		p.ExitInvalidSettings(err, "settings", a.Settings)
 	}
+	if !a.SharedSlots.Valid() {
+		p.ExitInvalidSettings(eris.New("--shared-slots must be auto or off"), "value", a.SharedSlots)
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: p.Log.WithValues("host", boot.Host)}
+	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, SharedSlots: a.SharedSlots, Log: p.Log.WithValues("host", boot.Host)}
 	p.Exit(h.Run(context.Background(), signals))
 }
--- a/edge/policy.go
+++ b/edge/policy.go
@@ -4,7 +4,23 @@
 
 package edge
 
-import "github.com/heathkeel/heathkeel/sched"
+import (
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// SharedSlots says when the owners of endpoints' slots grant them to all hosts, see docs/design/shares.md.
+type SharedSlots string
+
+// Values of SharedSlots; the empty value means SharedSlotsAuto.
+const (
+	// SharedSlotsAuto shares slots in fleets that use relays.
+	SharedSlotsAuto SharedSlots = "auto"
+	// SharedSlotsOff asks owners only where requests take longer than the reports between hosts need.
+	SharedSlotsOff SharedSlots = "off"
+)
+
+// Valid reports whether s is a known value.
+func (s SharedSlots) Valid() bool { return s == "" || s == SharedSlotsAuto || s == SharedSlotsOff }
 
 // Parameters of the scheduling policy. docs/MEASUREMENTS.md and docs/ACCOUNT.md have the trials on
 // three deployments with several seeds each behind these values, and the alternatives.
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -5,6 +5,7 @@
 package edge
 
 import (
+	"cmp"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -80,6 +81,8 @@
 	// keys.
 	Ready         bool `json:"ready"`
 	SettingsFresh bool `json:"fresh"`
+	// InForce holds the values of switches.
+	InForce map[string]string `json:"in_force"`
 }
 
 // ownRevision returns the store's own revision of a number that orders the revisions of all eras.
@@ -102,6 +105,7 @@
 	v.StoreAnswered, v.StoreRefused, v.StoreUnanswered = calls.Answered, calls.Refused, calls.Unanswered
 	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
 	v.StoreEras = h.storeEras.Load()
+	v.InForce = map[string]string{"shared_slots": string(cmp.Or(h.SharedSlots, SharedSlotsAuto))}
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -71,7 +71,7 @@
 	return &balancer{
 		rand: r, zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefillRates: make(map[string]*sched.Quantile), effective: make(map[settingsKey]*settings.Effective), ranks: make(map[string][]rankPair), changedLoads: make(map[string]bool),
-		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1},
+		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), wantSentAt: make(map[string]time.Duration), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1},
 	}
 }
 
@@ -239,11 +239,11 @@
 	}
 }
 
-// setHostCount tells the scheduler how many hosts share the endpoints.
-func (b *balancer) setHostCount(n int) {
+// setHostCount tells the scheduler how many hosts share the endpoints, and whether slot owners grant the slots of all endpoints.
+func (b *balancer) setHostCount(n int, slotOwners bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sched.SharingHosts = max(1, n)
+	b.sched.SharingHosts, b.sched.SlotOwners = max(1, n), slotOwners
 }
 
 // setPeerLoads applies the running and waiting requests of all other hosts together.
--- /dev/null
+++ b/ingress/ownerfleet_test.go
@@ -0,0 +1,455 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/places"
+	"github.com/heathkeel/heathkeel/route"
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// ownerFleet simulates hosts that share endpoints, with messages to slot owners that arrive after a delay, on simulated time. It joins the
+// balancers of all hosts; the network, the hosts' clocks, the endpoints and the callers are simulated.
+type ownerFleet struct {
+	cfg       fleetConfig
+	now       time.Duration
+	rand      *rand.Rand
+	hosts     []*simHost
+	endpoints []*simEndpoint
+	events    map[time.Duration][]func()
+	totals    [][]int // by sample: running requests by endpoint, newest last
+	carry     []float64
+	stats     []*loadStats // by load
+	// peak is the most requests that were at the endpoints at a time, and maxAt the most at one endpoint.
+	peak, maxAt int
+	busy        time.Duration // slot time used
+	datagrams   int
+	bytes       int
+	hostWait    time.Duration // of dispatched requests
+	dispatched  int
+}
+
+// fleetConfig describes a simulated fleet.
+type fleetConfig struct {
+	hosts, endpoints, slots int
+	minDelay, maxDelay      time.Duration // of a message
+	age                     time.Duration // of peer state
+	withoutOwners           bool
+	plain                   bool // requests without an objective or tokens
+	loads                   []load
+	measureBytes            bool
+	seed                    uint64
+}
+
+// load is the demand of one workspace.
+type load struct {
+	rate    float64 // requests per second
+	from    time.Duration
+	until   time.Duration // 0 means the end
+	rank    int
+	service time.Duration // mean duration of a request
+	retries int
+	atOnce  bool // refused callers return at once
+}
+
+// loadStats counts the requests of one load. A request counts as served if its first output came within the objective.
+type loadStats struct {
+	offered, served, ran, refused, attempts int
+	slotTime                                time.Duration
+}
+
+// simHost is a simulated host.
+type simHost struct {
+	s         *Server
+	waiting   []*simCall
+	triggered bool
+	waits     bool
+	seq       uint32
+	running   [][]int // by sample
+	current   []int
+	down      bool // answers and sends no messages
+}
+
+// simEndpoint runs a limited number of requests; others wait there in order of arrival.
+type simEndpoint struct {
+	name    string
+	owner   int
+	running int
+	queue   []*simCall
+}
+
+// simCall is a request of a caller.
+type simCall struct {
+	call
+	load    int
+	host    int
+	at      int // endpoint
+	took    time.Duration
+	retries int
+	first   time.Duration // arrival of the first attempt
+}
+
+const (
+	simStep      = time.Millisecond
+	simObjective = time.Second
+	simTokens    = 50
+)
+
+// newOwnerFleet returns a fleet whose hosts know nothing of each other yet.
+func newOwnerFleet(cfg fleetConfig) *ownerFleet {
+	f := &ownerFleet{cfg: cfg, rand: rand.New(rand.NewPCG(cfg.seed, 9)), events: make(map[time.Duration][]func()), carry: make([]float64, len(cfg.loads))}
+	doc := &route.Document{Services: []route.Service{{Name: "s", Engine: !cfg.plain}}}
+	objective := simObjective
+	if cfg.plain {
+		objective = 150 * time.Millisecond
+	}
+	doc.Routes = []route.Route{{Name: "r", Objective: objective, Targets: []route.Target{{Service: "s", Weight: 1}}}}
+	for i, l := range cfg.loads {
+		doc.Workspaces = append(doc.Workspaces, route.Workspace{Name: fmt.Sprint("w", i), Rank: l.rank})
+		f.stats = append(f.stats, &loadStats{})
+	}
+	table := &route.Table{Document: doc}
+	var list []feed.Endpoint
+	for e := range cfg.endpoints {
+		name := fmt.Sprint("e", e)
+		list = append(list, feed.Endpoint{Instance: name, Service: "s", Slots: cfg.slots, Zone: "z"})
+		f.endpoints = append(f.endpoints, &simEndpoint{name: name, owner: (e * 7) % cfg.hosts})
+	}
+	policy := sched.Config{Overcommit: 0.4, CrossZoneCost: 0.6, Disabled: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true, PeerCorrection: true, Reserve: true}}
+	for i := range cfg.hosts {
+		h := &simHost{current: make([]int, cfg.endpoints)}
+		b := newBalancer("z", policy, rand.New(rand.NewPCG(uint64(i)+1000*cfg.seed, 1)), func() time.Duration { return f.now })
+		b.requestSlots = func() { f.trigger(h) }
+		b.setTable(table)
+		b.setEndpoints(0, list)
+		h.s = &Server{balance: b}
+		f.setHostCount(h)
+		f.hosts = append(f.hosts, h)
+	}
+	return f
+}
+
+func (f *ownerFleet) setHostCount(h *simHost) {
+	h.s.balance.setHostCount(f.cfg.hosts, !f.cfg.withoutOwners)
+}
+
+// at calls a function after a delay.
+func (f *ownerFleet) at(delay time.Duration, do func()) {
+	t := (f.now + max(delay, simStep)).Truncate(simStep)
+	f.events[t] = append(f.events[t], do)
+}
+
+// messageDelay returns the random delay of a message.
+func (f *ownerFleet) messageDelay() time.Duration {
+	return f.cfg.minDelay + time.Duration(f.rand.Int64N(int64(f.cfg.maxDelay-f.cfg.minDelay)+1))
+}
+
+// trigger makes a host send its requests to slot owners soon, as peers.Agent does.
+func (f *ownerFleet) trigger(h *simHost) {
+	if h.triggered || f.cfg.withoutOwners {
+		return
+	}
+	h.triggered = true
+	f.at(3*time.Millisecond, func() {
+		h.triggered = false
+		f.askOwners(h)
+	})
+}
+
+// askOwners sends what a host asks the owners of slots.
+func (f *ownerFleet) askOwners(h *simHost) {
+	requests, waits := h.s.SlotRequests(false)
+	h.waits = waits
+	h.seq++
+	seq, from := h.seq, f.index(h)
+	byOwner := make(map[int]map[string]places.Request)
+	for e, x := range f.endpoints {
+		if r, ok := requests[x.name]; ok {
+			if byOwner[f.endpoints[e].owner] == nil {
+				byOwner[x.owner] = make(map[string]places.Request)
+			}
+			byOwner[x.owner][x.name] = r
+		}
+	}
+	if h.down {
+		return
+	}
+	for o := range f.hosts {
+		part := byOwner[o]
+		if part == nil {
+			continue
+		}
+		handle := func() {
+			if !f.hosts[o].down {
+				f.sendGrants(o, f.hosts[o].s.HandleSlotRequests(fmt.Sprint(from), 1, seq, part))
+			}
+		}
+		if o == from {
+			handle()
+			continue
+		}
+		f.count(&peers.SlotRequests{Host: "host-10-0-0-1", Incarnation: 1 << 50, Seq: seq, Requests: part})
+		f.at(f.messageDelay(), handle)
+	}
+}
+
+// sendGrants sends grants to hosts.
+func (f *ownerFleet) sendGrants(owner int, grants map[string]map[string]places.Grant) {
+	for i, h := range f.hosts {
+		part := grants[fmt.Sprint(i)]
+		if part == nil {
+			continue
+		}
+		apply := func() {
+			if !h.down {
+				h.s.HandleGrants(part)
+				f.collect(h)
+			}
+		}
+		if i == owner {
+			apply()
+			continue
+		}
+		f.count(&peers.Grants{Host: "host-10-0-0-1", To: 1 << 50, Grants: part})
+		f.at(f.messageDelay(), apply)
+	}
+}
+
+// count counts a datagram.
+func (f *ownerFleet) count(msg any) {
+	f.datagrams++
+	if f.cfg.measureBytes {
+		data, _ := json.Marshal(msg)
+		f.bytes += len(data) + 1 + 28 // the kind, and the headers of IP and UDP
+	}
+}
+
+// index returns the number of a host.
+func (f *ownerFleet) index(h *simHost) int {
+	for i := range f.hosts {
+		if f.hosts[i] == h {
+			return i
+		}
+	}
+	return -1
+}
+
+// arrive lets a request arrive at a random host.
+func (f *ownerFleet) arrive(load, retries int, first time.Duration) {
+	i := f.rand.IntN(len(f.hosts))
+	for f.hosts[i].down {
+		i = f.rand.IntN(len(f.hosts))
+	}
+	h := f.hosts[i]
+	l := &f.cfg.loads[load]
+	doc := h.s.balance.table.Document
+	x := &simCall{load: load, host: i, retries: retries, first: first}
+	x.route, x.service, x.workspace, x.arrived = &doc.Routes[0], &doc.Services[0], &doc.Workspaces[load], f.now
+	x.took = time.Duration((0.5 + f.rand.Float64()) * float64(l.service))
+	x.req = &sched.Request{PromptTokens: 20, MaxTokens: simTokens, ExpectedTokens: simTokens/2 + f.rand.IntN(simTokens), Arrived: f.now, Deadline: f.now + 10*time.Second, DispatchBy: x.dispatchBy(f.now), Data: make(chan sched.Decision, 1)}
+	x.req.Objective = sched.Objective{FirstToken: simObjective}
+	if f.cfg.plain {
+		x.req.MaxTokens, x.req.ExpectedTokens, x.req.PromptTokens, x.req.Objective = 1, 0, 0, sched.Objective{}
+	}
+	f.stats[load].attempts++
+	f.decided(x, h.s.balance.submit(&x.call))
+	f.collect(h)
+}
+
+// collect takes the decisions on a host's waiting requests.
+func (f *ownerFleet) collect(h *simHost) {
+	kept := h.waiting[:0]
+	var done []*simCall
+	var decisions []sched.Decision
+	for _, x := range h.waiting {
+		select {
+		case d := <-x.req.Data.(chan sched.Decision):
+			done, decisions = append(done, x), append(decisions, d)
+		default:
+			kept = append(kept, x)
+		}
+	}
+	h.waiting = kept
+	for i, x := range done {
+		f.decided(x, decisions[i])
+	}
+}
+
+// decided applies a decision.
+func (f *ownerFleet) decided(x *simCall, d sched.Decision) {
+	st := f.stats[x.load]
+	switch d.Verdict {
+	case sched.Wait:
+		f.hosts[x.host].waiting = append(f.hosts[x.host].waiting, x)
+	case sched.Run:
+		_, _ = fmt.Sscanf(d.Endpoint, "e%d", &x.at)
+		x.endpoint = feed.Endpoint{Instance: d.Endpoint}
+		f.hosts[x.host].current[x.at]++
+		f.hostWait += f.now - x.arrived
+		f.dispatched++
+		e := f.endpoints[x.at]
+		e.queue = append(e.queue, x)
+		f.start(e)
+	case sched.Refuse:
+		st.refused++
+		l := &f.cfg.loads[x.load]
+		if x.retries < l.retries {
+			delay := d.RetryAfter
+			if l.atOnce {
+				delay = 2 * time.Millisecond
+			}
+			f.at(delay, func() { f.arrive(x.load, x.retries+1, x.first) })
+		}
+	}
+}
+
+// start starts requests that wait at an endpoint.
+func (f *ownerFleet) start(e *simEndpoint) {
+	for e.running < f.cfg.slots && len(e.queue) > 0 {
+		x := e.queue[0]
+		e.queue = e.queue[1:]
+		e.running++
+		st := f.stats[x.load]
+		st.ran++
+		objective := simObjective
+		if f.cfg.plain {
+			objective = 150 * time.Millisecond
+		}
+		if f.now-x.arrived+x.took/simTokens <= objective {
+			st.served++
+		}
+		st.slotTime += x.took
+		f.busy += x.took
+		h := f.hosts[x.host]
+		f.at(x.took/simTokens, func() {
+			h.s.balance.observeStep(&x.call, x.took/simTokens)
+			h.s.balance.noteFirstOutput(&x.call, 0)
+		})
+		f.at(x.took, func() {
+			e.running--
+			h.current[x.at]--
+			elapsed := time.Duration(0)
+			if f.cfg.plain {
+				elapsed = x.took
+			}
+			h.s.balance.endSend(&x.call, sched.Completed, simTokens, elapsed)
+			f.collect(h)
+			f.start(e)
+		})
+	}
+}
+
+// run advances the simulation.
+func (f *ownerFleet) run(d time.Duration) {
+	const sample = 25 * time.Millisecond
+	for end := f.now + d; f.now < end; {
+		f.now += simStep
+		for _, do := range f.events[f.now] {
+			do()
+		}
+		delete(f.events, f.now)
+		for i := range f.cfg.loads {
+			l := &f.cfg.loads[i]
+			if f.now < l.from || (l.until > 0 && f.now >= l.until) {
+				continue
+			}
+			f.carry[i] += l.rate * simStep.Seconds()
+			for ; f.carry[i] >= 1; f.carry[i]-- {
+				f.stats[i].offered++
+				f.arrive(i, 0, f.now)
+			}
+		}
+		for i, h := range f.hosts {
+			phase := f.now + time.Duration(i)*simStep
+			if phase%sample == 0 {
+				h.s.balance.claimSlots(f.now)
+				f.collect(h)
+			}
+			if phase%(40*simStep) == 0 && h.waits && !f.cfg.withoutOwners {
+				f.askOwners(h)
+			}
+			if phase%(200*simStep) == 0 {
+				f.reportPeers(h)
+				h.s.balance.tick(f.now)
+				f.collect(h)
+			}
+		}
+		if f.now%sample == 0 {
+			f.record(int(f.cfg.age/sample) + 2)
+		}
+	}
+}
+
+// record stores samples for the hosts' reports to each other.
+func (f *ownerFleet) record(keep int) {
+	total := make([]int, len(f.endpoints))
+	for _, h := range f.hosts {
+		snapshot := append([]int(nil), h.current...)
+		h.running = append(h.running, snapshot)
+		if len(h.running) > keep {
+			h.running = h.running[1:]
+		}
+		for e, n := range snapshot {
+			total[e] += n
+		}
+	}
+	f.totals = append(f.totals, total)
+	if len(f.totals) > keep {
+		f.totals = f.totals[1:]
+	}
+	sum := 0
+	for _, n := range total {
+		sum += n
+		f.maxAt = max(f.maxAt, n)
+	}
+	f.peak = max(f.peak, sum)
+}
+
+// reportPeers tells a host what the others had running some time ago.
+func (f *ownerFleet) reportPeers(h *simHost) {
+	loads := peers.PeerLoads{Load: make(map[string]peers.Load), Waiting: make(map[string][]int), Age: f.cfg.age}
+	if i := len(f.totals) - 1 - int(f.cfg.age/(25*time.Millisecond)); i >= 0 {
+		for e, x := range f.endpoints {
+			loads.Load[x.name] = peers.Load{Running: max(0, f.totals[i][e]-h.running[i][e])}
+		}
+		for _, o := range f.hosts {
+			if o == h {
+				continue
+			}
+			for m, w := range o.s.balance.sched.OwnWaiting() {
+				if loads.Waiting[m] == nil {
+					loads.Waiting[m] = make([]int, len(w))
+				}
+				for k, n := range w {
+					loads.Waiting[m][k] += n
+				}
+			}
+		}
+	}
+	h.s.balance.setPeerLoads(f.now, loads)
+}
+
+// utilization returns the share of the slot time that was used since the start.
+func (f *ownerFleet) utilization() float64 {
+	return f.busy.Seconds() / (f.now.Seconds() * float64(f.cfg.endpoints*f.cfg.slots))
+}
+
+// String describes what was measured.
+func (f *ownerFleet) String() string {
+	out := fmt.Sprintf("peak %d of %d slots, %d at one endpoint, utilization %.3f, wait at hosts %.1f ms, %.1f datagrams and %.2f KB per second and host",
+		f.peak, f.cfg.endpoints*f.cfg.slots, f.maxAt, f.utilization(), 1000*f.hostWait.Seconds()/float64(max(1, f.dispatched)),
+		float64(f.datagrams)/f.now.Seconds()/float64(f.cfg.hosts), float64(f.bytes)/1000/f.now.Seconds()/float64(f.cfg.hosts))
+	for i, st := range f.stats {
+		out += fmt.Sprintf("\n  w%d: offered %d, served %.3f, ran %.3f, refusals %d", i, st.offered, float64(st.served)/float64(max(1, st.offered)), float64(st.ran)/float64(max(1, st.offered)), st.refused)
+	}
+	return out
+}
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -15,10 +15,16 @@
 // which owners forget them.
 const fullSendInterval = time.Second
 
+// wantInterval is the time after which an unchanged wish for a slot is sent again. It is less than the interval between two rounds of
+// requests, so that each round repeats it, and owners keep it for three rounds (requestTTL of package places). Without it, each
+// dispatch and each end of a request repeated all wishes: a host of 64 at 1.2 times the capacity sent and received 2,000 datagrams a second.
+const wantInterval = 35 * time.Millisecond
+
 // slotOwner is the state of a host as the owner of slots, and what it last sent to other owners.
 type slotOwner struct {
 	allocators   map[string]*places.Allocator // by incarnation of the endpoint
 	sentRequests map[string]places.Request    // what the owners know of this host
+	wantSentAt   map[string]time.Duration     // when the owners were last asked for a slot
 	returned     map[string]bool              // incarnations at which a granted slot was not needed
 	lastFullSend time.Duration                // when all requests were last sent to their owners
 	rand         *rand.Rand
@@ -57,8 +63,10 @@
 			request.Rank = rank
 		}
 		known, sent := b.slots.sentRequests[incarnation]
-		if wanted || request.Returned || request.Rejected || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
+		repeat := wanted && now-b.slots.wantSentAt[incarnation] >= wantInterval
+		if repeat || request.Returned || request.Rejected || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
 			out[incarnation] = request
+			b.slots.wantSentAt[incarnation] = now
 			request.Returned, request.Rejected, t.rejected = false, false, false
 			b.slots.sentRequests[incarnation] = request
 		}
@@ -67,6 +75,7 @@
 	for incarnation := range b.slots.sentRequests {
 		if b.targets[incarnation] == nil {
 			delete(b.slots.sentRequests, incarnation)
+			delete(b.slots.wantSentAt, incarnation)
 		}
 	}
 	return out, len(ranks) > 0
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -18,6 +18,7 @@
 	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/origin"
 	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/peers"
 	"github.com/heathkeel/heathkeel/quota"
 	"github.com/heathkeel/heathkeel/route"
 	"github.com/heathkeel/heathkeel/sched"
@@ -51,6 +52,9 @@
 	Host string
 	// Zone is the host's availability zone.
 	Zone string
+	// SharedSlots makes slot owners grant the slots of all endpoints while they are scarce, in fleets whose hosts do not report to each
+	// other directly. Otherwise owners are asked only where requests take longer than reports need.
+	SharedSlots bool
 	// Policy configures the scheduler.
 	Policy sched.Config
 	// Retries is the retry budget of each service over all hosts: the ratio of retries to first sends, and the maximum credit.
@@ -202,7 +206,7 @@
 	s.hostCount = max(1, n)
 	s.quotas.SetHosts(n, interval)
 	s.mu.Unlock()
-	s.balance.setHostCount(n)
+	s.balance.setHostCount(n, s.SharedSlots && n > peers.DirectHosts)
 	if src := s.Settings.Current(); changed && src != nil {
 		s.limitIdle(src.Table)
 	}
--- a/peers/agent.go
+++ b/peers/agent.go
@@ -25,6 +25,8 @@
 	// fanout is the number of members that are sent heartbeats directly. In larger fleets heartbeats go to a
 	// relay.
 	fanout = 8
+	// DirectHosts is the largest number of hosts that report to each other directly.
+	DirectHosts = fanout + 1
 	// minInterval is the minimum time between two heartbeats: when all hosts start at once, each of them
 	// queries every seed within 0.3 s.
 	minInterval = 20 * time.Millisecond
@@ -49,7 +51,7 @@
 // ReportInterval returns the longest usual time between two reports of a host that reach another one in a fleet
 // of n hosts: through two relays it takes three heartbeats.
 func ReportInterval(n int) time.Duration {
-	if n <= fanout+1 {
+	if n <= DirectHosts {
 		return DefaultInterval
 	}
 	return 3 * DefaultInterval
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -23,8 +23,10 @@
 // Slots are scarce when the free slots of all endpoints are fewer than a few times the requests
 // that arrive at all hosts within one peer-state delay, or when few are free while a tier is
 // rationed. Where requests take less time than the delay, as at plain services, peer state says
-// nothing about the slots that are free now, and no claims are drawn. Where an endpoint has a slot
-// owner that answers, its grants replace claims; see grant.go.
+// nothing about the slots that are free now. Without slot owners no claims are drawn there. With
+// owners, whose information is milliseconds old, slots are scarce by the same rule; at an endpoint
+// whose owner does not answer, each host then claims its own share of the slots that become free.
+// Where an endpoint has a slot owner that answers, its grants replace claims; see grant.go.
 
 // Parameters of claims.
 const (
@@ -44,6 +46,10 @@
 	// slot. A request then needs a claim only while its tier is rationed or while requests of its
 	// tier or above wait at other hosts; without a ration its last chance needs no claim.
 	freshPeerState = 50 * time.Millisecond
+	// newPoolPeriod is the time for which a pool's slots count as scarce where slot owners grant
+	// them: until then the arrival rate is underestimated and peer state shows no load. Without it,
+	// a fleet that starts under load sends requests for 0.3 s without asking any owner.
+	newPoolPeriod = time.Second
 	// rateHalfLife is the half-life of arrivals in the arrival rate.
 	rateHalfLife = time.Second
 )
@@ -89,7 +95,10 @@
 	if p.rationed() {
 		scarceBelow = max(scarceBelow, scarceFreeShare*slots)
 	}
-	p.scarce = peerStateUseful && s.SharingHosts > 1 && !s.cfg.Disabled.Claims && free < scarceBelow
+	p.drawnFor += dt
+	scarce := free < scarceBelow || (s.SlotOwners && p.drawnFor < newPoolPeriod)
+	p.scarce = (peerStateUseful || s.SlotOwners) && s.SharingHosts > 1 && !s.cfg.Disabled.Claims && scarce
+	p.claimsByRate = s.SlotOwners && (!peerStateUseful || measured == 0 || s.peerState.Age == 0)
 	if !p.scarce {
 		return
 	}
@@ -101,7 +110,43 @@
 	period := claimDelays * s.peerState.Age
 	share := own / (own + others) * min(1, dt.Seconds()/period.Seconds())
 	for _, e := range p.members {
-		s.drawEndpointClaims(now, e, share)
+		if p.claimsByRate {
+			s.drawRateClaims(now, dt, e)
+		} else {
+			s.drawEndpointClaims(now, e, share)
+		}
+	}
+}
+
+// drawRateClaims draws the claims on one endpoint whose owner does not answer, where peer state does
+// not tell which slots are free: this host's own share of the slots at first, and then of those that
+// become free within dt. Unused claims expire after the time of a request.
+func (s *Scheduler) drawRateClaims(now, dt time.Duration, e *endpointState) {
+	e.vacated = 0
+	service := s.serviceTime(e)
+	switch {
+	case e.grantsOnly():
+		return
+	case s.ownerAnswers(now, e):
+		if now-e.claimedAt > grantTTL {
+			e.claims = 0
+		}
+		return
+	case now-e.claimedAt > service:
+		e.claims = 0
+	}
+	turnover := 1.0 // share of the slots that become free
+	if e.rateClaims {
+		turnover = min(1, dt.Seconds()/service.Seconds())
+	}
+	e.rateClaims = true
+	mean := float64(e.slots()) / float64(s.SharingHosts) * turnover
+	n := int(mean)
+	if s.Rand.Float64() < mean-float64(n) {
+		n++
+	}
+	if n > 0 {
+		e.claims, e.claimedAt = e.claims+n, now
 	}
 }
 
@@ -149,7 +194,7 @@
 	if !r.pool.scarce || e.claims > 0 {
 		return true
 	}
-	if s.ownerAnswers(now, e) {
+	if s.ownerAnswers(now, e) || r.pool.claimsByRate {
 		return false
 	}
 	if e.vacated > 0 {
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -83,10 +83,12 @@
 	ownerReportAt   time.Duration // when the slot owner last reported the requests of other hosts
 	unansweredSince time.Duration // start of the requests to the slot owner without an answer, or 0
 	lastAskedAt     time.Duration // time of the latest request to the slot owner
+	requestedAt     time.Duration // when the first request for the slot wanted now was sent, or 0
 	vacated         int           // slots that own requests left recently
 	vacatedAt       time.Duration // when the latest of them was left
 	claims          int           // free slots that this host may take
 	claimedAt       time.Duration // when the latest claim was drawn or granted
+	rateClaims      bool          // claims were drawn by rate
 	own             int           // own requests in flight
 	ownLong         int           // the long ones of them
 	ownPrefill      [maxRanks]int // prompt tokens of own requests without a first token, by tier
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	endpointsAskedPerRequest = 6
 	// maxAskedRequests limits the requests for which slots are requested at a time.
 	maxAskedRequests = 4
+	// requestedFor is the time for which a host keeps asking for slots of the same endpoint. Other
+	// endpoints are chosen then, as their loads have changed.
+	requestedFor = 200 * time.Millisecond
 	// ownerTTL is the time after an owner's answer for which a host relies on owners: several
 	// times the interval between its requests to them.
 	ownerTTL = 300 * time.Millisecond
@@ -63,7 +67,8 @@
 
 // SlotRequests returns the endpoints at which this host wants a slot, each with the highest tier
 // for which it wants one, and records that their owners are asked. Where hosts fill other slots
-// without asking, grantsOnly leaves these out.
+// without asking, grantsOnly leaves these out. Endpoints stay requested until a slot is granted, so
+// that each trigger does not ask other owners.
 func (s *Scheduler) SlotRequests(now time.Duration, grantsOnly bool) map[string]int {
 	out := make(map[string]int)
 	for _, p := range s.pools {
@@ -95,6 +100,9 @@
 	for _, e := range p.members {
 		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
 			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
+			if now-e.requestedAt <= requestedFor && e.requestedAt > 0 {
+				load = math.Inf(-1)
+			}
 			if e.CrossZone {
 				load += s.cfg.CrossZoneCost
 			}
@@ -104,6 +112,9 @@
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.load, b.load) })
 	out := make([]*endpointState, 0, n)
 	for _, x := range list[:min(n, len(list))] {
+		if x.e.requestedAt == 0 || now-x.e.requestedAt > requestedFor {
+			x.e.requestedAt = max(now, 1)
+		}
 		out = append(out, x.e)
 	}
 	return out
@@ -126,6 +137,7 @@
 	if g.Slots == 0 {
 		return true
 	}
+	e.requestedAt = 0
 	e.grant(now, g.Slots)
 	s.wake(e)
 	for _, p := range s.pools {
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,8 +24,12 @@
 	waiting int
 	// arrivals is the rate of requests at this host; scarce says that a slot may be filled only
 	// with a claim, a grant or a vacated slot; see DrawClaims.
-	arrivals       arrivals
-	scarce         bool
+	arrivals arrivals
+	scarce   bool
+	// drawnFor is the time for which claims have been drawn. claimsByRate says that claims do not
+	// depend on peer state, which is older than most requests or was never received.
+	drawnFor       time.Duration
+	claimsByRate   bool
 	silentActivity float64 // estimated probability that silent hosts still serve
 	meanCost       float64 // of a request, in steps
 	floor          floor
@@ -54,7 +59,7 @@
 	key := PoolKey(r.Settings.Endpoints, r.Model)
 	p := s.pools[key]
 	if p == nil {
-		p = &pool{key: key, names: r.Settings.Endpoints, model: r.Model}
+		p = &pool{key: key, names: r.Settings.Endpoints, model: r.Model, scarce: s.SlotOwners && !s.cfg.Disabled.Claims, claimsByRate: s.SlotOwners}
 		s.pools[key] = p
 		s.setMembers(p)
 	}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -22,6 +22,9 @@
 	Rand *rand.Rand
 	// SharingHosts is the number of hosts that share the endpoints, including this one.
 	SharingHosts int
+	// SlotOwners says that the hosts that own the slots of endpoints grant them to all others; see
+	// package places.
+	SlotOwners bool
 	// Hosts returns the number of hosts that serve a workspace; nil means 1.
 	Hosts func(workspace string) int
 
