places: fair sharing of an endpoint's slots among workspaces

Cause: a slot owner knew tiers but not workspaces. With 6 endpoints of 8 slots, 640 requests a second of one workspace and 20 of each of three others, hosts refused or delayed the small ones in proportion.

Change: slot requests name up to four workspaces and tiers that wait (Request.Wants, JSON key w), and grants the workspace (Grant.Workspace, w). The owner grants to the highest tier, and in it by start-time fair queueing over the time for which slots are used; a returned or expired grant is not charged. A host runs the workspace's request with a grant first.

--- a/ingress/ownerfleet_test.go
+++ b/ingress/ownerfleet_test.go
@@ -453,3 +453,4 @@
 	}
 	return out
 }
+
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -60,11 +60,11 @@
 		request := places.Request{Running: b.sched.InFlight(incarnation), Rank: -1, Returned: b.slots.returned[incarnation], Rejected: t.rejected}
 		rank, wanted := ranks[incarnation]
 		if wanted {
-			request.Rank = rank
+			request.Rank, request.Wants = rank, b.sched.Wants(incarnation)
 		}
 		known, sent := b.slots.sentRequests[incarnation]
 		repeat := wanted && now-b.slots.wantSentAt[incarnation] >= wantInterval
-		if repeat || request.Returned || request.Rejected || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
+		if repeat || request.Returned || request.Rejected || (sent && (known.Running != request.Running || !known.SameWants(request))) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
 			out[incarnation] = request
 			b.slots.wantSentAt[incarnation] = now
 			request.Returned, request.Rejected, t.rejected = false, false, false
@@ -98,8 +98,8 @@
 		if t.inForce.grantsOnly() && !t.mayGrant(now) {
 			continue // the sender may take this host for the owner, and this host another one
 		}
-		for _, to := range allocator.Allocate(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
-			addGrant(out, to, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, to)})
+		for _, x := range allocator.AllocateShares(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
+			addGrant(out, x.Host, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, x.Host), Workspace: x.Workspace})
 		}
 		if _, granted := out[host][incarnation]; !granted && request.Rank >= 0 {
 			addGrant(out, host, incarnation, places.Grant{Running: allocator.OthersRunning(now, host)})
--- a/places/book.go
+++ b/places/book.go
@@ -6,6 +6,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 	Returned bool `json:"b,omitempty"`
 	// Rejected says that an endpoint that crashes when it has to reject requests rejected one of the host.
 	Rejected bool `json:"f,omitempty"`
+	// Wants says for which workspaces it wants the slot. Without them, a request counts as one of workspace "" and of Rank.
+	Wants Wants `json:"w,omitzero"`
 }
 
 // Grant is the owner's answer.
@@ -41,12 +44,16 @@
 	Slots int `json:"p,omitempty"`
 	// Running is the number of requests of all hosts at the endpoint.
 	Running int `json:"r"`
+	// Workspace is the one for which the slots are granted.
+	Workspace string `json:"w,omitempty"`
 }
 
 // Allocator allocates the slots of one endpoint, and the requests per second that it takes from all hosts
 // together if it limits them. The zero value is empty and has no such limit.
 type Allocator struct {
 	hosts       map[string]*hostState
+	order       []*hostState // the same; maps take ten times as long to iterate
+	shares      shares
 	limited     bool
 	rate        float64 // requests per second, if limited
 	pacer       pacer
@@ -72,8 +79,10 @@
 	h := a.hosts[self]
 	if h == nil {
 		h = &hostState{rank: -1}
-		a.hosts[self] = h
+		a.add(self, h)
 	}
+	h.take(now, running-h.running)
+	h.end(now, &a.shares, h.running-running)
 	h.running, h.granted, h.grantExpiry = running, granted, now+grantTTL
 	h.updatedAt = max(h.updatedAt, now-requestTTL-1) // its wish for a slot is as old as its message
 }
@@ -91,32 +100,53 @@
 // used returns the number of slots that are taken or granted.
 func (a *Allocator) used(now time.Duration) int {
 	n := a.Running(now)
-	for _, h := range a.hosts {
+	for _, h := range a.order {
 		if now >= h.grantExpiry {
-			h.granted = 0
+			h.drop(&a.shares)
 		}
 		n += h.granted
 	}
 	return n
 }
 
+// add adds the state of a host, or replaces it.
+func (a *Allocator) add(host string, h *hostState) {
+	h.name = host
+	if old := a.hosts[host]; old != nil {
+		a.remove(old)
+	}
+	a.hosts[host] = h
+	a.order = append(a.order, h)
+}
+
+// remove removes the state of a host.
+func (a *Allocator) remove(h *hostState) {
+	h.drop(&a.shares)
+	delete(a.hosts, h.name)
+	if i := slices.Index(a.order, h); i >= 0 {
+		a.order = slices.Delete(a.order, i, i+1)
+	}
+}
+
 // Wanted reports whether a host wants a slot.
 func (a *Allocator) Wanted(now time.Duration) bool {
-	for _, h := range a.hosts {
-		if h.wants(now) {
+	for _, h := range a.order {
+		if h.wantsSlot(now) {
 			return true
 		}
 	}
 	return false
 }
 
-// wants reports whether a host wants a slot and has no grant.
-func (h *hostState) wants(now time.Duration) bool {
+// wantsSlot reports whether a host wants a slot and has no grant.
+func (h *hostState) wantsSlot(now time.Duration) bool {
 	return h.rank >= 0 && h.granted == 0 && now-h.updatedAt <= requestTTL
 }
 
 // hostState is the last message of a host, and the slots granted to it.
 type hostState struct {
+	shareState
+	name        string
 	incarnation uint64
 	seq         uint32
 	running     int
@@ -136,13 +166,15 @@
 	h := a.hosts[host]
 	if h == nil || h.incarnation != incarnation || now-h.updatedAt > hostTTL {
 		h = &hostState{incarnation: incarnation}
-		a.hosts[host] = h
+		a.add(host, h)
 	}
 	if seq <= h.seq && h.seq != 0 && h.seq-seq < 1<<31 {
 		return
 	}
 	req.Running = max(0, req.Running)
 	h.granted = max(0, h.granted-max(0, req.Running-h.running))
+	h.take(now, req.Running-h.running)
+	h.end(now, &a.shares, h.running-req.Running)
 	if req.Rejected {
 		a.pausedUntil = now + rejectPause
 	}
@@ -150,17 +182,19 @@
 		if now < h.grantExpiry {
 			a.pacer.put(h.granted)
 		}
-		h.granted = 0
+		h.drop(&a.shares)
 	}
+	h.setWants(&a.shares, &req)
 	h.seq, h.running, h.rank, h.updatedAt = seq, req.Running, req.Rank, now
 }
 
 // Running returns the number of requests at the endpoint according to the hosts' messages.
 func (a *Allocator) Running(now time.Duration) int {
 	n := 0
-	for host, h := range a.hosts {
+	for i := len(a.order) - 1; i >= 0; i-- {
+		h := a.order[i]
 		if now-h.updatedAt > hostTTL {
-			delete(a.hosts, host)
+			a.remove(h)
 			continue
 		}
 		n += h.running
@@ -168,53 +202,42 @@
 	return n
 }
 
-// Allocate grants free slots; limit returns the number of requests up to which a tier may fill the
-// endpoint. It returns the hosts that got a slot, higher tiers first and in random order within a
-// tier.
+// Allocate grants free slots as AllocateShares does, and returns the hosts that got one.
 func (a *Allocator) Allocate(now time.Duration, limit func(rank int) int, r *rand.Rand) []string {
-	used := a.used(now)
 	var out []string
+	for _, x := range a.AllocateShares(now, limit, r) {
+		out = append(out, x.Host)
+	}
+	return out
+}
+
+// AllocateShares grants free slots; limit returns the number of requests up to which a tier may fill
+// the endpoint. Higher tiers get slots first, and within a tier the workspaces that have received
+// the least of the endpoint's time for their weight.
+func (a *Allocator) AllocateShares(now time.Duration, limit func(rank int) int, r *rand.Rand) []Allocation {
+	used := a.used(now)
+	var out []Allocation
 	for now >= a.pausedUntil {
-		host := a.next(now, r)
-		if host == "" || used >= limit(a.hosts[host].rank) || (a.limited && !a.pacer.take(now, a.rate)) {
+		h, f := a.nextShare(now, r)
+		if h == nil || used >= limit(f.rank) || (a.limited && !a.pacer.take(now, a.rate)) {
 			return out
 		}
-		h := a.hosts[host]
+		h.grants = append(h.grants, use{flow: f, charged: a.shares.charge(f)})
 		h.granted++
 		h.grantExpiry = now + grantTTL
+		a.notePassed(now, f)
 		used++
-		out = append(out, host)
+		out = append(out, Allocation{h.name, f.workspace, f.rank})
 	}
 	return out
 }
 
-// next returns a random host among those that want a slot for the highest tier and have no grant,
-// or "".
-func (a *Allocator) next(now time.Duration, r *rand.Rand) string {
-	best, ties := "", 0
-	for host, h := range a.hosts {
-		if !h.wants(now) {
-			continue
-		}
-		switch {
-		case best == "" || h.rank < a.hosts[best].rank:
-			best, ties = host, 1
-		case h.rank == a.hosts[best].rank:
-			ties++
-			if r.IntN(ties) == 0 {
-				best = host
-			}
-		}
-	}
-	return best
-}
-
 // OthersRunning returns the number of requests of all hosts but one; their granted slots count as
 // taken.
 func (a *Allocator) OthersRunning(now time.Duration, host string) int {
 	n := a.Running(now)
-	for name, h := range a.hosts {
-		if name != host && now < h.grantExpiry {
+	for _, h := range a.order {
+		if h.name != host && now < h.grantExpiry {
 			n += h.granted
 		}
 	}
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -200,7 +200,7 @@
 	if e.vacated > 0 {
 		return true
 	}
-	rationed := r.pool.rations[r.rank()].refusedShare > 0
+	rationed := s.ration(r).refusedShare > 0
 	return s.peerState.Age <= freshPeerState && !rationed && (r.lastChance || !s.contended(r))
 }
 
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/heathkeel/heathkeel/outlier"
+	"github.com/heathkeel/heathkeel/places"
 )
 
 // Report is the part of an endpoint's load report that the scheduler uses.
@@ -83,6 +84,7 @@
 	ownerReportAt   time.Duration // when the slot owner last reported the requests of other hosts
 	unansweredSince time.Duration // start of the requests to the slot owner without an answer, or 0
 	lastAskedAt     time.Duration // time of the latest request to the slot owner
+	wants           places.Wants  // sent with the latest request to the slot owner
 	requestedAt     time.Duration // when the first request for the slot wanted now was sent, or 0
 	vacated         int           // slots that own requests left recently
 	vacatedAt       time.Duration // when the latest of them was left
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -80,14 +80,29 @@
 		for rank < maxRanks-1 && p.tiers[rank].waiting == 0 {
 			rank++
 		}
+		var list [places.MaxWants]places.Want
+		wants := list[:0]
+		for k := rank; k < maxRanks && len(wants) < places.MaxWants; k++ {
+			wants = p.tiers[k].wants(k, wants)
+		}
 		for _, e := range s.endpointsToAsk(now, p, ask, endpointsAskedPerRequest*min(maxAskedRequests, p.waiting)) {
 			out[e.Name] = rank
+			e.wants = places.NewWants(wants...)
 			e.recordAsk(now)
 		}
 	}
 	return out
 }
 
+// Wants returns for which workspaces and tiers this host wants a slot of an endpoint, as of the last
+// call of SlotRequests that named it.
+func (s *Scheduler) Wants(name string) places.Wants {
+	if e := s.byName[name]; e != nil {
+		return e.wants
+	}
+	return places.Wants{}
+}
+
 // endpointsToAsk returns the n endpoints of a pool with the lowest known load whose owners are to be
 // asked, where endpoints in other zones count as more loaded, as in the choice of an endpoint.
 // Without that, messages between zones cost 0.011 of the value of a simulated day at 63 hosts.
@@ -139,13 +154,35 @@
 	}
 	e.requestedAt = 0
 	e.grant(now, g.Slots)
-	s.wake(e)
+	useful := false
 	for _, p := range s.pools {
 		if p.waiting > 0 && slices.Contains(p.members, e) {
-			return true
+			useful = true
+			s.dispatchGranted(now, p, g.Workspace)
+		}
+	}
+	s.wake(e)
+	return useful
+}
+
+// dispatchGranted dispatches the next request of the workspace for which a slot was granted, if one
+// waits; its decision is returned by the next Poll. If none waits, the slot is for any other request.
+func (s *Scheduler) dispatchGranted(now time.Duration, p *pool, workspace string) {
+	for rank := range p.tiers {
+		f := p.tiers[rank].flows[workspace]
+		if f == nil || f.waiting == 0 {
+			continue
+		}
+		r := f.next()
+		if p.floor.excludes(now, rank) || s.outwaitsRest(now, r) || s.tooLate(now, r) {
+			return // Poll refuses it
+		}
+		if d, ok := s.dispatch(now, r); ok {
+			s.unqueue(r)
+			s.pending = append(s.pending, d)
 		}
+		return
 	}
-	return false
 }
 
 // grant records granted slots. Where each request needs a grant, they are added to those not used
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -34,8 +34,10 @@
 	meanCost       float64 // of a request, in steps
 	floor          floor
 	rations        [maxRanks]ration
-	dirty          bool
-	panicMode      bool // so many endpoints fail that ejections do not count
+	// workspaceRations replaces rations where slot owners divide slots among workspaces.
+	workspaceRations map[rationKey]*ration
+	dirty            bool
+	panicMode        bool // so many endpoints fail that ejections do not count
 }
 
 // poolCacheKey identifies a request's pool without hashing its endpoints.
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -5,8 +5,12 @@
 package sched
 
 import (
+	"cmp"
 	"container/heap"
 	"container/list"
+	"slices"
+
+	"github.com/heathkeel/heathkeel/places"
 )
 
 // flow holds the waiting requests of one workspace in one tier of one pool. Within it, services
@@ -199,6 +203,28 @@
 	}
 }
 
+// wants appends the flows with waiting requests as wants of a tier, those that are served first, up
+// to places.MaxWants in all.
+func (q *tierQueue) wants(rank int, out []places.Want) []places.Want {
+	first := len(out)
+	for len(out) < places.MaxWants && len(out)-first < len(q.active) {
+		var best *flow
+		for _, f := range q.active {
+			listed := slices.ContainsFunc(out[first:], func(w places.Want) bool { return w.Workspace == f.workspace })
+			if !listed && (best == nil || f.virtualTime < best.virtualTime) {
+				best = f
+			}
+		}
+		w := places.Want{Workspace: best.workspace, Rank: rank, N: best.waiting}
+		if best.weight != 1 {
+			w.Weight = best.weight
+		}
+		out = append(out, w)
+	}
+	slices.SortFunc(out[first:], func(a, b places.Want) int { return cmp.Compare(a.Workspace, b.Workspace) })
+	return out
+}
+
 // costBefore estimates the cost served before a request of a workspace that arrives now: the
 // waiting cost of its own flow, increased by the other flows' share of the time, and at most the
 // cost of all waiting requests.
--- a/sched/ration.go
+++ b/sched/ration.go
@@ -71,6 +71,11 @@
 
 // rationed reports whether any tier of a pool is rationed.
 func (p *pool) rationed() bool {
+	for _, x := range p.workspaceRations {
+		if x.refusedShare > 0 {
+			return true
+		}
+	}
 	return slices.ContainsFunc(p.rations[:], func(x ration) bool { return x.refusedShare > 0 })
 }
 
@@ -121,24 +126,24 @@
 
 // beyondRation reports whether a request is beyond the share of its tier that is admitted now.
 func (s *Scheduler) beyondRation(r *Request) bool {
-	return !r.rationExempt && r.lengthQuantile > 1-r.pool.rations[r.rank()].refusedShare
+	return !r.rationExempt && r.lengthQuantile > 1-s.ration(r).refusedShare
 }
 
 // rationRetryAfter returns the retry time of a request refused by a ration: a shortage is assumed
 // to last as long again as it has lasted.
 func (s *Scheduler) rationRetryAfter(now time.Duration, r *Request) time.Duration {
-	return min(maxRationRetryAfter, max(s.estimateWait(now, r), now-r.pool.rations[r.rank()].since))
+	return min(maxRationRetryAfter, max(s.estimateWait(now, r), now-s.ration(r).since))
 }
 
 // noteUnplaced and noteDispatched report a request's outcome to the ration of its tier.
 func (s *Scheduler) noteUnplaced(now time.Duration, r *Request) {
 	if r.lengthQuantile > 0 && !r.rationExempt {
-		r.pool.rations[r.rank()].noteUnplaced(now)
+		s.ration(r).noteUnplaced(now)
 	}
 }
 
 func (s *Scheduler) noteDispatched(r *Request) {
 	if r.lengthQuantile > 0 && !r.rationExempt {
-		r.pool.rations[r.rank()].noteDispatched()
+		s.ration(r).noteDispatched()
 	}
 }
