--- a/sched/grant.go
+++ b/sched/grant.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	endpointsAskedPerRequest = 6
 	// maxAskedRequests limits the requests for which slots are requested at a time.
 	maxAskedRequests = 4
+	// requestedFor is the time for which a host keeps asking for slots of the same endpoint. Other
+	// endpoints are chosen then, as their loads have changed.
+	requestedFor = 200 * time.Millisecond
 	// ownerTTL is the time after an owner's answer for which a host relies on owners: several
 	// times the interval between its requests to them.
 	ownerTTL = 300 * time.Millisecond
@@ -63,7 +67,8 @@
 
 // SlotRequests returns the endpoints at which this host wants a slot, each with the highest tier
 // for which it wants one, and records that their owners are asked. Where hosts fill other slots
-// without asking, grantsOnly leaves these out.
+// without asking, grantsOnly leaves these out. Endpoints stay requested until a slot is granted, so
+// that each trigger does not ask other owners.
 func (s *Scheduler) SlotRequests(now time.Duration, grantsOnly bool) map[string]int {
 	out := make(map[string]int)
 	for _, p := range s.pools {
@@ -75,14 +80,29 @@
 		for rank < maxRanks-1 && p.tiers[rank].waiting == 0 {
 			rank++
 		}
+		var list [places.MaxWants]places.Want
+		wants := list[:0]
+		for k := rank; k < maxRanks && len(wants) < places.MaxWants; k++ {
+			wants = p.tiers[k].wants(k, wants)
+		}
 		for _, e := range s.endpointsToAsk(now, p, ask, endpointsAskedPerRequest*min(maxAskedRequests, p.waiting)) {
 			out[e.Name] = rank
+			e.wants = places.NewWants(wants...)
 			e.recordAsk(now)
 		}
 	}
 	return out
 }
 
+// Wants returns for which workspaces and tiers this host wants a slot of an endpoint, as of the last
+// call of SlotRequests that named it.
+func (s *Scheduler) Wants(name string) places.Wants {
+	if e := s.byName[name]; e != nil {
+		return e.wants
+	}
+	return places.Wants{}
+}
+
 // endpointsToAsk returns the n endpoints of a pool with the lowest known load whose owners are to be
 // asked, where endpoints in other zones count as more loaded, as in the choice of an endpoint.
 // Without that, messages between zones cost 0.011 of the value of a simulated day at 63 hosts.
@@ -95,6 +115,9 @@
 	for _, e := range p.members {
 		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
 			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
+			if now-e.requestedAt <= requestedFor && e.requestedAt > 0 {
+				load = math.Inf(-1)
+			}
 			if e.CrossZone {
 				load += s.cfg.CrossZoneCost
 			}
@@ -104,6 +127,9 @@
 	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.load, b.load) })
 	out := make([]*endpointState, 0, n)
 	for _, x := range list[:min(n, len(list))] {
+		if x.e.requestedAt == 0 || now-x.e.requestedAt > requestedFor {
+			x.e.requestedAt = max(now, 1)
+		}
 		out = append(out, x.e)
 	}
 	return out
@@ -126,14 +152,37 @@
 	if g.Slots == 0 {
 		return true
 	}
+	e.requestedAt = 0
 	e.grant(now, g.Slots)
-	s.wake(e)
+	useful := false
 	for _, p := range s.pools {
 		if p.waiting > 0 && slices.Contains(p.members, e) {
-			return true
+			useful = true
+			s.dispatchGranted(now, p, g.Workspace)
+		}
+	}
+	s.wake(e)
+	return useful
+}
+
+// dispatchGranted dispatches the next request of the workspace for which a slot was granted, if one
+// waits; its decision is returned by the next Poll. If none waits, the slot is for any other request.
+func (s *Scheduler) dispatchGranted(now time.Duration, p *pool, workspace string) {
+	for rank := range p.tiers {
+		f := p.tiers[rank].flows[workspace]
+		if f == nil || f.waiting == 0 {
+			continue
+		}
+		r := f.next()
+		if p.floor.excludes(now, rank) || s.outwaitsRest(now, r) || s.tooLate(now, r) {
+			return // Poll refuses it
+		}
+		if d, ok := s.dispatch(now, r); ok {
+			s.unqueue(r)
+			s.pending = append(s.pending, d)
 		}
+		return
 	}
-	return false
 }
 
 // grant records granted slots. Where each request needs a grant, they are added to those not used
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -23,14 +24,20 @@
 	waiting int
 	// arrivals is the rate of requests at this host; scarce says that a slot may be filled only
 	// with a claim, a grant or a vacated slot; see DrawClaims.
-	arrivals       arrivals
-	scarce         bool
+	arrivals arrivals
+	scarce   bool
+	// drawnFor is the time for which claims have been drawn. claimsByRate says that claims do not
+	// depend on peer state, which is older than most requests or was never received.
+	drawnFor       time.Duration
+	claimsByRate   bool
 	silentActivity float64 // estimated probability that silent hosts still serve
 	meanCost       float64 // of a request, in steps
 	floor          floor
 	rations        [maxRanks]ration
-	dirty          bool
-	panicMode      bool // so many endpoints fail that ejections do not count
+	// workspaceRations replaces rations where slot owners divide slots among workspaces.
+	workspaceRations map[rationKey]*ration
+	dirty            bool
+	panicMode        bool // so many endpoints fail that ejections do not count
 }
 
 // poolCacheKey identifies a request's pool without hashing its endpoints.
@@ -54,7 +61,7 @@
 	key := PoolKey(r.Settings.Endpoints, r.Model)
 	p := s.pools[key]
 	if p == nil {
-		p = &pool{key: key, names: r.Settings.Endpoints, model: r.Model}
+		p = &pool{key: key, names: r.Settings.Endpoints, model: r.Model, scarce: s.SlotOwners && !s.cfg.Disabled.Claims, claimsByRate: s.SlotOwners}
 		s.pools[key] = p
 		s.setMembers(p)
 	}
