sched: retry times from the backlog of all hosts, rations divided among workspaces

Cause: refused callers got this host's own estimate, the same for all refused at one moment, and most of those that returned during a surge were refused again. Callers that retry at once got more than others.

Change, in fleets of more than 9 hosts that hear more than half of each other: the retry time is the time in which the requests waiting at all hosts are served, or as long as the caller honors while no end is in sight, spread over its last quarter (sched/retryafter.go). A ration's admitted share is divided among workspaces by weighted max-min fairness over attempts (sched/excess.go). A request is refused at once if half of its waiting time passes with what waits before it at all hosts. Each can be switched off in sched.Rules.

--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -103,3 +103,34 @@
 		})
 	}
 }
+
+// BenchmarkRefuse measures the refusal of a request in a large fleet at 140 engines and 16
+// workspaces.
+func BenchmarkRefuse(b *testing.B) {
+	s := benchScheduler(140)
+	s.SharingHosts = 76
+	s.SetPeerState(PeerState{Age: 450 * time.Millisecond, Waiting: map[string][]int{"m": {0, 100}}})
+	var effs [16]*settings.Effective
+	for i := range effs {
+		effs[i] = benchSettings(fmt.Sprint("w", i))
+		effs[i].MaxQueued = 0
+	}
+	now := 2 * time.Second
+	r := &Request{}
+	refused := func(i int) {
+		*r = Request{Settings: effs[i%len(effs)], Model: "m", PromptTokens: 100, MaxTokens: 100, Arrived: now, Deadline: now + 8*time.Second, DispatchBy: now + 100*time.Millisecond}
+		if d := s.Submit(now, r); d.Verdict != Refuse {
+			b.Fatal(d)
+		}
+	}
+	for _, e := range s.endpoints {
+		e.own = 100
+	}
+	for i := range effs {
+		refused(i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		refused(i)
+	}
+}
--- a/sched/config.go
+++ b/sched/config.go
@@ -84,6 +84,12 @@
 	Claims bool
 	// Rationing admits the shortest expected answers first while slots are scarce.
 	Rationing bool
+	// WorkspaceRations divides rations among workspaces.
+	WorkspaceRations bool
+	// EarlyBacklog refuses requests that would wait for too long behind those of all hosts.
+	EarlyBacklog bool
+	// FleetRetry derives retry times from the backlog of all hosts.
+	FleetRetry bool
 	// LateBinding keeps requests waiting until an endpoint has room; without it, all are
 	// dispatched at once.
 	LateBinding bool
--- a/sched/order.go
+++ b/sched/order.go
@@ -9,10 +9,12 @@
 // Submit decides a new request. It checks, in this order: the rate limits set by operators, the
 // retry budget, whether any endpoint could serve the request, whether all of them rest for longer
 // than it may wait, the shedding floor, whether it can
-// meet its deadline, room at an endpoint, the tier's ration, and room in the queue.
+// meet its deadline, room at an endpoint, the tier's ration, the wait behind the requests of all
+// hosts, and room in the queue.
 func (s *Scheduler) Submit(now time.Duration, r *Request) Decision {
 	r.pool = s.poolOf(r)
 	r.pool.arrivals.add()
+	r.demandsOf().add(r.Settings.Workspace, r.Settings.Weight)
 	s.estimate(r)
 	s.setLengthQuantile(r)
 	if ok, wait := s.limits.takeRate(now, r.Settings, s.hosts(r)); !ok {
@@ -50,6 +52,9 @@
 	if r.spareOnly {
 		return s.refuse(now, r, ReasonLength, s.rationRetryAfter(now, r))
 	}
+	if s.waitsTooLong(now, r) {
+		return s.refuse(now, r, ReasonDeadline, s.estimateWait(now, r))
+	}
 	if d, ok := s.makeQueueRoom(now, r); !ok {
 		return d
 	}
@@ -144,6 +149,9 @@
 			s.noteUnplaced(now, r)
 		}
 	}
+	if reason.Overload() || reason == ReasonNoEndpoint {
+		retryAfter = s.RetryAfter(now, r, retryAfter)
+	}
 	d := Decision{Request: r, Verdict: Refuse, Reason: reason, RetryAfter: max(retryAfter, minRetryAfter, s.RestLeft(now, r))}
 	s.logDecision(now, d, nil)
 	return d
--- a/sched/pool.go
+++ b/sched/pool.go
@@ -29,6 +29,7 @@
 	meanCost       float64 // of a request, in steps
 	floor          floor
 	rations        [maxRanks]ration
+	demands        [maxRanks]demands
 	dirty          bool
 	panicMode      bool // so many endpoints fail that ejections do not count
 }
--- a/sched/ration.go
+++ b/sched/ration.go
@@ -121,7 +121,7 @@
 
 // beyondRation reports whether a request is beyond the share of its tier that is admitted now.
 func (s *Scheduler) beyondRation(r *Request) bool {
-	return !r.rationExempt && r.lengthQuantile > 1-r.pool.rations[r.rank()].refusedShare
+	return !r.rationExempt && r.lengthQuantile > s.admittedShare(r)
 }
 
 // rationRetryAfter returns the retry time of a request refused by a ration: a shortage is assumed
