--- a/sched/retryafter.go
+++ b/sched/retryafter.go
@@ -20,9 +20,9 @@
 	// retryLimitShare is the share of its remaining time up to which a caller honors a retry time.
 	// Callers told to wait for longer would all return at this time.
 	retryLimitShare = 1.0 / 3
-	// retrySpread is the share of the latest retry time over which callers are spread. With 1/2 or
-	// 2/3 more callers return during a surge: 0.21 and 0.23 of them are refused twice at 32 hosts
-	// and twice the capacity, against 0.20.
+	// retrySpread is the share of the latest retry time over which callers are spread. With 1/2 and
+	// 2/3 of the caller's limit more callers return during a surge: 0.225 and 0.230 of them are
+	// refused twice at 32 hosts and twice the capacity, against 0.210.
 	retrySpread = 0.25
 	// earlyWaitShare is the share of its waiting time that a request's expected wait may reach. With
 	// 1, almost no request is refused early; with 0.5 as many are served, and refused callers are
