--- a/sched/pool.go
+++ b/sched/pool.go
@@ -36,6 +36,8 @@
 	rations        [maxRanks]ration
 	// workspaceRations replaces rations where slot owners divide slots among workspaces.
 	workspaceRations map[rationKey]*ration
+	demands          [maxRanks]demands
+	served           servedRate
 	dirty            bool
 	panicMode        bool // so many endpoints fail that ejections do not count
 }
