sched, ingress, places: loads stated by endpoints

Cause: endpoints state in each response how long work takes there; nothing reads it. Change: ingress parses the header, sched keeps the slowdown with its age, hosts report it to the owners of the slots (places.Request.Stated), which answer with it (places.Grant.Slow) and grant fewer slots of a slow endpoint while others have room. Measured: tests of sched, ingress, places and platform pass; no simulation yet.

--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -49,6 +49,9 @@
 	LifeOver atomic.Int64
 	// BadLimits counts responses with a stated limit that is no number.
 	BadLimits atomic.Int64
+	// LoadsStated counts responses with a stated load, BadLoads those whose stated load is not valid, and DoubtedLoads those that state less
+	// than this host itself has running there.
+	LoadsStated, BadLoads, DoubtedLoads atomic.Int64
 	// LeavingStated counts responses whose endpoint said that it leaves, RestsStated those that asked this host for rest, and BadRests
 	// those that asked for it for a time that cannot be read.
 	LeavingStated, RestsStated, BadRests atomic.Int64
--- a/ingress/headers.go
+++ b/ingress/headers.go
@@ -37,6 +37,8 @@
 	Rate string
 	// Rejects on a response is the number of requests that the endpoint may reject within a second before it crashes.
 	Rejects string
+	// Load on a response is the load of the endpoint.
+	Load string
 	// Leaving on a response says that the endpoint leaves.
 	Leaving string
 	// Known are further response headers that mean nothing to the ingress.
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -57,10 +57,15 @@
 			request.Rank = rank
 		}
 		known, sent := b.slots.sentRequests[incarnation]
-		if wanted || request.Returned || request.Rejected || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
+		if wanted || request.Returned || request.Rejected || (t.unsentLoad.urgent && !grantsOnly) || (sent && known != request) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
 			out[incarnation] = request
 			request.Returned, request.Rejected, t.rejected = false, false, false
 			b.slots.sentRequests[incarnation] = request
+			if !grantsOnly { // without relays each host sees enough responses itself
+				request = out[incarnation]
+				request.Stated = t.unsentLoad.take(now)
+				out[incarnation] = request
+			}
 		}
 	}
 	clear(b.slots.returned)
@@ -85,15 +90,17 @@
 			continue // not listed here yet, or no longer
 		}
 		allocator := b.allocator(now, t)
+		b.noteReportedLoad(now, incarnation, request.Stated)
 		allocator.Update(now, host, hostIncarnation, seq, request)
 		if t.inForce.grantsOnly() && !t.mayGrant(now) {
 			continue // the sender may take this host for the owner, and this host another one
 		}
+		slow := b.sched.Slowdown(now, incarnation)
 		for _, to := range allocator.Allocate(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
-			addGrant(out, to, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, to)})
+			addGrant(out, to, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, to), Slow: slow})
 		}
 		if _, granted := out[host][incarnation]; !granted && request.Rank >= 0 {
-			addGrant(out, host, incarnation, places.Grant{Running: allocator.OthersRunning(now, host)})
+			addGrant(out, host, incarnation, places.Grant{Running: allocator.OthersRunning(now, host), Slow: slow})
 		}
 	}
 	return out
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -195,6 +195,7 @@
 		return sendNotExecuted, backoffWrongInstance
 	}
 	c.noteLimits(resp.Header, sent)
+	c.noteLoad(resp.Header)
 	c.noteStatements(resp)
 	if resp.Header.Get(c.s.Headers.NotExecuted) != "" {
 		c.tracker.MarkNotRun()
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -31,7 +31,8 @@
 	rejectLimitedAt   time.Duration // when a limit on rejections comes into force
 	owned             bool          // this host owns the slots, if any limit is in force
 	ownedSince        time.Duration // when owned changed
-	rejected          bool          // the endpoint limits rejections and rejected a request, and the owner was not told yet
+	unsentLoad        unsentLoad
+	rejected          bool // the endpoint limits rejections and rejected a request, and the owner was not told yet
 }
 
 // leaves reports whether the endpoint leaves, by its entry or by its own words.
--- a/ingress/unread.go
+++ b/ingress/unread.go
@@ -27,7 +27,7 @@
 // init sets the names that are read.
 func (l *headerLog) init(h *Headers) {
 	known := make(map[string]bool)
-	for _, list := range [][]string{commonHeaders, h.Known, {h.AttemptID, h.ResponseStamp, h.NotExecuted, h.LastEvent, h.Rate, h.Rejects, h.Leaving}} {
+	for _, list := range [][]string{commonHeaders, h.Known, {h.AttemptID, h.ResponseStamp, h.NotExecuted, h.LastEvent, h.Rate, h.Rejects, h.Load, h.Leaving}} {
 		for _, name := range list {
 			known[http.CanonicalHeaderKey(name)] = true
 		}
--- a/places/book.go
+++ b/places/book.go
@@ -33,6 +33,8 @@
 	Returned bool `json:"b,omitempty"`
 	// Rejected says that an endpoint that crashes when it has to reject requests rejected one of the host.
 	Rejected bool `json:"f,omitempty"`
+	// Stated is the latest load that the endpoint stated to the host since its last message, nil for none.
+	Stated *StatedLoad `json:"l,omitempty"`
 }
 
 // Grant is the owner's answer.
@@ -41,6 +43,8 @@
 	Slots int `json:"p,omitempty"`
 	// Running is the number of requests of all hosts at the endpoint.
 	Running int `json:"r"`
+	// Slow is how long work takes at the endpoint by its statements, in hundredths of the usual time; 0 stands for 100.
+	Slow int `json:"x,omitempty"`
 }
 
 // Allocator allocates the slots of one endpoint, and the requests per second that it takes from all hosts
--- a/sched/config.go
+++ b/sched/config.go
@@ -84,6 +84,8 @@
 	Claims bool
 	// Rationing admits the shortest expected answers first while slots are scarce.
 	Rationing bool
+	// StatedLoad uses the slowdown that endpoints state in their responses.
+	StatedLoad bool
 	// LateBinding keeps requests waiting until an endpoint has room; without it, all are
 	// dispatched at once.
 	LateBinding bool
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -100,6 +100,8 @@
 	others        int // requests of other hosts, from the last report
 	othersPrefill int
 
+	stated slowdown // what the endpoint states about its speed
+
 	slowFactor    float64 // observed time over the time that the endpoint reports
 	slowUpdatedAt time.Duration
 	observations  int // of slowness
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -95,6 +95,7 @@
 	for _, e := range p.members {
 		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
 			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
+			load += s.statedSlowdown(now, e) - 1
 			if e.CrossZone {
 				load += s.cfg.CrossZoneCost
 			}
@@ -123,6 +124,7 @@
 		e.others, e.ownerReportAt = g.Running, max(now, 1)
 	}
 	e.unansweredSince = 0
+	e.stated.applyOwner(now, g.Slow)
 	if g.Slots == 0 {
 		return true
 	}
@@ -189,7 +191,7 @@
 	if e == nil || !e.availableToOthers(now) {
 		return func(int) int { return 0 }
 	}
-	return func(rank int) int { return int(s.slotLimit(now, rank, e)) }
+	return func(rank int) int { return s.slowLimit(now, e, int(s.slotLimit(now, rank, e))) }
 }
 
 // InFlight returns the number of this host's requests at an endpoint.
--- a/sched/predict.go
+++ b/sched/predict.go
@@ -36,7 +36,7 @@
 	if excess := load + 1 - float64(e.slots()); excess > 0 {
 		t += time.Duration(excess / float64(e.slots()) * float64(s.serviceTime(e)))
 	}
-	return time.Duration(float64(t) * s.slowness(now, e))
+	return time.Duration(float64(t) * s.timeFactor(now, e))
 }
 
 // serviceTime returns the mean time that a request spends at e.
@@ -49,5 +49,5 @@
 
 // predictCompletion estimates the time to the end of the answer.
 func (s *Scheduler) predictCompletion(now time.Duration, r *Request, e *endpointState, firstToken time.Duration) time.Duration {
-	return firstToken + time.Duration(float64(r.expectedOutput)*float64(e.step())*s.slowness(now, e))
+	return firstToken + time.Duration(float64(r.expectedOutput)*float64(e.step())*s.timeFactor(now, e))
 }
--- a/sched/value.go
+++ b/sched/value.go
@@ -59,7 +59,7 @@
 // the streams that run there if the prompt makes their gaps too long. The error of the first token
 // is modelled as logistic, that of the length as log-normal.
 func (s *Scheduler) expectedValue(now time.Duration, r *Request, e *endpointState, load float64, firstToken, target time.Duration) float64 {
-	step := time.Duration(float64(e.step()) * s.slowness(now, e))
+	step := time.Duration(float64(e.step()) * s.timeFactor(now, e))
 	errorScale := firstTokenError * r.Objective.FirstToken.Seconds()
 	firstInTime := 1 / (1 + math.Exp(-(target-now-firstToken).Seconds()/errorScale))
 	doneInTime := 1.0
@@ -132,7 +132,7 @@
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
 		c.firstToken = s.predictFirstToken(now, r, e, load, c.cached)
 		c.value = s.expectedValue(now, r, e, load, c.firstToken, target)
-		c.relativeLoad = load/float64(e.slots()) + e.prefillTime(s.prefillAhead(now, r, e)).Seconds()/r.Objective.FirstToken.Seconds()
+		c.relativeLoad = load/float64(e.slots()) + e.prefillTime(s.prefillAhead(now, r, e)).Seconds()/r.Objective.FirstToken.Seconds() + s.statedSlowdown(now, e) - 1
 		if e.CrossZone {
 			c.relativeLoad += s.cfg.CrossZoneCost
 		}
