sched, ingress: owners announce slow endpoints; hosts leave them while others have room

Change: candidates that state to be slow are drawn only if no other is left, hosts leave such endpoints while others have room, and owners send a bounded number of notices to the hosts that use one.

--- a/ingress/load.go
+++ b/ingress/load.go
@@ -120,6 +120,69 @@
 	b.sched.ObserveReportedLoad(now-time.Duration(l.AgeMS)*time.Millisecond, incarnation, *l)
 }
 
+// Parameters of notices of slow endpoints. A host asks the owner of an endpoint's slots only while slots are scarce, and hears from the
+// endpoint itself only every few seconds.
+const (
+	// slowNoticeInterval is the time after which the owner repeats that an endpoint is slow, about the time in which hosts forget it.
+	slowNoticeInterval = 600 * time.Millisecond
+	// noticeRate and noticeBurst limit the notices that a host sends, in messages per second: with 75 bytes each, 2.4 KB/s.
+	noticeRate  = 32
+	noticeBurst = 128
+	// slowNoticeUsers is the time for which the owner remembers that a host uses an endpoint.
+	slowNoticeUsers = 10 * time.Second
+)
+
+// slowNotice is what the owner of an endpoint's slots needs to tell other hosts that it is slow.
+type slowNotice struct {
+	users  map[string]time.Duration // hosts that use the endpoint, and when they last sent a message about it
+	sent   bool
+	sentAt time.Duration
+}
+
+// noticeBudget limits the notices that a host sends. The zero value is full.
+type noticeBudget struct {
+	used float64
+	at   time.Duration
+}
+
+// take takes one message and reports whether there was one left.
+func (n *noticeBudget) take(now time.Duration) bool {
+	n.used, n.at = max(0, n.used-noticeRate*(now-n.at).Seconds()), now
+	if n.used+1 > noticeBurst {
+		return false
+	}
+	n.used++
+	return true
+}
+
+// announceSlow calls tell for the hosts that use an endpoint when it has become slow by its statements, and again while it stays so. from
+// is the host whose message is being handled; mu must be held.
+func (b *balancer) announceSlow(now time.Duration, t *target, from string, tell func(host string)) {
+	n := &t.slowNotice
+	if n.users == nil {
+		n.users = make(map[string]time.Duration)
+	}
+	n.users[from] = now
+	if b.sched.Slowdown(now, t.Incarnation()) < sched.NotablySlow {
+		n.sent = n.sent && now-n.sentAt < slowNoticeInterval
+		return
+	}
+	if n.sent && now-n.sentAt < slowNoticeInterval {
+		return
+	}
+	n.sent, n.sentAt = true, now
+	for host, at := range n.users {
+		switch {
+		case now-at > slowNoticeUsers:
+			delete(n.users, host)
+		case !b.slots.slowNotices.take(now):
+			return // the others, in the random order of maps, with the next notice
+		default:
+			tell(host)
+		}
+	}
+}
+
 // StatedSlow returns the number of endpoints whose statements say now that work takes notably longer there than usual.
 func (s *Server) StatedSlow() int {
 	b := s.balance
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -22,6 +22,7 @@
 	returned     map[string]bool              // incarnations at which a granted slot was not needed
 	lastFullSend time.Duration                // when all requests were last sent to their owners
 	rand         *rand.Rand
+	slowNotices  noticeBudget
 }
 
 // ZoneOf implements peers.SlotHost.
@@ -102,6 +103,11 @@
 		if _, granted := out[host][incarnation]; !granted && request.Rank >= 0 {
 			addGrant(out, host, incarnation, places.Grant{Running: allocator.OthersRunning(now, host), Slow: slow})
 		}
+		b.announceSlow(now, t, host, func(to string) {
+			if _, granted := out[to][incarnation]; !granted {
+				addGrant(out, to, incarnation, places.Grant{Running: allocator.OthersRunning(now, to), Slow: slow})
+			}
+		})
 	}
 	return out
 }
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -32,6 +32,7 @@
 	owned             bool          // this host owns the slots, if any limit is in force
 	ownedSince        time.Duration // when owned changed
 	unsentLoad        unsentLoad
+	slowNotice        slowNotice
 	rejected          bool // the endpoint limits rejections and rejected a request, and the owner was not told yet
 }
 
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -15,6 +15,7 @@
 	completion   time.Duration
 	value        float64 // see chooseByValue
 	relativeLoad float64
+	slowdown     float64 // stated
 }
 
 // maxCandidates limits the candidates kept for Explain.
@@ -50,6 +51,9 @@
 	if !s.mayTakeSlot(now, r, e) {
 		return false
 	}
+	if s.leavesSlow(now, r, e) {
+		return false
+	}
 	if e.throttled && (e.own > 0 || r.rank() == 0) {
 		return false
 	}
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -49,6 +49,8 @@
 	cands   []candidate
 	matches [maxMatches]match
 	matched int
+	// room is cached for the decisions of one moment.
+	room room
 	// lastOwnerAnswer is the time of the last answer of any slot owner, or 0.
 	lastOwnerAnswer time.Duration
 	// ejections counts the ejections by this host.
--- a/sched/slowgrant.go
+++ b/sched/slowgrant.go
@@ -14,6 +14,31 @@
 	roomShare = 0.1
 )
 
+// withoutSlow moves those of the first n candidates that do not state to be slow to the front, and returns their number, or n if there are
+// none. Otherwise both candidates drawn would be slow in a ninth of all choices while a third of the endpoints is.
+func (s *Scheduler) withoutSlow(n int) int {
+	usual := 0
+	for i := range s.cands[:n] {
+		if s.cands[i].slowdown < notablySlow {
+			s.cands[usual], s.cands[i] = s.cands[i], s.cands[usual]
+			usual++
+		}
+	}
+	if usual == 0 {
+		return n
+	}
+	return usual
+}
+
+// leavesSlow reports whether a request is kept from an endpoint that states to be slow, because others have room. A grant counts more: the
+// owner of the slots knows best.
+func (s *Scheduler) leavesSlow(now time.Duration, r *Request, e *endpointState) bool {
+	if r.lastChance || s.statedSlowdown(now, e) < notablySlow || !s.othersHaveRoom(now, e) {
+		return false
+	}
+	return !(s.ownerAnswers(now, e) && e.hasGrant(now))
+}
+
 // slowLimit returns the number of requests up to which the owner of an endpoint's slots fills it, which is less than limit while the
 // endpoint states to be slow and others have room.
 func (s *Scheduler) slowLimit(now time.Duration, e *endpointState, limit int) int {
@@ -23,15 +48,24 @@
 	return min(limit, max(1, int(slowSlotShare*float64(e.slots()))))
 }
 
-// othersHaveRoom reports whether the other endpoints with the same model that are not slow have free slots.
-func (s *Scheduler) othersHaveRoom(now time.Duration, e *endpointState) bool {
-	free, slots := 0.0, 0.0
-	for _, o := range s.endpoints {
-		if o == e || !o.present || o.report.Model != e.report.Model || !o.availableToOthers(now) || s.statedSlowdown(now, o) >= notablySlow {
-			continue
+// room is whether the endpoints with a model that are not slow had free slots at a time.
+type room struct {
+	at    time.Duration
+	model string
+	free  bool
+}
+
+// othersHaveRoom reports whether the endpoints that are not slow and have the same model as one that is have free slots.
+func (s *Scheduler) othersHaveRoom(now time.Duration, slow *endpointState) bool {
+	if model := slow.report.Model; s.room.at != now || s.room.model != model {
+		free, slots := 0.0, 0.0
+		for _, e := range s.endpoints {
+			if e.report.Model == model && e.availableToOthers(now) && s.statedSlowdown(now, e) < notablySlow {
+				free += max(0, s.freeSlots(now, e))
+				slots += float64(e.slots())
+			}
 		}
-		free += max(0, s.freeSlots(now, o))
-		slots += float64(o.slots())
+		s.room = room{now, model, slots > 0 && free >= roomShare*slots}
 	}
-	return slots > 0 && free >= roomShare*slots
+	return s.room.free
 }
--- a/sched/stated.go
+++ b/sched/stated.go
@@ -21,8 +21,9 @@
 	// minSlowdown and maxSlowdown limit the factor by which a statement changes a prediction.
 	minSlowdown = 0.25
 	maxSlowdown = 8
-	// notablySlow is the slowdown from which an endpoint counts as slow.
-	notablySlow = 1.5
+	// NotablySlow is the slowdown, in hundredths, from which an endpoint counts as slow.
+	NotablySlow = 150
+	notablySlow = NotablySlow / 100.0
 	// defaultSlowHalfLife is the half-life of a statement until the lengths of slow states have been observed; minSlowStateHalfLife and
 	// maxSlowStateHalfLife limit what is observed.
 	defaultSlowHalfLife  = 600 * time.Millisecond
@@ -70,17 +71,23 @@
 	return factor > before*changedSlowdown || factor < before/changedSlowdown
 }
 
-// learnHalfLife learns from the end of a slow state how long such states last, unless its end was seen too late to tell.
+// learnHalfLife learns how long slow states last: at their end, which lies between two statements, and before it if one lasts longer than
+// the half-life.
 func (d *slowdown) learnHalfLife(at time.Duration, factor float64) {
 	wasSlow := d.slow
 	d.slow = factor >= notablySlow
+	var lasted time.Duration
 	switch {
-	case d.slow && !wasSlow:
+	case !wasSlow:
 		d.slowSince = at
-	case wasSlow && !d.slow && at-d.statedAt <= d.currentHalfLife()/2:
-		lasted := max(minSlowStateHalfLife, min(maxSlowStateHalfLife, at-d.slowSince))
-		d.halfLife = d.currentHalfLife() + time.Duration(slowStateGain*float64(lasted-d.currentHalfLife()))
+		return
+	case !d.slow:
+		lasted = (d.statedAt+at)/2 - d.slowSince
+	default:
+		lasted = max(at-d.slowSince, d.currentHalfLife())
 	}
+	lasted = max(minSlowStateHalfLife, min(maxSlowStateHalfLife, lasted))
+	d.halfLife = d.currentHalfLife() + time.Duration(slowStateGain*float64(lasted-d.currentHalfLife()))
 }
 
 // currentHalfLife returns the time in which a statement loses half its weight.
--- a/sched/value.go
+++ b/sched/value.go
@@ -132,7 +132,8 @@
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
 		c.firstToken = s.predictFirstToken(now, r, e, load, c.cached)
 		c.value = s.expectedValue(now, r, e, load, c.firstToken, target)
-		c.relativeLoad = load/float64(e.slots()) + e.prefillTime(s.prefillAhead(now, r, e)).Seconds()/r.Objective.FirstToken.Seconds() + s.statedSlowdown(now, e) - 1
+		c.slowdown = s.statedSlowdown(now, e)
+		c.relativeLoad = load/float64(e.slots()) + e.prefillTime(s.prefillAhead(now, r, e)).Seconds()/r.Objective.FirstToken.Seconds() + c.slowdown - 1
 		if e.CrossZone {
 			c.relativeLoad += s.cfg.CrossZoneCost
 		}
@@ -161,6 +162,7 @@
 	if n == 0 {
 		return nil
 	}
+	n = s.withoutSlow(n)
 	sameZoneCount := s.partitionByZone(n)
 	picked := s.lessLoadedOfTwo(s.cands[:sameZoneCount])
 	if other := s.lessLoadedOfTwo(s.cands[sameZoneCount:n]); picked == nil || (other != nil && other.relativeLoad < picked.relativeLoad) {
