--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 
@@ -22,6 +23,24 @@
 type args struct {
 	Settings string `arg:"--settings,env:HEATHKEEL_SETTINGS,required" help:"path of the platform's settings file"`
 	Trace    bool   `arg:"--trace,env:HEATHKEEL_TRACE" help:"log a line for every request, without a bound; for measurements, see hkctl account"`
+
+	StatedLoad onSwitch `arg:"--stated-load,env:HEATHKEEL_STATED_LOAD" placeholder:"on|off" help:"use the loads that endpoints state in their responses [default: on]"`
+}
+
+// onSwitch is a switch that is on unless it is set to off.
+type onSwitch struct{ off bool }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *onSwitch) UnmarshalText(text []byte) error {
+	switch string(text) {
+	case "on":
+		s.off = false
+	case "off":
+		s.off = true
+	default:
+		return fmt.Errorf("%q is neither on nor off", text)
+	}
+	return nil
 }
 
 // Version returns the line that --version prints.
@@ -41,6 +60,6 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: p.Log.WithValues("host", boot.Host)}
+	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, StatedLoadOff: a.StatedLoad.off, Log: p.Log.WithValues("host", boot.Host)}
 	p.Exit(h.Run(context.Background(), signals))
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -87,6 +87,8 @@
 	Path string
 	// Trace enables a log line for every request.
 	Trace bool
+	// StatedLoadOff makes the host ignore the loads that endpoints state.
+	StatedLoadOff bool
 	// Clock is the host's clock. If nil, Run creates one.
 	Clock *clock.Clock
 	// Network connects the host to others. If nil, the operating system's network is used.
@@ -193,7 +195,7 @@
 	}}
 	h.answers.Now, h.answers.MaxBytes = h.now, maxAnswerBytes(b.LinkMbps)
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, ContactTime: b.ContactTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
+		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, ContactTime: b.ContactTime, Host: b.Host, Zone: b.Zone, Policy: h.policy(),
 		Retries:       quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ExposeShare:   b.ExposeShare,
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -62,6 +62,10 @@
 	EndpointsLimited int `json:"endpoints_limited"`
 	// EndpointsResting is the number of endpoints that asked this host for rest that is not over.
 	EndpointsResting int `json:"endpoints_resting"`
+	// EndpointsSlow is the number of endpoints that state that work takes notably longer there than usual.
+	EndpointsSlow int `json:"endpoints_slow"`
+	// InForce is the state of the host's switches by name.
+	InForce map[string]string `json:"in_force"`
 	// RequestsSuspected counts the requests under which an endpoint crashed in the last hour, and
 	// RequestsHeld those of them that are refused now.
 	RequestsSuspected int `json:"requests_suspected"`
@@ -106,6 +110,7 @@
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
 	v.EndpointsResting = h.ingress.RestingEndpoints()
+	v.EndpointsSlow, v.InForce = h.ingress.StatedSlow(), h.inForce()
 	v.Gaps, v.GapMS = h.gaps.count.Load(), h.gaps.totalMS.Load()
 	v.RequestsSuspected, v.RequestsHeld = h.ingress.SuspectCounts()
 	v.EndpointsForeign = h.endpoints.ForeignCount()
--- a/ingress/load.go
+++ b/ingress/load.go
@@ -22,6 +22,9 @@
 // badLoadLine limits the log lines about stated loads that are not valid.
 const badLoadLine outcome.Kind = "bad load"
 
+// maxLoggedLoad limits the bytes of such a value in a line.
+const maxLoggedLoad = 64
+
 // maxStatedAge is the age up to which a stated load is sent to the owner of the endpoint's slots. Older ones have lost most of their
 // weight.
 const maxStatedAge = 2 * time.Second
@@ -34,7 +37,7 @@
 // parseLoad parses a stated load: running, waiting and slots, and optionally how long work takes, where 100 is the usual time, separated
 // by commas.
 func parseLoad(v string) (places.StatedLoad, error) {
-	fields := strings.Split(v, ",")
+	fields := strings.SplitN(v, ",", 5)
 	if len(fields) != 3 && len(fields) != 4 {
 		return places.StatedLoad{}, errLoadFields
 	}
@@ -59,11 +62,12 @@
 	if len(values) == 0 || c.s.Policy.Disabled.StatedLoad {
 		return
 	}
-	l, err := parseLoad(strings.Join(values, ","))
+	value := strings.Join(values, ",")
+	l, err := parseLoad(value)
 	if err != nil {
 		c.s.Count.BadLoads.Add(1)
 		if c.allowLine(badLoadLine, c.s.Now()) {
-			c.s.Log.Info("endpoint states a load that is not valid; it is ignored", "endpoint", c.endpoint.Instance, "value", strings.Join(values, ","), "error", err.Error())
+			c.s.Log.Info("endpoint states a load that is not valid; it is ignored", "endpoint", c.endpoint.Instance, "value", value[:min(len(value), maxLoggedLoad)], "error", err.Error())
 		}
 		return
 	}
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"slices"
@@ -29,6 +30,10 @@
 	Room int
 	// Fails decides for each request whether it is answered with an error; nil means never.
 	Fails func() bool
+	// Slowdown is the factor by which Work takes longer now; nil means 1. StatesLoad makes the endpoint state its load and that factor in its
+	// answers.
+	Slowdown   func() float64
+	StatesLoad bool
 
 	site     *Site
 	server   *http.Server
@@ -188,7 +193,7 @@
 		}
 	}
 	select {
-	case <-time.After(e.Work):
+	case <-time.After(time.Duration(float64(e.Work) * e.slowdown())):
 	case <-r.Context().Done():
 		return false
 	}
@@ -228,6 +233,10 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.stateLeaving(w, n)
+	if e.StatesLoad {
+		running := min(e.overload.running, slots)
+		w.Header().Set("Heathkeel-Server-Load", fmt.Sprintf("%d,%d,%d,%.0f", running, e.overload.running-running, slots, 100*e.slowdown()))
+	}
 	a := &e.arrivals[n]
 	if len(e.rates) > 0 {
 		a.Rate = e.rates[len(e.rates)-1].perSecond
@@ -237,6 +246,14 @@
 	}
 }
 
+// slowdown returns the factor by which work takes longer now.
+func (e *Endpoint) slowdown() float64 {
+	if e.Slowdown == nil {
+		return 1
+	}
+	return e.Slowdown()
+}
+
 // Zone returns the endpoint's availability zone.
 func (e *Endpoint) Zone() string { return e.zone }
 
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -107,6 +107,7 @@
 	l        net.Listener
 	conns    map[net.Conn]bool
 	crashed  bool
+	load     string  // stated in its answers, or empty
 	limited  bool    // it states rate in its answers
 	rate     float64 // in requests per second
 	leaving  bool    // it says in its answers that it leaves
@@ -310,7 +311,7 @@
 // responseHead returns the status line and the first header fields of an answer.
 func (e *Endpoint) responseHead(id string, f Fault, status string) string {
 	h := "HTTP/1.1 " + status + "\r\nHeathkeel-Attempt-Id: " + id + "\r\n"
-	h += e.rateHeader() + e.leavingHeader()
+	h += e.rateHeader() + e.loadHeader() + e.leavingHeader()
 	if f != NoStamp {
 		h += "Heathkeel-Response-Stamp: " + e.Instance + "." + id + "\r\n"
 	}
--- a/internal/site/statements.go
+++ b/internal/site/statements.go
@@ -24,6 +24,23 @@
 	return fmt.Sprintf("Server-Limit: %.2f\r\n", e.rate)
 }
 
+// StateLoad makes the endpoint state a load in its answers, from now on; an empty value ends that.
+func (e *Endpoint) StateLoad(value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load = value
+}
+
+// loadHeader returns the header field that states the endpoint's load, or nothing.
+func (e *Endpoint) loadHeader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.load == "" {
+		return ""
+	}
+	return "Heathkeel-Server-Load: " + e.load + "\r\n"
+}
+
 // SayLeaving makes the endpoint say in its answers, from now on, whether it leaves.
 func (e *Endpoint) SayLeaving(on bool) {
 	e.mu.Lock()
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -95,7 +95,7 @@
 	for _, e := range p.members {
 		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
 			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
-			load += s.statedSlowdown(now, e) - 1
+			load += s.slowLoad(now, e)
 			if e.CrossZone {
 				load += s.cfg.CrossZoneCost
 			}
--- a/sched/slowgrant.go
+++ b/sched/slowgrant.go
@@ -39,6 +39,16 @@
 	return !(s.ownerAnswers(now, e) && e.hasGrant(now))
 }
 
+// slowLoad returns by how much more loaded an endpoint counts in the choice of owners to ask because it states to be slow: a slow one is
+// asked after those at the usual speed. Where these have no room, all owners are asked alike, since each free slot is needed.
+func (s *Scheduler) slowLoad(now time.Duration, e *endpointState) float64 {
+	slowdown := s.statedSlowdown(now, e)
+	if slowdown < notablySlow || !s.othersHaveRoom(now, e) {
+		return 0
+	}
+	return slowdown - 1
+}
+
 // slowLimit returns the number of requests up to which the owner of an endpoint's slots fills it, which is less than limit while the
 // endpoint states to be slow and others have room.
 func (s *Scheduler) slowLimit(now time.Duration, e *endpointState, limit int) int {
--- a/sched/stated.go
+++ b/sched/stated.go
@@ -26,15 +26,19 @@
 	notablySlow = NotablySlow / 100.0
 	// defaultSlowHalfLife is the half-life of a statement until the lengths of slow states have been observed; minSlowStateHalfLife and
 	// maxSlowStateHalfLife limit what is observed.
-	defaultSlowHalfLife  = 600 * time.Millisecond
+	defaultSlowHalfLife  = time.Second
 	minSlowStateHalfLife = 100 * time.Millisecond
 	maxSlowStateHalfLife = 5 * time.Second
 	// slowStateGain is the weight of the length of one slow state.
 	slowStateGain = 0.25
 	// medianRate is the change of the logarithm of the tracked median per second, and maxMedianStep its bound for one statement. A state of
-	// 2 s moves the median by a fifth at most; an endpoint that always states 800 is disregarded after 20 s.
+	// 2 s moves the median by a fifth at most; an endpoint that begins to state 800 for good is disregarded after 20 s.
 	medianRate    = 0.1
 	maxMedianStep = 0.25
+	// earlyStatements is the number of first statements of which each moves the median by up to earlyMedianStep: the first one, which is
+	// taken for the median, may have been made in a slow state.
+	earlyStatements = 8
+	earlyMedianStep = 0.5
 	// ownStatementTTL is the time for which a host prefers a statement that it read itself to an owner that mentions no slowdown.
 	ownStatementTTL = 150 * time.Millisecond
 	// changedSlowdown is the factor between two values from which a slowdown has changed.
@@ -45,7 +49,7 @@
 type slowdown struct {
 	factor    float64       // at a time, in relation to the median; 0 without statements
 	at        time.Duration // that time
-	stated    bool          // a statement was observed
+	stated    int           // number of statements observed
 	statedAt  time.Duration // time of the last one
 	logMedian float64       // logarithm of the median of the statements, in relation to UsualTime
 	halfLife  time.Duration // learned from slow states, or 0
@@ -56,18 +60,22 @@
 // observe adds a statement, in hundredths of the usual time, made at the given time. Statements that arrive out of order are ignored. It
 // reports whether the slowdown changed.
 func (d *slowdown) observe(at time.Duration, stated int) bool {
-	if d.stated && at <= d.statedAt {
+	if d.stated > 0 && at <= d.statedAt {
 		return false
 	}
 	before := d.now(at)
-	x := math.Log(float64(stated) / places.UsualTime)
-	if d.stated {
-		step := min(maxMedianStep, medianRate*(at-d.statedAt).Seconds())
-		d.logMedian += max(-step, min(step, x-d.logMedian))
+	x := math.Log(max(minSlowdown, min(maxSlowdown, float64(stated)/places.UsualTime)))
+	step := min(maxMedianStep, medianRate*(at-d.statedAt).Seconds())
+	switch {
+	case d.stated == 0:
+		d.logMedian = x
+	case d.stated < earlyStatements:
+		step = earlyMedianStep
 	}
+	d.logMedian += max(-step, min(step, x-d.logMedian))
 	factor := max(minSlowdown, min(maxSlowdown, math.Exp(x-d.logMedian)))
 	d.learnHalfLife(at, factor)
-	d.factor, d.at, d.stated, d.statedAt = factor, at, true, at
+	d.factor, d.at, d.stated, d.statedAt = factor, at, d.stated+1, at
 	return factor > before*changedSlowdown || factor < before/changedSlowdown
 }
 
