--- a/sched/stated.go
+++ b/sched/stated.go
@@ -35,10 +35,10 @@
 	// 2 s moves the median by a fifth at most; an endpoint that begins to state 800 for good is disregarded after 20 s.
 	medianRate    = 0.1
 	maxMedianStep = 0.25
-	// earlyStatements is the number of first statements of which each moves the median by up to earlyMedianStep: the first one, which is
-	// taken for the median, may have been made in a slow state.
-	earlyStatements = 8
-	earlyMedianStep = 0.5
+	// unusualMedianStep is the bound for one statement while an endpoint has never stated a usual time, that is one within usualRange of
+	// UsualTime: an endpoint that states a false value from the start is disregarded after about five statements.
+	unusualMedianStep = 0.5
+	usualRange        = 1.3
 	// ownStatementTTL is the time for which a host prefers a statement that it read itself to an owner that mentions no slowdown.
 	ownStatementTTL = 150 * time.Millisecond
 	// changedSlowdown is the factor between two values from which a slowdown has changed.
@@ -50,6 +50,7 @@
 	factor    float64       // at a time, in relation to the median; 0 without statements
 	at        time.Duration // that time
 	stated    int           // number of statements observed
+	usual     bool          // one of them was about the usual time
 	statedAt  time.Duration // time of the last one
 	logMedian float64       // logarithm of the median of the statements, in relation to UsualTime
 	halfLife  time.Duration // learned from slow states, or 0
@@ -66,11 +67,14 @@
 	before := d.now(at)
 	x := math.Log(max(minSlowdown, min(maxSlowdown, float64(stated)/places.UsualTime)))
 	step := min(maxMedianStep, medianRate*(at-d.statedAt).Seconds())
+	usual := math.Abs(x) < math.Log(usualRange)
 	switch {
+	case usual && !d.usual:
+		d.usual, d.logMedian = true, 0
 	case d.stated == 0:
-		d.logMedian = x
-	case d.stated < earlyStatements:
-		step = earlyMedianStep
+		step = 0
+	case !d.usual:
+		step = unusualMedianStep
 	}
 	d.logMedian += max(-step, min(step, x-d.logMedian))
 	factor := max(minSlowdown, min(maxSlowdown, math.Exp(x-d.logMedian)))
