--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 
@@ -26,6 +27,23 @@
 	Trace    bool   `arg:"--trace,env:HEATHKEEL_TRACE" help:"log a line for every request, without a bound; for measurements, see hkctl account"`
 
 	SharedSlots edge.SharedSlots `arg:"--shared-slots,env:HEATHKEEL_SHARED_SLOTS" default:"auto" help:"auto: in fleets with relays, one host grants an endpoint's slots to all others; off: only where requests take longer than reports between hosts"`
+	StatedLoad  onSwitch         `arg:"--stated-load,env:HEATHKEEL_STATED_LOAD" placeholder:"on|off" help:"use the loads that endpoints state in their responses [default: on]"`
+}
+
+// onSwitch is a switch that is on unless it is set to off.
+type onSwitch struct{ off bool }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *onSwitch) UnmarshalText(text []byte) error {
+	switch string(text) {
+	case "on":
+		s.off = false
+	case "off":
+		s.off = true
+	default:
+		return fmt.Errorf("%q is neither on nor off", text)
+	}
+	return nil
 }
 
 // Version returns the line that --version prints.
@@ -48,6 +66,6 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, SharedSlots: a.SharedSlots, Log: p.Log.WithValues("host", boot.Host)}
+	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, SharedSlots: a.SharedSlots, StatedLoadOff: a.StatedLoad.off, Log: p.Log.WithValues("host", boot.Host)}
 	p.Exit(h.Run(context.Background(), signals))
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -89,6 +89,8 @@
 	Trace bool
 	// SharedSlots says when slot owners grant the slots of all endpoints.
 	SharedSlots SharedSlots
+	// StatedLoadOff makes the host ignore the loads that endpoints state.
+	StatedLoadOff bool
 	// Clock is the host's clock. If nil, Run creates one.
 	Clock *clock.Clock
 	// Network connects the host to others. If nil, the operating system's network is used.
@@ -195,7 +197,7 @@
 	}}
 	h.answers.Now, h.answers.MaxBytes = h.now, maxAnswerBytes(b.LinkMbps)
 	h.ingress = &ingress.Server{
-		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, ContactTime: b.ContactTime, Host: b.Host, Zone: b.Zone, Policy: policy(), SharedSlots: h.SharedSlots != SharedSlotsOff,
+		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, ContactTime: b.ContactTime, Host: b.Host, Zone: b.Zone, Policy: h.policy(), SharedSlots: h.SharedSlots != SharedSlotsOff,
 		Retries:       quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ExposeShare:   b.ExposeShare,
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -5,7 +5,6 @@
 package edge
 
 import (
-	"cmp"
 	"encoding/json"
 	"expvar"
 	"fmt"
@@ -63,6 +62,10 @@
 	EndpointsLimited int `json:"endpoints_limited"`
 	// EndpointsResting is the number of endpoints that asked this host for rest that is not over.
 	EndpointsResting int `json:"endpoints_resting"`
+	// EndpointsSlow is the number of endpoints that state that work takes notably longer there than usual.
+	EndpointsSlow int `json:"endpoints_slow"`
+	// InForce is the state of the host's switches by name.
+	InForce map[string]string `json:"in_force"`
 	// RequestsSuspected counts the requests under which an endpoint crashed in the last hour, and
 	// RequestsHeld those of them that are refused now.
 	RequestsSuspected int `json:"requests_suspected"`
@@ -81,8 +84,6 @@
 	// keys.
 	Ready         bool `json:"ready"`
 	SettingsFresh bool `json:"fresh"`
-	// InForce holds the values of switches.
-	InForce map[string]string `json:"in_force"`
 }
 
 // ownRevision returns the store's own revision of a number that orders the revisions of all eras.
@@ -105,11 +106,11 @@
 	v.StoreAnswered, v.StoreRefused, v.StoreUnanswered = calls.Answered, calls.Refused, calls.Unanswered
 	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
 	v.StoreEras = h.storeEras.Load()
-	v.InForce = map[string]string{"shared_slots": string(cmp.Or(h.SharedSlots, SharedSlotsAuto))}
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
 	v.EndpointsResting = h.ingress.RestingEndpoints()
+	v.EndpointsSlow, v.InForce = h.ingress.StatedSlow(), h.inForce()
 	v.Gaps, v.GapMS = h.gaps.count.Load(), h.gaps.totalMS.Load()
 	v.RequestsSuspected, v.RequestsHeld = h.ingress.SuspectCounts()
 	v.EndpointsForeign = h.endpoints.ForeignCount()
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -28,6 +28,7 @@
 	returned     map[string]bool              // incarnations at which a granted slot was not needed
 	lastFullSend time.Duration                // when all requests were last sent to their owners
 	rand         *rand.Rand
+	slowNotices  noticeBudget
 }
 
 // ZoneOf implements peers.SlotHost.
@@ -64,11 +65,16 @@
 		}
 		known, sent := b.slots.sentRequests[incarnation]
 		repeat := wanted && now-b.slots.wantSentAt[incarnation] >= wantInterval
-		if repeat || request.Returned || request.Rejected || (sent && (known.Running != request.Running || !known.SameWants(request))) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
+		if repeat || request.Returned || request.Rejected || (t.unsentLoad.urgent && !grantsOnly) || (sent && (known.Running != request.Running || !known.SameWants(request))) || (!sent && request.Running > 0) || (sendAll && request.Running > 0) {
 			out[incarnation] = request
 			b.slots.wantSentAt[incarnation] = now
 			request.Returned, request.Rejected, t.rejected = false, false, false
 			b.slots.sentRequests[incarnation] = request
+			if !grantsOnly { // without relays each host sees enough responses itself
+				request = out[incarnation]
+				request.Stated = t.unsentLoad.take(now)
+				out[incarnation] = request
+			}
 		}
 	}
 	clear(b.slots.returned)
@@ -94,16 +100,23 @@
 			continue // not listed here yet, or no longer
 		}
 		allocator := b.allocator(now, t)
+		b.noteReportedLoad(now, incarnation, request.Stated)
 		allocator.Update(now, host, hostIncarnation, seq, request)
 		if t.inForce.grantsOnly() && !t.mayGrant(now) {
 			continue // the sender may take this host for the owner, and this host another one
 		}
+		slow := b.sched.Slowdown(now, incarnation)
 		for _, x := range allocator.AllocateShares(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
-			addGrant(out, x.Host, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, x.Host), Workspace: x.Workspace})
+			addGrant(out, x.Host, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, x.Host), Workspace: x.Workspace, Slow: slow})
 		}
 		if _, granted := out[host][incarnation]; !granted && request.Rank >= 0 {
-			addGrant(out, host, incarnation, places.Grant{Running: allocator.OthersRunning(now, host)})
+			addGrant(out, host, incarnation, places.Grant{Running: allocator.OthersRunning(now, host), Slow: slow})
 		}
+		b.announceSlow(now, t, host, func(to string) {
+			if _, granted := out[to][incarnation]; !granted {
+				addGrant(out, to, incarnation, places.Grant{Running: allocator.OthersRunning(now, to), Slow: slow})
+			}
+		})
 	}
 	return out
 }
--- a/places/book.go
+++ b/places/book.go
@@ -36,6 +36,8 @@
 	Rejected bool `json:"f,omitempty"`
 	// Wants says for which workspaces it wants the slot. Without them, a request counts as one of workspace "" and of Rank.
 	Wants Wants `json:"w,omitzero"`
+	// Stated is the latest load that the endpoint stated to the host since its last message, nil for none.
+	Stated *StatedLoad `json:"l,omitempty"`
 }
 
 // Grant is the owner's answer.
@@ -46,6 +48,8 @@
 	Running int `json:"r"`
 	// Workspace is the one for which the slots are granted.
 	Workspace string `json:"w,omitempty"`
+	// Slow is how long work takes at the endpoint by its statements, in hundredths of the usual time; 0 stands for 100.
+	Slow int `json:"x,omitempty"`
 }
 
 // Allocator allocates the slots of one endpoint, and the requests per second that it takes from all hosts
--- a/sched/config.go
+++ b/sched/config.go
@@ -90,6 +90,8 @@
 	EarlyBacklog bool
 	// FleetRetry derives retry times from the backlog of all hosts.
 	FleetRetry bool
+	// StatedLoad uses the slowdown that endpoints state in their responses.
+	StatedLoad bool
 	// LateBinding keeps requests waiting until an endpoint has room; without it, all are
 	// dispatched at once.
 	LateBinding bool
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -118,6 +118,7 @@
 			if now-e.requestedAt <= requestedFor && e.requestedAt > 0 {
 				load = math.Inf(-1)
 			}
+			load += s.slowLoad(now, e)
 			if e.CrossZone {
 				load += s.cfg.CrossZoneCost
 			}
@@ -149,6 +150,7 @@
 		e.others, e.ownerReportAt = g.Running, max(now, 1)
 	}
 	e.unansweredSince = 0
+	e.stated.applyOwner(now, g.Slow)
 	if g.Slots == 0 {
 		return true
 	}
@@ -238,7 +240,7 @@
 	if e == nil || !e.availableToOthers(now) {
 		return func(int) int { return 0 }
 	}
-	return func(rank int) int { return int(s.slotLimit(now, rank, e)) }
+	return func(rank int) int { return s.slowLimit(now, e, int(s.slotLimit(now, rank, e))) }
 }
 
 // InFlight returns the number of this host's requests at an endpoint.
--- /dev/null
+++ b/sched/slowgrant.go
@@ -0,0 +1,81 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package sched
+
+import "time"
+
+const (
+	// slowSlotShare is the share of its slots up to which the owner fills an endpoint that states to be slow, at least one, while others
+	// have room. One request at a time keeps the statements coming.
+	slowSlotShare = 0.125
+	// roomShare is the share of the slots of the endpoints that are not slow which has to be free for that.
+	roomShare = 0.1
+)
+
+// withoutSlow moves those of the first n candidates that do not state to be slow to the front, and returns their number, or n if there are
+// none. Otherwise both candidates drawn would be slow in a ninth of all choices while a third of the endpoints is.
+func (s *Scheduler) withoutSlow(n int) int {
+	usual := 0
+	for i := range s.cands[:n] {
+		if s.cands[i].slowdown < notablySlow {
+			s.cands[usual], s.cands[i] = s.cands[i], s.cands[usual]
+			usual++
+		}
+	}
+	if usual == 0 {
+		return n
+	}
+	return usual
+}
+
+// leavesSlow reports whether a request is kept from an endpoint that states to be slow, because others have room. A grant counts more: the
+// owner of the slots knows best.
+func (s *Scheduler) leavesSlow(now time.Duration, r *Request, e *endpointState) bool {
+	if r.lastChance || s.statedSlowdown(now, e) < notablySlow || !s.othersHaveRoom(now, e) {
+		return false
+	}
+	return !(s.ownerAnswers(now, e) && e.hasGrant(now))
+}
+
+// slowLoad returns by how much more loaded an endpoint counts in the choice of owners to ask because it states to be slow: a slow one is
+// asked after those at the usual speed. Where these have no room, all owners are asked alike, since each free slot is needed.
+func (s *Scheduler) slowLoad(now time.Duration, e *endpointState) float64 {
+	slowdown := s.statedSlowdown(now, e)
+	if slowdown < notablySlow || !s.othersHaveRoom(now, e) {
+		return 0
+	}
+	return slowdown - 1
+}
+
+// slowLimit returns the number of requests up to which the owner of an endpoint's slots fills it, which is less than limit while the
+// endpoint states to be slow and others have room.
+func (s *Scheduler) slowLimit(now time.Duration, e *endpointState, limit int) int {
+	if s.statedSlowdown(now, e) < notablySlow || !s.othersHaveRoom(now, e) {
+		return limit
+	}
+	return min(limit, max(1, int(slowSlotShare*float64(e.slots()))))
+}
+
+// room is whether the endpoints with a model that are not slow had free slots at a time.
+type room struct {
+	at    time.Duration
+	model string
+	free  bool
+}
+
+// othersHaveRoom reports whether the endpoints that are not slow and have the same model as one that is have free slots.
+func (s *Scheduler) othersHaveRoom(now time.Duration, slow *endpointState) bool {
+	if model := slow.report.Model; s.room.at != now || s.room.model != model {
+		free, slots := 0.0, 0.0
+		for _, e := range s.endpoints {
+			if e.report.Model == model && e.availableToOthers(now) && s.statedSlowdown(now, e) < notablySlow {
+				free += max(0, s.freeSlots(now, e))
+				slots += float64(e.slots())
+			}
+		}
+		s.room = room{now, model, slots > 0 && free >= roomShare*slots}
+	}
+	return s.room.free
+}
