peers: demand by zone and service in heartbeats, digests and sums of relays

Cause: the plan of package spill needs the arrivals and waiting requests of all zones. Change: Words.Zones, summed by relays; in each part of a digest, like waiting requests. Hosts that do not plan by demand leave it empty.

--- a/peers/beat.go
+++ b/peers/beat.go
@@ -36,6 +36,8 @@
 	Load    map[string]Load  `json:"o,omitempty"`
 	Waiting map[string][]int `json:"t,omitempty"`
 	LoadSeq uint32           `json:"n,omitempty"`
+	// Zones is the demand by zone and service; hosts that send by it to other zones report it. See package spill.
+	Zones ZoneDemands `json:"z,omitempty"`
 	// Used is what was used in the sender's current incarnation, by workspace.
 	Used map[string]float64 `json:"u,omitempty"`
 	// Left is the level of each workspace whose amount is nearly used up.
--- a/peers/others.go
+++ b/peers/others.go
@@ -19,6 +19,8 @@
 	// Load is what runs, by endpoint, and Waiting the number of waiting requests, by service and tier.
 	Load    map[string]Load
 	Waiting map[string][]int
+	// Zones is the demand by zone and service.
+	Zones ZoneDemands
 	// Age is the mean age of these numbers.
 	Age time.Duration
 	// Unreported is the number of hosts that may be serving and whose loads are not included.
@@ -39,7 +41,7 @@
 	var sum loadSum
 	live := a.Table.Live(now)
 	for _, m := range live {
-		sum.add(&Words{Load: m.Load, Waiting: m.Waiting})
+		sum.add(&Words{Load: m.Load, Waiting: m.Waiting, Zones: m.zones})
 	}
-	return PeerLoads{Load: sum.loads(), Waiting: sum.waiting, Age: directAge, Unreported: max(0, serving-len(live))}
+	return PeerLoads{Load: sum.loads(), Waiting: sum.waiting, Zones: sum.zones, Age: directAge, Unreported: max(0, serving-len(live))}
 }
--- a/peers/relay.go
+++ b/peers/relay.go
@@ -180,7 +180,7 @@
 	for name, s := range r.relays {
 		d.Echo[name] = s.seq
 	}
-	d.Load, d.Waiting, d.Used = sum.loads(), sum.waiting, maps.Clone(r.partialUsed)
+	d.Load, d.Waiting, d.Zones, d.Used = sum.loads(), sum.waiting, sum.zones, maps.Clone(r.partialUsed)
 	d.Lost = slices.Sorted(maps.Keys(r.lost))
 	return d
 }
@@ -204,7 +204,7 @@
 		sum.add(&s.report)
 	}
 	slices.Sort(d.Lost)
-	d.Load, d.Waiting, d.Used = sum.loads(), sum.waiting, maps.Clone(r.fullUsed)
+	d.Load, d.Waiting, d.Zones, d.Used = sum.loads(), sum.waiting, sum.zones, maps.Clone(r.fullUsed)
 	return d
 }
 
@@ -213,14 +213,16 @@
 	sum        map[string]Load
 	stepCounts map[string]int64 // number of times per token in the sum, by endpoint
 	waiting    map[string][]int
+	zones      ZoneDemands
 }
 
 // add adds the loads of a report.
 func (s *loadSum) add(w *Words) {
 	if s.sum == nil {
 		s.sum, s.stepCounts = make(map[string]Load), make(map[string]int64)
-		s.waiting = make(map[string][]int)
+		s.waiting, s.zones = make(map[string][]int), make(ZoneDemands)
 	}
+	s.zones.Add(w.Zones, 1)
 	for name, l := range w.Load {
 		sum := s.sum[name]
 		sum.Running += l.Running
--- a/peers/table.go
+++ b/peers/table.go
@@ -50,6 +50,7 @@
 	Load    map[string]Load
 	Waiting map[string][]int
 
+	zones       ZoneDemands   // as of the last heartbeat
 	lastDirect  time.Duration // when it last sent something to this host
 	infoChanged time.Duration // when Info changed last, or the member returned
 	lastSeq     uint32
@@ -118,6 +119,7 @@
 	if b.Incarnation != m.Incarnation || b.LoadSeq >= m.loadSeq {
 		m.Load, m.Waiting, m.loadSeq = b.Load, b.Waiting, b.LoadSeq
 	}
+	m.zones = b.Zones
 	m.setInfo(now, b.Info)
 	t.noteReturn(now, m)
 	m.Incarnation, m.lastSeq = b.Incarnation, b.Seq
--- a/peers/uplink.go
+++ b/peers/uplink.go
@@ -117,7 +117,7 @@
 // their sum minus what this host had reported, and the number of these hosts.
 func (u *uplink) peerLoads(now time.Duration, sent *history) (sum PeerLoads, hosts int) {
 	load, waiting := make(map[string]Load), make(map[string][]int)
-	sum = PeerLoads{Load: load, Waiting: waiting}
+	sum = PeerLoads{Load: load, Waiting: waiting, Zones: make(ZoneDemands)}
 	if u.current == nil || now-u.current.newestAt() > u.current.maxAge() {
 		return sum, 0
 	}
@@ -138,6 +138,8 @@
 	if ok {
 		hosts--
 	}
+	sum.Zones.Add(d.Zones, 1)
+	sum.Zones.Add(own.Zones, -1)
 	for service, tiers := range d.Waiting {
 		waiting[service] = withoutOwn(tiers, own.Waiting[service])
 	}
