--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -20,8 +20,10 @@
 
 // args is the command line.
 type args struct {
-	Settings string `arg:"--settings,env:HEATHKEEL_SETTINGS,required" help:"path of the platform's settings file"`
-	Trace    bool   `arg:"--trace,env:HEATHKEEL_TRACE" help:"log a line for every request, without a bound; for measurements, see hkctl account"`
+	Settings  string         `arg:"--settings,env:HEATHKEEL_SETTINGS,required" help:"path of the platform's settings file"`
+	ZoneSpill edge.ZoneSpill `arg:"--zone-spill,env:HEATHKEEL_ZONE_SPILL" default:"fixed" help:"when requests go to endpoints in other zones: fixed (they count as more loaded by a constant) or observed (by the demand that hosts report)"`
+	ZonePrice edge.ZonePrice `arg:"--zone-price,env:HEATHKEEL_ZONE_PRICE" default:"0" help:"value of one GB between zones, in units of the value of one top-tier request, for --zone-spill observed; 0 means unknown"`
+	Trace     bool           `arg:"--trace,env:HEATHKEEL_TRACE" help:"log a line for every request, without a bound; for measurements, see hkctl account"`
 }
 
 // Version returns the line that --version prints.
@@ -41,6 +43,6 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, Log: p.Log.WithValues("host", boot.Host)}
+	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, ZoneSpill: a.ZoneSpill, ZonePrice: float64(a.ZonePrice), Log: p.Log.WithValues("host", boot.Host)}
 	p.Exit(h.Run(context.Background(), signals))
 }
--- a/edge/host.go
+++ b/edge/host.go
@@ -87,6 +87,10 @@
 	Path string
 	// Trace enables a log line for every request.
 	Trace bool
+	// ZoneSpill says by which rule requests go to other zones; empty means ZoneSpillFixed. ZonePrice is the value of one GB between zones
+	// in units of the value of one top-tier request; 0 means unknown.
+	ZoneSpill ZoneSpill
+	ZonePrice float64
 	// Clock is the host's clock. If nil, Run creates one.
 	Clock *clock.Clock
 	// Network connects the host to others. If nil, the operating system's network is used.
@@ -194,6 +198,7 @@
 	h.answers.Now, h.answers.MaxBytes = h.now, maxAnswerBytes(b.LinkMbps)
 	h.ingress = &ingress.Server{
 		Headers: platform.Headers, Dial: h.endpointDial(), Now: h.now, Watch: &h.gapDetector, Unconfirmed: h.unconfirmed, ListConfirmedAt: h.listConfirmedAt, ListUsable: h.listUsable, DrainTime: b.DrainTime, ContactTime: b.ContactTime, Host: b.Host, Zone: b.Zone, Policy: policy(),
+		ObservedZones: h.ZoneSpill == ZoneSpillObserved, ZonePrice: h.ZonePrice,
 		Retries:       quota.RetryBudget{Ratio: retryBudgetShare * b.RetryRatio, MaxCredit: retryBudgetShare * b.RetrySlack},
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ExposeShare:   b.ExposeShare,
--- a/edge/share.go
+++ b/edge/share.go
@@ -30,6 +30,7 @@
 		Capacity: h.Boot.Capacity(), Ready: h.ready(), CutOff: h.ingress.CutOff(), Fresh: h.ingress.SettingsFresh(),
 	}
 	b.Load, b.Waiting = h.ingress.Loads()
+	b.Zones = h.ingress.ZoneDemands()
 	usage := h.ingress.Usage()
 	b.Used, b.Left = usage.Used, usage.Left
 	maps.Copy(b.Used, h.ingress.RolloutCounts())
@@ -257,6 +258,9 @@
 	h.ingress.RetainHosts(h.agent.UsageSources())
 	members := h.agent.Unexpired()
 	h.setFleet(members)
+	if h.ZoneSpill == ZoneSpillObserved {
+		h.ingress.SetZoneHosts(hostsByZone(h.agent.Live()))
+	}
 	n := 1 + len(members)
 	if n == 1 && len(h.Boot.Seeds) > 1 {
 		n = len(h.Boot.Seeds)
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/ingress"
 	"github.com/heathkeel/heathkeel/metrics"
 )
 
@@ -80,6 +81,10 @@
 	// keys.
 	Ready         bool `json:"ready"`
 	SettingsFresh bool `json:"fresh"`
+	// CrossZone counts what this host sent to endpoints in other zones, by pair of zones and reason.
+	CrossZone []ingress.ZoneTraffic `json:"cross_zone"`
+	// InForce shows the switches of the command line as they are in force.
+	InForce map[string]string `json:"in_force"`
 }
 
 // ownRevision returns the store's own revision of a number that orders the revisions of all eras.
@@ -93,6 +98,7 @@
 		PeersLive: len(h.agent.Live()), PeersUnexpired: len(h.agent.Unexpired()),
 		ConnectionsOpened: h.ingress.OpenedConnections(), Ready: h.ready(), SettingsFresh: h.ingress.SettingsFresh(),
 	}
+	v.CrossZone, v.InForce = h.ingress.CrossZoneTraffic(), h.inForce()
 	if age, ok := h.settings.Age.At(h.now()); ok {
 		v.SettingsAgeMS = age.Milliseconds()
 	}
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -48,6 +48,7 @@
 	requestSlots     func() // triggers a request to the slot owners
 	notifyPeers      func() // triggers a heartbeat to the other hosts
 	owners           owners
+	zones            zones
 	stating          map[string]*target // endpoints that stated a limit, by incarnation
 	anyStating       atomic.Bool        // stating is not empty
 	ownLimited       []*target          // those with a limit in force whose slots this host owns
@@ -71,7 +72,7 @@
 	return &balancer{
 		rand: r, zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefillRates: make(map[string]*sched.Quantile), effective: make(map[settingsKey]*settings.Effective), ranks: make(map[string][]rankPair), changedLoads: make(map[string]bool),
-		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1},
+		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1}, zones: newZones(zone),
 	}
 }
 
@@ -215,7 +216,7 @@
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: versionOf(&t.Endpoint), Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: versionOf(&t.Endpoint), Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Zone: t.Zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -259,6 +260,7 @@
 	b.reportLoads(now)
 	b.sched.SetSilentPeers(loads.Unreported)
 	b.sched.SetPeerState(sched.PeerState{Waiting: loads.Waiting, Age: loads.Age})
+	b.planZones(now, &loads)
 	b.poll(now)
 }
 
@@ -317,6 +319,7 @@
 	}
 	if t := b.targets[d.Endpoint]; t != nil {
 		t.ownLoad.Running++
+		b.zones.noteDispatch(d.Request, t.Zone)
 		t.ownLoad.Prefill += d.Request.PromptTokens
 		b.changedLoads[d.Endpoint] = true
 		b.requestSlots()
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -19,6 +19,8 @@
 	c.req.Settings = b.effectiveSettings(c)
 	c.req.Version = c.stream.version
 	c.req.Model = b.pickPool(b.now(), c)
+	c.req.HomeOnly = c.relayed.from != ""
+	b.zones.noteArrival(b.now(), c)
 	b.holdGrants(b.now())
 	d := b.sched.Submit(b.now(), c.req)
 	b.noteDispatch(d)
@@ -138,6 +140,9 @@
 	b.removeSend(c)
 	if t := b.targets[c.endpoint.Incarnation()]; t != nil {
 		t.step.Observe(float64(elapsed), plainQuantile)
+		if res == sched.Completed {
+			b.zones.noteServed(c, t, c.req.Load(), now-c.timings.lastSent)
+		}
 	}
 	b.sched.Done(now, c.req, res, tokens)
 	b.poll(now)
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -74,6 +74,7 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	c.w.WriteHeader(buffered.status)
+	c.responseBytes += int64(len(buffered.body))
 	_, _ = c.w.Write(buffered.body)
 }
 
@@ -88,12 +89,14 @@
 	c.copyHeader(buffered.header)
 	c.stream.started = true
 	c.w.WriteHeader(buffered.status)
+	c.responseBytes += int64(len(buffered.body))
 	if _, err := c.w.Write(buffered.body); err != nil {
 		return sendAbandoned, 0
 	}
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := resp.Body.Read(buf)
+		c.responseBytes += int64(n)
 		if n > 0 {
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
 				return sendAbandoned, 0
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -26,6 +26,9 @@
 	if !reused {
 		c.s.paths.connected(c.endpoint.Address, c.timings.chosen, err)
 	}
+	if err == nil && !reused {
+		c.s.balance.observeDial(c.endpoint.Zone, c.elapsed(c.timings.chosen, c.s.Now()))
+	}
 	if err != nil {
 		c.s.balance.noteFailure(c, outlier.Unreachable)
 		return sendUnsent, backoffUnreachable
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -39,6 +39,7 @@
 	body              []byte
 	hasBody           bool
 	heldBytes         int64
+	responseBytes     int64                  // of the body that was written to the caller
 	cachedFingerprint quarantine.Fingerprint // zero until it is first computed
 	cachedParts       []subject              // nil until they are first computed
 
@@ -267,6 +268,7 @@
 
 // finish counts a call whose last send has ended, and answers the caller if it has no response yet.
 func (c *call) finish(ctx context.Context, result sendOutcome) {
+	c.s.balance.noteTransfer(c)
 	if result == sendCompleted {
 		c.s.Count.Served.Add(1)
 		if !c.serverError && !c.endUnknown {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -53,6 +53,10 @@
 	Zone string
 	// Policy configures the scheduler.
 	Policy sched.Config
+	// ObservedZones says that requests go to other zones by the demand that hosts report, instead of Policy.CrossZoneCost; ZonePrice is
+	// the value of one GB between zones in units of the value of one top-tier request, 0 if unknown.
+	ObservedZones bool
+	ZonePrice     float64
 	// Retries is the retry budget of each service over all hosts: the ratio of retries to first sends, and the maximum credit.
 	Retries quota.RetryBudget
 	// Tolerance is by how much all hosts together may miss a workspace's quota.
@@ -119,6 +123,7 @@
 	s.hostCount = 1
 	s.SetAgeLimits(AgeLimits{Strict: true})
 	s.balance = newBalancer(s.Zone, s.Policy, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), s.Now)
+	s.balance.zones.observed, s.balance.zones.price, s.balance.zones.log = s.ObservedZones, s.ZonePrice, s.Log.WithName("zones")
 	s.balance.coldTolerance = s.ColdTolerance
 	s.balance.rejectLimitDelay = time.Duration(rejectLimitDelayShare * float64(s.ContactTime))
 	s.balance.rollouts.Limits.Share = s.ExposeShare
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -154,6 +154,7 @@
 		c.stream.started = true
 	}
 	c.notePause()
+	c.responseBytes += int64(len(e.bytes))
 	if _, err := c.w.Write(e.bytes); err != nil {
 		return false
 	}
--- /dev/null
+++ b/ingress/zones.go
@@ -0,0 +1,359 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/heathkeel/heathkeel/peers"
+	"github.com/heathkeel/heathkeel/sched"
+	"github.com/heathkeel/heathkeel/spill"
+)
+
+// Parameters of what is learned for the plans of package spill.
+const (
+	// planInterval is the time between two plans: that between two heartbeats.
+	planInterval = 200 * time.Millisecond
+	// zoneRateHalfLife is the half-life of arrivals in the reported rate. With 600 ms, 0.977 instead
+	// of 0.987 of the requests were served under moving waves.
+	zoneRateHalfLife = 400 * time.Millisecond
+	// workGain and byteGain are the gains of the moving averages of the work and the bytes of a
+	// request, and maxWorkRatio limits how much one sample counts.
+	workGain     = 0.02
+	byteGain     = 0.02
+	maxWorkRatio = 4
+	// delayQuantile is the quantile of the times to open a connection that is taken for the round
+	// trip: waiting for the processor can only make them longer.
+	delayQuantile = 0.25
+	// unknownSlots is the number of slots of an endpoint that declares none, as the scheduler assumes.
+	unknownSlots = 8
+	// zoneDataTTL is the age of the reports of this host's own zone up to which shares stay in force.
+	zoneDataTTL = 30 * time.Second
+)
+
+// zones learns the demand and the capacity of the availability zones, plans what this host's zone
+// sends to others, and counts what was sent. balancer.mu guards it.
+type zones struct {
+	own      string
+	observed bool    // plan by demand; else the scheduler's constant cost applies
+	price    float64 // of a GB between zones
+	log      logr.Logger
+
+	services  map[string]*serviceDemand
+	roundTrip map[string]*sched.Quantile // from this zone, by zone
+	liveHosts map[string]int             // other hosts heard from recently, by zone
+	heardAt   map[string]time.Duration   // when the demand of a zone was last reported
+	plannedAt time.Duration
+	traffic   map[trafficKey]*ZoneTraffic
+}
+
+// serviceDemand is what this host knows of the demand for a service.
+type serviceDemand struct {
+	rate      float64 // arrivals per second, as of rateAt
+	rateAt    time.Duration
+	work      float64 // time of a request at an endpoint with a free slot, in steps
+	bytes     float64 // of a request and its response
+	objective time.Duration
+	planner   spill.Planner
+	sends     bool // this host's zone sends to others by the plan
+}
+
+// trafficKey identifies the requests that are counted together.
+type trafficKey struct {
+	to     string
+	reason sched.CrossReason
+}
+
+// ZoneTraffic counts what this host sent to another zone for one reason.
+type ZoneTraffic struct {
+	// From and To are the zones, and Reason is why the requests were sent: "fixed", "share" or
+	// "no_endpoint".
+	From   string            `json:"from"`
+	To     string            `json:"to"`
+	Reason sched.CrossReason `json:"reason"`
+	// Requests counts sends, and Bytes the bodies of requests and responses of sends that ended the
+	// request.
+	Requests int64 `json:"requests"`
+	Bytes    int64 `json:"bytes"`
+}
+
+// newZones returns the state of a host in zone own.
+func newZones(own string) zones {
+	return zones{
+		own: own, services: make(map[string]*serviceDemand), roundTrip: make(map[string]*sched.Quantile), liveHosts: make(map[string]int),
+		heardAt: make(map[string]time.Duration), traffic: make(map[trafficKey]*ZoneTraffic), plannedAt: -planInterval,
+	}
+}
+
+// service returns the state of a service.
+func (z *zones) service(name string) *serviceDemand {
+	d := z.services[name]
+	if d == nil {
+		d = &serviceDemand{}
+		z.services[name] = d
+	}
+	return d
+}
+
+// decayedRate returns the arrivals per second at a time.
+func (d *serviceDemand) decayedRate(now time.Duration) float64 {
+	return d.rate * math.Exp2(-float64(now-d.rateAt)/float64(zoneRateHalfLife))
+}
+
+// noteArrival counts a request of a caller.
+func (z *zones) noteArrival(now time.Duration, c *call) {
+	if !z.observed {
+		return
+	}
+	d := z.service(c.service.Name)
+	d.rate, d.rateAt = d.decayedRate(now)+math.Ln2/zoneRateHalfLife.Seconds(), now
+	d.objective = c.route.Objective
+}
+
+// noteDispatch counts a send to another zone.
+func (z *zones) noteDispatch(r *sched.Request, zone string) {
+	if r.CrossReason() != sched.CrossNone {
+		z.trafficOf(r, zone).Requests++
+	}
+}
+
+// trafficOf returns the counters of a request that was sent to another zone.
+func (z *zones) trafficOf(r *sched.Request, zone string) *ZoneTraffic {
+	key := trafficKey{zone, r.CrossReason()}
+	t := z.traffic[key]
+	if t == nil {
+		t = &ZoneTraffic{From: z.own, To: zone, Reason: key.reason}
+		z.traffic[key] = t
+	}
+	return t
+}
+
+// noteServed learns the work of a request that was served. load is the number of requests that were
+// at the endpoint when it was sent.
+func (z *zones) noteServed(c *call, t *target, load float64, elapsed time.Duration) {
+	step := t.stepTime()
+	if !z.observed || step <= 0 || elapsed <= 0 {
+		return
+	}
+	d := z.service(t.Service)
+	sample := elapsed.Seconds() / step.Seconds() * min(1, float64(cmp.Or(t.Slots, unknownSlots))/(load+1))
+	if d.work == 0 {
+		d.work = sample
+	}
+	d.work += workGain * (min(sample, maxWorkRatio*d.work) - d.work)
+}
+
+// noteTransfer counts the bytes of a call that has ended.
+func (b *balancer) noteTransfer(c *call) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	n := float64(int64(len(c.body)) + c.responseBytes)
+	if c.req.CrossReason() != sched.CrossNone {
+		b.zones.trafficOf(c.req, c.endpoint.Zone).Bytes += int64(n)
+	}
+	if b.zones.observed {
+		d := b.zones.service(c.service.Name)
+		d.bytes += byteGain * (n - d.bytes)
+	}
+}
+
+// observeDial learns the round trip to the zone of an endpoint from the time to open a connection.
+func (b *balancer) observeDial(zone string, elapsed time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	q := b.zones.roundTrip[zone]
+	if q == nil {
+		q = &sched.Quantile{}
+		b.zones.roundTrip[zone] = q
+	}
+	q.Observe(float64(elapsed), delayQuantile)
+}
+
+// delay returns the one-way latency between two zones. Hosts learn it between their own zone and
+// others; for other pairs it is the mean of these.
+func (z *zones) delay(from, to string) time.Duration {
+	if from == to {
+		return 0
+	}
+	if to == z.own {
+		from, to = to, from
+	}
+	if q := z.roundTrip[to]; from == z.own && q != nil {
+		return time.Duration(q.Value / 2)
+	}
+	sum, n := 0.0, 0.0
+	for zone, q := range z.roundTrip {
+		if zone != z.own {
+			sum, n = sum+q.Value/2, n+1
+		}
+	}
+	return time.Duration(sum / max(1, n))
+}
+
+// demands returns this host's part of the demand; mu must be held.
+func (b *balancer) demands(now time.Duration) peers.ZoneDemands {
+	if !b.zones.observed {
+		return nil
+	}
+	out := peers.ZoneDemands{b.zone: make(map[string]peers.ZoneDemand)}
+	for name, d := range b.zones.services {
+		out[b.zone][name] = peers.ZoneDemand{Arrivals: math.Round(10*d.decayedRate(now)) / 10, Hosts: 1}
+	}
+	for model, tiers := range b.sched.OwnWaiting() {
+		service := strings.TrimSuffix(model, newVersionSuffix)
+		d := out[b.zone][service]
+		for _, n := range tiers {
+			d.Waiting += n
+		}
+		d.Hosts = 1
+		out[b.zone][service] = d
+	}
+	for _, t := range b.targets {
+		if t.ownLoad.Running > 0 {
+			out.Add(peers.ZoneDemands{t.Zone: {t.Service: {Running: t.ownLoad.Running}}}, 1)
+		}
+	}
+	return out
+}
+
+// planZones plans what this host's zone sends to others, at most once in planInterval; mu must be held.
+func (b *balancer) planZones(now time.Duration, loads *peers.PeerLoads) {
+	z := &b.zones
+	if !z.observed || now-z.plannedAt < planInterval {
+		return
+	}
+	z.plannedAt = now
+	total := make(peers.ZoneDemands)
+	total.Add(loads.Zones, 1)
+	total.Add(b.demands(now), 1)
+	reporting := make(map[string]bool)
+	for zone, services := range total {
+		for _, d := range services {
+			reporting[zone] = reporting[zone] || d.Hosts > 0
+		}
+		if reporting[zone] {
+			z.heardAt[zone] = now - loads.Age
+		}
+	}
+	ownReported := z.liveHosts[z.own] == 0
+	for _, d := range loads.Zones[z.own] {
+		ownReported = ownReported || d.Hosts > 0
+	}
+	capacities := b.capacities(now)
+	for _, name := range slices.Sorted(maps.Keys(z.services)) {
+		d := z.services[name]
+		models := []string{name, name + newVersionSuffix}
+		if capacities[name] == nil || (!ownReported && now-z.heardAt[z.own] > zoneDataTTL) {
+			b.sched.SetZoneShares(models, nil)
+			continue
+		}
+		if !ownReported {
+			continue // without the demand of its own zone a host would send too little
+		}
+		s := b.spillService(now, name, total, capacities[name])
+		shares := d.planner.Plan(now, s)[z.own]
+		costs := make(map[string]float64)
+		for zone := range shares {
+			costs[zone] = s.Cost(z.own, zone)
+		}
+		b.sched.SetZoneShares(models, &sched.ZoneShares{Shares: shares, Costs: costs})
+		z.logSending(name, d, shares)
+	}
+}
+
+// spillService returns the input of the plan of a service; mu must be held.
+func (b *balancer) spillService(now time.Duration, name string, total peers.ZoneDemands, capacity map[string]float64) *spill.Service {
+	z := &b.zones
+	known := map[string]bool{z.own: true}
+	for zone := range capacity {
+		known[zone] = true
+	}
+	for zone := range total {
+		known[zone] = true
+	}
+	d := z.services[name]
+	s := &spill.Service{Objective: d.objective, Bytes: d.bytes, Price: z.price, Delay: z.delay}
+	for _, zone := range slices.Sorted(maps.Keys(known)) {
+		demand := total[zone][name]
+		state := spill.Zone{
+			Name: zone, Capacity: capacity[zone], Arrivals: demand.Arrivals, Waiting: demand.Waiting,
+			Age: now - z.heardAt[zone], Evacuated: b.evacuated[zone], Hostless: zone != z.own && z.liveHosts[zone] == 0,
+		}
+		if _, ok := z.heardAt[zone]; !ok {
+			state.Age = zoneDataTTL
+		}
+		s.Zones = append(s.Zones, state)
+	}
+	return s
+}
+
+// capacities returns the requests per second that the endpoints of each service can serve, by zone.
+// Cold endpoints count nothing. Services without a known time of a request have no entry; mu must be
+// held.
+func (b *balancer) capacities(now time.Duration) map[string]map[string]float64 {
+	out := make(map[string]map[string]float64)
+	mean := b.meanStepTime()
+	for _, t := range b.targets {
+		d := b.zones.services[t.Service]
+		step := cmp.Or(t.stepTime(), mean[t.Service])
+		if d == nil || d.work <= 0 || step <= 0 {
+			continue
+		}
+		if out[t.Service] == nil {
+			out[t.Service] = make(map[string]float64)
+		}
+		if b.getsRequests(t) && now >= t.coldUntil {
+			out[t.Service][t.Zone] += float64(cmp.Or(t.Slots, unknownSlots)) / (d.work * step.Seconds())
+		}
+	}
+	return out
+}
+
+// logSending logs when this host's zone starts and stops sending a service's requests to other zones.
+func (z *zones) logSending(service string, d *serviceDemand, shares map[string]float64) {
+	sends := len(shares) > 0
+	if sends == d.sends {
+		return
+	}
+	d.sends = sends
+	if sends {
+		z.log.Info("zone starts sending requests to other zones", "service", service, "from", z.own, "shares", shares)
+	} else {
+		z.log.Info("zone stops sending requests to other zones", "service", service, "from", z.own)
+	}
+}
+
+// SetZoneHosts sets the number of other hosts heard from recently, by availability zone.
+func (s *Server) SetZoneHosts(n map[string]int) {
+	s.balance.mu.Lock()
+	defer s.balance.mu.Unlock()
+	s.balance.zones.liveHosts = n
+}
+
+// ZoneDemands returns this host's part of the demand by zone and service, or nil if hosts do not plan by it.
+func (s *Server) ZoneDemands() peers.ZoneDemands {
+	s.balance.mu.Lock()
+	defer s.balance.mu.Unlock()
+	return s.balance.demands(s.Now())
+}
+
+// CrossZoneTraffic returns what this host sent to other zones, by pair of zones and reason.
+func (s *Server) CrossZoneTraffic() []ZoneTraffic {
+	s.balance.mu.Lock()
+	defer s.balance.mu.Unlock()
+	out := make([]ZoneTraffic, 0, len(s.balance.zones.traffic))
+	for _, t := range s.balance.zones.traffic {
+		out = append(out, *t)
+	}
+	slices.SortFunc(out, func(a, b ZoneTraffic) int { return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Reason, b.Reason)) })
+	return out
+}
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -75,18 +75,17 @@
 func (s *Scheduler) choose(now time.Duration, r *Request) *candidate {
 	s.matchPrefix(r)
 	s.cands = s.cands[:0]
-	best := time.Duration(1<<63 - 1)
+	best, zones := time.Duration(1<<63-1), s.zoneRuleFor(now, r.pool, r)
 	for _, e := range r.pool.members {
 		load := s.load(now, e)
-		if e == r.avoid || !r.accepts(e) || !s.admits(now, r, e, load) {
+		zoneCost, ok := zones.cost(e)
+		if !ok || e == r.avoid || !r.accepts(e) || !s.admits(now, r, e, load) {
 			continue
 		}
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
 		c.firstToken = s.predictFirstToken(now, r, e, load, c.cached)
 		c.completion = s.predictCompletion(now, r, e, c.firstToken)
-		if e.CrossZone {
-			c.completion += time.Duration(s.cfg.CrossZoneCost * float64(c.completion))
-		}
+		c.completion += time.Duration(zoneCost * float64(c.completion))
 		// A failure costs at least one more attempt.
 		c.completion = time.Duration(float64(c.completion) / max(minSuccess, 1-s.risk(now, r, e)))
 		best = min(best, c.completion)
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -44,6 +44,8 @@
 	Leaving bool
 	// CrossZone says that the endpoint is in another zone; see Config.CrossZoneCost.
 	CrossZone bool
+	// Zone is the endpoint's availability zone.
+	Zone string
 	// Cold limits the requests to the endpoint until it is warm.
 	Cold ColdLimit
 	// RateLimited says that the endpoint takes no more than Rate requests per second from all hosts
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -92,12 +92,11 @@
 		load float64
 	}
 	list := make([]ranked, 0, len(p.members))
+	zones := s.zoneRuleFor(now, p, nil)
 	for _, e := range p.members {
-		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
-			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
-			if e.CrossZone {
-				load += s.cfg.CrossZoneCost
-			}
+		zoneCost, ok := zones.cost(e)
+		if ok && ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
+			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64() + zoneCost
 			list = append(list, ranked{e, load})
 		}
 	}
--- a/sched/order.go
+++ b/sched/order.go
@@ -13,6 +13,7 @@
 func (s *Scheduler) Submit(now time.Duration, r *Request) Decision {
 	r.pool = s.poolOf(r)
 	r.pool.arrivals.add()
+	s.accrueCredits(r)
 	s.estimate(r)
 	s.setLengthQuantile(r)
 	if ok, wait := s.limits.takeRate(now, r.Settings, s.hosts(r)); !ok {
@@ -128,6 +129,7 @@
 	r.dispatchedTo, r.dispatchedAt, r.predicted = c.e, now, c.firstToken
 	r.step, r.load = c.e.step(), c.load
 	r.avoid = nil
+	s.noteZone(now, r, c.e)
 	s.noteDispatched(r)
 	c.e.takeSlot()
 	c.e.addRequest(now, r)
--- a/sched/request.go
+++ b/sched/request.go
@@ -32,6 +32,8 @@
 	DispatchBy time.Duration
 	// Objective holds the latency objectives; the zero value means none.
 	Objective Objective
+	// HomeOnly says that the request crossed zones before it came to this host.
+	HomeOnly bool
 	// Retry says that the caller has tried before.
 	Retry bool
 	// Data is for the caller's use.
@@ -58,6 +60,8 @@
 	progressAt   time.Duration // of the first token, then of the latest observation of speed; 0 before
 	tokens       int
 	avoid        *endpointState
+	crossedTo    string      // the other zone that it was sent to, or empty
+	crossReason  CrossReason // of the last dispatch
 }
 
 // queueDeadline returns the time until which a request may wait.
@@ -74,6 +78,9 @@
 // Step returns the time per token at the endpoint of the last dispatch, as known then.
 func (r *Request) Step() time.Duration { return r.step }
 
+// CrossReason returns why the request was sent to another zone at the last dispatch, or CrossNone.
+func (r *Request) CrossReason() CrossReason { return r.crossReason }
+
 // Load returns the estimated number of requests at the endpoint at the last dispatch.
 func (r *Request) Load() float64 { return r.load }
 
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -38,6 +38,7 @@
 	poolCache          map[poolCacheKey]*pool
 	prefixes           prefixIndex
 	limits             limits
+	zoneSpills         map[string]*zoneSpill // by model; see SetZoneShares
 	lengths            lengths
 	recentLengths      map[string]*recentLengths // by service
 	deadlines          deadlineHeap
--- a/sched/value.go
+++ b/sched/value.go
@@ -119,6 +119,7 @@
 	s.cands = s.cands[:0]
 	target := s.firstTokenTarget(now, r)
 	best, ideal, silentLoad := math.Inf(-1), 0.0, s.silentLoad(r.pool)
+	zones := s.zoneRuleFor(now, r.pool, r)
 	for _, e := range r.pool.members {
 		if !e.available(now) || !r.accepts(e) {
 			continue
@@ -126,16 +127,15 @@
 		idle := e.prefillTime(r.PromptTokens) + e.step()
 		ideal = max(ideal, s.expectedValue(now, r, e, 0, idle, target))
 		load := s.load(now, e) + silentLoad
-		if e == r.avoid || !s.admits(now, r, e, load) {
+		zoneCost, ok := zones.cost(e)
+		if !ok || e == r.avoid || !s.admits(now, r, e, load) {
 			continue
 		}
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
 		c.firstToken = s.predictFirstToken(now, r, e, load, c.cached)
 		c.value = s.expectedValue(now, r, e, load, c.firstToken, target)
 		c.relativeLoad = load/float64(e.slots()) + e.prefillTime(s.prefillAhead(now, r, e)).Seconds()/r.Objective.FirstToken.Seconds()
-		if e.CrossZone {
-			c.relativeLoad += s.cfg.CrossZoneCost
-		}
+		c.relativeLoad += zoneCost
 		best = max(best, c.value)
 		s.cands = append(s.cands, c)
 	}
