--- a/ingress/target.go
+++ b/ingress/target.go
@@ -19,7 +19,9 @@
 	feed.Endpoint
 	ownLoad  peers.Load
 	peerLoad peers.Load
-	step     sched.Quantile // time of a token with little concurrent load, or of a request at a plain service
+	// requestTime is the mean time of a request while a plain service has free slots, in seconds; see zones.
+	requestTime float64
+	step        sched.Quantile // time of a token with little concurrent load, or of a request at a plain service
 	// sends are the requests in flight at the endpoint, each with the function that cancels it.
 	sends       map[*call]func()
 	saidLeaving bool          // it said itself that it leaves; its list entry may say otherwise
--- a/ingress/zones.go
+++ b/ingress/zones.go
@@ -26,11 +26,13 @@
 	// zoneRateHalfLife is the half-life of arrivals in the reported rate. With 600 ms, 0.977 instead
 	// of 0.987 of the requests were served under moving waves.
 	zoneRateHalfLife = 400 * time.Millisecond
-	// workGain and byteGain are the gains of the moving averages of the work and the bytes of a
-	// request, and maxWorkRatio limits how much one sample counts.
-	workGain     = 0.02
-	byteGain     = 0.02
-	maxWorkRatio = 4
+	// workGain, requestTimeGain and byteGain are the gains of the moving averages of the work of a
+	// request at engines, of its time at one plain endpoint, and of its bytes. A sample counts as
+	// maxSampleRatio times the average at most.
+	workGain        = 0.02
+	requestTimeGain = 0.05
+	byteGain        = 0.02
+	maxSampleRatio  = 4
 	// delayQuantile is the quantile of the times to open a connection that is taken for the round
 	// trip: waiting for the processor can only make them longer.
 	delayQuantile = 0.25
@@ -60,7 +62,7 @@
 type serviceDemand struct {
 	rate      float64 // arrivals per second, as of rateAt
 	rateAt    time.Duration
-	work      float64 // time of a request at an endpoint with a free slot, in steps
+	work      float64 // time of a request at an engine with a free slot, in steps
 	bytes     float64 // of a request and its response
 	objective time.Duration
 	planner   spill.Planner
@@ -137,19 +139,30 @@
 	return t
 }
 
-// noteServed learns the work of a request that was served. load is the number of requests that were
-// at the endpoint when it was sent.
+// noteServed learns the time of a request that was served. load is the number of requests that were at
+// the endpoint when it was sent. Requests to full endpoints may have waited there and count only while
+// nothing is known: with them, plain services under load seemed to have 0.85 of their capacity.
 func (z *zones) noteServed(c *call, t *target, load float64, elapsed time.Duration) {
-	step := t.stepTime()
-	if !z.observed || step <= 0 || elapsed <= 0 {
+	if !z.observed || elapsed <= 0 {
 		return
 	}
 	d := z.service(t.Service)
-	sample := elapsed.Seconds() / step.Seconds() * min(1, float64(cmp.Or(t.Slots, unknownSlots))/(load+1))
-	if d.work == 0 {
-		d.work = sample
+	full := load+1 > float64(cmp.Or(t.Slots, unknownSlots))
+	if !c.service.Engine {
+		if !full || t.requestTime == 0 {
+			learn(&t.requestTime, elapsed.Seconds(), requestTimeGain)
+		}
+	} else if step := t.stepTime(); step > 0 && (!full || d.work == 0) {
+		learn(&d.work, elapsed.Seconds()/step.Seconds(), workGain)
+	}
+}
+
+// learn adds a sample to a moving average; the first sample sets it.
+func learn(average *float64, sample, gain float64) {
+	if *average == 0 {
+		*average = sample
 	}
-	d.work += workGain * (min(sample, maxWorkRatio*d.work) - d.work)
+	*average += gain * (min(sample, maxSampleRatio**average) - *average)
 }
 
 // noteTransfer counts the bytes of a call that has ended.
@@ -218,6 +231,9 @@
 		out[b.zone][service] = d
 	}
 	for _, t := range b.targets {
+		if _, ok := out[b.zone][t.Service]; !ok {
+			out[b.zone][t.Service] = peers.ZoneDemand{Hosts: 1} // an idle zone differs from one without reports
+		}
 		if t.ownLoad.Running > 0 {
 			out.Add(peers.ZoneDemands{t.Zone: {t.Service: {Running: t.ownLoad.Running}}}, 1)
 		}
@@ -301,18 +317,42 @@
 // held.
 func (b *balancer) capacities(now time.Duration) map[string]map[string]float64 {
 	out := make(map[string]map[string]float64)
-	mean := b.meanStepTime()
-	for _, t := range b.targets {
-		d := b.zones.services[t.Service]
-		step := cmp.Or(t.stepTime(), mean[t.Service])
-		if d == nil || d.work <= 0 || step <= 0 {
+	times := b.requestTimes()
+	for incarnation, t := range b.targets {
+		if times[incarnation] <= 0 {
 			continue
 		}
 		if out[t.Service] == nil {
 			out[t.Service] = make(map[string]float64)
 		}
 		if b.getsRequests(t) && now >= t.coldUntil {
-			out[t.Service][t.Zone] += float64(cmp.Or(t.Slots, unknownSlots)) / (d.work * step.Seconds())
+			out[t.Service][t.Zone] += float64(cmp.Or(t.Slots, unknownSlots)) / times[incarnation]
+		}
+	}
+	return out
+}
+
+// requestTimes returns the mean time of a request in seconds by endpoint: at an engine the work in steps
+// times its step time, at a plain service what was observed there, or the mean of the service's other
+// endpoints; mu must be held.
+func (b *balancer) requestTimes() map[string]float64 {
+	sum, n := make(map[string]float64), make(map[string]float64)
+	for _, t := range b.targets {
+		if t.requestTime > 0 {
+			sum[t.Service] += t.requestTime
+			n[t.Service]++
+		}
+	}
+	step := b.meanStepTime()
+	out := make(map[string]float64, len(b.targets))
+	for incarnation, t := range b.targets {
+		switch d := b.zones.services[t.Service]; {
+		case t.requestTime > 0:
+			out[incarnation] = t.requestTime
+		case n[t.Service] > 0:
+			out[incarnation] = sum[t.Service] / n[t.Service]
+		case d != nil:
+			out[incarnation] = d.work * cmp.Or(t.stepTime(), step[t.Service]).Seconds()
 		}
 	}
 	return out
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -33,6 +33,8 @@
 	Zones, StrongPerZone int
 	// Latency is the one-way latency of the network.
 	Latency time.Duration
+	// ZoneSpill is the rule by which hosts send requests to other zones.
+	ZoneSpill edge.ZoneSpill
 	// Log receives the hosts' logs.
 	Log logr.Logger
 
@@ -131,7 +133,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	h.kill, h.done, h.net = cancel, make(chan struct{}), s.Net.Host(h.Boot.IP)
 	h.net.Start()
-	h.Edge = &edge.Host{Boot: h.Boot, Clock: clock.NewSteady().WithOffset(h.suspendedTime), Network: h.net, Log: s.Log.WithValues("host", h.Boot.Host)}
+	h.Edge = &edge.Host{Boot: h.Boot, ZoneSpill: s.ZoneSpill, Clock: clock.NewSteady().WithOffset(h.suspendedTime), Network: h.net, Log: s.Log.WithValues("host", h.Boot.Host)}
 	h.Boot.Bootstrap = false
 	go func(e *edge.Host, done chan struct{}) {
 		defer close(done)
--- a/sched/zones.go
+++ b/sched/zones.go
@@ -12,12 +12,13 @@
 
 // Endpoints in other zones are treated in one of two ways. Without shares, each counts as more loaded
 // by Config.CrossZoneCost. With shares, a request goes to another zone only with a credit for it, and
-// only if that is clearly better than the endpoints of this host's zone; see package spill.
+// only if no endpoint of this host's zone is about as good; see package spill.
 
 // homePreference is added to the cost of an endpoint in another zone where shares apply, so that
-// endpoints of this host's zone are preferred while they have room: it is about the difference of
-// relative load between an idle endpoint and a full one.
-const homePreference = 1
+// endpoints of this host's zone are preferred among equals. It is small, since hosts of large fleets
+// do not see that the endpoints of their zone are full: with 1, 66 hosts served 0.80 to 0.87 of the
+// requests in TestObservedZoneSpill, with 0.3 0.94 to 0.95, and with 0.1 0.96 to 0.97.
+const homePreference = 0.1
 
 // CrossReason says why a request was sent to another zone.
 type CrossReason string
