--- a/ingress/zones.go
+++ b/ingress/zones.go
@@ -313,7 +313,7 @@
 }
 
 // capacities returns the requests per second that the endpoints of each service can serve, by zone.
-// Cold endpoints count nothing. Services without a known time of a request have no entry; mu must be
+// Cold and ejected endpoints count nothing. Services without a known time of a request have no entry; mu must be
 // held.
 func (b *balancer) capacities(now time.Duration) map[string]map[string]float64 {
 	out := make(map[string]map[string]float64)
@@ -325,7 +325,7 @@
 		if out[t.Service] == nil {
 			out[t.Service] = make(map[string]float64)
 		}
-		if b.getsRequests(t) && now >= t.coldUntil {
+		if b.getsRequests(t) && now >= t.coldUntil && !b.sched.EndpointEjected(now, incarnation) {
 			out[t.Service][t.Zone] += float64(cmp.Or(t.Slots, unknownSlots)) / times[incarnation]
 		}
 	}
--- a/sched/zones.go
+++ b/sched/zones.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/spill"
 )
 
@@ -66,6 +67,12 @@
 	}
 }
 
+// EndpointEjected reports whether an endpoint is ejected because it fails requests.
+func (s *Scheduler) EndpointEjected(now time.Duration, name string) bool {
+	e := s.byName[name]
+	return e != nil && e.health.State(now) == outlier.Open
+}
+
 // accrueCredits adds the credits of a new request.
 func (s *Scheduler) accrueCredits(r *Request) {
 	if z := s.zoneSpills[r.pool.model]; z != nil && !r.HomeOnly {
--- a/spill/planner.go
+++ b/spill/planner.go
@@ -25,12 +25,13 @@
 	// drainTime is the time within which requests that would wait longer are to be served. It is
 	// longer than the delay of reports, so that a backlog is not sent away several times.
 	drainTime = 1500 * time.Millisecond
-	// reverseTime is the time after a zone stopped sending for which it receives nothing: several
-	// times the delay of reports.
+	// reverseTime is the time after a zone stopped sending for which it receives nothing: twice the
+	// delay of reports. With 2 s, moving waves changed their direction as often.
 	reverseTime = 1 * time.Second
 	// staleAge is the age of a zone's data from which it receives its last rate only, and lostAge
 	// that from which it receives nothing. Reports through relays are up to 0.65 s old. Zones that were
-	// not heard of for a while mostly still serve; those without live hosts are Hostless.
+	// not heard of for a while mostly still serve; a host that lost contact with all others keeps
+	// sending what it sent.
 	staleAge = 1500 * time.Millisecond
 	lostAge  = 30 * time.Second
 )
@@ -85,8 +86,8 @@
 		case p.sending[z.Name]:
 			// Backlog is sent away at the rate of arrivals at most: shares are of arriving requests.
 			g.supply[i] = min(z.Arrivals, max(0, demand-keepUtilization*capacity))
-		case z.Evacuated || z.Hostless || capacity == 0 || z.Age >= lostAge:
-		case z.Age >= staleAge:
+		case z.Evacuated || capacity == 0 || z.Age >= lostAge:
+		case z.Hostless || z.Age >= staleAge:
 			g.room[i] = min(p.received(z.Name), max(0, fillUtilization*capacity-demand))
 		case p.stopped[z.Name] == 0 || now-p.stopped[z.Name] >= reverseTime:
 			g.room[i] = max(0, fillUtilization*capacity-demand)
@@ -107,7 +108,7 @@
 	if p.sending[z.Name] {
 		limit = stopUtilization
 	}
-	sends := z.Age < lostAge && demand > limit*capacity
+	sends := z.Age < lostAge && !z.Hostless && demand > limit*capacity
 	if p.sending[z.Name] && !sends {
 		p.stopped[z.Name] = max(now, 1)
 	}
--- a/spill/planner_test.go
+++ b/spill/planner_test.go
@@ -91,7 +91,7 @@
 	}{
 		{"free", idle, 78},
 		{"evacuated", change(func(z *Zone) { z.Evacuated = true }), 0},
-		{"without hosts", change(func(z *Zone) { z.Hostless = true }), 0},
+		{"without hosts and a last rate", change(func(z *Zone) { z.Hostless = true }), 0},
 		{"without endpoints", change(func(z *Zone) { z.Capacity, z.Arrivals = 0, 0 }), 0},
 		{"lost", change(func(z *Zone) { z.Age = lostAge }), 0},
 		{"stale without a last rate", change(func(z *Zone) { z.Age = staleAge }), 0},
@@ -107,8 +107,10 @@
 	var p Planner
 	states := func(a, b Zone) *Service { return &Service{Zones: []Zone{a, b}} }
 	p.Plan(0, states(busy, idle))
-	if share := p.Plan(time.Second, states(busy, change(func(z *Zone) { z.Age = staleAge }))).Share("a"); share == 0 {
-		t.Error("a zone with stale data does not receive its last rate")
+	for _, f := range []func(*Zone){func(z *Zone) { z.Age = staleAge }, func(z *Zone) { z.Hostless = true }} {
+		if share := p.Plan(time.Second, states(busy, change(f))).Share("a"); share != 0.39 {
+			t.Errorf("a zone that is not heard receives a share of %v, not its last rate", share)
+		}
 	}
 	p.Plan(2*time.Second, states(Zone{Name: "a", Capacity: 100, Arrivals: 20}, idle))
 	if share := p.Plan(2*time.Second+reverseTime/2, states(Zone{Name: "a", Capacity: 100, Arrivals: 20}, Zone{Name: "b", Capacity: 100, Arrivals: 200})).Share("b"); share != 0 {
