--- a/cmd/hkedge/main.go
+++ b/cmd/hkedge/main.go
@@ -28,6 +28,8 @@
 
 	SharedSlots edge.SharedSlots `arg:"--shared-slots,env:HEATHKEEL_SHARED_SLOTS" default:"auto" help:"auto: in fleets with relays, one host grants an endpoint's slots to all others; off: only where requests take longer than reports between hosts"`
 	StatedLoad  onSwitch         `arg:"--stated-load,env:HEATHKEEL_STATED_LOAD" placeholder:"on|off" help:"use the loads that endpoints state in their responses [default: on]"`
+	ZoneSpill   edge.ZoneSpill   `arg:"--zone-spill,env:HEATHKEEL_ZONE_SPILL" default:"fixed" help:"when requests go to endpoints in other zones: fixed (they count as more loaded by a constant) or observed (by the demand that hosts report)"`
+	ZonePrice   edge.ZonePrice   `arg:"--zone-price,env:HEATHKEEL_ZONE_PRICE" default:"0" help:"value of one GB between zones, in units of the value of one top-tier request, for --zone-spill observed; 0 means unknown"`
 }
 
 // onSwitch is a switch that is on unless it is set to off.
@@ -66,6 +68,9 @@
 	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, edge.Signals...)
-	h := &edge.Host{Boot: boot, Path: a.Settings, Trace: a.Trace, SharedSlots: a.SharedSlots, StatedLoadOff: a.StatedLoad.off, Log: p.Log.WithValues("host", boot.Host)}
+	h := &edge.Host{
+		Boot: boot, Path: a.Settings, Trace: a.Trace, SharedSlots: a.SharedSlots, StatedLoadOff: a.StatedLoad.off,
+		ZoneSpill: a.ZoneSpill, ZonePrice: float64(a.ZonePrice), Log: p.Log.WithValues("host", boot.Host),
+	}
 	p.Exit(h.Run(context.Background(), signals))
 }
--- a/edge/inforce.go
+++ b/edge/inforce.go
@@ -7,8 +7,17 @@
 import (
 	"cmp"
 	"strconv"
+
+	"github.com/heathkeel/heathkeel/sched"
 )
 
+// policy returns the scheduling policy with the host's switches applied.
+func (h *Host) policy() sched.Config {
+	p := policy()
+	p.Disabled.StatedLoad = h.StatedLoadOff
+	return p
+}
+
 // inForce returns the switches of the command line as they are in force.
 func (h *Host) inForce() map[string]string {
 	statedLoad := "on"
--- a/edge/vars.go
+++ b/edge/vars.go
@@ -11,6 +11,7 @@
 	"net/http"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/ingress"
 	"github.com/heathkeel/heathkeel/metrics"
 )
 
@@ -64,8 +65,6 @@
 	EndpointsResting int `json:"endpoints_resting"`
 	// EndpointsSlow is the number of endpoints that state that work takes notably longer there than usual.
 	EndpointsSlow int `json:"endpoints_slow"`
-	// InForce is the state of the host's switches by name.
-	InForce map[string]string `json:"in_force"`
 	// RequestsSuspected counts the requests under which an endpoint crashed in the last hour, and
 	// RequestsHeld those of them that are refused now.
 	RequestsSuspected int `json:"requests_suspected"`
@@ -84,6 +83,10 @@
 	// keys.
 	Ready         bool `json:"ready"`
 	SettingsFresh bool `json:"fresh"`
+	// CrossZone counts what this host sent to endpoints in other zones, by pair of zones and reason.
+	CrossZone []ingress.ZoneTraffic `json:"cross_zone"`
+	// InForce shows the switches of the command line as they are in force.
+	InForce map[string]string `json:"in_force"`
 }
 
 // ownRevision returns the store's own revision of a number that orders the revisions of all eras.
@@ -97,6 +100,7 @@
 		PeersLive: len(h.agent.Live()), PeersUnexpired: len(h.agent.Unexpired()),
 		ConnectionsOpened: h.ingress.OpenedConnections(), Ready: h.ready(), SettingsFresh: h.ingress.SettingsFresh(),
 	}
+	v.CrossZone, v.InForce = h.ingress.CrossZoneTraffic(), h.inForce()
 	if age, ok := h.settings.Age.At(h.now()); ok {
 		v.SettingsAgeMS = age.Milliseconds()
 	}
@@ -110,7 +114,7 @@
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
 	v.EndpointsResting = h.ingress.RestingEndpoints()
-	v.EndpointsSlow, v.InForce = h.ingress.StatedSlow(), h.inForce()
+	v.EndpointsSlow = h.ingress.StatedSlow()
 	v.Gaps, v.GapMS = h.gaps.count.Load(), h.gaps.totalMS.Load()
 	v.RequestsSuspected, v.RequestsHeld = h.ingress.SuspectCounts()
 	v.EndpointsForeign = h.endpoints.ForeignCount()
--- a/ingress/ownerfleet_test.go
+++ b/ingress/ownerfleet_test.go
@@ -23,8 +23,8 @@
 	cfg       fleetConfig
 	now       time.Duration
 	rand      *rand.Rand
-	hosts     []*simHost
-	endpoints []*simEndpoint
+	hosts     []*ownerHost
+	endpoints []*ownedEndpoint
 	events    map[time.Duration][]func()
 	totals    [][]int // by sample: running requests by endpoint, newest last
 	carry     []float64
@@ -67,8 +67,8 @@
 	slotTime                                time.Duration
 }
 
-// simHost is a simulated host.
-type simHost struct {
+// ownerHost is a simulated host.
+type ownerHost struct {
 	s         *Server
 	waiting   []*simCall
 	triggered bool
@@ -79,8 +79,8 @@
 	down      bool // answers and sends no messages
 }
 
-// simEndpoint runs a limited number of requests; others wait there in order of arrival.
-type simEndpoint struct {
+// ownedEndpoint runs a limited number of requests; others wait there in order of arrival.
+type ownedEndpoint struct {
 	name    string
 	owner   int
 	running int
@@ -122,11 +122,11 @@
 	for e := range cfg.endpoints {
 		name := fmt.Sprint("e", e)
 		list = append(list, feed.Endpoint{Instance: name, Service: "s", Slots: cfg.slots, Zone: "z"})
-		f.endpoints = append(f.endpoints, &simEndpoint{name: name, owner: (e * 7) % cfg.hosts})
+		f.endpoints = append(f.endpoints, &ownedEndpoint{name: name, owner: (e * 7) % cfg.hosts})
 	}
 	policy := sched.Config{Overcommit: 0.4, CrossZoneCost: 0.6, Disabled: sched.Rules{Floor: true, LongCap: true, Share: true, Slow: true, PeerCorrection: true, Reserve: true}}
 	for i := range cfg.hosts {
-		h := &simHost{current: make([]int, cfg.endpoints)}
+		h := &ownerHost{current: make([]int, cfg.endpoints)}
 		b := newBalancer("z", policy, rand.New(rand.NewPCG(uint64(i)+1000*cfg.seed, 1)), func() time.Duration { return f.now })
 		b.requestSlots = func() { f.trigger(h) }
 		b.setTable(table)
@@ -138,7 +138,7 @@
 	return f
 }
 
-func (f *ownerFleet) setHostCount(h *simHost) {
+func (f *ownerFleet) setHostCount(h *ownerHost) {
 	h.s.balance.setHostCount(f.cfg.hosts, !f.cfg.withoutOwners)
 }
 
@@ -154,7 +154,7 @@
 }
 
 // trigger makes a host send its requests to slot owners soon, as peers.Agent does.
-func (f *ownerFleet) trigger(h *simHost) {
+func (f *ownerFleet) trigger(h *ownerHost) {
 	if h.triggered || f.cfg.withoutOwners {
 		return
 	}
@@ -166,7 +166,7 @@
 }
 
 // askOwners sends what a host asks the owners of slots.
-func (f *ownerFleet) askOwners(h *simHost) {
+func (f *ownerFleet) askOwners(h *ownerHost) {
 	requests, waits := h.s.SlotRequests(false)
 	h.waits = waits
 	h.seq++
@@ -234,7 +234,7 @@
 }
 
 // index returns the number of a host.
-func (f *ownerFleet) index(h *simHost) int {
+func (f *ownerFleet) index(h *ownerHost) int {
 	for i := range f.hosts {
 		if f.hosts[i] == h {
 			return i
@@ -266,7 +266,7 @@
 }
 
 // collect takes the decisions on a host's waiting requests.
-func (f *ownerFleet) collect(h *simHost) {
+func (f *ownerFleet) collect(h *ownerHost) {
 	kept := h.waiting[:0]
 	var done []*simCall
 	var decisions []sched.Decision
@@ -313,7 +313,7 @@
 }
 
 // start starts requests that wait at an endpoint.
-func (f *ownerFleet) start(e *simEndpoint) {
+func (f *ownerFleet) start(e *ownedEndpoint) {
 	for e.running < f.cfg.slots && len(e.queue) > 0 {
 		x := e.queue[0]
 		e.queue = e.queue[1:]
@@ -415,7 +415,7 @@
 }
 
 // reportPeers tells a host what the others had running some time ago.
-func (f *ownerFleet) reportPeers(h *simHost) {
+func (f *ownerFleet) reportPeers(h *ownerHost) {
 	loads := peers.PeerLoads{Load: make(map[string]peers.Load), Waiting: make(map[string][]int), Age: f.cfg.age}
 	if i := len(f.totals) - 1 - int(f.cfg.age/(25*time.Millisecond)); i >= 0 {
 		for e, x := range f.endpoints {
@@ -453,4 +453,3 @@
 	}
 	return out
 }
-
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -112,16 +112,14 @@
 		load float64
 	}
 	list := make([]ranked, 0, len(p.members))
+	zones := s.zoneRuleFor(now, p, nil)
 	for _, e := range p.members {
-		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
-			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
+		zoneCost, ok := zones.cost(e)
+		if ok && ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
+			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64() + zoneCost + s.slowLoad(now, e)
 			if now-e.requestedAt <= requestedFor && e.requestedAt > 0 {
 				load = math.Inf(-1)
 			}
-			load += s.slowLoad(now, e)
-			if e.CrossZone {
-				load += s.cfg.CrossZoneCost
-			}
 			list = append(list, ranked{e, load})
 		}
 	}
--- a/sched/order.go
+++ b/sched/order.go
@@ -15,6 +15,7 @@
 	r.pool = s.poolOf(r)
 	r.pool.arrivals.add()
 	r.demandsOf().add(r.Settings.Workspace, r.Settings.Weight)
+	s.accrueCredits(r)
 	s.estimate(r)
 	s.setLengthQuantile(r)
 	if ok, wait := s.limits.takeRate(now, r.Settings, s.hosts(r)); !ok {
@@ -133,6 +134,7 @@
 	r.dispatchedTo, r.dispatchedAt, r.predicted = c.e, now, c.firstToken
 	r.step, r.load = c.e.step(), c.load
 	r.avoid = nil
+	s.noteZone(now, r, c.e)
 	s.noteDispatched(r)
 	c.e.takeSlot()
 	c.e.addRequest(now, r)
