upstream: limits on responses; unread bodies are not drained

Cause: ReadResponse read a head of any size, the body of a response to another request up to its end, and Close of a body (net/http's) read the rest of it, however long. Change: heads are limited to 64 KB and 128 lines, interim responses to 5, responses to other requests to 3 with 64 KB of body each, chunk lines and trailers to 8 KB and 20 bytes for each byte of the body. A response beyond a limit closes its connection; the error is a LimitError. A body that was not read to its end is not drained, and its connection is not reused.

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,12 +25,14 @@
 	pool        *Pool
 	address     string
 	net         net.Conn
-	reader      *bufio.Reader
+	meter       *meter
+	reader      *bufio.Reader // reads from meter
 	idleTimeout time.Duration // longest time for which it may stay idle
 	idleSince   time.Duration
 	takenAt     time.Duration // when it was last returned by Pool.Get
 	closed      atomic.Bool
 	noReuse     bool
+	bodyOpen    bool // a response has a body that was not read to its end
 	bodyWrite   chan error
 }
 
@@ -100,22 +101,24 @@
 // ErrWrongResponse means that the responses on the connection belong to other requests.
 var ErrWrongResponse = eris.New("answer belongs to another request; the connection is dropped")
 
-// maxSurplusResponses limits the responses that are read in search of the right one.
-const maxSurplusResponses = 3
-
 // ReadResponse reads the head of the response to a request. The response must carry id in the named
 // header. Complete responses to earlier requests are skipped; the connection is not reused after
-// that.
+// that. A response that exceeds a limit closes the connection, and the error is a *LimitError.
 func (c *Conn) ReadResponse(method, header, id string) (*http.Response, error) {
-	for range maxSurplusResponses {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	interim, surplus := 0, 0
+	for {
+		resp, err := c.readHead(method)
 		if err != nil {
 			c.noReuse = true
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimResponses {
+				return nil, c.exceed(LimitInterim, nil)
+			}
 			continue
 		}
+		c.openBody(resp)
 		if resp.Header.Get(header) == id {
 			c.applyHeaders(resp)
 			return resp, nil
@@ -127,11 +130,13 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrWrongResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.discard(resp); err != nil {
 			return nil, err
 		}
+		if surplus++; surplus >= maxSurplusResponses {
+			return nil, c.exceed(LimitSurplus, nil)
+		}
 	}
-	return nil, ErrWrongResponse
 }
 
 // applyHeaders adapts the reuse of the connection to the headers of a response.
@@ -163,7 +168,7 @@
 			c.noReuse = true
 		}
 	}
-	if c.noReuse || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
+	if c.noReuse || c.bodyOpen || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
 		c.Close()
 		return
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -85,7 +85,15 @@
 	}
 	p.openCounts[address]++
 	p.totalOpened++
-	return &Conn{pool: p, address: address, net: nc, reader: bufio.NewReaderSize(nc, readBufferBytes), idleTimeout: defaultIdleTimeout, takenAt: p.Now()}, nil
+	c := newConn(p, address, nc)
+	c.takenAt = p.Now()
+	return c, nil
+}
+
+// newConn returns a connection of a pool.
+func newConn(p *Pool, address string, nc net.Conn) *Conn {
+	m := &meter{net: nc}
+	return &Conn{pool: p, address: address, net: nc, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 // take removes the most recently used idle connection to an address from the pool.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -5,7 +5,6 @@
 package upstream
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"testing"
@@ -119,8 +118,7 @@
 			go func() {
 				_, _ = peer.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n" + tc.header + "\r\n"))
 			}()
-			c := &Conn{pool: &Pool{}, net: local, idleTimeout: defaultIdleTimeout}
-			c.reader = bufio.NewReader(local)
+			c := newConn(&Pool{}, "", local)
 			_, err := c.ReadResponse("GET", "X-Id", "7")
 			must.NoError(t, err)
 			must.EqOp(t, tc.want, c.idleTimeout)
