ingress: responses beyond a limit are counted, logged and judged

Cause: a response beyond a limit has to count as lost, and a rejection whose body exceeds the limit on discarded bodies was taken at its word and its connection drained. Change: such a send counts as lost and its endpoint's failure as a corrupt response (outlier.Broken); a rejection beyond the limit does not make the request 'not run'. Counters.OverLimit and a rate-limited line 'response exceeds a limit' name endpoint and limit; bytes behind the end of a complete response are counted and logged only.

--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -36,6 +36,8 @@
 	NoOrigin atomic.Int64
 	// CutUnframed counts responses without a length or chunks whose endpoint had crashed when they ended.
 	CutUnframed atomic.Int64
+	// OverLimit counts responses of endpoints and other hosts that exceeded a limit, and those with bytes behind their end.
+	OverLimit atomic.Int64
 	// Cut counts responses that broke off, Gone callers that left.
 	Cut, Gone atomic.Int64
 	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host canceled while an endpoint may have been working on them:
--- /dev/null
+++ b/ingress/exceed.go
@@ -0,0 +1,38 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/upstream"
+)
+
+// noteExceeded counts and logs that the endpoint, or the other host, of the newest send exceeded a limit on responses. It must be
+// called before the connection is released.
+func (c *call) noteExceeded(conn *upstream.Conn) {
+	limit := conn.Exceeded()
+	if limit == "" {
+		return
+	}
+	c.s.Count.OverLimit.Add(1)
+	if c.allowLine(outcome.Kind("over limit on "+limit), c.s.Now()) {
+		c.s.Log.Info("response exceeds a limit", "limit", limit, "endpoint", c.endpoint.Instance, "relayed_to", c.relayed.to, "id", c.id)
+	}
+}
+
+// discard drops a response that says that its request was not run. A response that exceeds a limit says nothing: the request then
+// counts as lost, because it may have run.
+func (c *call) discard(conn *upstream.Conn, resp *http.Response, backoff time.Duration) (sendOutcome, time.Duration) {
+	var exceeded *upstream.LimitError
+	if errors.As(conn.Discard(resp), &exceeded) {
+		return sendLost, backoffLost
+	}
+	c.tracker.MarkNotRun()
+	return sendNotExecuted, backoff
+}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -25,7 +25,7 @@
 const (
 	// maxBuffered is the largest response that is read completely before any of it is written to the caller.
 	maxBuffered = 512 << 10
-	// maxDiscarded limits what is read of a response that is discarded.
+	// maxDiscarded limits what is read of an endpoint's error that is discarded, because a stream was begun before.
 	maxDiscarded = 64 << 10
 )
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -201,6 +202,7 @@
 	silence := newSilenceTimer(relaySilenceFactor*c.silenceTimeout(), conn.Close)
 	result, f := c.relayRoundTrip(ctx, conn, header, silence)
 	silence.stop()
+	c.noteExceeded(conn)
 	result = settle(conn, result, !stopCancel())
 	if result == sendLost {
 		c.tracker.MarkLost()
@@ -241,7 +243,10 @@
 	}
 	defer resp.Body.Close()
 	if resp.Header.Get(relayRefusedHeader) != "" {
-		discardBody(resp)
+		var exceeded *upstream.LimitError
+		if errors.As(conn.Discard(resp), &exceeded) {
+			return sendLost, refusal{}
+		}
 		return c.relayRefused(resp)
 	}
 	if incarnation := resp.Header.Get(relayLeavingHeader); incarnation != "" {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -70,12 +70,14 @@
 	if result != sendCompleted && (timedOut || !uncanceled) {
 		c.countCanceledWork(timedOut, c.s.Now()-sentAt)
 	}
+	c.noteExceeded(conn)
+	corrupt := conn.Exceeded() != ""
 	result = settle(conn, result, !uncanceled)
 	// A send during which this process did not run for a while says nothing about the endpoint.
 	gapSeen := c.s.Watch.GapSince(sentAt)
 	if !gapSeen {
 		c.s.balance.noteVersion(c, result, c.s.Now()-sentAt)
-		c.reportFailure(result, backoff)
+		c.reportFailure(result, backoff, corrupt)
 	}
 	if result == sendLost {
 		c.tracker.MarkLost()
@@ -143,10 +145,11 @@
 	}
 }
 
-// reportFailure reports a failed send to the scheduler. Completed and abandoned sends were reported when they ended.
-func (c *call) reportFailure(result sendOutcome, backoff time.Duration) {
+// reportFailure reports a failed send to the scheduler. Completed and abandoned sends were reported when they ended. corrupt says that
+// the response exceeded a limit.
+func (c *call) reportFailure(result sendOutcome, backoff time.Duration, corrupt bool) {
 	switch {
-	case result == sendLost && c.responsePending:
+	case result == sendLost && c.responsePending && !corrupt:
 		c.s.balance.noteFailure(c, outlier.Unanswered)
 	case result == sendLost:
 		c.s.balance.noteFailure(c, outlier.Broken)
@@ -190,16 +193,12 @@
 	c.s.paths.heard(c.s.Now())
 	c.logUnreadHeaders(resp.Header)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
-		c.tracker.MarkNotRun()
-		discardBody(resp)
-		return sendNotExecuted, backoffWrongInstance
+		return c.discard(conn, resp, backoffWrongInstance)
 	}
 	c.noteLimits(resp.Header, sent)
 	c.noteStatements(resp)
 	if resp.Header.Get(c.s.Headers.NotExecuted) != "" {
-		c.tracker.MarkNotRun()
-		discardBody(resp)
-		return sendNotExecuted, backoffFull
+		return c.discard(conn, resp, backoffFull)
 	}
 	return c.forwardResponse(ctx, resp, sent, silence)
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -32,7 +32,9 @@
 	takenAt     time.Duration // when it was last returned by Pool.Get
 	closed      atomic.Bool
 	noReuse     bool
-	bodyOpen    bool // a response has a body that was not read to its end
+	used        bool // since it was taken from the pool
+	bodyEnded   bool // its response was read to the end
+	exceeded    Limit
 	bodyWrite   chan error
 }
 
@@ -54,6 +56,7 @@
 
 // Send writes a request. After an error, some bytes may have been sent.
 func (c *Conn) Send(r *Request) error {
+	c.used, c.bodyEnded = true, false
 	head := r.appendHead(c.pool.getHeadBuffer())
 	if len(r.Body) <= asyncBodyBytes {
 		head = append(head, r.Body...)
@@ -105,6 +108,7 @@
 // header. Complete responses to earlier requests are skipped; the connection is not reused after
 // that. A response that exceeds a limit closes the connection, and the error is a *LimitError.
 func (c *Conn) ReadResponse(method, header, id string) (*http.Response, error) {
+	c.used = true
 	interim, surplus := 0, 0
 	for {
 		resp, err := c.readHead(method)
@@ -130,7 +134,7 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrWrongResponse
 		}
-		if err := c.discard(resp); err != nil {
+		if err := c.Discard(resp); err != nil {
 			return nil, err
 		}
 		if surplus++; surplus >= maxSurplusResponses {
@@ -168,10 +172,11 @@
 			c.noReuse = true
 		}
 	}
-	if c.noReuse || c.bodyOpen || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
+	if c.noReuse || (c.used && !c.bodyEnded) || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
 		c.Close()
 		return
 	}
+	c.used, c.bodyEnded = false, false
 	c.pool.put(c)
 }
 
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -44,7 +44,7 @@
 	LimitDiscarded   Limit = "discarded body"
 	// LimitFraming also covers chunk lines and trailers that are malformed.
 	LimitFraming Limit = "chunk lines and trailers"
-	// LimitAfterEnd means bytes behind the declared end of a response. ReadResponse does not return it, see SurplusBytes.
+	// LimitAfterEnd means bytes behind the declared end of a response. No error tells it, see Conn.Exceeded.
 	LimitAfterEnd Limit = "bytes behind the end"
 )
 
@@ -144,13 +144,22 @@
 
 // exceed closes the connection, because a response exceeds a limit.
 func (c *Conn) exceed(l Limit, cause error) error {
-	c.noReuse = true
+	c.noReuse, c.exceeded = true, l
 	c.Close()
 	return &LimitError{l, cause}
 }
 
-// discard reads the rest of a response to another request.
-func (c *Conn) discard(resp *http.Response) error {
+// Exceeded returns the limit that the endpoint exceeded on this connection, or "". Bytes behind the end of the response count
+// as far as they are known.
+func (c *Conn) Exceeded() Limit {
+	if c.exceeded == "" && c.surplusBytes() > 0 {
+		return LimitAfterEnd
+	}
+	return c.exceeded
+}
+
+// Discard reads and drops a response, so that the connection can be used again.
+func (c *Conn) Discard(resp *http.Response) error {
 	if resp.ContentLength > maxDiscardedBytes {
 		return c.exceed(LimitDiscarded, nil)
 	}
@@ -166,7 +175,7 @@
 
 // openBody replaces the body of a response by one that is limited and is not drained when it is closed.
 func (c *Conn) openBody(resp *http.Response) {
-	if c.bodyOpen = resp.Body != http.NoBody; c.bodyOpen {
+	if c.bodyEnded = resp.Body == http.NoBody; !c.bodyEnded {
 		resp.Body = &body{conn: c, inner: resp.Body, begin: c.consumed(), chunked: len(resp.TransferEncoding) > 0}
 	}
 }
@@ -174,9 +183,10 @@
 // consumed returns the bytes that the parser has read from the connection.
 func (c *Conn) consumed() int64 { return c.meter.total - int64(c.reader.Buffered()) }
 
-// SurplusBytes returns the number of bytes that came behind the end of a response that was read completely, as far as they are known.
-func (c *Conn) SurplusBytes() int {
-	if c.bodyOpen {
+// surplusBytes returns the number of bytes that came behind the end of a response that was read completely, as far as they are
+// known.
+func (c *Conn) surplusBytes() int {
+	if !c.bodyEnded {
 		return 0
 	}
 	return c.reader.Buffered()
@@ -203,7 +213,7 @@
 	case b.chunked && b.conn.consumed()-b.begin-b.decoded > maxFramingBytes+framingPerByte*b.decoded:
 		err = b.conn.exceed(LimitFraming, nil)
 	case errors.Is(err, io.EOF):
-		b.conn.bodyOpen = false
+		b.conn.bodyEnded = true
 	case err != nil && b.conn.meter.readErr == nil:
 		// The connection did not fail, so the chunks or trailers are not what the parser accepts.
 		err = b.conn.exceed(LimitFraming, err)
--- a/upstream/limits_test.go
+++ b/upstream/limits_test.go
@@ -116,6 +116,7 @@
 			var exceeded *LimitError
 			must.True(t, errors.As(err, &exceeded), must.Sprint(err))
 			must.EqOp(t, tc.limit, exceeded.Limit)
+			must.EqOp(t, tc.limit, c.Exceeded())
 			<-closed // by the host alone
 			must.EqOp(t, 0, p.OpenCount("endpoint"))
 			must.Less(t, maxTaken, read.Load())
@@ -126,25 +127,30 @@
 
 // TestResponsesWithinLimits guards against limits that break legitimate responses.
 func TestResponsesWithinLimits(t *testing.T) {
-	cases := []struct{ name, response, body string }{
-		{"many headers", okHead + strings.Repeat("A: b\r\n", maxHeaderLines-4) + "Content-Length: 2\r\n\r\nok", "ok"},
-		{"long head", okHead + "A: " + strings.Repeat("x", maxHeadBytes-200) + "\r\nContent-Length: 2\r\n\r\nok", "ok"},
-		{"small head, long body", okHead + "Content-Length: 200000\r\n\r\n" + strings.Repeat("a\n", 100000), strings.Repeat("a\n", 100000)},
-		{"interim responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInterimResponses) + okHead + "Content-Length: 2\r\n\r\nok", "ok"},
-		{"an earlier response", "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold" + okHead + "Content-Length: 2\r\n\r\nok", "ok"},
-		{"small chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;a=b\r\nx\r\n", 20000) + "0\r\n\r\n", strings.Repeat("x", 20000)},
-		{"trailer", okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n", "ok"},
+	cases := []struct {
+		name, response, body string
+		reused               int
+	}{
+		{"many headers", okHead + strings.Repeat("A: b\r\n", maxHeaderLines-4) + "Content-Length: 2\r\n\r\nok", "ok", 1},
+		{"long head", okHead + "A: " + strings.Repeat("x", maxHeadBytes-200) + "\r\nContent-Length: 2\r\n\r\nok", "ok", 1},
+		{"small head, long body", okHead + "Content-Length: 200000\r\n\r\n" + strings.Repeat("a\n", 100000), strings.Repeat("a\n", 100000), 1},
+		{"interim responses", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", maxInterimResponses) + okHead + "Content-Length: 2\r\n\r\nok", "ok", 1},
+		{"an earlier response", "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 3\r\n\r\nold" + okHead + "Content-Length: 2\r\n\r\nok", "ok", 0},
+		{"small chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("1;a=b\r\nx\r\n", 20000) + "0\r\n\r\n", strings.Repeat("x", 20000), 1},
+		{"trailer", okHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nA: b\r\n\r\n", "ok", 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			_, c, _, _ := connectTo(t, tc.response, "")
+			p, c, _, _ := connectTo(t, tc.response, "")
 			resp, err := c.ReadResponse("GET", "X-Id", "7")
 			must.NoError(t, err)
 			b, err := io.ReadAll(resp.Body)
 			must.NoError(t, err)
 			must.EqOp(t, tc.body, string(b))
 			must.NoError(t, resp.Body.Close())
-			must.EqOp(t, 0, c.SurplusBytes())
+			must.EqOp(t, "", c.Exceeded())
+			c.Release()
+			must.EqOp(t, tc.reused, p.OpenCount("endpoint"))
 		})
 	}
 }
@@ -194,7 +200,7 @@
 			must.NoError(t, err)
 			_, err = io.ReadAll(resp.Body)
 			must.NoError(t, err)
-			must.Positive(t, c.SurplusBytes())
+			must.EqOp(t, LimitAfterEnd, c.Exceeded())
 			c.Release()
 			<-closed
 			must.EqOp(t, 0, p.OpenCount("endpoint"))
