--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -8,7 +8,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -26,12 +25,16 @@
 	pool        *Pool
 	address     string
 	net         net.Conn
-	reader      *bufio.Reader
+	meter       *meter
+	reader      *bufio.Reader // reads from meter
 	idleTimeout time.Duration // longest time for which it may stay idle
 	idleSince   time.Duration
 	takenAt     time.Duration // when it was last returned by Pool.Get
 	closed      atomic.Bool
 	noReuse     bool
+	used        bool // since it was taken from the pool
+	bodyEnded   bool // its response was read to the end
+	exceeded    Limit
 	bodyWrite   chan error
 }
 
@@ -53,6 +56,7 @@
 
 // Send writes a request. After an error, some bytes may have been sent.
 func (c *Conn) Send(r *Request) error {
+	c.used, c.bodyEnded = true, false
 	head := r.appendHead(c.pool.getHeadBuffer())
 	if len(r.Body) <= asyncBodyBytes {
 		head = append(head, r.Body...)
@@ -100,22 +104,25 @@
 // ErrWrongResponse means that the responses on the connection belong to other requests.
 var ErrWrongResponse = eris.New("answer belongs to another request; the connection is dropped")
 
-// maxSurplusResponses limits the responses that are read in search of the right one.
-const maxSurplusResponses = 3
-
 // ReadResponse reads the head of the response to a request. The response must carry id in the named
 // header. Complete responses to earlier requests are skipped; the connection is not reused after
-// that.
+// that. A response that exceeds a limit closes the connection, and the error is a *LimitError.
 func (c *Conn) ReadResponse(method, header, id string) (*http.Response, error) {
-	for range maxSurplusResponses {
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	c.used = true
+	interim, surplus := 0, 0
+	for {
+		resp, err := c.readHead(method)
 		if err != nil {
 			c.noReuse = true
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
+			if interim++; interim > maxInterimResponses {
+				return nil, c.exceed(LimitInterim, nil)
+			}
 			continue
 		}
+		c.openBody(resp)
 		if resp.Header.Get(header) == id {
 			c.applyHeaders(resp)
 			return resp, nil
@@ -127,11 +134,13 @@
 		if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 			return nil, ErrWrongResponse
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		if err := c.Discard(resp); err != nil {
 			return nil, err
 		}
+		if surplus++; surplus >= maxSurplusResponses {
+			return nil, c.exceed(LimitSurplus, nil)
+		}
 	}
-	return nil, ErrWrongResponse
 }
 
 // applyHeaders adapts the reuse of the connection to the headers of a response.
@@ -163,10 +172,11 @@
 			c.noReuse = true
 		}
 	}
-	if c.noReuse || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
+	if c.noReuse || (c.used && !c.bodyEnded) || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
 		c.Close()
 		return
 	}
+	c.used, c.bodyEnded = false, false
 	c.pool.put(c)
 }
 
