sched: slot owners grant the slots of pools whose requests take 150 ms or more

Cause: plain requests of 15 ms wait for grants longer than they run. Change: in pools whose requests are shorter, slots are scarce by the rule that held before.

--- a/sched/claim.go
+++ b/sched/claim.go
@@ -46,6 +46,12 @@
 	// slot. A request then needs a claim only while its tier is rationed or while requests of its
 	// tier or above wait at other hosts; without a ration its last chance needs no claim.
 	freshPeerState = 50 * time.Millisecond
+	// minOwnedService is the mean duration of requests from which slot owners grant the slots of a
+	// pool whose peer state is older than that. A slot is idle from the end of a request until the
+	// owner has learned of it and its grant was taken, about 15 ms with messages between zones, so
+	// that shorter requests would leave a tenth of the slots idle or more. Plain requests of 15 ms
+	// are well below it also while they queue at their endpoints.
+	minOwnedService = 150 * time.Millisecond
 	// newPoolPeriod is the time for which a pool's slots count as scarce where slot owners grant
 	// them: until then the arrival rate is underestimated and peer state shows no load. Without it,
 	// a fleet that starts under load sends requests for 0.3 s without asking any owner.
@@ -90,6 +96,7 @@
 		}
 	}
 	peerStateUseful := measured == 0 || serviceSum/time.Duration(measured) > s.peerState.Age
+	owned := s.SlotOwners && (measured == 0 || serviceSum/time.Duration(measured) > minOwnedService)
 	// The requests that arrive at this host, and at all hosts, within one peer-state delay.
 	arriving := p.arrivals.rate() * s.peerState.Age.Seconds()
 	scarceBelow := scarceFactor * arriving * float64(s.SharingHosts)
@@ -97,9 +104,9 @@
 		scarceBelow = max(scarceBelow, scarceFreeShare*slots)
 	}
 	p.drawnFor += dt
-	scarce := free < scarceBelow || (s.SlotOwners && p.drawnFor < newPoolPeriod)
-	p.scarce = (peerStateUseful || s.SlotOwners) && s.SharingHosts > 1 && !s.cfg.Disabled.Claims && scarce
-	p.claimsByRate = s.SlotOwners && (!peerStateUseful || measured == 0 || s.peerState.Age == 0)
+	scarce := free < scarceBelow || (owned && p.drawnFor < newPoolPeriod)
+	p.scarce = (peerStateUseful || owned) && s.SharingHosts > 1 && !s.cfg.Disabled.Claims && scarce
+	p.claimsByRate = owned && (!peerStateUseful || measured == 0 || s.peerState.Age == 0)
 	if !p.scarce {
 		return
 	}
