sched, places, ingress: shares kept whoever waits, grants for short requests, metrics

Causes, each found with simulations of whole fleets (ingress/shares_test.go): - A request asks several owners. Grants left over after it had been served went to any other request of the host: with 0.94 of the capacity wanted by a higher tier at 64 hosts, 0.86 of it was served and 0.14 of a lower one, and a workspace beside one with callers that return at once got 105 of its share of 130 requests a second. Now a host returns a grant unless a request of its workspace waits. - Requests of 20 ms with messages of 4 to 15 ms used plain endpoints for 0.64 of the time, since a slot counts as taken while messages are under way. Owners now grant as many slots more as the measured time of messages is worth, and a host uses a grant whatever load it knows.

--- a/edge/vars.go
+++ b/edge/vars.go
@@ -12,6 +12,7 @@
 	"net/http"
 
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/ingress"
 	"github.com/heathkeel/heathkeel/metrics"
 )
 
@@ -81,6 +82,8 @@
 	// keys.
 	Ready         bool `json:"ready"`
 	SettingsFresh bool `json:"fresh"`
+	// WorkspaceSlots is what workspaces got of the slots that this host owns.
+	WorkspaceSlots map[string]ingress.WorkspaceSlots `json:"workspace_slots"`
 	// InForce holds the values of switches.
 	InForce map[string]string `json:"in_force"`
 }
@@ -105,6 +108,7 @@
 	v.StoreAnswered, v.StoreRefused, v.StoreUnanswered = calls.Answered, calls.Refused, calls.Unanswered
 	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
 	v.StoreEras = h.storeEras.Load()
+	v.WorkspaceSlots = h.ingress.WorkspaceSlots()
 	v.InForce = map[string]string{"shared_slots": string(cmp.Or(h.SharedSlots, SharedSlotsAuto))}
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -71,7 +71,7 @@
 	return &balancer{
 		rand: r, zone: zone, now: now, sched: s, targets: make(map[string]*target),
 		prefillRates: make(map[string]*sched.Quantile), effective: make(map[settingsKey]*settings.Effective), ranks: make(map[string][]rankPair), changedLoads: make(map[string]bool),
-		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), wantSentAt: make(map[string]time.Duration), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1},
+		slots: slotOwner{allocators: make(map[string]*places.Allocator), sentRequests: make(map[string]places.Request), usage: make(map[string]*WorkspaceSlots), wantSentAt: make(map[string]time.Duration), returned: make(map[string]bool), rand: r}, requestSlots: func() {}, notifyPeers: func() {}, stating: make(map[string]*target), owners: owners{share: 1},
 	}
 }
 
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -52,6 +52,9 @@
 	// LeavingStated counts responses whose endpoint said that it leaves, RestsStated those that asked this host for rest, and BadRests
 	// those that asked for it for a time that cannot be read.
 	LeavingStated, RestsStated, BadRests atomic.Int64
+	// SlotsGranted counts slots that this host granted as their owner, and SlotsReturned those that were granted to it and that it did not
+	// need. ShareLimited counts, for each workspace, the seconds in which it was limited by its share of the slots that this host owns.
+	SlotsGranted, SlotsReturned, ShareLimited atomic.Int64
 	// LinesDropped counts log lines about requests that were dropped because they exceeded the limit of their kind.
 	LinesDropped atomic.Int64
 }
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -260,6 +260,7 @@
 	} else {
 		a.LiftRate()
 	}
+	a.GrantAhead = !t.inForce.any()
 	if t.inForce.any() && t.owned {
 		a.NoteOwn(now, b.owners.self, b.sched.InFlight(name), b.sched.Grants(now, name))
 	}
--- a/ingress/ownerfleet_test.go
+++ b/ingress/ownerfleet_test.go
@@ -34,6 +34,7 @@
 	busy        time.Duration // slot time used
 	datagrams   int
 	bytes       int
+	since       time.Duration // start of the measurement
 	hostWait    time.Duration // of dispatched requests
 	dispatched  int
 }
@@ -65,6 +66,7 @@
 type loadStats struct {
 	offered, served, ran, refused, attempts int
 	slotTime                                time.Duration
+	longestWait                             time.Duration // at a host, of a request that was run
 }
 
 // simHost is a simulated host.
@@ -295,6 +297,7 @@
 		x.endpoint = feed.Endpoint{Instance: d.Endpoint}
 		f.hosts[x.host].current[x.at]++
 		f.hostWait += f.now - x.arrived
+		st.longestWait = max(st.longestWait, f.now-x.arrived)
 		f.dispatched++
 		e := f.endpoints[x.at]
 		e.queue = append(e.queue, x)
@@ -438,19 +441,38 @@
 	h.s.balance.setPeerLoads(f.now, loads)
 }
 
+// reset starts the measurement anew.
+func (f *ownerFleet) reset() {
+	for _, st := range f.stats {
+		*st = loadStats{}
+	}
+	f.peak, f.maxAt, f.busy, f.datagrams, f.bytes, f.hostWait, f.dispatched, f.since = 0, 0, 0, 0, 0, 0, 0, f.now
+}
+
+// stop makes a host silent; its callers use other hosts. The other hosts choose other owners for its endpoints after a while.
+func (f *ownerFleet) stop(host int, noticedAfter time.Duration) {
+	f.hosts[host].down = true
+	f.at(noticedAfter, func() {
+		for _, x := range f.endpoints {
+			if x.owner == host {
+				x.owner = (host + 1) % len(f.hosts)
+			}
+		}
+	})
+}
+
 // utilization returns the share of the slot time that was used since the start.
 func (f *ownerFleet) utilization() float64 {
-	return f.busy.Seconds() / (f.now.Seconds() * float64(f.cfg.endpoints*f.cfg.slots))
+	return f.busy.Seconds() / ((f.now - f.since).Seconds() * float64(f.cfg.endpoints*f.cfg.slots))
 }
 
 // String describes what was measured.
 func (f *ownerFleet) String() string {
 	out := fmt.Sprintf("peak %d of %d slots, %d at one endpoint, utilization %.3f, wait at hosts %.1f ms, %.1f datagrams and %.2f KB per second and host",
 		f.peak, f.cfg.endpoints*f.cfg.slots, f.maxAt, f.utilization(), 1000*f.hostWait.Seconds()/float64(max(1, f.dispatched)),
-		float64(f.datagrams)/f.now.Seconds()/float64(f.cfg.hosts), float64(f.bytes)/1000/f.now.Seconds()/float64(f.cfg.hosts))
+		float64(f.datagrams)/(f.now-f.since).Seconds()/float64(f.cfg.hosts), float64(f.bytes)/1000/(f.now-f.since).Seconds()/float64(f.cfg.hosts))
 	for i, st := range f.stats {
 		out += fmt.Sprintf("\n  w%d: offered %d, served %.3f, ran %.3f, refusals %d", i, st.offered, float64(st.served)/float64(max(1, st.offered)), float64(st.ran)/float64(max(1, st.offered)), st.refused)
 	}
 	return out
 }
-
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -15,15 +15,16 @@
 // which owners forget them.
 const fullSendInterval = time.Second
 
-// wantInterval is the time after which an unchanged wish for a slot is sent again. It is less than the interval between two rounds of
-// requests, so that each round repeats it, and owners keep it for three rounds (requestTTL of package places). Without it, each
-// dispatch and each end of a request repeated all wishes: a host of 64 at 1.2 times the capacity sent and received 2,000 datagrams a second.
-const wantInterval = 35 * time.Millisecond
+// wantInterval is the time after which an unchanged wish for a slot is sent again: every second round of requests repeats it, and owners
+// keep it for three rounds (requestTTL of package places). Without it, each dispatch and each end of a request repeated all wishes: a
+// host of 64 at 1.2 times the capacity sent and received 2,000 datagrams a second.
+const wantInterval = 75 * time.Millisecond
 
 // slotOwner is the state of a host as the owner of slots, and what it last sent to other owners.
 type slotOwner struct {
 	allocators   map[string]*places.Allocator // by incarnation of the endpoint
 	sentRequests map[string]places.Request    // what the owners know of this host
+	usage        map[string]*WorkspaceSlots   // by workspace
 	wantSentAt   map[string]time.Duration     // when the owners were last asked for a slot
 	returned     map[string]bool              // incarnations at which a granted slot was not needed
 	lastFullSend time.Duration                // when all requests were last sent to their owners
@@ -99,6 +100,7 @@
 			continue // the sender may take this host for the owner, and this host another one
 		}
 		for _, x := range allocator.AllocateShares(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
+			s.Count.SlotsGranted.Add(1)
 			addGrant(out, x.Host, incarnation, places.Grant{Slots: 1, Running: allocator.OthersRunning(now, x.Host), Workspace: x.Workspace})
 		}
 		if _, granted := out[host][incarnation]; !granted && request.Rank >= 0 {
@@ -132,6 +134,7 @@
 	now := b.now()
 	for incarnation, g := range grants {
 		if !b.sched.ApplyGrant(now, incarnation, g) {
+			s.Count.SlotsReturned.Add(1)
 			b.slots.returned[incarnation] = true
 			b.requestSlots()
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -314,6 +314,7 @@
 func (s *Server) Sweep() {
 	s.pool.Sweep()
 	s.relayPool.Sweep()
+	s.sweepShares(s.Now())
 	s.crashes.sweep(s.balance.endpointCount())
 }
 
--- a/places/book.go
+++ b/places/book.go
@@ -51,6 +51,9 @@
 // Allocator allocates the slots of one endpoint, and the requests per second that it takes from all hosts
 // together if it limits them. The zero value is empty and has no such limit.
 type Allocator struct {
+	// GrantAhead allows grants beyond the slots for the time that messages take.
+	GrantAhead bool
+
 	hosts       map[string]*hostState
 	order       []*hostState // the same; maps take ten times as long to iterate
 	shares      shares
@@ -81,7 +84,7 @@
 		h = &hostState{rank: -1}
 		a.add(self, h)
 	}
-	h.take(now, running-h.running)
+	h.take(now, &a.shares, running-h.running)
 	h.end(now, &a.shares, h.running-running)
 	h.running, h.granted, h.grantExpiry = running, granted, now+grantTTL
 	h.updatedAt = max(h.updatedAt, now-requestTTL-1) // its wish for a slot is as old as its message
@@ -173,7 +176,7 @@
 	}
 	req.Running = max(0, req.Running)
 	h.granted = max(0, h.granted-max(0, req.Running-h.running))
-	h.take(now, req.Running-h.running)
+	h.take(now, &a.shares, req.Running-h.running)
 	h.end(now, &a.shares, h.running-req.Running)
 	if req.Rejected {
 		a.pausedUntil = now + rejectPause
@@ -219,10 +222,13 @@
 	var out []Allocation
 	for now >= a.pausedUntil {
 		h, f := a.nextShare(now, r)
-		if h == nil || used >= limit(f.rank) || (a.limited && !a.pacer.take(now, a.rate)) {
+		if h == nil {
+			return out
+		}
+		if n := limit(f.rank); used >= n+a.inTransit(n) || (a.limited && !a.pacer.take(now, a.rate)) {
 			return out
 		}
-		h.grants = append(h.grants, use{flow: f, charged: a.shares.charge(f)})
+		h.grants = append(h.grants, use{flow: f, charged: a.shares.charge(f), granted: now})
 		h.granted++
 		h.grantExpiry = now + grantTTL
 		a.notePassed(now, f)
--- a/places/share.go
+++ b/places/share.go
@@ -100,6 +100,9 @@
 	// virtualTimes are the start tags of the latest grants, by tier.
 	virtualTimes [maxRanks]float64
 	mean         time.Duration // moving average of the time of all requests
+	// gap is the moving average of the time from a grant until the owner learns that it was taken: for about as long a slot is idle
+	// between two requests.
+	gap time.Duration
 }
 
 // maxRanks limits the tiers; lower ones count as the last.
@@ -188,6 +191,7 @@
 	flow    *flow
 	charged time.Duration
 	since   time.Duration
+	granted time.Duration // time of the grant
 }
 
 // shareState is the part of a host's state that concerns workspaces.
@@ -215,13 +219,14 @@
 }
 
 // take records that a host has so many more running requests. Grants that were not taken yet are used up, oldest first.
-func (h *hostState) take(now time.Duration, n int) {
+func (h *hostState) take(now time.Duration, s *shares, n int) {
 	for range max(0, min(n, maxUses-len(h.uses))) {
 		u := use{since: now}
 		if len(h.grants) > 0 {
 			u = h.grants[0]
 			u.since = now
-			h.grants = h.grants[1:]
+			s.gap += time.Duration(useGain * float64(now-u.granted-s.gap))
+			h.grants = append(h.grants[:0], h.grants[1:]...)
 		}
 		h.uses = append(h.uses, u)
 	}
@@ -248,6 +253,19 @@
 	h.granted = 0
 }
 
+// maxInTransit is the largest share of the slots that is granted beyond them for grants in transit.
+const maxInTransit = 1.0
+
+// inTransit returns the number of slots beyond the limit that may be granted because messages take time: a slot counts as used from its
+// grant until the message about the end of its request arrives, which for short requests is much longer than it is used. Without this,
+// plain endpoints with requests of 20 ms and messages of 4 to 15 ms are used for 0.64 of the time.
+func (a *Allocator) inTransit(limit int) int {
+	if !a.GrantAhead || a.shares.mean <= 0 {
+		return 0
+	}
+	return int(float64(limit) * min(maxInTransit, a.shares.gap.Seconds()/a.shares.mean.Seconds()))
+}
+
 // nextShare returns the host and flow that get the next slot: the highest tier, the flow with the least start tag in it, and a random host
 // among those that want a slot for it.
 func (a *Allocator) nextShare(now time.Duration, r *rand.Rand) (*hostState, *flow) {
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -44,7 +44,7 @@
 	if r.spareOnly {
 		limit *= spareFill
 	}
-	if !s.healthAdmits(now, r, e) || (load >= limit && !s.withinShare(e, limit)) {
+	if !s.healthAdmits(now, r, e) || (load >= limit && !s.withinShare(e, limit) && (r.spareOnly || !s.granted(now, e))) {
 		return false
 	}
 	if !s.mayTakeSlot(now, r, e) {
--- a/sched/claim.go
+++ b/sched/claim.go
@@ -46,6 +46,10 @@
 	// slot. A request then needs a claim only while its tier is rationed or while requests of its
 	// tier or above wait at other hosts; without a ration its last chance needs no claim.
 	freshPeerState = 50 * time.Millisecond
+	// scarceShortLoad is the share of the slots in use from which slots are scarce where requests are
+	// so short that the load settles several times within a peer-state delay. Below it, a grant
+	// costs more than it gains: at 0.25 of the capacity it delays requests of 20 ms by 10 ms.
+	scarceShortLoad = 0.5
 	// newPoolPeriod is the time for which a pool's slots count as scarce where slot owners grant
 	// them: until then the arrival rate is underestimated and peer state shows no load. Without it,
 	// a fleet that starts under load sends requests for 0.3 s without asking any owner.
@@ -97,6 +101,10 @@
 	}
 	p.drawnFor += dt
 	scarce := free < scarceBelow || (s.SlotOwners && p.drawnFor < newPoolPeriod)
+	if mean := serviceSum / time.Duration(max(1, measured)); s.SlotOwners && measured > 0 && scarceFactor*mean < s.peerState.Age && p.drawnFor >= newPoolPeriod {
+		busy := max(slots-free, p.arrivals.rate()*float64(s.SharingHosts)*mean.Seconds())
+		scarce = busy > scarceShortLoad*slots
+	}
 	p.scarce = (peerStateUseful || s.SlotOwners) && s.SharingHosts > 1 && !s.cfg.Disabled.Claims && scarce
 	p.claimsByRate = s.SlotOwners && (!peerStateUseful || measured == 0 || s.peerState.Age == 0)
 	if !p.scarce {
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -84,6 +84,7 @@
 	ownerReportAt   time.Duration // when the slot owner last reported the requests of other hosts
 	unansweredSince time.Duration // start of the requests to the slot owner without an answer, or 0
 	lastAskedAt     time.Duration // time of the latest request to the slot owner
+	answeredAt      time.Duration // time of the latest answer of the slot owner, or 0
 	wants           places.Wants  // sent with the latest request to the slot owner
 	requestedAt     time.Duration // when the first request for the slot wanted now was sent, or 0
 	vacated         int           // slots that own requests left recently
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -23,7 +23,7 @@
 	// with many, most granted slots are returned.
 	endpointsAskedPerRequest = 6
 	// maxAskedRequests limits the requests for which slots are requested at a time.
-	maxAskedRequests = 4
+	maxAskedRequests = 3
 	// requestedFor is the time for which a host keeps asking for slots of the same endpoint. Other
 	// endpoints are chosen then, as their loads have changed.
 	requestedFor = 200 * time.Millisecond
@@ -42,6 +42,13 @@
 	// askJitter is the random part of an endpoint's load in the choice of owners to ask, as a
 	// share of its slots, so that hosts with the same information do not all ask the same owners.
 	askJitter = 0.5
+	// sharedAskJitter is the same where owners grant all slots. Hosts then know loads only 0.45 s
+	// late, and with 0.5 they ask the same few owners: endpoints of 300 hosts at 1.3 times the
+	// capacity are used for 0.90 of the time instead of 1.0.
+	sharedAskJitter = 2.0
+	// answeredFor is the time after an owner's answer for which it is not considered silent: unchanged
+	// requests are sent again only after a while.
+	answeredFor = 40 * time.Millisecond
 )
 
 // ownerAnswers reports whether slot owners answer, and the owner of this endpoint does.
@@ -54,6 +61,9 @@
 
 // recordAsk records a request to the owner of an endpoint's slots.
 func (e *endpointState) recordAsk(now time.Duration) {
+	if e.unansweredSince == 0 && e.answeredAt > 0 && now-e.answeredAt < answeredFor {
+		return
+	}
 	if e.unansweredSince == 0 || now-e.lastAskedAt > ownerTimeout {
 		e.unansweredSince = max(now, 1)
 	}
@@ -65,6 +75,12 @@
 	return e.claims > 0 && now-e.claimedAt <= grantTTL
 }
 
+// granted reports whether the owner of an endpoint's slots granted one to this host that it has not used.
+// Owners also grant slots that are about to become free, so that the load does not count then.
+func (s *Scheduler) granted(now time.Duration, e *endpointState) bool {
+	return s.SlotOwners && !e.grantsOnly() && e.hasGrant(now) && s.ownerAnswers(now, e)
+}
+
 // SlotRequests returns the endpoints at which this host wants a slot, each with the highest tier
 // for which it wants one, and records that their owners are asked. Where hosts fill other slots
 // without asking, grantsOnly leaves these out. Endpoints stay requested until a slot is granted, so
@@ -107,6 +123,10 @@
 // asked, where endpoints in other zones count as more loaded, as in the choice of an endpoint.
 // Without that, messages between zones cost 0.011 of the value of a simulated day at 63 hosts.
 func (s *Scheduler) endpointsToAsk(now time.Duration, p *pool, ask func(*endpointState) bool, n int) []*endpointState {
+	jitter := askJitter
+	if s.SlotOwners {
+		jitter = sharedAskJitter
+	}
 	type ranked struct {
 		e    *endpointState
 		load float64
@@ -114,7 +134,7 @@
 	list := make([]ranked, 0, len(p.members))
 	for _, e := range p.members {
 		if ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
-			load := s.load(now, e)/float64(e.slots()) + askJitter*s.Rand.Float64()
+			load := s.load(now, e)/float64(e.slots()) + jitter*s.Rand.Float64()
 			if now-e.requestedAt <= requestedFor && e.requestedAt > 0 {
 				load = math.Inf(-1)
 			}
@@ -148,41 +168,56 @@
 	if !e.grantsOnly() {
 		e.others, e.ownerReportAt = g.Running, max(now, 1)
 	}
-	e.unansweredSince = 0
+	e.unansweredSince, e.answeredAt = 0, max(now, 1)
 	if g.Slots == 0 {
 		return true
 	}
 	e.requestedAt = 0
 	e.grant(now, g.Slots)
-	useful := false
+	if s.SlotOwners && !e.grantsOnly() {
+		return s.useGrant(now, e, g.Workspace)
+	}
+	s.wake(e)
 	for _, p := range s.pools {
 		if p.waiting > 0 && slices.Contains(p.members, e) {
-			useful = true
-			s.dispatchGranted(now, p, g.Workspace)
+			return true
 		}
 	}
-	s.wake(e)
-	return useful
+	return false
 }
 
-// dispatchGranted dispatches the next request of the workspace for which a slot was granted, if one
-// waits; its decision is returned by the next Poll. If none waits, the slot is for any other request.
-func (s *Scheduler) dispatchGranted(now time.Duration, p *pool, workspace string) {
-	for rank := range p.tiers {
-		f := p.tiers[rank].flows[workspace]
-		if f == nil || f.waiting == 0 {
+// useGrant dispatches the next request of the workspace for which a slot was granted, and reports
+// whether one was dispatched; the next Poll returns the decision. Otherwise the slot is returned at
+// once: a request asks several owners, and if another workspace or tier used the grants that are left
+// over, it would get them at the expense of the one that is charged. With 0.94 of the capacity wanted
+// by a higher tier at 64 hosts, 0.86 of it was served, and 0.14 of a lower one.
+func (s *Scheduler) useGrant(now time.Duration, e *endpointState, workspace string) bool {
+	defer func() { e.claims = 0 }()
+	for _, p := range s.pools {
+		if p.waiting == 0 || !slices.Contains(p.members, e) {
 			continue
 		}
-		r := f.next()
-		if p.floor.excludes(now, rank) || s.outwaitsRest(now, r) || s.tooLate(now, r) {
-			return // Poll refuses it
-		}
-		if d, ok := s.dispatch(now, r); ok {
-			s.unqueue(r)
-			s.pending = append(s.pending, d)
+		for rank := range p.tiers {
+			q := &p.tiers[rank]
+			f := q.flows[workspace]
+			if q.waiting == 0 || p.floor.excludes(now, rank) || (workspace != "" && (f == nil || f.waiting == 0)) {
+				continue
+			}
+			r := q.head()
+			if workspace != "" {
+				r = f.next()
+			}
+			if s.outwaitsRest(now, r) || s.tooLate(now, r) {
+				continue // Poll refuses it
+			}
+			if d, ok := s.dispatch(now, r); ok {
+				s.unqueue(r)
+				s.pending = append(s.pending, d)
+				return true
+			}
 		}
-		return
 	}
+	return false
 }
 
 // grant records granted slots. Where each request needs a grant, they are added to those not used
