--- a/edge/vars.go
+++ b/edge/vars.go
@@ -85,6 +85,8 @@
 	SettingsFresh bool `json:"fresh"`
 	// CrossZone counts what this host sent to endpoints in other zones, by pair of zones and reason.
 	CrossZone []ingress.ZoneTraffic `json:"cross_zone"`
+	// WorkspaceSlots is what workspaces got of the slots that this host owns.
+	WorkspaceSlots map[string]ingress.WorkspaceSlots `json:"workspace_slots"`
 	// InForce shows the switches of the command line as they are in force.
 	InForce map[string]string `json:"in_force"`
 }
@@ -110,6 +112,7 @@
 	v.StoreAnswered, v.StoreRefused, v.StoreUnanswered = calls.Answered, calls.Refused, calls.Unanswered
 	v.StoreSlowestMS, v.StoreOutages, v.StoreFailing = calls.SlowestMS, calls.Outages, failing
 	v.StoreEras = h.storeEras.Load()
+	v.WorkspaceSlots = h.ingress.WorkspaceSlots()
 	v.SlotsOwned = h.ingress.SlotsOwned()
 	v.EndpointsEjected, v.Ejections = h.ingress.EjectionCounts()
 	v.EndpointsLimited = h.ingress.LimitedEndpoints()
--- a/ingress/ownerfleet_test.go
+++ b/ingress/ownerfleet_test.go
@@ -34,6 +34,9 @@
 	busy        time.Duration // slot time used
 	datagrams   int
 	bytes       int
+	split       bool          // the second half of the hosts takes other hosts for the owners
+	slow        int           // a host whose messages arrive 0.3 s later, if not 0
+	since       time.Duration // start of the measurement
 	hostWait    time.Duration // of dispatched requests
 	dispatched  int
 }
@@ -65,6 +68,7 @@
 type loadStats struct {
 	offered, served, ran, refused, attempts int
 	slotTime                                time.Duration
+	longestWait                             time.Duration // at a host, of a request that was run
 }
 
 // ownerHost is a simulated host.
@@ -153,6 +157,14 @@
 	return f.cfg.minDelay + time.Duration(f.rand.Int64N(int64(f.cfg.maxDelay-f.cfg.minDelay)+1))
 }
 
+// slowness returns the additional delay of a host's grants.
+func (f *ownerFleet) slowness(host int) time.Duration {
+	if f.slow != 0 && f.slow == host {
+		return 300 * time.Millisecond
+	}
+	return 0
+}
+
 // trigger makes a host send its requests to slot owners soon, as peers.Agent does.
 func (f *ownerFleet) trigger(h *ownerHost) {
 	if h.triggered || f.cfg.withoutOwners {
@@ -173,12 +185,18 @@
 	seq, from := h.seq, f.index(h)
 	byOwner := make(map[int]map[string]places.Request)
 	for e, x := range f.endpoints {
-		if r, ok := requests[x.name]; ok {
-			if byOwner[f.endpoints[e].owner] == nil {
-				byOwner[x.owner] = make(map[string]places.Request)
-			}
-			byOwner[x.owner][x.name] = r
+		r, ok := requests[x.name]
+		if !ok {
+			continue
+		}
+		owner := x.owner
+		if f.split && from >= len(f.hosts)/2 {
+			owner = (len(f.hosts) - 1 - e) % len(f.hosts)
 		}
+		if byOwner[owner] == nil {
+			byOwner[owner] = make(map[string]places.Request)
+		}
+		byOwner[owner][x.name] = r
 	}
 	if h.down {
 		return
@@ -220,7 +238,7 @@
 			continue
 		}
 		f.count(&peers.Grants{Host: "host-10-0-0-1", To: 1 << 50, Grants: part})
-		f.at(f.messageDelay(), apply)
+		f.at(f.messageDelay()+f.slowness(owner), apply)
 	}
 }
 
@@ -295,6 +313,7 @@
 		x.endpoint = feed.Endpoint{Instance: d.Endpoint}
 		f.hosts[x.host].current[x.at]++
 		f.hostWait += f.now - x.arrived
+		st.longestWait = max(st.longestWait, f.now-x.arrived)
 		f.dispatched++
 		e := f.endpoints[x.at]
 		e.queue = append(e.queue, x)
@@ -438,16 +457,36 @@
 	h.s.balance.setPeerLoads(f.now, loads)
 }
 
+// reset starts the measurement anew.
+func (f *ownerFleet) reset() {
+	for _, st := range f.stats {
+		*st = loadStats{}
+	}
+	f.peak, f.maxAt, f.busy, f.datagrams, f.bytes, f.hostWait, f.dispatched, f.since = 0, 0, 0, 0, 0, 0, 0, f.now
+}
+
+// stop makes a host silent; its callers use other hosts. The other hosts choose other owners for its endpoints after a while.
+func (f *ownerFleet) stop(host int, noticedAfter time.Duration) {
+	f.hosts[host].down = true
+	f.at(noticedAfter, func() {
+		for _, x := range f.endpoints {
+			if x.owner == host {
+				x.owner = (host + 1) % len(f.hosts)
+			}
+		}
+	})
+}
+
 // utilization returns the share of the slot time that was used since the start.
 func (f *ownerFleet) utilization() float64 {
-	return f.busy.Seconds() / (f.now.Seconds() * float64(f.cfg.endpoints*f.cfg.slots))
+	return f.busy.Seconds() / ((f.now - f.since).Seconds() * float64(f.cfg.endpoints*f.cfg.slots))
 }
 
 // String describes what was measured.
 func (f *ownerFleet) String() string {
 	out := fmt.Sprintf("peak %d of %d slots, %d at one endpoint, utilization %.3f, wait at hosts %.1f ms, %.1f datagrams and %.2f KB per second and host",
 		f.peak, f.cfg.endpoints*f.cfg.slots, f.maxAt, f.utilization(), 1000*f.hostWait.Seconds()/float64(max(1, f.dispatched)),
-		float64(f.datagrams)/f.now.Seconds()/float64(f.cfg.hosts), float64(f.bytes)/1000/f.now.Seconds()/float64(f.cfg.hosts))
+		float64(f.datagrams)/(f.now-f.since).Seconds()/float64(f.cfg.hosts), float64(f.bytes)/1000/(f.now-f.since).Seconds()/float64(f.cfg.hosts))
 	for i, st := range f.stats {
 		out += fmt.Sprintf("\n  w%d: offered %d, served %.3f, ran %.3f, refusals %d", i, st.offered, float64(st.served)/float64(max(1, st.offered)), float64(st.ran)/float64(max(1, st.offered)), st.refused)
 	}
