internal/soak: bursts, immediate retries, stated loads, slow readers and endless input

Change: endpoints state loads that change, are false or invalid (Heathkeel-Server-Load) and answer single requests without an end (line, lines, status line, 1xx responses, body); the large workspace sends bursts whose refused callers retry at once up to four times; callers read slowly or send heads and bodies without an end.

--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -59,6 +59,14 @@
 	Closing Fault = "closing"
 	// Interim sends a 103 response before the answer.
 	Interim Fault = "interim"
+	// EndlessHeader, EndlessHeaders and EndlessStatus send a header line, header lines and a status
+	// line without an end, EndlessInterim 103 responses. EndlessBody sends a complete answer, and then
+	// fill in the same body. All stop at maxEndless.
+	EndlessHeader  Fault = "endless header"
+	EndlessHeaders Fault = "endless headers"
+	EndlessStatus  Fault = "endless status"
+	EndlessInterim Fault = "endless interim"
+	EndlessBody    Fault = "endless body"
 )
 
 // Run is a request that an endpoint ran.
@@ -100,6 +108,7 @@
 	Address string
 
 	mu       sync.Mutex
+	load     string // value of its load header, empty for none
 	faults   []Fault
 	shared   *FaultQueue
 	runs     []Run
@@ -294,6 +303,9 @@
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nHeathkeel-Attempt-Id: somebody-else\r\nHeathkeel-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother")
 	case Interim:
 		fmt.Fprint(c, "HTTP/1.1 103 Early Hints\r\n\r\n")
+	case EndlessHeader, EndlessHeaders, EndlessStatus, EndlessInterim:
+		e.sendEndlessHead(c, id, f)
+		return false
 	}
 	if e.Events > 0 && f != Error {
 		return e.answerStream(c, id, f, lastEvent)
@@ -310,7 +322,7 @@
 // responseHead returns the status line and the first header fields of an answer.
 func (e *Endpoint) responseHead(id string, f Fault, status string) string {
 	h := "HTTP/1.1 " + status + "\r\nHeathkeel-Attempt-Id: " + id + "\r\n"
-	h += e.rateHeader() + e.leavingHeader()
+	h += e.rateHeader() + e.leavingHeader() + e.loadHeader()
 	if f != NoStamp {
 		h += "Heathkeel-Response-Stamp: " + e.Instance + "." + id + "\r\n"
 	}
@@ -332,6 +344,10 @@
 	case Unframed:
 		fmt.Fprint(c, head+"\r\n"+text)
 		return false
+	case EndlessBody:
+		fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", head, len(text), text)
+		sendEndlessFill(c)
+		return false
 	case UnframedReset:
 		fmt.Fprint(c, head+"\r\n"+text[:3])
 		time.Sleep(e.currentPace())
@@ -383,6 +399,10 @@
 			return false
 		}
 	}
+	if f == EndlessBody {
+		sendEndlessFill(c)
+		return false
+	}
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil && f != Closing
 }
--- a/internal/site/statements.go
+++ b/internal/site/statements.go
@@ -40,3 +40,21 @@
 	}
 	return "Server-Leaving: 1\r\n"
 }
+
+// StateLoad makes the endpoint state a load in its answers, from now on: running, waiting and slots, and optionally how long work
+// takes, where 100 is the usual time. The value is sent as it is, also if it is false or invalid; an empty value ends that.
+func (e *Endpoint) StateLoad(value string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.load = value
+}
+
+// loadHeader returns the header field that states the endpoint's load, or nothing.
+func (e *Endpoint) loadHeader() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.load == "" {
+		return ""
+	}
+	return "Heathkeel-Server-Load: " + e.load + "\r\n"
+}
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -70,6 +70,20 @@
 				s.status, s.duringStop = 0, true
 			}
 		}},
+		{"a host stays within its memory", func(r *record) { r.memory = []string{"one"} }},
+		{"a host does not read without an end", func(r *record) { r.endless = []string{"one"} }},
+		{"a burst leaves other workspaces their answers", func(r *record) {
+			r.sharesSlots = true
+			addRequest(r, "burst", kinds[1], plain, start)
+			r.byID["burst"].burst = true
+			for i := range 2 * minBurstRequests {
+				id := fmt.Sprint("refused", i)
+				addRequest(r, id, kinds[1], plain, start)
+				s := r.byID[id]
+				s.small, s.hostUndisturbed, s.status = true, true, http.StatusServiceUnavailable
+				delete(r.runs, id)
+			}
+		}},
 		{"a leaving endpoint gets no work", func(r *record) { r.late = []string{"one"} }},
 	}
 	newSoundRecord := func() *record {
