--- a/internal/site/statements.go
+++ b/internal/site/statements.go
@@ -24,36 +24,37 @@
 	return fmt.Sprintf("Server-Limit: %.2f\r\n", e.rate)
 }
 
-// StateLoad makes the endpoint state a load in its answers, from now on; an empty value ends that.
-func (e *Endpoint) StateLoad(value string) {
+// SayLeaving makes the endpoint say in its answers, from now on, whether it leaves.
+func (e *Endpoint) SayLeaving(on bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.load = value
+	e.leaving = on
 }
 
-// loadHeader returns the header field that states the endpoint's load, or nothing.
-func (e *Endpoint) loadHeader() string {
+// leavingHeader returns the header field that says that the endpoint leaves, or nothing.
+func (e *Endpoint) leavingHeader() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.load == "" {
+	if !e.leaving {
 		return ""
 	}
-	return "Heathkeel-Server-Load: " + e.load + "\r\n"
+	return "Server-Leaving: 1\r\n"
 }
 
-// SayLeaving makes the endpoint say in its answers, from now on, whether it leaves.
-func (e *Endpoint) SayLeaving(on bool) {
+// StateLoad makes the endpoint state a load in its answers, from now on: running, waiting and slots, and optionally how long work
+// takes, where 100 is the usual time. The value is sent as it is, also if it is false or invalid; an empty value ends that.
+func (e *Endpoint) StateLoad(value string) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.leaving = on
+	e.load = value
 }
 
-// leavingHeader returns the header field that says that the endpoint leaves, or nothing.
-func (e *Endpoint) leavingHeader() string {
+// loadHeader returns the header field that states the endpoint's load, or nothing.
+func (e *Endpoint) loadHeader() string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if !e.leaving {
+	if e.load == "" {
 		return ""
 	}
-	return "Server-Leaving: 1\r\n"
+	return "Heathkeel-Server-Load: " + e.load + "\r\n"
 }
