--- a/ingress/load_sim_test.go
+++ b/ingress/load_sim_test.go
@@ -45,7 +45,6 @@
 	nodes  []*simHost
 	works  []*simEndpoint
 	order  map[string]int
-	past   []map[string]int // running requests by endpoint, of past heartbeats of the fleet
 	result simResult
 }
 
--- a/ingress/load_test.go
+++ b/ingress/load_test.go
@@ -202,7 +202,7 @@
 	must.EqOp(t, 4, s.Count.BadLoads.Load())
 }
 
-// TestSlowNoticesAreLimited guards against an owner that floods the fleet because many endpoints change their speed often.
+// TestSlowNoticesAreLimited guards against an owner that sends notices without limit when endpoints often change their speed.
 func TestSlowNoticesAreLimited(t *testing.T) {
 	var n noticeBudget
 	sent := 0
--- a/sched/slowgrant.go
+++ b/sched/slowgrant.go
@@ -34,8 +34,8 @@
 	return usual
 }
 
-// leavesSlow reports whether a request is kept from an endpoint that states to be slow, because others have room. A grant counts more: the
-// owner of the slots knows best.
+// leavesSlow reports whether a request is kept from an endpoint that states to be slow, because others have room. A grant of
+// the owner of the slots permits it, since the owner hears of each response.
 func (s *Scheduler) leavesSlow(now time.Duration, r *Request, e *endpointState) bool {
 	if r.lastChance || s.statedSlowdown(now, e) < notablySlow || !s.othersHaveRoom(now, e) {
 		return false
