--- a/ingress/load_sim_test.go
+++ b/ingress/load_sim_test.go
@@ -45,7 +45,6 @@
 	nodes  []*simHost
 	works  []*simEndpoint
 	order  map[string]int
-	past   []map[string]int // running requests by endpoint, of past heartbeats of the fleet
 	result simResult
 }
 
@@ -59,7 +58,8 @@
 	statedBytes           int
 }
 
-func (r *simResult) slowShare() float64 { return float64(r.slow) / float64(max(1, r.whileSlow)) }
+func (r *simResult) slowShare() float64    { return float64(r.slow) / float64(max(1, r.whileSlow)) }
+func (r *simResult) anySlowShare() float64 { return float64(r.anySlow) / float64(max(1, r.sent)) }
 func (r *simResult) servedShare() float64 {
 	return float64(r.served) / float64(max(1, r.offered))
 }
@@ -346,7 +346,7 @@
 		byOwner[owner][name] = r
 	}
 	seq := h.seq
-	for _, owner := range m.nodes { // in a fixed order, so that a seed repeats
+	for _, owner := range m.nodes { // in a fixed order
 		part := byOwner[owner]
 		if part == nil {
 			continue
