ingress: an account of bytes by purpose; callers that do not read are ended

Cause: Server.BodyMemory counted the bodies of requests only. Responses were buffered up to 512 KB each and held until the deadline if the caller did not read, and an endpoint's response was left unread for as long. Change: MemoryAccount counts request bodies, buffered responses and events, heads and answers of peers, with one limit. Beyond it the responses whose callers have read nothing for the longest time are ended; then new requests are refused (503), plain responses are forwarded as they arrive, and an event that does not fit ends its stream without a failure of the endpoint. Counters SlowReaders and SlowReadersForMemory; log lines with outcome 'cut'. A refused body is skipped up to 448 KB (512 KB), so that it stays under 1 MB with net/http's part.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -42,7 +42,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, why: "no settings yet; come back", retryAfter: minRetryAfter}
 	}
 	c.table, c.timings.settingsAge = src.Table, age
-	for _, check := range []func() *refusal{c.checkConfirmed, c.checkSettings, c.findRoute, c.findWorkspace, c.parseHeaders, c.readBody, c.checkHeld, c.takeQuota} {
+	for _, check := range []func() *refusal{c.checkConfirmed, c.reserveHead, c.checkSettings, c.findRoute, c.findWorkspace, c.parseHeaders, c.readBody, c.checkHeld, c.takeQuota} {
 		if f := check(); f != nil {
 			return f
 		}
@@ -50,6 +50,33 @@
 	return nil
 }
 
+// callBytes is the memory, in bytes, that a request takes beside its header, body and response: the buffers of its two connections,
+// of a stream or a large response, and two goroutines.
+const callBytes = 48 << 10
+
+// headerLineBytes is the memory of a header line beside its name and value, in bytes.
+const headerLineBytes = 100
+
+// reserveHead counts the request's header and fixed memory.
+func (c *call) reserveHead() *refusal {
+	n := int64(callBytes + len(c.r.RequestURI))
+	for name, values := range c.r.Header {
+		for _, v := range values {
+			n += int64(len(name) + len(v) + headerLineBytes)
+		}
+	}
+	if c.memory.Reserve(Heads, n) {
+		return nil
+	}
+	return c.refuseMemory()
+}
+
+// refuseMemory refuses a request that does not fit into the host's memory.
+func (c *call) refuseMemory() *refusal {
+	c.s.Count.Memory.Add(1)
+	return &refusal{status: http.StatusServiceUnavailable, why: "too many bytes held; come back", retryAfter: time.Second}
+}
+
 // checkSettings refuses a request while the settings are too old: they may hold routes that were dropped or moved so long ago
 // that no request may be decided by them any more. As with the endpoint list, none of the steps that refresh the settings has
 // bounded duration, so the limit on their age is enforced here.
@@ -179,8 +206,7 @@
 	_ = c.rc.SetReadDeadline(time.Time{})
 	switch {
 	case errors.Is(err, errBodyMemory):
-		c.s.Count.Memory.Add(1)
-		return &refusal{status: http.StatusServiceUnavailable, why: "too many bytes held; come back", retryAfter: time.Second}
+		return c.refuseMemory()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		c.s.Count.Bad.Add(1)
 		return &refusal{status: http.StatusRequestTimeout, why: "the body did not come in time"}
@@ -232,9 +258,9 @@
 // initialBodyBuffer is the initial buffer size, in bytes, for a body of unknown length.
 const initialBodyBuffer = 1 << 10
 
-// reserve counts n bytes against Server.BodyMemory. It returns false if they would exceed it.
+// reserve counts n bytes against Server.BodyMemory and Server.Memory. It returns false if they would exceed one of them.
 func (c *call) reserve(n int64) bool {
-	if c.s.bodyBytes.Add(n) > c.s.BodyMemory {
+	if c.s.bodyBytes.Add(n) > c.s.BodyMemory || !c.memory.Reserve(RequestBodies, n) {
 		c.s.bodyBytes.Add(-n)
 		return false
 	}
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -38,6 +38,9 @@
 	CutUnframed atomic.Int64
 	// OverLimit counts responses of endpoints and other hosts that exceeded a limit, and those with bytes behind their end.
 	OverLimit atomic.Int64
+	// SlowReaders counts responses that were ended because the caller did not read them, and SlowReadersForMemory those of them that
+	// were ended sooner to free their memory.
+	SlowReaders, SlowReadersForMemory atomic.Int64
 	// Cut counts responses that broke off, Gone callers that left.
 	Cut, Gone atomic.Int64
 	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host canceled while an endpoint may have been working on them:
--- a/ingress/deadline.go
+++ b/ingress/deadline.go
@@ -46,9 +46,3 @@
 		c.setWriteDeadline(now)
 	}
 }
-
-// setWriteDeadline makes writes to the caller fail writeGrace after the call's deadline.
-func (c *call) setWriteDeadline(now time.Duration) {
-	// Only connections of tests support no write deadline; there the caller's own timeout applies.
-	_ = c.rc.SetWriteDeadline(time.Now().Add(max(0, c.deadline-now) + writeGrace))
-}
--- a/ingress/exceed_test.go
+++ b/ingress/exceed_test.go
@@ -101,8 +101,8 @@
 	return n
 }
 
-// newServer returns a server with one route of a kind and an endpoint at each address.
-func newServer(log logr.Logger, kind route.Kind, dials map[string]func() net.Conn) *ingress.Server {
+// newServer returns a server with one route of a kind and an endpoint at each address. The options are applied before Init.
+func newServer(log logr.Logger, kind route.Kind, dials map[string]func() net.Conn, options ...func(*ingress.Server)) *ingress.Server {
 	now := clock.NewSteady()
 	s := &ingress.Server{Headers: platform.Headers, Now: now.Now, Watch: &clock.GapDetector{Clock: now}, Zone: "z", BodyMemory: 1 << 20, Log: log}
 	s.Dial = func(_ context.Context, _, address string) (net.Conn, error) { return dials[address](), nil }
@@ -115,6 +115,9 @@
 			}, nil
 		},
 	}
+	for _, option := range options {
+		option(s)
+	}
 	s.Init()
 	s.Settings.Offer(nil, 1)
 	var list []feed.Endpoint
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -25,6 +26,10 @@
 const (
 	// maxBuffered is the largest response that is read completely before any of it is written to the caller.
 	maxBuffered = 512 << 10
+	// minBuffered is the initial size of the buffer of such a response.
+	minBuffered = 4 << 10
+	// forwardBuffer is the size of the buffer through which a larger response is forwarded.
+	forwardBuffer = 16 << 10
 	// maxDiscarded limits what is read of an endpoint's error that is discarded, because a stream was begun before.
 	maxDiscarded = 64 << 10
 )
@@ -37,15 +42,15 @@
 // forwardPlain reads a response that is not a stream and forwards it. Unless it is large, it is read completely first, so that the
 // request can be retried if it breaks off.
 func (c *call) forwardPlain(resp *http.Response, sent time.Duration) (sendOutcome, time.Duration) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBuffered+1))
+	body, whole, err := c.readBuffered(resp.Body)
 	if err != nil {
 		return sendLost, backoffLost
 	}
-	if len(body) <= maxBuffered && !c.endIsWhole(c.r.Context(), resp, len(body) > 0) {
+	if whole && !c.endIsWhole(c.r.Context(), resp, len(body) > 0) {
 		return sendLost, backoffLost
 	}
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
-	if len(body) > maxBuffered {
+	if !whole {
 		return c.forwardLarge(buffered, resp, sent)
 	}
 	if buffered.status >= http.StatusInternalServerError && c.route.MayRepeat() && c.sends() < c.route.Attempts {
@@ -63,6 +68,37 @@
 	return sendCompleted, 0
 }
 
+// readBuffered reads a body up to maxBuffered bytes, or fewer if the host has no memory for more. whole says that it was read to its end.
+func (c *call) readBuffered(r io.Reader) (body []byte, whole bool, err error) {
+	for {
+		if len(body) == cap(body) {
+			size := min(max(minBuffered, 2*cap(body)), maxBuffered+1)
+			if len(body) > maxBuffered || !c.reserveResponse(int64(size-cap(body))) {
+				return body, false, nil
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, len(body) <= maxBuffered, nil
+		}
+		if err != nil {
+			c.memory.Free(Responses, int64(cap(body)))
+			return nil, false, err
+		}
+	}
+}
+
+// reserveResponse counts n further bytes of a response. It returns false if the host has no memory for them.
+func (c *call) reserveResponse(n int64) bool { return c.memory.Reserve(Responses, n) }
+
+// freeBuffered drops the body of a buffered response that was written.
+func (c *call) freeBuffered(buffered *response) {
+	c.memory.Free(Responses, int64(cap(buffered.body)))
+	buffered.body = nil
+}
+
 // writeResponse writes a complete response to the caller.
 func (c *call) writeResponse(buffered *response) {
 	if buffered.status >= http.StatusInternalServerError {
@@ -74,7 +110,7 @@
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(buffered.body)))
 	}
 	c.w.WriteHeader(buffered.status)
-	_, _ = c.w.Write(buffered.body)
+	_ = c.write(buffered.body) // the caller has left, or c.unread tells that it does not read
 }
 
 // bodyAllowed reports whether a response has a body.
@@ -88,14 +124,15 @@
 	c.copyHeader(buffered.header)
 	c.stream.started = true
 	c.w.WriteHeader(buffered.status)
-	if _, err := c.w.Write(buffered.body); err != nil {
+	if err := c.write(buffered.body); err != nil {
 		return sendAbandoned, 0
 	}
-	buf := make([]byte, 32<<10)
+	c.freeBuffered(buffered)
+	buf := make([]byte, forwardBuffer)
 	for {
 		n, err := resp.Body.Read(buf)
 		if n > 0 {
-			if _, werr := c.w.Write(buf[:n]); werr != nil {
+			if werr := c.write(buf[:n]); werr != nil {
 				return sendAbandoned, 0
 			}
 		}
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -35,7 +35,7 @@
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	c.w.WriteHeader(f.status)
-	_, _ = c.w.Write([]byte(f.why + "\n"))
+	_ = c.write([]byte(f.why + "\n")) // an error shows when the connection is used next
 	kind := f.kind
 	switch {
 	case kind != "":
@@ -49,7 +49,8 @@
 
 // Limits of what is read of a refused body, in bytes and time.
 const (
-	maxSkipped  = 512 << 10
+	// Afterwards net/http reads up to 512 KB more. All of it is dropped.
+	maxSkipped  = 448 << 10
 	skipTimeout = 500 * time.Millisecond
 )
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -38,7 +38,9 @@
 	units             float64
 	body              []byte
 	hasBody           bool
-	heldBytes         int64
+	heldBytes         int64 // of the body
+	memory            *Holder
+	unread            bool                   // the response was ended because the caller did not read it
 	cachedFingerprint quarantine.Fingerprint // zero until it is first computed
 	cachedParts       []subject              // nil until they are first computed
 
@@ -58,6 +60,7 @@
 	endUnknown bool
 	// serverError says that the endpoint's newest response had a 5xx status.
 	serverError   bool
+	outOfMemory   bool // the response did not fit into the host's memory
 	header        http.Header
 	savedResponse *response // a 5xx response to forward if no retry succeeds
 	stream        stream
@@ -70,6 +73,9 @@
 	s.active.Add(1)
 	s.Count.Received.Add(1)
 	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now()}
+	c.deadline = c.arrived + defaultDeadline
+	// The lock of the account keeps this from running after release.
+	c.memory = s.memory.open(func() { _ = c.rc.SetWriteDeadline(time.Now()) })
 	defer c.release()
 	// net/http must not add headers of its own to an endpoint's response.
 	w.Header()["Date"] = nil
@@ -94,6 +100,7 @@
 func (c *call) release() {
 	c.returnQuota()
 	c.s.bodyBytes.Add(-c.heldBytes)
+	c.memory.Release()
 	c.s.active.Add(-1)
 }
 
@@ -267,6 +274,9 @@
 
 // finish counts a call whose last send has ended, and answers the caller if it has no response yet.
 func (c *call) finish(ctx context.Context, result sendOutcome) {
+	if c.unread && result == sendCompleted {
+		c.endUnread()
+	}
 	if result == sendCompleted {
 		c.s.Count.Served.Add(1)
 		if !c.serverError && !c.endUnknown {
@@ -294,6 +304,9 @@
 
 // giveUp writes the final response to a request that got none from an endpoint.
 func (c *call) giveUp(ctx context.Context, d sched.Decision) {
+	if c.unread {
+		c.endUnread()
+	}
 	if c.r.Context().Err() != nil {
 		c.s.Count.Gone.Add(1)
 		c.logOutcome(outcome.CallerGone, 0, "the caller closed its connection", 0)
@@ -302,7 +315,9 @@
 	if c.stream.started {
 		c.s.Count.Cut.Add(1)
 		why := "the endpoint ended the stream, which may not go on elsewhere"
-		if c.s.Now() >= c.deadline {
+		if c.outOfMemory {
+			why = errResponseMemory.Error()
+		} else if c.s.Now() >= c.deadline {
 			why = "the stream was not over by its deadline"
 		}
 		c.logOutcome(outcome.Truncated, 0, why, 0)
@@ -310,6 +325,9 @@
 	}
 	if c.savedResponse != nil {
 		c.writeResponse(c.savedResponse)
+		if c.unread {
+			c.endUnread()
+		}
 		return
 	}
 	status := c.tracker.FailureStatus(c.s.Now() >= c.deadline || ctx.Err() != nil)
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -65,6 +65,8 @@
 	FirstStart bool
 	// BodyMemory limits the bytes of request bodies held at once.
 	BodyMemory int64
+	// Memory limits the bytes held for requests and other hosts at once, bodies of requests included; 0 means no limit.
+	Memory int64
 	// RelayTargets returns the hosts to which requests may be relayed while this one reaches no endpoint; nil means that there are none.
 	RelayTargets func() []RelayTarget
 	// Trace logs a line for every request, without a limit on their number.
@@ -82,6 +84,7 @@
 	unreadHeaders headerLog
 	active        atomic.Int64
 	bodyBytes     atomic.Int64
+	memory        *MemoryAccount
 	ageLimits     atomic.Pointer[AgeLimits]
 	stopStarted   atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
 
@@ -102,6 +105,7 @@
 // Init prepares the server for use.
 func (s *Server) Init() {
 	s.pool.Now = s.Now
+	s.memory = newMemoryAccount(s.Memory, s.Now)
 	s.unreadHeaders.init(&s.Headers)
 	s.pool.DialTimeout, s.pool.Dial = dialTimeout, s.Dial
 	s.relayPool.Now, s.relayPool.DialTimeout, s.relayPool.Dial = s.Now, dialTimeout, s.Dial
@@ -229,6 +233,9 @@
 	s.quotas.RetainPeers(names)
 }
 
+// MemoryAccount returns the account of the bytes that the host holds.
+func (s *Server) MemoryAccount() *MemoryAccount { return s.memory }
+
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -49,8 +49,9 @@
 
 // eventReader reads events.
 type eventReader struct {
-	br  *bufio.Reader
-	buf []byte
+	br      *bufio.Reader
+	buf     []byte
+	reserve func(n int64) bool // counts further bytes of buf
 }
 
 // next reads one complete event. io.EOF means that the stream ended between two events.
@@ -59,10 +60,13 @@
 	r.buf = r.buf[:0]
 	for {
 		line, err := r.br.ReadSlice('\n')
-		r.buf = append(r.buf, line...)
-		if len(r.buf) > maxEvent {
+		if len(r.buf)+len(line) > maxEvent {
 			return e, errMalformedEvent
 		}
+		if !r.grow(len(line)) {
+			return e, errResponseMemory
+		}
+		r.buf = append(r.buf, line...)
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -87,10 +91,28 @@
 	}
 }
 
+// grow makes room for n more bytes in the buffer. It returns false if the host has no memory for them.
+func (r *eventReader) grow(n int) bool {
+	need := len(r.buf) + n
+	if need <= cap(r.buf) {
+		return true
+	}
+	size := min(max(eventBuffer, 2*cap(r.buf), need), maxEvent)
+	if !r.reserve(int64(size - cap(r.buf))) {
+		return false
+	}
+	r.buf = append(make([]byte, 0, size), r.buf...)
+	return true
+}
+
+// errResponseMemory means that a response does not fit into the host's memory.
+var errResponseMemory = errors.New("response exceeds the memory of the host")
+
 // forwardStream forwards a stream, each event as it arrives. Only complete events go to the caller, and events that were forwarded
 // before are skipped, so that a stream may be resumed at another endpoint.
 func (c *call) forwardStream(ctx context.Context, resp *http.Response, sent time.Duration, silence *silenceTimer) (sendOutcome, time.Duration) {
-	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer)}
+	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer), reserve: c.reserveResponse}
+	defer func() { c.memory.Free(Responses, int64(cap(r.buf))) }()
 	var lastAt time.Duration
 	n := 0
 	c.noteContinued()
@@ -102,6 +124,11 @@
 		if errors.Is(err, io.EOF) {
 			return c.finishStream(resp, n, sent)
 		}
+		if errors.Is(err, errResponseMemory) {
+			c.s.Count.Memory.Add(1)
+			c.outOfMemory = true
+			return sendAbandoned, 0
+		}
 		if err != nil {
 			return sendLost, backoffLost
 		}
@@ -154,7 +181,7 @@
 		c.stream.started = true
 	}
 	c.notePause()
-	if _, err := c.w.Write(e.bytes); err != nil {
+	if err := c.write(e.bytes); err != nil {
 		return false
 	}
 	if c.stream.events == 0 {
@@ -165,7 +192,7 @@
 		c.stream.lastID = e.id
 		c.header.Set(c.s.Headers.LastEvent, strconv.FormatInt(e.id, 10))
 	}
-	return more || c.rc.Flush() == nil
+	return more || c.flush() == nil
 }
 
 // noteHeard records that an endpoint sent something, unless it came by another host.
