ingress: events that were forwarded before are limited to 1 MB in a response

Cause: an endpoint that sends an event with a number already forwarded was read until the deadline; the caller got nothing. Change: beyond 1 MB of such events the send counts as lost, OverLimit and a log line tell it.

--- a/ingress/exceed.go
+++ b/ingress/exceed.go
@@ -16,10 +16,16 @@
 // noteExceeded counts and logs that the endpoint, or the other host, of the newest send exceeded a limit on responses. It must be
 // called before the connection is released.
 func (c *call) noteExceeded(conn *upstream.Conn) {
-	limit := conn.Exceeded()
-	if limit == "" {
-		return
+	if limit := conn.Exceeded(); limit != "" {
+		c.logExceeded(limit)
 	}
+}
+
+// limitRepeated is the limit on events of a stream that were forwarded before.
+const limitRepeated upstream.Limit = "events sent before"
+
+// logExceeded counts and logs that a response exceeded a limit.
+func (c *call) logExceeded(limit upstream.Limit) {
 	c.s.Count.OverLimit.Add(1)
 	if c.allowLine(outcome.Kind("over limit on "+limit), c.s.Now()) {
 		c.s.Log.Info("response exceeds a limit", "limit", limit, "endpoint", c.endpoint.Instance, "relayed_to", c.relayed.to, "id", c.id)
--- a/ingress/exceed_test.go
+++ b/ingress/exceed_test.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -206,3 +207,22 @@
 		t.Run(tc.name, func(t *testing.T) { synctest.Test(t, test) })
 	}
 }
+
+// TestStreamThatRepeatsItself sends an event that was forwarded before without end. It guards against a host that drops such events
+// until the deadline, although the caller gets nothing.
+func TestStreamThatRepeatsItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		event := "id: 5\ndata: " + strings.Repeat("x", 1000) + "\n\n"
+		e := &scripted{first: scriptedHead + "Transfer-Encoding: chunked\r\n\r\n", next: fmt.Sprintf("%x\r\n%s\r\n", len(event), event)}
+		defer e.stop()
+		var log lines
+		s := newServer(log.logger(), route.Stream, map[string]func() net.Conn{"10.0.0.1:80": e.dial})
+		w := httptest.NewRecorder()
+		must.True(t, get(s, w))
+		synctest.Wait()
+		must.EqOp(t, event, w.Body.String())
+		must.Less(t, 2<<20, e.sent.Load())
+		must.EqOp(t, e.requests.Load(), s.Count.OverLimit.Load())
+		must.EqOp(t, int(e.requests.Load()), log.count("events sent before"))
+	})
+}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -33,6 +33,9 @@
 const (
 	// maxEvent is the largest event accepted.
 	maxEvent = 256 << 10
+	// maxRepeated limits the events in one response that were forwarded before. An endpoint that does not read where a stream is to
+	// go on sends all of them again.
+	maxRepeated = 1 << 20
 	// eventBuffer is the initial buffer size.
 	eventBuffer = 4 << 10
 )
@@ -114,7 +117,7 @@
 	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer), reserve: c.reserveResponse}
 	defer func() { c.memory.Free(Responses, int64(cap(r.buf))) }()
 	var lastAt time.Duration
-	n := 0
+	n, repeated := 0, 0
 	c.noteContinued()
 	for {
 		e, err := r.next()
@@ -145,6 +148,10 @@
 		lastAt = at
 		n++
 		if e.hasID && c.stream.events > 0 && e.id <= c.stream.lastID {
+			if repeated += len(e.bytes); repeated > maxRepeated {
+				c.logExceeded(limitRepeated)
+				return sendLost, backoffLost
+			}
 			continue
 		}
 		if e.hasID && c.stream.events > 0 && e.id != c.stream.lastID+1 {
