edge: limits on callers' idle connections; cached answers are counted

Cause: callers could hold any number of connections without a request, and the answers kept for other hosts were not in the account of memory. Change: beyond 16 KB each in a tenth of the memory (716 at 112 MB) the connections that are idle for longest are closed (IdleClosed); kept answers count as held for peers, and an answer without room is refused with 503.

--- a/edge/answers.go
+++ b/edge/answers.go
@@ -8,12 +8,15 @@
 	"bytes"
 	"compress/gzip"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"github.com/heathkeel/heathkeel/ingress"
 )
 
 // Hosts of large fleets fetch lists and settings from few others, all at about the same time. So that this
@@ -37,6 +40,8 @@
 	Now func() time.Duration
 	// MaxBytes limits the bytes that are being sent at a time; a single answer may be larger.
 	MaxBytes int
+	// Memory counts the cached answers; nil counts none.
+	Memory *ingress.Holder
 
 	mu      sync.Mutex
 	sending int
@@ -63,6 +68,10 @@
 		return json.NewEncoder(w).Encode(body()) // a person who looks at it
 	}
 	encoded, err := a.encoded(r.URL.Path, version, ttl, body)
+	if errors.Is(err, errNoMemory) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return nil
+	}
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return err
@@ -89,6 +98,12 @@
 	if err != nil {
 		return nil, err
 	}
+	if a.Memory != nil {
+		if !a.Memory.Reserve(ingress.Peers, int64(len(encoded))) {
+			return nil, errNoMemory
+		}
+		a.Memory.Free(ingress.Peers, int64(len(a.cached[path].body)))
+	}
 	if a.cached == nil {
 		a.cached = make(map[string]cachedAnswer)
 	}
--- a/edge/host.go
+++ b/edge/host.go
@@ -216,6 +216,7 @@
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
+	h.answers.Memory = h.ingress.MemoryAccount().Open()
 	h.records = &records{store: h.store, era: h.store.Era, now: h.now, log: h.Log.WithName("records")}
 	h.ingress.SetRecords(h.records)
 	h.ingress.SetAgeLimits(ageLimits(b))
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -34,6 +36,10 @@
 	// memoryShare is the share of the memory up to which bytes are held for requests and other hosts. The garbage collector's soft
 	// limit leaves room for the rest: memoryLimitShare.
 	memoryShare = 0.4
+	// idleConnShare is the share of the memory for callers' connections without a request, and idleConnBytes what one takes: two
+	// buffers of 4 KB and the stack of a goroutine.
+	idleConnShare = 0.1
+	idleConnBytes = 16 << 10
 	// defaultMemory is the limit in bytes if the host's memory is unknown.
 	defaultMemory = 128 << 20
 )
@@ -49,8 +55,8 @@
 var (
 	// errPeerAnswerTooLarge means that an answer of another host exceeds maxPeerAnswer.
 	errPeerAnswerTooLarge = eris.Errorf("answer of another host is larger than %d bytes; it is asked again after its next heartbeat", maxPeerAnswer)
-	// errNoMemory means that an answer of another host does not fit into this host's memory.
-	errNoMemory = eris.New("no memory for the answer of another host; it is asked again after its next heartbeat")
+	// errNoMemory means that an answer of or to another host does not fit into this host's memory.
+	errNoMemory = eris.New("no memory for an answer of or to another host; it is asked for again after the next heartbeat")
 )
 
 // decodePeerAnswer decodes the answer of another host, within maxPeerAnswer and the memory of this host.
@@ -82,3 +88,49 @@
 		}
 	}
 }
+
+// maxIdleConns returns the number of callers' connections that are kept without a request.
+func (h *Host) maxIdleConns() int {
+	memory := int64(defaultMemory)
+	if h.Boot.MemoryMB > 0 {
+		memory = int64(h.Boot.MemoryMB << 20)
+	}
+	return int(idleConnShare * float64(memory) / idleConnBytes)
+}
+
+// idleConns closes the connections that have been without a request for the longest time, beyond a limit.
+type idleConns struct {
+	limit   int
+	onClose func()
+
+	mu    sync.Mutex
+	count uint64
+	since map[net.Conn]uint64 // count when the connection became idle
+}
+
+// note records the state of a connection; it is an http.Server's ConnState.
+func (i *idleConns) note(c net.Conn, state http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.since, c)
+	if state != http.StateNew && state != http.StateIdle {
+		return
+	}
+	if i.since == nil {
+		i.since = make(map[net.Conn]uint64)
+	}
+	i.count++
+	i.since[c] = i.count
+	if len(i.since) <= i.limit {
+		return
+	}
+	oldest := c
+	for o, at := range i.since {
+		if at < i.since[oldest] {
+			oldest = o
+		}
+	}
+	delete(i.since, oldest)
+	_ = oldest.Close()
+	i.onClose()
+}
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -6,9 +6,12 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -149,7 +152,7 @@
 				h := newPipeHost(pipeNetwork{})
 				h.stopping = make(chan struct{})
 				l := pipeListener{make(chan net.Conn)}
-				go (&frontServer{host: h}).serve(l)
+				go (&frontServer{host: h, idle: idleConns{limit: 1}}).serve(l)
 				near, far := net.Pipe()
 				l.conns <- far
 				var sent atomic.Int64
@@ -204,3 +207,59 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestIdleConnectionsAreLimited opens more connections than the host keeps without a request. It guards against callers that take
+// the memory of a host with connections alone, and against closing connections that are in use or were used last.
+func TestIdleConnectionsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var closed atomic.Int64
+		idle := idleConns{limit: 4, onClose: func() { closed.Add(1) }}
+		release := make(chan struct{})
+		srv := &http.Server{ReadHeaderTimeout: time.Minute, ConnState: idle.note, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release })}
+		l := pipeListener{make(chan net.Conn)}
+		go func() { _ = srv.Serve(l) }()
+		var all []net.Conn
+		for i := range 10 {
+			near, far := net.Pipe()
+			all = append(all, near)
+			l.conns <- far
+			if i == 0 {
+				_, err := io.WriteString(near, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+				must.NoError(t, err)
+			}
+			synctest.Wait()
+		}
+		must.EqOp(t, 5, closed.Load())
+		for i, c := range all {
+			_ = c.SetReadDeadline(time.Now().Add(time.Second)) // fails if the other end is closed
+			_, err := c.Read(make([]byte, 1))
+			must.EqOp(t, i >= 1 && i <= 5, errors.Is(err, io.EOF), must.Sprint(i, err))
+		}
+		close(release)
+		for _, c := range all {
+			_ = c.Close()
+		}
+		close(l.conns)
+		synctest.Wait()
+		must.MapEmpty(t, idle.since)
+	})
+}
+
+// TestCachedAnswersAreCounted checks that answers which are kept for other hosts count as held, once for each path, and that an
+// answer without room is refused.
+func TestCachedAnswersAreCounted(t *testing.T) {
+	h := newPipeHost(pipeNetwork{})
+	r := httptest.NewRequest(http.MethodGet, "/v1/hosts", nil)
+	r.Header.Set("Accept-Encoding", "gzip")
+	for i := range 3 {
+		must.NoError(t, h.answers.write(httptest.NewRecorder(), r, fmt.Sprint(i), 0, func() any { return "x" }))
+	}
+	used, _ := h.ingress.MemoryAccount().Used()
+	must.EqOp(t, int64(len(h.answers.cached["/v1/hosts"].body)), used[ingress.Peers])
+	full := h.ingress.MemoryAccount().Open()
+	must.True(t, full.Reserve(ingress.Responses, h.memoryLimit()-used[ingress.Peers]))
+	w := httptest.NewRecorder()
+	must.NoError(t, h.answers.write(w, r, "4", 0, func() any { return "x" }))
+	must.EqOp(t, http.StatusServiceUnavailable, w.Code)
+	full.Release()
+}
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -33,7 +33,7 @@
 
 // serve opens the listeners and serves them until ctx ends.
 func (h *Host) serve(ctx context.Context) error {
-	front := &frontServer{host: h}
+	front := &frontServer{host: h, idle: idleConns{limit: h.maxIdleConns(), onClose: func() { h.ingress.Count.IdleClosed.Add(1) }}}
 	listeners := []struct {
 		address string
 		serve   func(net.Listener)
@@ -69,6 +69,7 @@
 	host   *Host
 	limits route.Limits
 	queue  *queueListener
+	idle   idleConns
 }
 
 // serve accepts connections and passes each to the server with the current limits.
@@ -111,6 +112,7 @@
 	f.queue = &queueListener{addr: addr, conns: make(chan net.Conn, 64), closed: make(chan struct{})}
 	srv := &http.Server{
 		Handler:           f.host.ingress,
+		ConnState:         f.idle.note,
 		ReadHeaderTimeout: positiveOr(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:       time.Duration(idleTimeoutMargin * float64(positiveOr(limits.IdleTimeout, defaultIdleTimeout))),
 		MaxHeaderBytes:    int(positiveOr(limits.HeaderBytes, defaultHeaderBytes)),
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -38,6 +38,8 @@
 	CutUnframed atomic.Int64
 	// OverLimit counts responses of endpoints and other hosts that exceeded a limit, and those with bytes behind their end.
 	OverLimit atomic.Int64
+	// IdleClosed counts callers' connections without a request that were closed because there were too many.
+	IdleClosed atomic.Int64
 	// SlowReaders counts responses that were ended because the caller did not read them, and SlowReadersForMemory those of them that
 	// were ended sooner to free their memory.
 	SlowReaders, SlowReadersForMemory atomic.Int64
