upstream, edge: socket buffers on the ways of responses are limited

Cause: the kernel's buffers grow to 32 MB (receiving) and 4 MB (sending) for a connection. Four callers that read nothing of an endless response made loopback sockets hold 88 MB (trial, both ends of both connections). Change: 96 KB (twice as much in the kernel) for what is received of endpoints, and both ways for callers.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -16,6 +16,7 @@
 	"github.com/rotisserie/eris"
 
 	"github.com/heathkeel/heathkeel/ingress"
+	"github.com/heathkeel/heathkeel/upstream"
 )
 
 // Limits of what the store and other hosts send.
@@ -134,3 +135,12 @@
 	_ = oldest.Close()
 	i.onClose()
 }
+
+// limitSocketBuffers keeps the kernel from holding more than about 0.4 MB for the connection of a caller that does not read, or whose
+// body is not read. Connections of tests have no such buffers.
+func limitSocketBuffers(c net.Conn) {
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetWriteBuffer(upstream.SocketBuffer) // without it the connection works too
+		_ = tc.SetReadBuffer(upstream.SocketBuffer)
+	}
+}
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -263,3 +263,38 @@
 	must.EqOp(t, http.StatusServiceUnavailable, w.Code)
 	full.Release()
 }
+
+// TestSocketBuffersOfCallers leaves a response unread that was read fast before. It guards against the kernel's send buffer, which grows
+// to 4 MB for each caller and belongs to no account.
+func TestSocketBuffersOfCallers(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	caller, err := net.Dial("tcp", l.Addr().String())
+	must.NoError(t, err)
+	defer caller.Close()
+	c, err := l.Accept()
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, caller.(*net.TCPConn).SetReadBuffer(64<<10))
+	limitSocketBuffers(c)
+	var written atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		block := make([]byte, 64<<10)
+		for {
+			// The deadline ends the test; nothing is asserted of the time.
+			_ = c.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+			n, err := c.Write(block)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}()
+	read, err := io.CopyN(io.Discard, caller, 64<<20)
+	must.NoError(t, err)
+	<-done
+	must.Less(t, 1<<20, written.Load()-read)
+}
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -91,6 +91,7 @@
 			}
 			continue
 		}
+		limitSocketBuffers(c)
 		f.currentQueue(l.Addr()).conns <- c
 	}
 }
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -223,11 +223,17 @@
 				// The option only detects a dead endpoint sooner; without it, the deadline of the
 				// request applies.
 				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, tcpUserTimeoutMS)
+				// It is set before the connection is opened, because the window's scale depends on it.
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, SocketBuffer)
 			})
 		},
 	}
 	return d.DialContext(ctx, "tcp", address)
 }
 
+// SocketBuffer is the size of a socket's buffer, in bytes, on the ways of responses; the kernel takes up to twice as much. With 10 ms
+// for a round trip a connection carries 9 MB/s. Without it the kernel lets a buffer grow to 4 MB (sending) and 32 MB (receiving).
+const SocketBuffer = 96 << 10
+
 // tcpUserTimeoutMS is the time in milliseconds after which unacknowledged bytes close a connection.
 const tcpUserTimeoutMS = 3000
--- a/upstream/limits_test.go
+++ b/upstream/limits_test.go
@@ -208,3 +208,35 @@
 		})
 	}
 }
+
+// TestSocketBufferIsLimited reads a response for a while and then leaves it unread. It guards against the kernel's receive buffer,
+// which grows to 32 MB for a connection that was read fast: four unread responses held 88 MB of socket buffers on a loopback.
+func TestSocketBufferIsLimited(t *testing.T) {
+	address, conns := listen(t)
+	p := &Pool{Now: func() time.Duration { return 0 }, DialTimeout: 10 * time.Second}
+	c, _, err := p.Get(t.Context(), address)
+	must.NoError(t, err)
+	defer c.Close()
+	peer := (<-conns).(*net.TCPConn)
+	defer peer.Close()
+	must.NoError(t, peer.SetWriteBuffer(64<<10))
+	var written atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		block := make([]byte, 64<<10)
+		for {
+			// The deadline ends the test; nothing is asserted of the time.
+			_ = peer.SetWriteDeadline(time.Now().Add(500 * time.Millisecond))
+			n, err := peer.Write(block)
+			written.Add(int64(n))
+			if err != nil {
+				return
+			}
+		}
+	}()
+	read, err := io.CopyN(io.Discard, c.reader, 256<<20)
+	must.NoError(t, err)
+	<-done
+	must.Less(t, maxTaken, written.Load()-read)
+}
