ingress: lines on requests refused before their headers are read have no time left again

Cause: the call got the default deadline at its arrival, so outcome lines of such refusals showed left_ms of a minute.

--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -73,7 +73,6 @@
 	s.active.Add(1)
 	s.Count.Received.Add(1)
 	c := &call{s: s, w: w, r: r, rc: http.NewResponseController(w), arrived: s.Now()}
-	c.deadline = c.arrived + defaultDeadline
 	// The lock of the account keeps this from running after release.
 	c.memory = s.memory.open(func() { _ = c.rc.SetWriteDeadline(time.Now()) })
 	defer c.release()
