--- a/edge/host.go
+++ b/edge/host.go
@@ -190,13 +190,13 @@
 	h.store = &platform.Store{
 		Base: "http://" + b.Store,
 		HTTP: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second,
+			MaxIdleConnsPerHost: 4, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxAnswerHead,
 			DialContext: h.dial(storeDialTimeout),
 		}},
 		OnEra: h.noteStoreEra,
 	}
 	h.peerHTTP = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second,
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second, MaxResponseHeaderBytes: maxAnswerHead,
 		DialContext: h.dial(fetchTimeout),
 	}}
 	h.answers.Now, h.answers.MaxBytes = h.now, maxAnswerBytes(b.LinkMbps)
@@ -208,7 +208,7 @@
 		ExposeShare:   b.ExposeShare,
 		ColdTolerance: ingress.ColdTolerance{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack},
 		RelayTargets:  h.relayTargets,
-		FirstStart:    b.Bootstrap, BodyMemory: h.bodyMemory(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
+		FirstStart:    b.Bootstrap, BodyMemory: h.bodyMemory(), Memory: h.memoryLimit(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
 	h.storeHealth = &feed.StoreHealth{
 		Now: h.now, RunTime: h.gapDetector.RunTime, OutageAfter: time.Duration(outageShare * float64(b.DrainTime)), RetryInterval: endpointsRetryInterval,
@@ -225,6 +225,7 @@
 	}
 	h.ingress.Settings = h.settings
 	h.ingress.Init()
+	h.answers.Memory = h.ingress.MemoryAccount().Open()
 	h.records = &records{store: h.store, era: h.store.Era, now: h.now, log: h.Log.WithName("records")}
 	h.ingress.SetRecords(h.records)
 	h.ingress.SetAgeLimits(ageLimits(b))
--- a/ingress/exceed_test.go
+++ b/ingress/exceed_test.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -101,8 +102,8 @@
 	return n
 }
 
-// newServer returns a server with one route of a kind and an endpoint at each address.
-func newServer(log logr.Logger, kind route.Kind, dials map[string]func() net.Conn) *ingress.Server {
+// newServer returns a server with one route of a kind and an endpoint at each address. The options are applied before Init.
+func newServer(log logr.Logger, kind route.Kind, dials map[string]func() net.Conn, options ...func(*ingress.Server)) *ingress.Server {
 	now := clock.NewSteady()
 	s := &ingress.Server{Headers: platform.Headers, Now: now.Now, Watch: &clock.GapDetector{Clock: now}, Zone: "z", BodyMemory: 1 << 20, Log: log}
 	s.Dial = func(_ context.Context, _, address string) (net.Conn, error) { return dials[address](), nil }
@@ -115,6 +116,9 @@
 			}, nil
 		},
 	}
+	for _, option := range options {
+		option(s)
+	}
 	s.Init()
 	s.Settings.Offer(nil, 1)
 	var list []feed.Endpoint
@@ -203,3 +207,22 @@
 		t.Run(tc.name, func(t *testing.T) { synctest.Test(t, test) })
 	}
 }
+
+// TestStreamThatRepeatsItself sends an event that was forwarded before without end. It guards against a host that drops such events
+// until the deadline, although the caller gets nothing.
+func TestStreamThatRepeatsItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		event := "id: 5\ndata: " + strings.Repeat("x", 1000) + "\n\n"
+		e := &scripted{first: scriptedHead + "Transfer-Encoding: chunked\r\n\r\n", next: fmt.Sprintf("%x\r\n%s\r\n", len(event), event)}
+		defer e.stop()
+		var log lines
+		s := newServer(log.logger(), route.Stream, map[string]func() net.Conn{"10.0.0.1:80": e.dial})
+		w := httptest.NewRecorder()
+		must.True(t, get(s, w))
+		synctest.Wait()
+		must.EqOp(t, event, w.Body.String())
+		must.Less(t, 2<<20, e.sent.Load())
+		must.EqOp(t, e.requests.Load(), s.Count.OverLimit.Load())
+		must.EqOp(t, int(e.requests.Load()), log.count("events sent before"))
+	})
+}
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -108,7 +108,6 @@
 	Address string
 
 	mu       sync.Mutex
-	load     string // value of its load header, empty for none
 	faults   []Fault
 	shared   *FaultQueue
 	runs     []Run
