--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -50,11 +50,12 @@
 	seq                uint64
 	pending            []Decision
 
-	cands   []candidate
-	matches [maxMatches]match
-	matched int
 	// room is cached for the decisions of one moment.
-	room room
+	room     room
+	cands    []candidate
+	askOrder []rankedEndpoint // buffer of endpointsToAsk
+	matches  [maxMatches]match
+	matched  int
 	// lastOwnerAnswer is the time of the last answer of any slot owner, or 0.
 	lastOwnerAnswer time.Duration
 	// ejections counts the ejections by this host.
