--- a/settings/format.go
+++ b/settings/format.go
@@ -108,9 +108,25 @@
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %s | %s | %s | %s |\n", k.Name, levelNames(k.Levels), k.Type, k.Unit, rng, def, k.Doc)
 	}
+	b.WriteString(hostSwitches)
 	return b.Bytes()
 }
 
+// hostSwitches documents the settings of hosts on the users' platform that are no keys of the tree.
+const hostSwitches = `
+## Switches of hkedge
+
+A host on the users' platform takes these from its command line or environment. All hosts of a fleet need the same values.
+The figure ` + "`" + `in_force` + "`" + ` of its metrics shows them.
+
+| flag | environment | values | default | meaning |
+|---|---|---|---|---|
+| ` + "`" + `--shared-slots` + "`" + ` | ` + "`" + `HEATHKEEL_SHARED_SLOTS` + "`" + ` | auto, off | auto | In fleets that use relays, the owner of an endpoint's slots divides them fairly among workspaces (docs/design/shares.md). |
+| ` + "`" + `--stated-load` + "`" + ` | ` + "`" + `HEATHKEEL_STATED_LOAD` + "`" + ` | on, off | on | Whether the time that work takes, as endpoints state it, counts in decisions (docs/design/stated-load.md). |
+| ` + "`" + `--zone-spill` + "`" + ` | ` + "`" + `HEATHKEEL_ZONE_SPILL` + "`" + ` | fixed, observed | fixed | Whether endpoints in other zones count as more loaded by a constant, or get the shares that the demand of all zones asks for (docs/design/zones.md). |
+| ` + "`" + `--zone-price` + "`" + ` | ` + "`" + `HEATHKEEL_ZONE_PRICE` + "`" + ` | 0 to 1e6 | 0 | Value of one GB between zones, in units of the value of one request of the top tier; 0 means unknown. |
+`
+
 // levelNames returns the names of the levels in a set, joined by commas. It omits LevelModel, which has no keys.
 func levelNames(l Level) string {
 	var out []string
