--- a/sched/claim.go
+++ b/sched/claim.go
@@ -49,9 +49,9 @@
 	// minOwnedService is the mean duration of requests from which slot owners grant the slots of a
 	// pool whose peer state is older than that. A slot is idle from the end of a request until the
 	// owner has learned of it and its grant was taken, about 15 ms with messages between zones, so
-	// that shorter requests would leave a tenth of the slots idle or more. Plain requests of 15 ms
-	// are well below it also while they queue at their endpoints.
-	minOwnedService = 150 * time.Millisecond
+	// that shorter requests would leave an eighth of the slots idle or more. Plain requests of 15 ms
+	// stay below it while they queue at their endpoints.
+	minOwnedService = 120 * time.Millisecond
 	// newPoolPeriod is the time for which a pool's slots count as scarce where slot owners grant
 	// them: until then the arrival rate is underestimated and peer state shows no load. Without it,
 	// a fleet that starts under load sends requests for 0.3 s without asking any owner.
