--- a/sched/ration.go
+++ b/sched/ration.go
@@ -126,7 +126,9 @@
 	}
 	r.lengthQuantile = recent.quantile(r.expectedOutput, s.Rand.Float64())
 	r.rationExempt = s.Rand.Float64() < exemptChance
-	r.longDraw = s.Rand.Float64()
+	if s.SlotOwners {
+		r.longDraw = s.Rand.Float64()
+	}
 }
 
 // beyondRation reports whether a request is beyond the share of its tier that is admitted now.
