--- a/sched/excess.go
+++ b/sched/demand.go
@@ -10,19 +10,15 @@
 	"time"
 )
 
-// While a tier is rationed, its admitted share is divided among workspaces by weighted max-min
-// fairness over their attempts: a workspace whose callers send more than its part, or retry often,
-// has more of its attempts refused. Expected lengths still decide which ones.
-//
-// At 32 hosts and twice the capacity, 0.82 of the callers of a workspace most of which retry at once
-// are served in the end, and 0.78 of the others'. Without the division it is 0.84 and 0.81.
-
 // maxDemands is the number of workspaces of a tier at which those without recent attempts are dropped.
 const maxDemands = 64
 
 // minDemand is the decayed number of attempts below which a workspace is dropped.
 const minDemand = 0.01
 
+// minWeight bounds weights from below, so that a workspace without a weight is served.
+const minWeight = 1e-3
+
 // demand holds the recent attempts of a workspace in one tier of a pool.
 type demand struct {
 	arrivals
@@ -34,10 +30,10 @@
 // demands holds the demands of the workspaces of a tier.
 type demands struct {
 	byWorkspace map[string]*demand
-	order       []*demand // scratch of divide
+	order       []*demand // buffer of divide
 }
 
-// add counts an attempt.
+// add counts an attempt of a workspace.
 func (x *demands) add(workspace string, weight float64) {
 	d := x.byWorkspace[workspace]
 	if d == nil {
@@ -51,7 +47,7 @@
 	d.weight = max(weight, minWeight)
 }
 
-// rate returns the rate of all attempts at this host, per second.
+// rate returns the attempts per second of all workspaces at this host.
 func (x *demands) rate() float64 {
 	sum := 0.0
 	for _, d := range x.byWorkspace {
@@ -60,10 +56,7 @@
 	return sum
 }
 
-// minWeight bounds weights from below, so that a workspace without a weight is served.
-const minWeight = 1e-3
-
-// decay reduces the weight of past attempts.
+// decay reduces the weight of past attempts by the time dt that has passed.
 func (x *demands) decay(dt time.Duration) {
 	for name, d := range x.byWorkspace {
 		d.arrivals.decay(dt)
@@ -73,7 +66,7 @@
 	}
 }
 
-// divide divides the admitted share of all attempts among the workspaces.
+// divide divides the admitted share of all attempts among the workspaces, by weighted max-min fairness.
 func (x *demands) divide(share float64) {
 	x.order = x.order[:0]
 	left, weight := 0.0, 0.0
@@ -94,29 +87,3 @@
 		}
 	}
 }
-
-// demandsOf returns the demands of a request's tier.
-func (r *Request) demandsOf() *demands { return &r.pool.demands[r.rank()] }
-
-// divideRations updates the demands of a pool and divides its rations.
-func (p *pool) divideRations(dt time.Duration) {
-	for k := range p.demands {
-		p.demands[k].decay(dt)
-		if x := &p.rations[k]; x.refusedShare > 0 {
-			p.demands[k].divide(1 - x.refusedShare)
-		}
-	}
-}
-
-// admittedShare returns the share of the attempts of r's workspace and tier that is admitted.
-func (s *Scheduler) admittedShare(r *Request) float64 {
-	refused := s.ration(r).refusedShare
-	if s.SlotOwners {
-		return 1 - refused // each workspace has rations of its own
-	}
-	d := r.demandsOf().byWorkspace[r.Settings.Workspace]
-	if refused == 0 || d == nil || s.cfg.Disabled.WorkspaceRations || !s.usesFleetState() {
-		return 1 - refused
-	}
-	return d.admitted
-}
