--- a/sched/choose.go
+++ b/sched/choose.go
@@ -51,7 +51,7 @@
 	if !s.mayTakeSlot(now, r, e) {
 		return false
 	}
-	if s.leavesSlow(now, r, e) {
+	if s.avoidsSlow(now, r, e) {
 		return false
 	}
 	if e.throttled && (e.own > 0 || r.rank() == 0) {
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -19,7 +19,7 @@
 
 const (
 	// endpointsAskedPerRequest is the number of endpoints whose owners are asked for a slot for
-	// each waiting request. With one, a request waits for the next free slot of that endpoint;
+	// each waiting request. With 1, a request waits for the next free slot of that endpoint;
 	// with many, most granted slots are returned.
 	endpointsAskedPerRequest = 6
 	// maxAskedRequests limits the requests for which slots are requested at a time.
@@ -42,12 +42,12 @@
 	// askJitter is the random part of an endpoint's load in the choice of owners to ask, as a
 	// share of its slots, so that hosts with the same information do not all ask the same owners.
 	askJitter = 0.5
-	// sharedAskJitter is the same where owners grant all slots. Hosts then know loads only 0.45 s
-	// late, and with 0.5 they ask the same few owners: endpoints of 300 hosts at 1.3 times the
-	// capacity are used for 0.90 of the time instead of 1.0.
+	// sharedAskJitter replaces askJitter where owners grant all slots. Hosts then know loads only
+	// 0.45 s late, and with 0.5 they ask the same few owners: with 300 hosts at 1.3 times the
+	// capacity, endpoints are used for 0.90 of the time instead of 1.0.
 	sharedAskJitter = 2.0
-	// answeredFor is the time after an owner's answer for which it is not considered silent: unchanged
-	// requests are sent again only after a while.
+	// answeredFor is the time after an owner's answer in which a request does not start ownerTimeout:
+	// unchanged requests are not sent again at once, and their owner does not answer then.
 	answeredFor = 40 * time.Millisecond
 )
 
@@ -75,8 +75,8 @@
 	return e.claims > 0 && now-e.claimedAt <= grantTTL
 }
 
-// granted reports whether the owner of an endpoint's slots granted one to this host that it has not used.
-// Owners also grant slots that are about to become free, so that the load does not count then.
+// granted reports whether this host has a grant of an endpoint's owner, so that the load there does not
+// count: owners also grant slots that are about to become free.
 func (s *Scheduler) granted(now time.Duration, e *endpointState) bool {
 	return s.SlotOwners && !e.grantsOnly() && e.hasGrant(now) && s.ownerAnswers(now, e)
 }
@@ -191,9 +191,9 @@
 
 // useGrant dispatches the next request of the workspace for which a slot was granted, and reports
 // whether one was dispatched; the next Poll returns the decision. Otherwise the slot is returned at
-// once: a request asks several owners, and if another workspace or tier used the grants that are left
-// over, it would get them at the expense of the one that is charged. With 0.94 of the capacity wanted
-// by a higher tier at 64 hosts, 0.86 of it was served, and 0.14 of a lower one.
+// once: a request asks several owners, and if another workspace used the grants that are left over,
+// it would get them at the expense of the one that is charged. A higher tier that wanted 0.94 of the
+// capacity at 64 hosts then got 0.86 of it, and a lower one the rest.
 func (s *Scheduler) useGrant(now time.Duration, e *endpointState, workspace string) bool {
 	defer func() { e.claims = 0 }()
 	for _, p := range s.pools {
@@ -293,7 +293,7 @@
 }
 
 // TierLimit returns a function that gives the number of requests up to which a tier may fill an
-// endpoint. A rest that this host was asked for does not bind the others.
+// endpoint. A rest (see rest.go) binds only the host that the endpoint asked for it.
 func (s *Scheduler) TierLimit(now time.Duration, name string) func(rank int) int {
 	e := s.byName[name]
 	if e == nil || !e.availableToOthers(now) {
--- a/sched/retryafter.go
+++ b/sched/retryafter.go
@@ -89,41 +89,6 @@
 	return n
 }
 
-// servedRate is a pool's service rate as last computed.
-type servedRate struct {
-	perSecond float64
-	at        time.Duration
-	known     bool
-}
-
-// servedRateTTL is the time for which a service rate is used: computing it takes 7 us at 140
-// endpoints, and it changes by a few percent in this time.
-const servedRateTTL = 50 * time.Millisecond
-
-// serviceRate returns the number of requests per second that the endpoints of a pool serve for all
-// hosts together.
-func (s *Scheduler) serviceRate(now time.Duration, p *pool) float64 {
-	if !p.served.known || now-p.served.at > servedRateTTL {
-		p.served = servedRate{s.sumServiceRates(now, p), now, true}
-	}
-	return p.served.perSecond
-}
-
-func (s *Scheduler) sumServiceRates(now time.Duration, p *pool) float64 {
-	sum := 0.0
-	for _, e := range p.members {
-		if !p.usable(now, e) {
-			continue
-		}
-		rate := float64(e.slots()) / (s.serviceTime(e).Seconds() * s.slowness(now, e))
-		if e.RateLimited {
-			rate = min(rate, e.Rate)
-		}
-		sum += rate
-	}
-	return sum
-}
-
 // waitsTooLong reports whether a request is expected to get no slot before its queue deadline, with
 // what waits at all hosts. Of its own tier, the share counts that this host would serve before it,
 // since the queues are fair among workspaces. If none of its tier wait here, no wait is assumed:
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -50,8 +50,8 @@
 	seq                uint64
 	pending            []Decision
 
-	// room is cached for the decisions of one moment.
-	room     room
+	// room caches freeShare for the decisions of one moment.
+	room     modelRoom
 	cands    []candidate
 	askOrder []rankedEndpoint // buffer of endpointsToAsk
 	matches  [maxMatches]match
--- a/sched/slowgrant.go
+++ b/sched/slowgrant.go
@@ -7,15 +7,16 @@
 import "time"
 
 const (
-	// slowSlotShare is the share of its slots up to which the owner fills an endpoint that states to be slow, at least one, while others
-	// have room. One request at a time keeps the statements coming.
+	// slowSlotShare is the share of its slots, at least one slot, up to which the owner fills an endpoint that states to be slow while
+	// others have room. Not zero, because an endpoint states its load only in responses.
 	slowSlotShare = 0.125
-	// roomShare is the share of the slots of the endpoints that are not slow from which on these have room. At 0.1 slow endpoints got
+	// roomShare is the share of the slots of the endpoints that are not slow that must be free for these to have room. At 0.1 slow endpoints got
 	// 0.088 of the requests instead of 0.040, with 93 endpoints at 0.8 of their capacity.
 	roomShare = 0.01
-	// amplyFree is the share of these slots from which on slow endpoints are asked last. With fewer free the preference shrinks: with the full
-	// one, 0.888 instead of 0.911 were served at the endpoints' capacity, since slots of slow ones stayed free.
-	amplyFree = 0.05
+	// fullPreferenceShare is the share of these slots that is free from which on the owners of slow endpoints are asked last. With fewer free
+	// the preference shrinks in proportion: with the full one, 0.888 instead of 0.911 were served at the endpoints' capacity, since slots of
+	// slow ones stayed free.
+	fullPreferenceShare = 0.05
 )
 
 // withoutSlow moves those of the first n candidates that do not state to be slow to the front, and returns their number, or n if there are
@@ -34,9 +35,9 @@
 	return usual
 }
 
-// leavesSlow reports whether a request is kept from an endpoint that states to be slow, because others have room. A grant of
+// avoidsSlow reports whether a request is kept from an endpoint that states to be slow, because others have room. A grant of
 // the owner of the slots permits it, since the owner hears of each response.
-func (s *Scheduler) leavesSlow(now time.Duration, r *Request, e *endpointState) bool {
+func (s *Scheduler) avoidsSlow(now time.Duration, r *Request, e *endpointState) bool {
 	if r.lastChance || s.statedSlowdown(now, e) < notablySlow || !s.othersHaveRoom(now, e) {
 		return false
 	}
@@ -50,7 +51,7 @@
 	if slowdown < notablySlow {
 		return 0
 	}
-	return (slowdown - 1) * min(1, s.freeShare(now, e)/amplyFree)
+	return (slowdown - 1) * min(1, s.freeShare(now, e)/fullPreferenceShare)
 }
 
 // slowLimit returns the number of requests up to which the owner of an endpoint's slots fills it, which is less than limit while the
@@ -62,8 +63,8 @@
 	return min(limit, max(1, int(slowSlotShare*float64(e.slots()))))
 }
 
-// room is the share of the slots that are free at the endpoints with a model that are not slow, at a time.
-type room struct {
+// modelRoom is the share of the slots that are free at the endpoints of a model that are not slow, at a time.
+type modelRoom struct {
 	at    time.Duration
 	model string
 	share float64
@@ -79,7 +80,7 @@
 				slots += float64(e.slots())
 			}
 		}
-		s.room = room{now, model, free / max(1, slots)}
+		s.room = modelRoom{now, model, free / max(1, slots)}
 	}
 	return s.room.share
 }
--- a/sched/stated.go
+++ b/sched/stated.go
@@ -18,10 +18,11 @@
 
 // Parameters of stated loads.
 const (
-	// minSlowdown and maxSlowdown limit the factor by which a statement changes a prediction.
+	// minSlowdown and maxSlowdown limit the factor by which a statement changes a predicted time.
 	minSlowdown = 0.25
 	maxSlowdown = 8
-	// NotablySlow is the slowdown, in hundredths, from which an endpoint counts as slow.
+	// NotablySlow is the slowdown, in hundredths, from which an endpoint counts as slow; notablySlow is
+	// the same as a factor.
 	NotablySlow = 150
 	notablySlow = NotablySlow / 100.0
 	// defaultSlowHalfLife is the half-life of a statement until the lengths of slow states have been observed; minSlowStateHalfLife and
@@ -47,11 +48,11 @@
 
 // slowdown estimates from statements how much longer than usual work takes at an endpoint. The zero value has seen none.
 type slowdown struct {
-	factor    float64       // at a time, in relation to the median; 0 without statements
-	at        time.Duration // that time
+	factor    float64       // as of at, in relation to the median; 0 without statements
+	at        time.Duration // time of the last statement, or of the owner's estimate
 	stated    int           // number of statements observed
-	usual     bool          // one of them was about the usual time
-	statedAt  time.Duration // time of the last one
+	usual     bool          // one of the statements was about the usual time
+	statedAt  time.Duration // time of the last statement
 	logMedian float64       // logarithm of the median of the statements, in relation to UsualTime
 	halfLife  time.Duration // learned from slow states, or 0
 	slow      bool          // the last statement said that the endpoint is notably slow
@@ -156,7 +157,8 @@
 	}
 }
 
-// observeSlowdown adds the slowdown of a stated load, if it says one.
+// observeSlowdown adds the slowdown of a stated load, if it states one, and reports whether the
+// estimate changed.
 func (s *Scheduler) observeSlowdown(at time.Duration, e *endpointState, l places.StatedLoad) bool {
 	if l.Slowdown == 0 || !e.stated.observe(at, l.Slowdown) {
 		return false
