--- a/places/book.go
+++ b/places/book.go
@@ -91,7 +91,7 @@
 	h.take(now, &a.shares, running-h.running)
 	h.end(now, &a.shares, h.running-running)
 	h.running, h.granted, h.grantExpiry = running, granted, now+grantTTL
-	h.updatedAt = max(h.updatedAt, now-requestTTL-1) // its wish for a slot is as old as its message
+	h.updatedAt = max(h.updatedAt, now-requestTTL-1) // its want of a slot is as old as its message
 }
 
 // TakeOwn takes a slot for the owner without a message while fewer than limit are taken, and reports whether it
@@ -109,7 +109,7 @@
 	n := a.Running(now)
 	for _, h := range a.order {
 		if now >= h.grantExpiry {
-			h.drop(&a.shares)
+			h.dropGrants(&a.shares)
 		}
 		n += h.granted
 	}
@@ -128,7 +128,7 @@
 
 // remove removes the state of a host.
 func (a *Allocator) remove(h *hostState) {
-	h.drop(&a.shares)
+	h.dropGrants(&a.shares)
 	delete(a.hosts, h.name)
 	if i := slices.Index(a.order, h); i >= 0 {
 		a.order = slices.Delete(a.order, i, i+1)
@@ -189,7 +189,7 @@
 		if now < h.grantExpiry {
 			a.pacer.put(h.granted)
 		}
-		h.drop(&a.shares)
+		h.dropGrants(&a.shares)
 	}
 	h.setWants(&a.shares, &req)
 	h.seq, h.running, h.rank, h.updatedAt = seq, req.Running, req.Rank, now
@@ -209,7 +209,7 @@
 	return n
 }
 
-// Allocate grants free slots as AllocateShares does, and returns the hosts that got one.
+// Allocate grants free slots as AllocateShares does, and returns a host for each slot.
 func (a *Allocator) Allocate(now time.Duration, limit func(rank int) int, r *rand.Rand) []string {
 	var out []string
 	for _, x := range a.AllocateShares(now, limit, r) {
@@ -232,7 +232,7 @@
 		if n := limit(f.rank); used >= n+a.inTransit(n) || (a.limited && !a.pacer.take(now, a.rate)) {
 			return out
 		}
-		h.grants = append(h.grants, use{flow: f, charged: a.shares.charge(f), granted: now})
+		h.grants = append(h.grants, use{flow: f, charged: a.shares.charge(f), grantedAt: now})
 		h.granted++
 		h.grantExpiry = now + grantTTL
 		a.notePassed(now, f)
--- a/places/doc.go
+++ b/places/doc.go
@@ -8,7 +8,8 @@
 // rendezvous hashing among the hosts of the endpoint's zone, so that all hosts with the same list
 // of hosts name the same owner without coordination. While slots are scarce, hosts send the owner
 // the number of their requests at the endpoint and ask it for a slot; the owner grants free ones,
-// higher tiers first.
+// higher tiers first, and within a tier first to the workspace that has received the least of the
+// endpoint's time for its weight.
 //
 // A grant is no promise to a caller. It is the only right to send to an endpoint that states a limit
 // for all hosts together: the requests a second that it takes, or the rejections after which it
