--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -32,9 +32,9 @@
 	takenAt     time.Duration // when it was last returned by Pool.Get
 	closed      atomic.Bool
 	noReuse     bool
-	used        bool // since it was taken from the pool
-	bodyEnded   bool // its response was read to the end
-	exceeded    Limit
+	used        bool  // since it was taken from the pool
+	bodyEnded   bool  // the latest response was read to the end
+	exceeded    Limit // or empty
 	bodyWrite   chan error
 }
 
@@ -231,7 +231,7 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// SocketBuffer is the size of a socket's buffer, in bytes, on the ways of responses; the kernel takes up to twice as much. With 10 ms
+// SocketBuffer is the size in bytes of the socket buffers that responses pass through; the kernel takes up to twice as much. With 10 ms
 // for a round trip a connection carries 9 MB/s. Without it the kernel lets a buffer grow to 4 MB (sending) and 32 MB (receiving).
 const SocketBuffer = 96 << 10
 
