--- a/edge/policy.go
+++ b/edge/policy.go
@@ -4,9 +4,7 @@
 
 package edge
 
-import (
-	"github.com/heathkeel/heathkeel/sched"
-)
+import "github.com/heathkeel/heathkeel/sched"
 
 // SharedSlots says when the owners of endpoints' slots grant them to all hosts, see docs/design/shares.md.
 type SharedSlots string
--- a/peers/codec.go
+++ b/peers/codec.go
@@ -109,7 +109,7 @@
 )
 
 // errTooLarge means that an inflated datagram exceeds a limit.
-var errTooLarge = eris.New("datagram is too large when it is inflated; its sender may be faulty")
+var errTooLarge = eris.New("datagram is too large when it is inflated; it is ignored, check the version of its sender")
 
 // errUnknownKind means that a datagram is of an unknown kind.
 var errUnknownKind = eris.New("datagram is of no known kind; its sender may run another version")
