--- a/ingress/send.go
+++ b/ingress/send.go
@@ -19,19 +19,9 @@
 
 // send sends the request to the endpoint c.endpoint and handles its response. It returns the outcome and the backoff.
 func (c *call) send(ctx context.Context) (sendOutcome, time.Duration) {
-	conn, reused, err := c.s.pool.Get(ctx, c.endpoint.Address)
-	if err != nil && ctx.Err() != nil {
-		return sendAbandoned, 0
-	}
-	if !reused {
-		c.s.paths.connected(c.endpoint.Address, c.timings.chosen, err)
-	}
-	if err == nil && !reused {
-		c.s.balance.observeDial(c.endpoint.Zone, c.elapsed(c.timings.chosen, c.s.Now()))
-	}
-	if err != nil {
-		c.s.balance.noteFailure(c, outlier.Unreachable)
-		return sendUnsent, backoffUnreachable
+	conn, result, backoff := c.connect(ctx)
+	if conn == nil {
+		return result, backoff
 	}
 	if c.sendRefusal = c.checkSend(ctx); c.sendRefusal != nil {
 		conn.Release()
@@ -60,7 +50,7 @@
 	c.noteSend(sentAt)
 	silence := newSilenceTimer(c.silenceTimeout(), conn.Close)
 	c.s.paths.sendBegun()
-	result, backoff := c.roundTrip(ctx, conn, silence)
+	result, backoff = c.roundTrip(ctx, conn, silence)
 	c.s.paths.sendEnded()
 	timedOut := silence.stop()
 	if timedOut && result == sendLost {
@@ -83,16 +73,40 @@
 		c.reportFailure(result, backoff, corrupt)
 	}
 	if result == sendLost {
-		c.tracker.MarkLost()
-		c.s.Count.Lost.Add(1)
-		c.logOutcome(outcome.SendLost, 0, "the endpoint did not send a complete response", 0)
-		if !timedOut {
-			c.probeCrash(ctx, gapSeen)
-		}
+		c.noteLost(ctx, timedOut, gapSeen)
 	}
 	return result, backoff
 }
 
+// connect returns a connection to the endpoint, or nil with the outcome and the backoff. It records how opening a new one went.
+func (c *call) connect(ctx context.Context) (*upstream.Conn, sendOutcome, time.Duration) {
+	conn, reused, err := c.s.pool.Get(ctx, c.endpoint.Address)
+	if err != nil && ctx.Err() != nil {
+		return nil, sendAbandoned, 0
+	}
+	if !reused {
+		c.s.paths.connected(c.endpoint.Address, c.timings.chosen, err)
+	}
+	if err == nil && !reused {
+		c.s.balance.observeDial(c.endpoint.Zone, c.elapsed(c.timings.chosen, c.s.Now()))
+	}
+	if err != nil {
+		c.s.balance.noteFailure(c, outlier.Unreachable)
+		return nil, sendUnsent, backoffUnreachable
+	}
+	return conn, sendUnsent, 0
+}
+
+// noteLost counts and logs a send without a complete response, and probes the endpoint unless it was silent for too long.
+func (c *call) noteLost(ctx context.Context, timedOut, gapSeen bool) {
+	c.tracker.MarkLost()
+	c.s.Count.Lost.Add(1)
+	c.logOutcome(outcome.SendLost, 0, "the endpoint did not send a complete response", 0)
+	if !timedOut {
+		c.probeCrash(ctx, gapSeen)
+	}
+}
+
 // timeLeft returns the time until the deadline, and false if it has passed or the caller has left.
 func (c *call) timeLeft(ctx context.Context) (time.Duration, bool) {
 	left := c.deadline - c.s.Now()
