--- a/ingress/exceed.go
+++ b/ingress/exceed.go
@@ -28,7 +28,7 @@
 func (c *call) logExceeded(limit upstream.Limit) {
 	c.s.Count.OverLimit.Add(1)
 	if c.allowLine(outcome.Kind("over limit on "+limit), c.s.Now()) {
-		c.s.Log.Info("response exceeds a limit", "limit", limit, "endpoint", c.endpoint.Instance, "relayed_to", c.relayed.to, "id", c.id)
+		c.s.Log.Info("response exceeds a limit; check the version of its sender", "limit", limit, "endpoint", c.endpoint.Instance, "relayed_to", c.relayed.to, "id", c.id)
 	}
 }
 
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -15,8 +15,8 @@
 // which owners forget them.
 const fullSendInterval = time.Second
 
-// wantInterval is the time after which an unchanged wish for a slot is sent again: every second round of requests repeats it, and owners
-// keep it for three rounds (requestTTL of package places). Without it, each dispatch and each end of a request repeated all wishes: a
+// wantInterval is the time after which an unchanged want of a slot is sent again: every second round of requests repeats it, and owners
+// keep it for three rounds (requestTTL of package places). Without it, each dispatch and each end of a request repeated all wants: a
 // host of 64 at 1.2 times the capacity sent and received 2,000 datagrams a second.
 const wantInterval = 75 * time.Millisecond
 
--- a/ingress/shares.go
+++ b/ingress/shares.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// shareLine limits the log lines about workspaces that are limited by their share of slots.
+	// shareLine is the kind of the log lines about workspaces that are limited by their share of slots.
 	shareLine outcome.Kind = "share limited"
 	// maxSharesShown limits the workspaces in the metrics.
 	maxSharesShown = 256
@@ -59,7 +59,7 @@
 			s.Count.LinesDropped.Add(1)
 			continue
 		}
-		s.Log.Info("workspace is limited by its share of slots", "workspace", w, "granted", u.Granted, "passed", u.Passed, "lines_dropped", dropped)
+		s.Log.Info("workspace is limited by its share of slots; if it needs more, raise its weight or add endpoints", "workspace", w, "granted", u.Granted, "passed", u.Passed, "lines_dropped", dropped)
 	}
 }
 
