--- a/ingress/zones.go
+++ b/ingress/zones.go
@@ -38,7 +38,8 @@
 	delayQuantile = 0.25
 	// unknownSlots is the number of slots of an endpoint that declares none, as the scheduler assumes.
 	unknownSlots = 8
-	// zoneDataTTL is the age of the reports of this host's own zone up to which shares stay in force.
+	// zoneDataTTL is the age of the reports of this host's own zone up to which shares stay in force. Zones that were never heard of
+	// count as this old; package spill sends nothing to zones whose data is as old (lostAge).
 	zoneDataTTL = 30 * time.Second
 )
 
@@ -58,36 +59,6 @@
 	traffic   map[trafficKey]*ZoneTraffic
 }
 
-// serviceDemand is what this host knows of the demand for a service.
-type serviceDemand struct {
-	rate      float64 // arrivals per second, as of rateAt
-	rateAt    time.Duration
-	work      float64 // time of a request at an engine with a free slot, in steps
-	bytes     float64 // of a request and its response
-	objective time.Duration
-	planner   spill.Planner
-	sends     bool // this host's zone sends to others by the plan
-}
-
-// trafficKey identifies the requests that are counted together.
-type trafficKey struct {
-	to     string
-	reason sched.CrossReason
-}
-
-// ZoneTraffic counts what this host sent to another zone for one reason.
-type ZoneTraffic struct {
-	// From and To are the zones, and Reason is why the requests were sent: "fixed", "share" or
-	// "no_endpoint".
-	From   string            `json:"from"`
-	To     string            `json:"to"`
-	Reason sched.CrossReason `json:"reason"`
-	// Requests counts sends, and Bytes the bodies of requests and responses of sends that ended the
-	// request.
-	Requests int64 `json:"requests"`
-	Bytes    int64 `json:"bytes"`
-}
-
 // newZones returns the state of a host in zone own.
 func newZones(own string) zones {
 	return zones{
@@ -106,11 +77,6 @@
 	return d
 }
 
-// decayedRate returns the arrivals per second at a time.
-func (d *serviceDemand) decayedRate(now time.Duration) float64 {
-	return d.rate * math.Exp2(-float64(now-d.rateAt)/float64(zoneRateHalfLife))
-}
-
 // noteArrival counts a request of a caller.
 func (z *zones) noteArrival(now time.Duration, c *call) {
 	if !z.observed {
@@ -121,24 +87,6 @@
 	d.objective = c.route.Objective
 }
 
-// noteDispatch counts a send to another zone.
-func (z *zones) noteDispatch(r *sched.Request, zone string) {
-	if r.CrossReason() != sched.CrossNone {
-		z.trafficOf(r, zone).Requests++
-	}
-}
-
-// trafficOf returns the counters of a request that was sent to another zone.
-func (z *zones) trafficOf(r *sched.Request, zone string) *ZoneTraffic {
-	key := trafficKey{zone, r.CrossReason()}
-	t := z.traffic[key]
-	if t == nil {
-		t = &ZoneTraffic{From: z.own, To: zone, Reason: key.reason}
-		z.traffic[key] = t
-	}
-	return t
-}
-
 // noteServed learns the time of a request that was served. load is the number of requests that were at
 // the endpoint when it was sent. Requests to full endpoints may have waited there and count only while
 // nothing is known: with them, plain services under load seemed to have 0.85 of their capacity.
@@ -385,15 +333,3 @@
 	defer s.balance.mu.Unlock()
 	return s.balance.demands(s.Now())
 }
-
-// CrossZoneTraffic returns what this host sent to other zones, by pair of zones and reason.
-func (s *Server) CrossZoneTraffic() []ZoneTraffic {
-	s.balance.mu.Lock()
-	defer s.balance.mu.Unlock()
-	out := make([]ZoneTraffic, 0, len(s.balance.zones.traffic))
-	for _, t := range s.balance.zones.traffic {
-		out = append(out, *t)
-	}
-	slices.SortFunc(out, func(a, b ZoneTraffic) int { return cmp.Or(cmp.Compare(a.To, b.To), cmp.Compare(a.Reason, b.Reason)) })
-	return out
-}
