--- a/sched/workspaceration.go
+++ b/sched/workspaceration.go
@@ -8,7 +8,7 @@
 
 // While a tier is rationed, its admitted share is divided among workspaces in one of two ways. Where
 // slot owners divide the slots, each workspace has rations of its own, which follow what its owners
-// grant it. Elsewhere the tier has one ration, and its share is divided by weighted max-min fairness
+// grant it. In large fleets without them the tier has one ration, divided by weighted max-min fairness
 // over the workspaces' attempts: a workspace whose callers send more than its part, or retry often, has
 // more of its attempts refused. Expected lengths still decide which ones.
 //
