--- a/ingress/zones.go
+++ b/ingress/zones.go
@@ -36,8 +36,6 @@
 	// delayQuantile is the quantile of the times to open a connection that is taken for the round
 	// trip: waiting for the processor can only make them longer.
 	delayQuantile = 0.25
-	// unknownSlots is the number of slots of an endpoint that declares none, as the scheduler assumes.
-	unknownSlots = 8
 	// zoneDataTTL is the age of the reports of this host's own zone up to which shares stay in force. Zones that were never heard of
 	// count as this old; package spill sends nothing to zones whose data is as old (lostAge).
 	zoneDataTTL = 30 * time.Second
@@ -95,7 +93,7 @@
 		return
 	}
 	d := z.service(t.Service)
-	full := load+1 > float64(cmp.Or(t.Slots, unknownSlots))
+	full := load+1 > float64(cmp.Or(t.Slots, sched.DefaultSlots))
 	if !c.service.Engine {
 		if !full || t.requestTime == 0 {
 			learn(&t.requestTime, elapsed.Seconds(), requestTimeGain)
@@ -274,7 +272,7 @@
 			out[t.Service] = make(map[string]float64)
 		}
 		if b.getsRequests(t) && now >= t.coldUntil && !b.sched.EndpointEjected(now, incarnation) {
-			out[t.Service][t.Zone] += float64(cmp.Or(t.Slots, unknownSlots)) / times[incarnation]
+			out[t.Service][t.Zone] += float64(cmp.Or(t.Slots, sched.DefaultSlots)) / times[incarnation]
 		}
 	}
 	return out
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -120,7 +120,8 @@
 const (
 	defaultStep    = 10 * time.Millisecond
 	defaultPrefill = 512
-	defaultSlots   = 8
+	// DefaultSlots is the number of slots of an endpoint that declares none.
+	DefaultSlots = 8
 )
 
 // step returns the duration of a decoding step that the endpoint reports.
@@ -148,7 +149,7 @@
 	case e.Slots > 0:
 		return e.Slots
 	}
-	return defaultSlots
+	return DefaultSlots
 }
 
 // recordLoad stores a sample of the own load.
--- a/sched/retryafter.go
+++ b/sched/retryafter.go
@@ -11,8 +11,8 @@
 // request early that would wait for too long. docs/design/retries.md compares the alternatives.
 
 const (
-	// directHosts is the largest fleet in which all hosts exchange state directly; such fleets use
-	// the host's own estimate.
+	// directHosts is the largest fleet in which all hosts exchange state directly, as DirectHosts of
+	// package peers; such fleets use the host's own estimate.
 	directHosts = 9
 	// noEndRefusedShare is the share of a tier refused by its ration from which no end of the
 	// shortage is expected. Small shares also occur below the capacity.
