--- a/ingress/zones.go
+++ b/ingress/zones.go
@@ -198,18 +198,18 @@
 	total.Add(loads.Zones, 1)
 	total.Add(b.demands(now), 1)
 	reporting := make(map[string]bool)
+	ownReported := z.liveHosts[z.own] == 0
+	for _, d := range loads.Zones[z.own] {
+		ownReported = ownReported || d.Hosts > 0
+	}
 	for zone, services := range total {
 		for _, d := range services {
 			reporting[zone] = reporting[zone] || d.Hosts > 0
 		}
-		if reporting[zone] {
+		if reporting[zone] && (zone != z.own || ownReported) {
 			z.heardAt[zone] = now - loads.Age
 		}
 	}
-	ownReported := z.liveHosts[z.own] == 0
-	for _, d := range loads.Zones[z.own] {
-		ownReported = ownReported || d.Hosts > 0
-	}
 	capacities := b.capacities(now)
 	for _, name := range slices.Sorted(maps.Keys(z.services)) {
 		d := z.services[name]
--- a/places/book.go
+++ b/places/book.go
@@ -90,6 +90,7 @@
 	}
 	h.take(now, &a.shares, running-h.running)
 	h.end(now, &a.shares, h.running-running)
+	h.dropOldest(&a.shares, len(h.grants)-granted) // the owner's own grants expire without a message
 	h.running, h.granted, h.grantExpiry = running, granted, now+grantTTL
 	h.updatedAt = max(h.updatedAt, now-requestTTL-1) // its want of a slot is as old as its message
 }
--- a/places/share.go
+++ b/places/share.go
@@ -50,6 +50,9 @@
 	maxCredit = 1.0
 	// maxUses limits the running requests of one host whose workspaces are known, whatever number a message states.
 	maxUses = 256
+	// minWeight and maxWeight limit weights, as the settings do: beyond them start tags lose all precision.
+	minWeight = 0.01
+	maxWeight = 1000
 	// maxFlows limits the flows of an endpoint; at the limit, those that have received no more than others are dropped.
 	maxFlows = 256
 )
@@ -67,7 +70,7 @@
 	}
 	f.weight = 1
 	if w.Weight > 0 {
-		f.weight = w.Weight
+		f.weight = max(minWeight, min(maxWeight, w.Weight))
 	}
 	return f
 }
--- a/places/share_test.go
+++ b/places/share_test.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -163,3 +164,29 @@
 		})
 	}
 }
+
+// TestUnusedOwnGrants checks that grants of the owner itself that expire are neither kept nor charged.
+func TestUnusedOwnGrants(t *testing.T) {
+	var a Allocator
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Second
+	for seq := uint32(1); seq <= 100; seq++ {
+		a.Update(now, "self", 1, seq, Request{Rank: 0, Wants: NewWants(Want{Workspace: "w", N: 1})})
+		must.SliceLen(t, 1, a.AllocateShares(now, func(int) int { return 4 }, r))
+		now += 2 * grantTTL
+		a.NoteOwn(now, "self", 0, 0)
+	}
+	must.SliceEmpty(t, a.hosts["self"].grants)
+	must.Less(t, 1.0, a.shares.flow(Want{Workspace: "w"}).tag)
+}
+
+// TestWeightsAreLimited checks that an absurd weight in a message does not make all start tags infinite.
+func TestWeightsAreLimited(t *testing.T) {
+	for _, weight := range []float64{1e-310, 1e300} {
+		var s shares
+		f := s.flow(Want{Workspace: "w", Weight: weight})
+		s.charge(f)
+		must.False(t, math.IsInf(s.start(f), 0))
+		must.Between(t, minWeight, f.weight, maxWeight)
+	}
+}
--- a/places/use.go
+++ b/places/use.go
@@ -66,9 +66,15 @@
 
 // dropGrants takes back the grants of a host that were not taken, and the charges for them.
 func (h *hostState) dropGrants(s *shares) {
-	for _, u := range h.grants {
+	h.dropOldest(s, len(h.grants))
+	h.granted = 0
+}
+
+// dropOldest takes back the n oldest grants of a host that were not taken.
+func (h *hostState) dropOldest(s *shares, n int) {
+	n = min(max(0, n), len(h.grants))
+	for _, u := range h.grants[:n] {
 		s.settle(u.flow, u.charged, 0)
 	}
-	h.grants = h.grants[:0]
-	h.granted = 0
+	h.grants = append(h.grants[:0], h.grants[n:]...)
 }
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -230,6 +230,10 @@
 	s.matchPrefix(r)
 	s.cands = s.cands[:0]
 	load := s.load(now, e)
+	zones := s.zoneRuleFor(now, r.pool, r)
+	if _, ok := zones.cost(e); !ok {
+		return nil
+	}
 	if !e.available(now) || !r.accepts(e) || e == r.avoid || !s.admits(now, r, e, load) {
 		return nil
 	}
--- a/sched/retryafter.go
+++ b/sched/retryafter.go
@@ -92,8 +92,12 @@
 // waitsTooLong reports whether a request is expected to get no slot before its queue deadline, with
 // what waits at all hosts. Of its own tier, the share counts that this host would serve before it,
 // since the queues are fair among workspaces. If none of its tier wait here, no wait is assumed:
-// reports of other hosts are older than the requests that they count.
+// reports of other hosts are older than the requests that they count. Where slot owners divide slots, a
+// request of a small workspace waits less than that, and none is refused here.
 func (s *Scheduler) waitsTooLong(now time.Duration, r *Request) bool {
+	if s.SlotOwners {
+		return false
+	}
 	q := &r.pool.tiers[r.rank()]
 	if s.cfg.Disabled.EarlyBacklog || r.rationExempt || r.DispatchBy == 0 || q.waiting == 0 || q.cost == 0 || !s.usesFleetState() {
 		return false
--- a/sched/zones_test.go
+++ b/sched/zones_test.go
@@ -83,3 +83,18 @@
 	}
 	return s, &settings.Effective{Workspace: "w", Service: "s", Weight: 1, MaxQueued: 10}
 }
+
+// TestGrantKeepsZoneRule guards against requests that may not leave their zone and use a grant of an endpoint in another one.
+func TestGrantKeepsZoneRule(t *testing.T) {
+	for _, homeOnly := range []bool{true, false} {
+		s, e := newZoneScheduler(true, false)
+		s.SlotOwners = true
+		s.SetZoneShares([]string{"m"}, &ZoneShares{Shares: map[string]float64{"b": 1}})
+		r := &Request{Settings: e, Model: "m", MaxTokens: 10, Deadline: time.Minute, HomeOnly: homeOnly}
+		r.pool = s.poolOf(r)
+		s.accrueCredits(r)
+		if got := s.chooseGranted(0, r, s.byName["b"]) != nil; got == homeOnly {
+			t.Errorf("home only %v: grant of another zone is used: %v", homeOnly, got)
+		}
+	}
+}
