--- a/sched/ration.go
+++ b/sched/ration.go
@@ -37,10 +37,6 @@
 	// exemptChance is the probability that a request is exempt from the ration, so that long ones
 	// do not starve in a long shortage. It has no measurable cost.
 	exemptChance = 0.05
-	// longShare is the probability, as a share of the admitted share, that a longer request is admitted
-	// all the same where slot owners divide slots. Owners leave so few slots to the lowest tier that
-	// its longest tenth would be served less than half as often as the tier.
-	longShare = 0.75
 	// spareFill is the share of its slot limit up to which a tier still accepts requests beyond
 	// the ration: at a lower load there is no shortage, or it is over. Without this rule requests
 	// were refused for seconds after a surge; 0.65 and 0.95 have the same effect.
@@ -137,7 +133,9 @@
 	if r.rationExempt || r.lengthQuantile <= admitted {
 		return false
 	}
-	return !s.SlotOwners || r.longDraw >= longShare*admitted
+	// Owners leave so few slots to the lowest tier that its longest tenth would be served less than
+	// half as often as the tier; longer requests are therefore admitted with the same probability.
+	return !s.SlotOwners || r.longDraw >= admitted
 }
 
 // rationRetryAfter returns the retry time of a request refused by a ration: a shortage is assumed
