--- a/sched/ration.go
+++ b/sched/ration.go
@@ -37,6 +37,10 @@
 	// exemptChance is the probability that a request is exempt from the ration, so that long ones
 	// do not starve in a long shortage. It has no measurable cost.
 	exemptChance = 0.05
+	// longShare is the probability that a longer request is admitted all the same where slot owners
+	// divide slots: they leave few slots to the lowest tier, whose longest tenth would otherwise be
+	// served less than half as often as the tier.
+	longShare = 0.75
 	// spareFill is the share of its slot limit up to which a tier still accepts requests beyond
 	// the ration: at a lower load there is no shortage, or it is over. Without this rule requests
 	// were refused for seconds after a surge; 0.65 and 0.95 have the same effect.
@@ -133,9 +137,7 @@
 	if r.rationExempt || r.lengthQuantile <= admitted {
 		return false
 	}
-	// Owners leave so few slots to the lowest tier that its longest tenth would be served less than
-	// half as often as the tier; longer requests are therefore admitted with the same probability.
-	return !s.SlotOwners || r.longDraw >= admitted
+	return !s.SlotOwners || r.longDraw >= longShare
 }
 
 // rationRetryAfter returns the retry time of a request refused by a ration: a shortage is assumed
