ingress, outcome: log lines say who ended a send without a complete response, and why it did not go on

The lines 'send lost' and 'cut' named the endpoint as the one that ended the stream, whoever did, and gave no reason why the stream did not go on elsewhere. They now have silent_ms, the silence for which the host itself ended the send, and the limit on retries or the scheduler's reason. What is decided is unchanged.

--- /dev/null
+++ b/ingress/lostsend.go
@@ -0,0 +1,71 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package ingress
+
+import (
+	"time"
+
+	"github.com/heathkeel/heathkeel/sched"
+)
+
+// lostSend says why the newest send of a call has no complete response.
+type lostSend struct {
+	// silence is the time since the endpoint's last byte if this host canceled the send for it, and 0 if the endpoint or the network
+	// ended it.
+	silence time.Duration
+}
+
+// why returns the explanation for the log.
+func (l lostSend) why() string {
+	if l.silence > 0 {
+		return "this host ended the send, since the endpoint was silent"
+	}
+	return "the endpoint did not send a complete response"
+}
+
+// noteSilence stops the timer of a send that has ended, and records and reports whether it had canceled the send.
+func (c *call) noteSilence(silence *silenceTimer) bool {
+	c.lost = lostSend{}
+	if !silence.stop() {
+		return false
+	}
+	c.lost.silence = silence.limit
+	return true
+}
+
+// Reasons why a request is not sent again.
+const (
+	reasonUnreachable   sched.Reason = "several endpoints could not be reached"
+	reasonRejects       sched.Reason = "several endpoints did not run it"
+	reasonNotRepeatable sched.Reason = "its route does not allow repeats"
+	reasonAttempts      sched.Reason = "all attempts of its route are used"
+	reasonRetryBudget   sched.Reason = "the retry budget of its service is used up"
+)
+
+// failures counts the sends of a call that were not run.
+type failures struct {
+	dials, rejects int
+}
+
+// retryDenied returns why a request is not sent again after a send with the given outcome, or an empty reason if it may be.
+func (c *call) retryDenied(result sendOutcome, f failures) sched.Reason {
+	switch {
+	case result == sendUnsent && f.dials >= maxDials:
+		return reasonUnreachable
+	case result == sendUnsent:
+		return ""
+	case result == sendNotExecuted && f.rejects > maxRejects:
+		return reasonRejects
+	case result == sendNotExecuted:
+	case !c.route.MayRepeat():
+		return reasonNotRepeatable
+	case c.sends() >= c.route.Attempts+f.rejects:
+		return reasonAttempts
+	}
+	if !c.s.takeRetry(c.service.Name) {
+		return reasonRetryBudget
+	}
+	return ""
+}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -201,7 +201,7 @@
 	stopCancel := context.AfterFunc(ctx, conn.Close)
 	silence := newSilenceTimer(relaySilenceFactor*c.silenceTimeout(), conn.Close)
 	result, f := c.relayRoundTrip(ctx, conn, header, silence)
-	silence.stop()
+	c.noteSilence(silence)
 	c.noteExceeded(conn)
 	result = settle(conn, result, !stopCancel())
 	if result == sendLost {
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -52,7 +52,7 @@
 	c.s.paths.sendBegun()
 	result, backoff = c.roundTrip(ctx, conn, silence)
 	c.s.paths.sendEnded()
-	timedOut := silence.stop()
+	timedOut := c.noteSilence(silence)
 	if timedOut && result == sendLost {
 		backoff = backoffUnreachable
 	}
@@ -101,7 +101,7 @@
 func (c *call) noteLost(ctx context.Context, timedOut, gapSeen bool) {
 	c.tracker.MarkLost()
 	c.s.Count.Lost.Add(1)
-	c.logOutcome(outcome.SendLost, 0, "the endpoint did not send a complete response", 0)
+	c.logOutcome(outcome.SendLost, 0, c.lost.why(), 0)
 	if !timedOut {
 		c.probeCrash(ctx, gapSeen)
 	}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -57,6 +57,7 @@
 	timings         timings
 	// succeeded says that the endpoint's newest response had a 2xx status.
 	succeeded bool
+	lost      lostSend
 	// endUnknown says that the newest response ended with its connection and that it is not known whether the endpoint crashed.
 	endUnknown bool
 	// serverError says that the endpoint's newest response had a 5xx status.
@@ -178,7 +179,7 @@
 	}
 	c.s.noteFirstAttempt(c.service.Name)
 	d := c.s.balance.submit(c)
-	for dials, rejects := 0, 0; ; {
+	for n := (failures{}); ; {
 		d = c.wait(ctx, d)
 		if d.Verdict != sched.Run {
 			c.relayOrGiveUp(ctx, d)
@@ -190,7 +191,6 @@
 		}
 		c.endpoint, c.timings.chosen = c.s.balance.endpoint(d.Endpoint), c.s.Now()
 		result, backoff := c.send(ctx)
-		retry := false
 		switch result {
 		case sendCompleted, sendAbandoned:
 			c.finish(ctx, result)
@@ -200,22 +200,19 @@
 			c.giveUpForbidden(ctx)
 			return
 		case sendUnsent:
-			dials++
-			retry = dials < maxDials
+			n.dials++
 		case sendNotExecuted:
 			c.s.Count.Rejected.Add(1)
-			rejects++
-			retry = rejects <= maxRejects && c.s.takeRetry(c.service.Name)
-		case sendFailed, sendLost:
-			retry = c.route.MayRepeat() && c.sends() < c.route.Attempts+rejects && c.s.takeRetry(c.service.Name)
+			n.rejects++
 		}
-		if !retry || ctx.Err() != nil || c.mayRelay() {
+		denied := c.retryDenied(result, n)
+		if denied != "" || ctx.Err() != nil || c.mayRelay() {
 			c.s.balance.endSend(c, sched.Canceled, 0, 0)
-			if (retry || result == sendUnsent) && ctx.Err() == nil && c.mayRelay() {
+			if (denied == "" || result == sendUnsent) && ctx.Err() == nil && c.mayRelay() {
 				c.relay(ctx)
 				return
 			}
-			c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: c.s.balance.retryAfter(c, backoff)})
+			c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: denied, RetryAfter: c.s.balance.retryAfter(c, backoff)})
 			return
 		}
 		if result != sendUnsent {
@@ -315,13 +312,7 @@
 	}
 	if c.stream.started {
 		c.s.Count.Cut.Add(1)
-		why := "the endpoint ended the stream, which may not go on elsewhere"
-		if c.outOfMemory {
-			why = errResponseMemory.Error()
-		} else if c.s.Now() >= c.deadline {
-			why = "the stream was not over by its deadline"
-		}
-		c.logOutcome(outcome.Truncated, 0, why, 0)
+		c.logOutcome(outcome.Truncated, 0, c.whyCut(d.Reason), 0)
 		panic(http.ErrAbortHandler)
 	}
 	if c.savedResponse != nil {
@@ -337,3 +328,16 @@
 	}
 	c.refuse(refusal{status: status, why: "no answer from an endpoint: " + string(d.Reason), retryAfter: d.RetryAfter})
 }
+
+// whyCut returns the explanation of a stream that ends early. denied says why it does not go on at another endpoint.
+func (c *call) whyCut(denied sched.Reason) string {
+	switch {
+	case c.outOfMemory:
+		return errResponseMemory.Error()
+	case c.s.Now() >= c.deadline:
+		return "the stream was not over by its deadline"
+	case denied == "":
+		return c.lost.why()
+	}
+	return c.lost.why() + "; not continued elsewhere: " + string(denied)
+}
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -25,7 +25,9 @@
 	switch kind {
 	case outcome.SendLost:
 		e.Fingerprint, e.SentMS, e.OtherInFlight = c.fingerprint().String(), (now - c.timings.lastSent).Milliseconds(), c.s.balance.concurrent(c)
-		e.Version, e.Parts = c.endpoint.Version, c.loggedParts()
+		e.Version, e.Parts, e.SilentMS = c.endpoint.Version, c.loggedParts(), c.lost.silence.Milliseconds()
+	case outcome.Truncated:
+		e.SilentMS = c.lost.silence.Milliseconds()
 	case outcome.Continued:
 		e.Version, e.Resumes, e.LastEvent, e.Origin = c.endpoint.Version, c.resumes(), c.header.Get(c.s.Headers.LastEvent), string(c.stream.source)
 	case outcome.Held:
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -78,6 +78,9 @@
 	// Parts lists the parts of the prompt but the last, as the caller stated them, cut to some of them if they
 	// are many. Events of kind SendLost have it.
 	Parts string `json:"parts,omitempty"`
+	// SilentMS is the silence of the endpoint for which the host itself ended the last send, 0 if it did not.
+	// Events of kinds SendLost and Truncated have it.
+	SilentMS int64 `json:"silent_ms,omitempty"`
 	// Fingerprint is the same for all attempts of one request at all hosts. SentMS is the time since
 	// the last send, and OtherInFlight the number of other requests known to be at that endpoint.
 	// Events of kind SendLost have all three, those of kind Held the fingerprint only.
@@ -136,7 +139,9 @@
 	}
 	switch e.Outcome {
 	case SendLost:
-		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight, "version", e.Version, "parts", e.Parts)
+		fields = append(fields, "fingerprint", e.Fingerprint, "sent_ms", e.SentMS, "beside", e.OtherInFlight, "version", e.Version, "parts", e.Parts, "silent_ms", e.SilentMS)
+	case Truncated:
+		fields = append(fields, "silent_ms", e.SilentMS)
 	case Continued:
 		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
 	case Held:
--- a/outcome/story.go
+++ b/outcome/story.go
@@ -113,6 +113,8 @@
 		return fmt.Sprintf("The answer of endpoint %s was not whole by the deadline; %d events had come.", e.Endpoint, e.Events)
 	case e.Outcome == CallerGone:
 		return "The caller left before its answer was whole."
+	case e.Outcome == Truncated && e.SilentMS > 0:
+		return fmt.Sprintf("The stream was cut after %d events because the host ended the send to endpoint %s, which was silent for %d ms, and it went on nowhere else.", e.Events, e.Endpoint, e.SilentMS)
 	case e.Outcome == Truncated:
 		return fmt.Sprintf("The stream was cut after %d events because endpoint %s ended it and it may not go on elsewhere.", e.Events, e.Endpoint)
 	case e.Outcome == EndpointFailed:
