--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -45,9 +45,11 @@
 	arrivals []Arrival
 	crashed  bool
 	leftAt   time.Time // when the store accepted the endpoint's leaving, zero before
-	rates    []statedRate
-	wishes   wishes
-	overload overload
+	// pausedUntil is when the endpoint writes again.
+	pausedUntil time.Time
+	rates       []statedRate
+	wishes      wishes
+	overload    overload
 }
 
 // overload is the state of an endpoint that may crash.
@@ -100,6 +102,7 @@
 	n := len(e.arrivals)
 	e.arrivals = append(e.arrivals, a)
 	e.mu.Unlock()
+	e.awaitPauses()
 	if !e.enter() {
 		panic(http.ErrAbortHandler)
 	}
@@ -116,6 +119,7 @@
 	if !e.work(r) {
 		panic(http.ErrAbortHandler)
 	}
+	e.awaitPauses()
 	e.state(w, n)
 	id := e.setHead(w, r)
 	if e.Fails != nil && e.Fails() {
--- a/internal/simsite/stream.go
+++ b/internal/simsite/stream.go
@@ -56,6 +56,7 @@
 		case <-r.Context().Done():
 			return
 		}
+		e.awaitPauses()
 		if crashes && n > last+e.Streams.CrashAfter {
 			e.Crash()
 		}
