ingress, sched: a silent send stays open until another endpoint has taken over

Class: a working attempt is given up, on a belief that may be wrong, before its replacement is certain. Ruled out: the endpoint's own end (0 of 823 lost sends), the change of the configuration (the test has none). Ways weighed: never to end a silent send (streams at endpoints that are silent for good are lost); to get budget and slot first and then end it (the other endpoint may reject it, crash, or be silent as well); both sends at once. The last: the request is hedged, and whichever endpoint sends first goes on. The hedge needs the budget, a slot, a connection and the first byte of the answer before it takes over; it is tried again every 200 ms, and not while half of the service's endpoints are silent together. Relays of a host that reaches no endpoint open the connection to the next host, and take the retry, before the silent one is given up. A large plain response that is being forwarded is not given up for silence any more.

--- a/attempt/account.go
+++ b/attempt/account.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// MarkHedged records a further send that began while the newest one had no complete response, and that brought none itself.
+func (t *Tracker) MarkHedged() {
+	t.sends++
+	t.ran = true
+}
+
 // MarkNotRun records that the endpoint answered that it did not run the request.
 func (t *Tracker) MarkNotRun() {
 	if t.state == Sent {
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -46,9 +46,11 @@
 	// Cut counts responses that broke off, Gone callers that left.
 	Cut, Gone atomic.Int64
 	// LeftAtWork, LateAtWork and MuteAtWork count sends that this host canceled while an endpoint may have been working on them:
-	// because the caller had left, because the deadline had passed, and because the endpoint had been silent for so
-	// long that the request went to another one. WorkLostMS sums the time from these sends to their cancellation, in milliseconds.
+	// because the caller had left, because the deadline had passed, and because the endpoint had been silent and another
+	// one had taken over. WorkLostMS sums the time from these sends to their cancellation, in milliseconds.
 	LeftAtWork, LateAtWork, MuteAtWork, WorkLostMS atomic.Int64
+	// Hedged counts sends to another endpoint while the first one was silent, HedgesDropped those of them that did not take over.
+	Hedged, HedgesDropped atomic.Int64
 	// CutOffs counts how often the host reached no endpoint. Relayed counts the requests that it sent to other hosts then, RelaysLost
 	// those of them without a complete response, and RelayedHere those that other hosts sent to this one.
 	CutOffs, Relayed, RelaysLost, RelayedHere atomic.Int64
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -47,6 +47,45 @@
 	return d
 }
 
+// submitHedge asks for a second slot for a request, at another endpoint than the first one.
+func (b *balancer) submitHedge(c *call, first *sched.Request) sched.Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	c.req.Settings, c.req.HomeOnly, c.req.Version = first.Settings, first.HomeOnly, c.stream.version
+	c.req.Model = b.pickPool(now, c)
+	b.holdGrants(now)
+	d := b.sched.Hedge(now, c.req, first)
+	b.noteDispatch(d)
+	if d.Verdict == sched.Wait {
+		b.requestSlots()
+	}
+	b.poll(now)
+	return d
+}
+
+// othersSilent reports whether requests of this host run at half or more of the endpoints of the call's service, and none of these but the
+// call's own has sent anything for d. Such a silence has a common cause, so that another endpoint would not answer either.
+func (b *balancer) othersSilent(c *call, d time.Duration) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, all, silent := b.now(), 0, 0
+	for incarnation, t := range b.targets {
+		if t.Service != c.service.Name {
+			continue
+		}
+		all++
+		if t.ownLoad.Running == 0 {
+			continue
+		}
+		if now-t.heardAt < d && incarnation != c.endpoint.Incarnation() {
+			return false
+		}
+		silent++
+	}
+	return silent > 1 && 2*silent >= all
+}
+
 // noteFailure tells the scheduler that an endpoint failed a send.
 func (b *balancer) noteFailure(c *call, f outlier.Failure) {
 	b.mu.Lock()
@@ -125,6 +164,7 @@
 	}
 	c.firstOutputSeen = true
 	if t := b.targets[c.endpoint.Incarnation()]; t != nil {
+		t.heardAt = b.now()
 		t.ownLoad.Prefill -= c.req.PromptTokens
 		b.changedLoads[c.endpoint.Incarnation()] = true
 		b.observePrefill(t, c.req.PromptTokens, elapsed)
--- a/ingress/lostsend.go
+++ b/ingress/lostsend.go
@@ -12,29 +12,18 @@
 
 // lostSend says why the newest send of a call has no complete response.
 type lostSend struct {
-	// silence is the time since the endpoint's last byte if this host canceled the send for it, and 0 if the endpoint or the network
-	// ended it.
+	// silence is the silence of the endpoint after which another one took over, or 0 if the send ended by itself.
 	silence time.Duration
 }
 
 // why returns the explanation for the log.
 func (l lostSend) why() string {
 	if l.silence > 0 {
-		return "this host ended the send, since the endpoint was silent"
+		return "the endpoint was silent, and another one took over"
 	}
 	return "the endpoint did not send a complete response"
 }
 
-// noteSilence stops the timer of a send that has ended, and records and reports whether it had canceled the send.
-func (c *call) noteSilence(silence *silenceTimer) bool {
-	c.lost = lostSend{}
-	if !silence.stop() {
-		return false
-	}
-	c.lost.silence = silence.limit
-	return true
-}
-
 // Reasons why a request is not sent again.
 const (
 	reasonUnreachable   sched.Reason = "several endpoints could not be reached"
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -41,8 +41,14 @@
 
 // forwardPlain reads a response that is not a stream and forwards it. Unless it is large, it is read completely first, so that the
 // request can be retried if it breaks off.
-func (c *call) forwardPlain(resp *http.Response, sent time.Duration) (sendOutcome, time.Duration) {
+func (c *call) forwardPlain(x *exchange) (sendOutcome, time.Duration) {
+	resp, sent := x.resp, x.sentAt
+	x.silence.arm()
 	body, whole, err := c.readBuffered(resp.Body)
+	if x.silence.settle(err) && err != nil {
+		return sendReplaced, 0
+	}
+	c.dropReplacement(c.r.Context())
 	if err != nil {
 		return sendLost, backoffLost
 	}
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -58,6 +58,12 @@
 	refusals   int    // hosts that did not run it
 }
 
+// relayChoice is the choice of the hosts to which a call is relayed.
+type relayChoice struct {
+	tried map[string]bool
+	next  *RelayTarget // takes over from a host that is silent: a connection to it is open and the retry is charged
+}
+
 // parseRelayHeader parses relayHeader. It returns false if the header is there and wrong.
 func (r *relayState) parseRelayHeader(h http.Header) bool {
 	v := h.Get(relayHeader)
@@ -125,14 +131,14 @@
 // relay relays the request to other hosts and writes the final response. No send of the call may be in flight.
 func (c *call) relay(ctx context.Context) {
 	c.endpoint = feed.Endpoint{}
-	tried := make(map[string]bool)
+	c.relayChoice.tried = make(map[string]bool)
 	retryAfter := backoffUnreachable
 	for range maxRelays {
-		to, ok := pickTarget(c.s.relayTargets(), tried, rand.Float64())
+		to, ok := c.nextTarget()
 		if !ok || ctx.Err() != nil {
 			break
 		}
-		tried[to.Host] = true
+		c.relayChoice.tried[to.Host] = true
 		result, f := c.sendToTarget(ctx, to)
 		switch result {
 		case sendCompleted, sendAbandoned:
@@ -147,6 +153,8 @@
 		case sendFailed:
 			c.finishFailedRelay(ctx, f)
 			return
+		case sendReplaced:
+			c.relayed.lost = true
 		case sendLost:
 			c.relayed.lost = true
 			if !c.route.MayRepeat() || c.sends() >= c.route.Attempts || !c.s.takeRetry(c.service.Name) {
@@ -158,6 +166,49 @@
 	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: retryAfter})
 }
 
+// nextTarget returns the host to which the request is relayed next, and false if there is none.
+func (c *call) nextTarget() (RelayTarget, bool) {
+	if to := c.relayChoice.next; to != nil {
+		c.relayChoice.next = nil
+		return *to, true
+	}
+	return pickTarget(c.s.relayTargets(), c.relayChoice.tried, rand.Float64())
+}
+
+// replaceRelay ends a relayed send whose host is silent, once a connection to another host is open and the retry is charged. It tries
+// until tries ends.
+func (c *call) replaceRelay(ctx, tries context.Context, conn *upstream.Conn) bool {
+	t := time.NewTimer(hedgeInterval)
+	defer t.Stop()
+	for !c.secureTarget(ctx) {
+		t.Reset(hedgeInterval)
+		select {
+		case <-t.C:
+		case <-tries.Done():
+			return false
+		}
+	}
+	conn.Close()
+	return true
+}
+
+// secureTarget opens a connection to another host and charges the retry. It returns false if one of them fails.
+func (c *call) secureTarget(ctx context.Context) bool {
+	if !c.route.MayRepeat() || c.sends() >= c.route.Attempts {
+		return false
+	}
+	to, ok := pickTarget(c.s.relayTargets(), c.relayChoice.tried, rand.Float64())
+	if !ok || !c.s.takeRetry(c.service.Name) {
+		return false
+	}
+	if err := c.s.relayPool.Warm(ctx, to.Front); err != nil || ctx.Err() != nil {
+		c.s.returnRetry(c.service.Name)
+		return false
+	}
+	c.relayChoice.next = &to
+	return true
+}
+
 // concernsRequest reports whether a refusal of another host holds at any host. A key or route that this host knows and the other does
 // not is new, and a host without room says nothing about the others.
 func (f *refusal) concernsRequest() bool {
@@ -198,20 +249,31 @@
 	c.tracker.MarkSent()
 	c.s.Count.Relayed.Add(1)
 	c.timings.lastSent = c.s.Now()
-	stopCancel := context.AfterFunc(ctx, conn.Close)
-	silence := newSilenceTimer(relaySilenceFactor*c.silenceTimeout(), conn.Close)
-	result, f := c.relayRoundTrip(ctx, conn, header, silence)
-	c.noteSilence(silence)
+	x := &exchange{conn: conn, sentAt: c.timings.lastSent, stopCancel: context.AfterFunc(ctx, conn.Close)}
+	x.silence.limit, x.silence.ctx = relaySilenceFactor*c.silenceTimeout(), ctx
+	x.silence.replace = func(hedgeCtx, tries context.Context) bool { return c.replaceRelay(hedgeCtx, tries, conn) }
+	result, f := c.relayRoundTrip(ctx, x, header)
 	c.noteExceeded(conn)
-	result = settle(conn, result, !stopCancel())
-	if result == sendLost {
-		c.tracker.MarkLost()
-		c.s.Count.RelaysLost.Add(1)
-		c.logOutcome(outcome.SendLost, 0, "the host to which it was relayed did not send a complete response", 0)
+	result = settle(conn, result, !x.stopCancel())
+	if result == sendLost || result == sendReplaced {
+		c.noteRelayLost(x, result)
 	}
 	return result, f
 }
 
+// noteRelayLost counts and logs a relayed send without a complete response.
+func (c *call) noteRelayLost(x *exchange, result sendOutcome) {
+	c.tracker.MarkLost()
+	c.s.Count.RelaysLost.Add(1)
+	why := "the host to which it was relayed did not send a complete response"
+	c.lost = lostSend{}
+	if result == sendReplaced {
+		c.lost.silence = x.silence.limit
+		why = "the host to which it was relayed was silent, and another one takes over"
+	}
+	c.logOutcome(outcome.SendLost, 0, why, 0)
+}
+
 // relayHeader returns the header of the request to another host: that of the caller, and what this host adds.
 func (c *call) relayHeader() http.Header {
 	h := c.r.Header.Clone()
@@ -231,20 +293,20 @@
 }
 
 // relayRoundTrip sends the request on a connection to another host and forwards the response.
-func (c *call) relayRoundTrip(ctx context.Context, conn *upstream.Conn, header http.Header, silence *silenceTimer) (sendOutcome, refusal) {
-	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header, Body: c.body, HasBody: c.hasBody}
-	sent := c.s.Now()
-	if err := conn.Send(&req); err != nil {
-		return sendLost, refusal{}
+func (c *call) relayRoundTrip(ctx context.Context, x *exchange, header http.Header) (sendOutcome, refusal) {
+	x.silence.arm()
+	err := c.request(x, header)
+	if x.silence.settle(err) {
+		return sendReplaced, refusal{}
 	}
-	resp, err := conn.ReadResponse(c.r.Method, c.s.Headers.AttemptID, c.id)
 	if err != nil {
 		return sendLost, refusal{}
 	}
+	resp := x.resp
 	defer resp.Body.Close()
 	if resp.Header.Get(relayRefusedHeader) != "" {
 		var exceeded *upstream.LimitError
-		if errors.As(conn.Discard(resp), &exceeded) {
+		if errors.As(x.conn.Discard(resp), &exceeded) {
 			return sendLost, refusal{}
 		}
 		return c.relayRefused(resp)
@@ -253,7 +315,7 @@
 		resp.Header.Del(relayLeavingHeader)
 		c.noteLeaving(incarnation)
 	}
-	result, _ := c.forwardResponse(ctx, resp, sent, silence)
+	result, _ := c.forwardResponse(ctx, x)
 	return result, refusal{}
 }
 
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -17,63 +17,89 @@
 	"github.com/heathkeel/heathkeel/upstream"
 )
 
+// exchange is one send of a request to an endpoint, and its response.
+type exchange struct {
+	conn       *upstream.Conn
+	resp       *http.Response
+	sentAt     time.Duration
+	unregister func()
+	// stopCancel keeps the end of the request from closing the connection, and returns false if it has closed it.
+	stopCancel func() bool
+	silence    silenceTimer
+}
+
 // send sends the request to the endpoint c.endpoint and handles its response. It returns the outcome and the backoff.
 func (c *call) send(ctx context.Context) (sendOutcome, time.Duration) {
+	x, result, backoff := c.open(ctx)
+	if x == nil {
+		return result, backoff
+	}
+	c.tracker.MarkSent()
+	c.watchSilence(ctx, x)
+	c.s.paths.sendBegun()
+	result, backoff = c.roundTrip(ctx, x)
+	for result == sendReplaced {
+		x = c.takeReplacement(ctx, x)
+		result, backoff = c.forwardResponse(ctx, x)
+	}
+	c.s.paths.sendEnded()
+	return c.endExchange(ctx, x, result, backoff)
+}
+
+// open gets a connection to the endpoint for a send, or returns nil with the outcome and the backoff.
+func (c *call) open(ctx context.Context) (*exchange, sendOutcome, time.Duration) {
 	conn, result, backoff := c.connect(ctx)
 	if conn == nil {
-		return result, backoff
+		return nil, result, backoff
 	}
 	if c.sendRefusal = c.checkSend(ctx); c.sendRefusal != nil {
 		conn.Release()
-		return sendForbidden, 0
+		return nil, sendForbidden, 0
 	}
 	remaining, ok := c.timeLeft(ctx)
 	if !ok {
 		conn.Release()
-		return sendAbandoned, 0
+		return nil, sendAbandoned, 0
 	}
 	unregister, registered := c.s.balance.registerSend(c, func() {
 		c.s.Count.LifeOver.Add(1)
 		conn.Close()
 	})
-	defer unregister()
 	if !registered {
 		conn.Release()
-		return sendUnsent, 0
+		return nil, sendUnsent, 0
 	}
 	c.header.Set(c.s.Headers.Deadline, formatDeadline(remaining))
 	c.header.Set(c.s.Headers.ExpectInstance, c.endpoint.Instance)
-	stopCancel := context.AfterFunc(ctx, func() { conn.Close() })
-	c.tracker.MarkSent()
+	x := &exchange{conn: conn, unregister: unregister, stopCancel: context.AfterFunc(ctx, conn.Close), sentAt: c.s.Now()}
 	c.responsePending = true
-	sentAt := c.s.Now()
-	c.noteSend(sentAt)
-	silence := newSilenceTimer(c.silenceTimeout(), conn.Close)
-	c.s.paths.sendBegun()
-	result, backoff = c.roundTrip(ctx, conn, silence)
-	c.s.paths.sendEnded()
-	timedOut := c.noteSilence(silence)
-	if timedOut && result == sendLost {
-		backoff = backoffUnreachable
-	}
-	uncanceled := stopCancel()
-	if timedOut || (!uncanceled && c.responsePending && c.s.Now()-sentAt >= closeStaleAfter) {
-		c.s.pool.CloseStale(conn)
+	c.noteSend(x.sentAt)
+	return x, sendCompleted, 0
+}
+
+// endExchange ends a send with the given outcome, and returns it or sendAbandoned with the backoff.
+func (c *call) endExchange(ctx context.Context, x *exchange, result sendOutcome, backoff time.Duration) (sendOutcome, time.Duration) {
+	defer x.unregister()
+	uncanceled := x.stopCancel()
+	if !uncanceled && c.responsePending && c.s.Now()-x.sentAt >= closeStaleAfter {
+		c.s.pool.CloseStale(x.conn)
 	}
-	if result != sendCompleted && (timedOut || !uncanceled) {
-		c.countCanceledWork(timedOut, c.s.Now()-sentAt)
+	if result != sendCompleted && !uncanceled {
+		c.countCanceledWork(c.s.Now() - x.sentAt)
 	}
-	c.noteExceeded(conn)
-	corrupt := conn.Exceeded() != ""
-	result = settle(conn, result, !uncanceled)
+	c.noteExceeded(x.conn)
+	corrupt := x.conn.Exceeded() != ""
+	result = settle(x.conn, result, !uncanceled)
 	// A send during which this process did not run for a while says nothing about the endpoint.
-	gapSeen := c.s.Watch.GapSince(sentAt)
+	gapSeen := c.s.Watch.GapSince(x.sentAt)
 	if !gapSeen {
-		c.s.balance.noteVersion(c, result, c.s.Now()-sentAt)
+		c.s.balance.noteVersion(c, result, c.s.Now()-x.sentAt)
 		c.reportFailure(result, backoff, corrupt)
 	}
 	if result == sendLost {
-		c.noteLost(ctx, timedOut, gapSeen)
+		c.lost = lostSend{}
+		c.noteLost()
+		c.probeCrash(ctx, gapSeen)
 	}
 	return result, backoff
 }
@@ -97,14 +123,11 @@
 	return conn, sendUnsent, 0
 }
 
-// noteLost counts and logs a send without a complete response, and probes the endpoint unless it was silent for too long.
-func (c *call) noteLost(ctx context.Context, timedOut, gapSeen bool) {
+// noteLost counts and logs a send without a complete response.
+func (c *call) noteLost() {
 	c.tracker.MarkLost()
 	c.s.Count.Lost.Add(1)
 	c.logOutcome(outcome.SendLost, 0, c.lost.why(), 0)
-	if !timedOut {
-		c.probeCrash(ctx, gapSeen)
-	}
 }
 
 // timeLeft returns the time until the deadline, and false if it has passed or the caller has left.
@@ -180,63 +203,82 @@
 	}
 }
 
-// countCanceledWork counts a send that this host canceled, by cause.
-func (c *call) countCanceledWork(timedOut bool, elapsed time.Duration) {
+// countCanceledWork counts a send that this host canceled because the caller has left or the deadline has passed.
+func (c *call) countCanceledWork(elapsed time.Duration) {
 	n := &c.s.Count
-	switch {
-	case c.r.Context().Err() != nil:
+	if c.r.Context().Err() != nil {
 		n.LeftAtWork.Add(1)
-	case timedOut:
-		n.MuteAtWork.Add(1)
-	default:
+	} else {
 		n.LateAtWork.Add(1)
 	}
 	n.WorkLostMS.Add(elapsed.Milliseconds())
 }
 
 // roundTrip sends the request on a connection and forwards the response.
-func (c *call) roundTrip(ctx context.Context, conn *upstream.Conn, silence *silenceTimer) (sendOutcome, time.Duration) {
-	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: c.header, Body: c.body, HasBody: c.hasBody}
-	sent := c.s.Now()
-	if err := conn.Send(&req); err != nil {
-		return sendLost, backoffLost
+func (c *call) roundTrip(ctx context.Context, x *exchange) (sendOutcome, time.Duration) {
+	x.silence.arm()
+	err := c.request(x, c.header)
+	if x.silence.settle(err) {
+		return sendReplaced, 0
 	}
-	resp, err := conn.ReadResponse(c.r.Method, c.s.Headers.AttemptID, c.id)
 	if err != nil {
 		return sendLost, backoffLost
 	}
-	defer resp.Body.Close()
+	defer x.resp.Body.Close()
+	if result, backoff := c.readHead(x); result != sendCompleted {
+		return result, backoff
+	}
+	return c.forwardResponse(ctx, x)
+}
+
+// request sends the request and reads the head of the response.
+func (c *call) request(x *exchange, header http.Header) (err error) {
+	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header, Body: c.body, HasBody: c.hasBody}
+	if err = x.conn.Send(&req); err != nil {
+		return err
+	}
+	x.resp, err = x.conn.ReadResponse(c.r.Method, c.s.Headers.AttemptID, c.id)
+	return err
+}
+
+// readHead records what the head of a response says about its endpoint. It returns sendCompleted if the endpoint runs the request, or
+// the outcome and the backoff.
+func (c *call) readHead(x *exchange) (sendOutcome, time.Duration) {
+	resp := x.resp
 	c.responsePending = false
 	c.s.paths.heard(c.s.Now())
 	c.logUnreadHeaders(resp.Header)
 	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return c.discard(conn, resp, backoffWrongInstance)
+		return c.discard(x.conn, resp, backoffWrongInstance)
 	}
-	c.noteLimits(resp.Header, sent)
+	c.noteLimits(resp.Header, x.sentAt)
 	c.noteLoad(resp.Header)
 	c.noteStatements(resp)
 	if resp.Header.Get(c.s.Headers.NotExecuted) != "" {
-		return c.discard(conn, resp, backoffFull)
+		return c.discard(x.conn, resp, backoffFull)
 	}
-	return c.forwardResponse(ctx, resp, sent, silence)
+	return sendCompleted, 0
 }
 
 // forwardResponse forwards a response of an endpoint, which may have come by another host.
-func (c *call) forwardResponse(ctx context.Context, resp *http.Response, sent time.Duration, silence *silenceTimer) (sendOutcome, time.Duration) {
+func (c *call) forwardResponse(ctx context.Context, x *exchange) (sendOutcome, time.Duration) {
 	c.tracker.MarkAnswered()
-	c.serverError = resp.StatusCode >= http.StatusInternalServerError
-	ok := resp.StatusCode >= 200 && resp.StatusCode < 300
+	c.serverError = x.resp.StatusCode >= http.StatusInternalServerError
+	ok := isSuccess(x.resp)
 	c.succeeded, c.endUnknown = ok, false
-	if ok && resp.Header.Get(c.s.Headers.ResponseStamp) == "" {
+	if ok && x.resp.Header.Get(c.s.Headers.ResponseStamp) == "" {
 		return sendLost, backoffLost
 	}
 	if ok && c.route.Kind == route.Stream {
-		return c.forwardStream(ctx, resp, sent, silence)
+		return c.forwardStream(ctx, x)
 	}
 	if c.stream.started {
 		// The caller has received part of a stream; a response that is not a stream cannot continue it.
-		discardBody(resp)
+		discardBody(x.resp)
 		return sendFailed, backoffLost
 	}
-	return c.forwardPlain(resp, sent)
+	return c.forwardPlain(x)
 }
+
+// isSuccess reports whether a response has a 2xx status.
+func isSuccess(resp *http.Response) bool { return resp.StatusCode >= 200 && resp.StatusCode < 300 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -67,6 +67,8 @@
 	savedResponse *response // a 5xx response to forward if no retry succeeds
 	stream        stream
 	relayed       relayState
+	relayChoice   relayChoice
+	replacement   *replacement // took over, and is not in use yet
 }
 
 // ServeHTTP implements http.Handler.
@@ -132,6 +134,8 @@
 	sendLost
 	// sendAbandoned means that the caller left or the deadline passed.
 	sendAbandoned
+	// sendReplaced means that another endpoint has taken over, since this one was silent.
+	sendReplaced
 	// sendForbidden means that the request may not be sent any more; no byte went to the endpoint.
 	sendForbidden
 )
@@ -157,13 +161,19 @@
 	if c.workspace != nil {
 		c.header.Set(c.s.Headers.Workspace, c.workspace.Name)
 	}
-	c.req = &sched.Request{
+	c.req = c.newRequest(c.arrived)
+}
+
+// newRequest returns a request to the scheduler that asks for a slot at the given time.
+func (c *call) newRequest(asked time.Duration) *sched.Request {
+	r := &sched.Request{
 		ID: c.id, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), ExpectedTokens: c.lengthHint,
-		Arrived: c.arrived, Deadline: c.deadline, DispatchBy: c.dispatchBy(c.arrived), Data: make(chan sched.Decision, 1),
+		Arrived: c.arrived, Deadline: c.deadline, DispatchBy: c.dispatchBy(asked), Data: make(chan sched.Decision, 1),
 	}
 	if c.service.Engine {
-		c.req.Objective = sched.Objective{FirstToken: c.route.Objective, EventGap: c.route.PauseObjective, EventTokens: c.service.EventTokens}
+		r.Objective = sched.Objective{FirstToken: c.route.Objective, EventGap: c.route.PauseObjective, EventTokens: c.service.EventTokens}
 	}
+	return r
 }
 
 // run sends the request to an endpoint, and to further ones where that is allowed.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -310,6 +310,13 @@
 	return s.retryBudget(service).Take()
 }
 
+// returnRetry gives a retry that was not sent back to the budget of a service.
+func (s *Server) returnRetry(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retryBudget(service).Return()
+}
+
 // OpenedConnections returns the number of connections opened to endpoints since the start.
 func (s *Server) OpenedConnections() int64 { return s.pool.TotalOpened() }
 
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -5,7 +5,8 @@
 package ingress
 
 import (
-	"sync/atomic"
+	"context"
+	"sync"
 	"time"
 
 	"github.com/heathkeel/heathkeel/route"
@@ -18,9 +19,9 @@
 	minCallerTimeout        = 2 * time.Second
 	callerTimeoutObjectives = 4
 	callerTimeoutPauses     = 8
-	// silenceTimeoutShare is the share of that silence after which a stream is continued at another endpoint.
+	// silenceTimeoutShare is the share of that silence after which another endpoint is asked to continue a stream.
 	silenceTimeoutShare = 0.5
-	// plainTimeoutObjectives is the silence, in objectives, after which a repeatable plain request is sent to another endpoint.
+	// plainTimeoutObjectives is the silence, in objectives, after which a repeatable plain request is sent to another endpoint as well.
 	plainTimeoutObjectives = 2.5
 	// closeStaleAfter applies to sends without any response that end by their deadline or their caller: after this time the other
 	// connections to the endpoint are no longer trusted. It is many times the usual 15 to 30 ms of a plain service.
@@ -29,42 +30,88 @@
 	slowPrefillTokens = 8000
 )
 
-// silenceTimer cancels a send whose endpoint is silent for too long.
+// silenceTimer starts a replacement for a send whose endpoint is silent for too long. The silent send stays open: it ends only when
+// another endpoint has taken over. The goroutine of the send calls arm before, and heard or lost after, each wait for the endpoint.
 type silenceTimer struct {
+	// limit is the silence after which a replacement is tried; 0 means never.
 	limit time.Duration
-	timer *time.Timer
-	fired atomic.Bool
-}
+	// ctx ends with the request.
+	ctx context.Context
+	// replace tries to get a replacement until tries ends, and abandons it when ctx ends. It reports whether the replacement has taken over.
+	// The goroutine of the send does not touch the call meanwhile.
+	replace func(ctx, tries context.Context) bool
 
-// newSilenceTimer starts a timer; a limit of 0 never fires.
-func newSilenceTimer(limit time.Duration, cancel func()) *silenceTimer {
-	t := &silenceTimer{limit: limit}
-	if limit > 0 {
-		t.timer = time.AfterFunc(limit, func() {
-			t.fired.Store(true)
-			cancel()
-		})
-	}
-	return t
+	timer    *time.Timer
+	armed    bool
+	result   chan bool // of replace
+	mu       sync.Mutex
+	ended    bool // no replacement is wanted any more
+	cancel   context.CancelFunc
+	endTries context.CancelFunc
 }
 
-// reset restarts the timer.
-func (t *silenceTimer) reset() {
-	if t.timer != nil && t.timer.Stop() {
+// arm starts the timer.
+func (t *silenceTimer) arm() {
+	t.armed = t.limit > 0
+	switch {
+	case !t.armed:
+	case t.timer != nil:
 		t.timer.Reset(t.limit)
+	default:
+		t.result = make(chan bool, 1)
+		t.timer = time.AfterFunc(t.limit, t.fire)
 	}
 }
 
-// stop stops the timer and reports whether it had canceled the send.
-func (t *silenceTimer) stop() bool {
-	if t.timer != nil {
-		t.timer.Stop()
+// fire runs when the endpoint was silent for too long.
+func (t *silenceTimer) fire() {
+	ctx, cancel := context.WithCancel(t.ctx)
+	defer cancel()
+	tries, endTries := context.WithCancel(ctx)
+	defer endTries()
+	t.mu.Lock()
+	ended := t.ended
+	t.cancel, t.endTries = cancel, endTries
+	t.mu.Unlock()
+	t.result <- !ended && t.replace(ctx, tries)
+}
+
+// heard stops the timer, and abandons a replacement, since the endpoint has sent something. It returns true if the replacement has
+// already taken over.
+func (t *silenceTimer) heard() (replaced bool) { return t.stop(false) }
+
+// lost stops the timer, since the send ended without a complete response. It waits for a replacement that is being tried, and returns true
+// if that has taken over.
+func (t *silenceTimer) lost() (replaced bool) { return t.stop(true) }
+
+// settle calls heard or lost, depending on the error of the wait for the endpoint.
+func (t *silenceTimer) settle(err error) (replaced bool) { return t.stop(err != nil) }
+
+// stop stops the timer. If it has fired, stop ends the replacement, or its further tries only if finish is true, and returns its result.
+func (t *silenceTimer) stop(finish bool) (replaced bool) {
+	if !t.armed {
+		return false
+	}
+	t.armed = false
+	if t.timer.Stop() {
+		return false
+	}
+	t.mu.Lock()
+	t.ended = true
+	switch {
+	case t.cancel == nil: // it has fired and not begun
+	case finish:
+		t.endTries()
+	default:
+		t.cancel()
 	}
-	return t.fired.Load()
+	t.mu.Unlock()
+	replaced = <-t.result
+	t.ended, t.cancel, t.endTries = false, nil, nil
+	return replaced
 }
 
-// silenceTimeout returns the silence after which the request is better sent to another endpoint, or 0 where that is not allowed. A
-// response that cannot be continued elsewhere is never canceled because its endpoint is silent.
+// silenceTimeout returns the silence after which the request is sent to another endpoint as well, or 0 where that is not allowed.
 func (c *call) silenceTimeout() time.Duration {
 	r := c.route
 	if !r.MayRepeat() || c.sends() >= r.Attempts || r.Objective <= 0 {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -113,20 +113,25 @@
 
 // forwardStream forwards a stream, each event as it arrives. Only complete events go to the caller, and events that were forwarded
 // before are skipped, so that a stream may be resumed at another endpoint.
-func (c *call) forwardStream(ctx context.Context, resp *http.Response, sent time.Duration, silence *silenceTimer) (sendOutcome, time.Duration) {
+func (c *call) forwardStream(ctx context.Context, x *exchange) (sendOutcome, time.Duration) {
+	resp, sent := x.resp, x.sentAt
 	r := eventReader{br: bufio.NewReaderSize(resp.Body, eventBuffer), reserve: c.reserveResponse}
 	defer func() { c.memory.Free(Responses, int64(cap(r.buf))) }()
 	var lastAt time.Duration
 	n, repeated := 0, 0
 	c.noteContinued()
 	for {
+		x.silence.arm()
 		e, err := r.next()
-		if errors.Is(err, io.EOF) && !c.endIsWhole(ctx, resp, n > 0) {
-			return sendLost, backoffLost
-		}
-		if errors.Is(err, io.EOF) {
+		whole := errors.Is(err, io.EOF) && c.endIsWhole(ctx, resp, n > 0)
+		replaced := x.silence.settle(streamError(err, whole))
+		if whole {
+			c.dropReplacement(ctx)
 			return c.finishStream(resp, n, sent)
 		}
+		if replaced {
+			return sendReplaced, 0
+		}
 		if errors.Is(err, errResponseMemory) {
 			c.s.Count.Memory.Add(1)
 			c.outOfMemory = true
@@ -135,7 +140,6 @@
 		if err != nil {
 			return sendLost, backoffLost
 		}
-		silence.reset()
 		at := c.s.Now()
 		c.noteHeard(at)
 		switch {
@@ -167,6 +171,14 @@
 	}
 }
 
+// streamError returns the error of a wait for an event, or nil if the stream is whole.
+func streamError(err error, whole bool) error {
+	if whole {
+		return nil
+	}
+	return err
+}
+
 // noteContinued counts and logs that a stream goes on that another send or another request of its caller began.
 func (c *call) noteContinued() {
 	switch {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -26,6 +26,7 @@
 	sends       map[*call]func()
 	saidLeaving bool          // it said itself that it leaves; its list entry may say otherwise
 	replaced    bool          // a later incarnation has replaced it
+	heardAt     time.Duration // when it last sent something to this host, by the host's clock
 	coldUntil   time.Duration // when it is warm, by the host's clock
 	// stated is what the endpoint stated about its limits, according to all hosts, and ownStated what this host read itself.
 	stated, ownStated statedLimits
@@ -128,6 +129,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if t := b.targets[c.endpoint.Incarnation()]; t != nil {
+		t.heardAt = b.now()
 		t.step.Observe(float64(token), stepQuantile)
 	}
 }
--- a/quota/retries.go
+++ b/quota/retries.go
@@ -31,6 +31,9 @@
 	return true
 }
 
+// Return gives the credit of a retry back that was not sent.
+func (r *RetryBudget) Return() { r.credit = min(r.credit+1, r.MaxCredit) }
+
 // initialize sets the initial credit.
 func (r *RetryBudget) initialize() {
 	if !r.initialized {
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -243,6 +243,19 @@
 	return s.admit(now, r)
 }
 
+// Hedge decides a second dispatch of a request: r is to go to another endpoint than first, which stays dispatched.
+func (s *Scheduler) Hedge(now time.Duration, r, first *Request) Decision {
+	r.pool = s.poolOf(r)
+	r.cost, r.expectedOutput, r.long = first.cost, first.expectedOutput, first.long
+	r.lengthQuantile, r.longDraw = first.lengthQuantile, first.longDraw
+	r.rationExempt = true // its caller has already waited for an answer
+	r.avoid = first.dispatchedTo
+	if !s.versionServes(r, r.avoid) {
+		return s.refuse(now, r, ReasonNoEndpoint, versionRetryAfter)
+	}
+	return s.admit(now, r)
+}
+
 // Tick updates the state that changes with time alone; call it about every 50 ms.
 func (s *Scheduler) Tick(now time.Duration) {
 	for _, e := range s.endpoints {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -172,6 +172,9 @@
 			c.noReuse = true
 		}
 	}
+	if c.closed.Load() {
+		return
+	}
 	if c.noReuse || (c.used && !c.bodyEnded) || c.reader.Buffered() > 0 || c.idleTimeout <= 0 {
 		c.Close()
 		return
