--- a/internal/simsite/pause.go
+++ b/internal/simsite/pause.go
@@ -6,7 +6,11 @@
 
 import "time"
 
-// Pause makes the endpoint write nothing for a time. It neither crashes nor forgets a request, and goes on afterwards.
+// pausePoll is the time between two checks whether a pause is over.
+const pausePoll = 50 * time.Millisecond
+
+// Pause makes the endpoint write nothing for a time. It neither crashes nor forgets a request, and goes on afterwards. A further call
+// replaces the time; 0 ends the pause.
 func (e *Endpoint) Pause(d time.Duration) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -15,13 +19,14 @@
 
 // awaitPauses returns when the endpoint is not paused.
 func (e *Endpoint) awaitPauses() {
-	for {
-		e.mu.Lock()
-		left := time.Until(e.pausedUntil)
-		e.mu.Unlock()
-		if left <= 0 {
-			return
-		}
-		time.Sleep(left)
+	for e.isPaused() {
+		time.Sleep(pausePoll)
 	}
 }
+
+// isPaused reports whether the endpoint is paused.
+func (e *Endpoint) isPaused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.pausedUntil)
+}
