ingress, upstream: hedges use no connection that rested since before the silence; idle connections are dropped as soon as one is silent

A network that silences open connections silences resting ones, too: a hedge on such a connection waits in vain and uses the request's last attempt. With the send kept open, the idle connections beside it were dropped only once a hedge took over; they are now dropped when the silence is noticed. Nothing runs on them. TestSilentEndpointsCutNoStreams (6 hosts): 0 cut as before.

--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -38,6 +38,7 @@
 
 // replace tries to replace a send until that succeeds, the request may not be sent again, or tries ends. It ends the replaced send.
 func (c *call) replace(ctx, hedgeCtx, tries context.Context, x *exchange) bool {
+	c.s.pool.CloseStale(x.conn)
 	t := time.NewTimer(hedgeInterval)
 	defer t.Stop()
 	for c.sends() < c.route.Attempts {
@@ -74,6 +75,8 @@
 		return nil
 	}
 	h.endpoint, h.timings.chosen = c.s.balance.endpoint(d.Endpoint), c.s.Now()
+	// What silenced the connection of the first send may have silenced those that were idle at the time, too.
+	c.s.pool.CloseIdleSince(h.endpoint.Address, c.s.Now()-silence)
 	return c.hedge(ctx, hedgeCtx, h)
 }
 
@@ -182,7 +185,6 @@
 func (c *call) endReplaced(x *exchange) {
 	x.stopCancel()
 	x.unregister()
-	c.s.pool.CloseStale(x.conn)
 	c.s.Count.MuteAtWork.Add(1)
 	c.s.Count.WorkLostMS.Add((c.s.Now() - x.sentAt).Milliseconds())
 	if !c.s.Watch.GapSince(x.sentAt) {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -117,6 +117,11 @@
 	p.closeMatching(func(address string, o *Conn) bool { return address == c.address && o.idleSince <= c.takenAt })
 }
 
+// CloseIdleSince closes the idle connections to an address that carried their last response before the given time.
+func (p *Pool) CloseIdleSince(address string, before time.Duration) {
+	p.closeMatching(func(a string, o *Conn) bool { return a == address && o.idleSince < before })
+}
+
 // SetMaxIdle limits the idle connections per address, so that all hosts together stay well below
 // the number of connections that an endpoint accepts.
 func (p *Pool) SetMaxIdle(n int) {
