--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -53,6 +53,7 @@
 				got := tc.play(t)
 				must.Greater(t, got.sent/2, got.begun)
 				must.EqOp(t, 0, got.cut)
+				must.LessEq(t, streamAttempts, got.mostSends)
 			})
 		})
 	}
@@ -70,6 +71,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				got := tc.play(t)
 				must.EqOp(t, 0, got.cut)
+				must.LessEq(t, streamAttempts, got.mostSends)
 				must.GreaterEq(t, 0.97*float64(got.sent), float64(got.whole-got.late))
 			})
 		})
@@ -105,6 +107,7 @@
 type silenceCounts struct {
 	sent, begun, cut, whole int
 	late                    int // whole streams whose callers would have given up
+	sends, mostSends        int // of all requests to engines, and of a single one
 }
 
 const (
@@ -114,6 +117,8 @@
 	// streamEvents and streamPace give the length of a stream.
 	streamEvents = 20
 	streamPace   = 50 * time.Millisecond
+	// streamAttempts is the number of endpoints to which a request may be sent.
+	streamAttempts = 2
 	// abandonAfter is the pause after which a caller gives a stream up.
 	abandonAfter = 2 * time.Second
 )
@@ -149,6 +154,7 @@
 		e.Pause(0)
 	}
 	time.Sleep(time.Second) // until all endpoints have ended their requests
+	got.countSends(s)
 	t.Logf("%+v", got)
 	return got
 }
@@ -180,3 +186,52 @@
 		n.whole++
 	}
 }
+
+// countSends counts the sends to all endpoints.
+func (n *silenceCounts) countSends(s *simsite.Site) {
+	byID := make(map[string]int)
+	for _, e := range s.AllEndpoints() {
+		for _, a := range e.Arrivals() {
+			n.sends++
+			byID[a.ID]++
+			n.mostSends = max(n.mostSends, byID[a.ID])
+		}
+	}
+}
+
+// TestSilentEndpointsFailNoPlainRequests checks that plain requests which may be repeated wait for endpoints that send nothing for a while.
+func TestSilentEndpointsFailNoPlainRequests(t *testing.T) {
+	for _, hosts := range []int{6, 85} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				boot := smallBoot
+				if hosts > 9 {
+					boot = largeBoot
+				}
+				s := startWorking(t, shortObjectives(), boot, hosts, 12, 20*time.Millisecond)
+				defer s.Stop()
+				var mu sync.Mutex
+				statuses := make(map[int]int)
+				var wg sync.WaitGroup
+				for n := range 1200 {
+					if n%400 == 200 {
+						for _, e := range s.AllEndpoints() {
+							e.Pause(1200 * time.Millisecond)
+						}
+					}
+					wg.Go(func() {
+						a := s.Send(s.Hosts[n%hosts], "/open/x", "")
+						mu.Lock()
+						defer mu.Unlock()
+						statuses[a.Status]++
+					})
+					time.Sleep(10 * time.Millisecond)
+				}
+				wg.Wait()
+				t.Log(statuses)
+				must.Zero(t, statuses[http.StatusBadGateway]+statuses[http.StatusGatewayTimeout]+statuses[0])
+			})
+		})
+	}
+}
