sched, ingress: hedges avoid endpoints that are silent themselves

Cause: while 0.6 of the engines were silent together, a hedge went to a silent one as likely as not: it held a second slot, used the request's last attempt and brought nothing. The scheduler now gets the endpoints that have sent nothing for half of the silence although requests of this host run there; endpoints that got their first request a moment ago count neither as silent nor as speaking.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -318,6 +318,9 @@
 		return
 	}
 	if t := b.targets[d.Endpoint]; t != nil {
+		if t.ownLoad.Running == 0 {
+			t.busySince = b.now()
+		}
 		t.ownLoad.Running++
 		b.zones.noteDispatch(d.Request, t.Zone)
 		t.ownLoad.Prefill += d.Request.PromptTokens
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -47,43 +47,51 @@
 	return d
 }
 
-// submitHedge asks for a second slot for a request, at another endpoint than the first one.
-func (b *balancer) submitHedge(c *call, first *sched.Request) sched.Decision {
+// submitHedge asks for a second slot for a request, at an endpoint that has not been silent for d. It refuses if the silence seems to have a
+// common cause.
+func (b *balancer) submitHedge(c *call, first *sched.Request, d time.Duration) sched.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
-	c.req.Settings, c.req.HomeOnly, c.req.Version = first.Settings, first.HomeOnly, c.stream.version
+	silent, common := b.silentEndpoints(now, c.service.Name, d)
+	if common {
+		return sched.Decision{Verdict: sched.Refuse}
+	}
+	c.req.Settings, c.req.HomeOnly, c.req.Version, c.req.Avoid = first.Settings, first.HomeOnly, c.stream.version, silent
 	c.req.Model = b.pickPool(now, c)
 	b.holdGrants(now)
-	d := b.sched.Hedge(now, c.req, first)
-	b.noteDispatch(d)
-	if d.Verdict == sched.Wait {
+	decision := b.sched.Hedge(now, c.req, first)
+	b.noteDispatch(decision)
+	if decision.Verdict == sched.Wait {
 		b.requestSlots()
 	}
 	b.poll(now)
-	return d
+	return decision
 }
 
-// othersSilent reports whether requests of this host run at half or more of the endpoints of the call's service, and none of these but the
-// call's own has sent anything for d. Such a silence has a common cause, so that another endpoint would not answer either.
-func (b *balancer) othersSilent(c *call, d time.Duration) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now, all, silent := b.now(), 0, 0
+// silentEndpoints returns the endpoints of a service at which requests of this host run, and which have sent nothing for d; mu must be held.
+// common says that requests run at half of the service's endpoints or more, and that none of them sends anything: another endpoint would
+// not answer sooner.
+func (b *balancer) silentEndpoints(now time.Duration, service string, d time.Duration) (silent map[string]bool, common bool) {
+	silent = make(map[string]bool)
+	all, busy, speaking := 0, 0, 0
 	for incarnation, t := range b.targets {
-		if t.Service != c.service.Name {
+		if t.Service != service {
 			continue
 		}
 		all++
 		if t.ownLoad.Running == 0 {
 			continue
 		}
-		if now-t.heardAt < d && incarnation != c.endpoint.Incarnation() {
-			return false
+		busy++
+		switch {
+		case now-t.heardAt < d:
+			speaking++
+		case now-t.busySince >= d:
+			silent[incarnation] = true
 		}
-		silent++
 	}
-	return silent > 1 && 2*silent >= all
+	return silent, speaking == 0 && len(silent) > 1 && 2*busy >= all
 }
 
 // noteFailure tells the scheduler that an endpoint failed a send.
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -60,7 +60,7 @@
 // tryHedge hedges the request if that may help and is allowed now. While further attempts are left, the other endpoint has to begin its
 // answer within the time for which the first one was silent.
 func (c *call) tryHedge(ctx, hedgeCtx context.Context, silence time.Duration) *replacement {
-	if c.s.CutOff() || c.s.balance.othersSilent(c, silence/2) || !c.s.takeRetry(c.service.Name) {
+	if c.s.CutOff() || !c.s.takeRetry(c.service.Name) {
 		return nil
 	}
 	if c.sends()+1 < c.route.Attempts {
@@ -69,7 +69,7 @@
 		defer cancel()
 	}
 	h := c.fork()
-	d := h.wait(hedgeCtx, c.s.balance.submitHedge(h, c.req))
+	d := h.wait(hedgeCtx, c.s.balance.submitHedge(h, c.req, silence/2))
 	if d.Verdict != sched.Run {
 		c.s.returnRetry(c.service.Name)
 		return nil
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -27,6 +27,7 @@
 	saidLeaving bool          // it said itself that it leaves; its list entry may say otherwise
 	replaced    bool          // a later incarnation has replaced it
 	heardAt     time.Duration // when it last sent something to this host, by the host's clock
+	busySince   time.Duration // when it got a request of this host while it had none
 	coldUntil   time.Duration // when it is warm, by the host's clock
 	// stated is what the endpoint stated about its limits, according to all hosts, and ownStated what this host read itself.
 	stated, ownStated statedLimits
--- a/sched/choose.go
+++ b/sched/choose.go
@@ -83,7 +83,7 @@
 	for _, e := range r.pool.members {
 		load := s.load(now, e)
 		zoneCost, ok := zones.cost(e)
-		if !ok || e == r.avoid || !r.accepts(e) || !s.admits(now, r, e, load) {
+		if !ok || r.avoids(e) || !r.accepts(e) || !s.admits(now, r, e, load) {
 			continue
 		}
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
--- a/sched/grant.go
+++ b/sched/grant.go
@@ -234,7 +234,7 @@
 	if _, ok := zones.cost(e); !ok {
 		return nil
 	}
-	if !e.available(now) || !r.accepts(e) || e == r.avoid || !s.admits(now, r, e, load) {
+	if !e.available(now) || !r.accepts(e) || r.avoids(e) || !s.admits(now, r, e, load) {
 		return nil
 	}
 	c := candidate{e: e, cached: s.cachedTokens(e), load: load}
--- a/sched/order.go
+++ b/sched/order.go
@@ -138,7 +138,7 @@
 	d := Decision{Request: r, Verdict: Run, Endpoint: c.e.Name, ImportFrom: s.importFrom(now, c)}
 	r.dispatchedTo, r.dispatchedAt, r.predicted = c.e, now, c.firstToken
 	r.step, r.load = c.e.step(), c.load
-	r.avoid = nil
+	r.avoid, r.Avoid = nil, nil
 	s.noteZone(now, r, c.e)
 	s.noteDispatched(r)
 	c.e.takeSlot()
--- a/sched/request.go
+++ b/sched/request.go
@@ -34,6 +34,8 @@
 	Objective Objective
 	// HomeOnly says that the request crossed zones before it came to this host.
 	HomeOnly bool
+	// Avoid holds the names of endpoints to which the next dispatch must not go; nil means none.
+	Avoid map[string]bool
 	// Retry says that the caller has tried before.
 	Retry bool
 	// Data is for the caller's use.
@@ -65,6 +67,9 @@
 	crossReason  CrossReason // of the last dispatch
 }
 
+// avoids reports whether the next dispatch must not go to an endpoint.
+func (r *Request) avoids(e *endpointState) bool { return e == r.avoid || r.Avoid[e.Name] }
+
 // queueDeadline returns the time until which a request may wait.
 func (r *Request) queueDeadline() time.Duration {
 	if r.DispatchBy > 0 {
--- a/sched/value.go
+++ b/sched/value.go
@@ -128,7 +128,7 @@
 		ideal = max(ideal, s.expectedValue(now, r, e, 0, idle, target))
 		load := s.load(now, e) + silentLoad
 		zoneCost, ok := zones.cost(e)
-		if !ok || e == r.avoid || !s.admits(now, r, e, load) {
+		if !ok || r.avoids(e) || !s.admits(now, r, e, load) {
 			continue
 		}
 		c := candidate{e: e, cached: s.cachedTokens(e), load: load}
