--- /dev/null
+++ b/internal/site/fault.go
@@ -0,0 +1,111 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package site
+
+import "sync"
+
+// Fault is a fault of an endpoint with one request.
+type Fault string
+
+// Faults of an endpoint.
+const (
+	// None answers as usual.
+	None Fault = ""
+	// Full answers 503 and states that the request was not executed.
+	Full Fault = "full"
+	// Error answers 500.
+	Error Fault = "error"
+	// Reset runs the request and resets the connection without an answer.
+	Reset Fault = "reset"
+	// Hang runs the request and never answers.
+	Hang Fault = "hang"
+	// Truncated closes the connection in the middle of the answer.
+	Truncated Fault = "torn"
+	// TruncatedEvent closes the connection in the middle of a stream's third event.
+	TruncatedEvent Fault = "torn event"
+	// InvalidAnswer sends bytes that are not HTTP.
+	InvalidAnswer Fault = "no answer"
+	// NoStamp answers without the response stamp.
+	NoStamp Fault = "no stamp"
+	// ExtraAnswer sends the answer twice.
+	ExtraAnswer Fault = "surplus"
+	// WrongAnswer sends the answer to another request before its own.
+	WrongAnswer Fault = "foreign"
+	// Unframed answers without a length and ends the answer by closing the connection.
+	Unframed Fault = "unframed"
+	// UnframedReset answers without a length and resets the connection in the middle of the answer.
+	UnframedReset Fault = "unframed reset"
+	// HangEvent sends two events of a stream and then nothing more.
+	HangEvent Fault = "hang event"
+	// SkipEvent omits the third event of a stream.
+	SkipEvent Fault = "skip event"
+	// DoubleEvent sends the third event of a stream twice.
+	DoubleEvent Fault = "double event"
+	// Closing sends Connection: close and closes the connection after the answer.
+	Closing Fault = "closing"
+	// Interim sends a 103 response before the answer.
+	Interim Fault = "interim"
+	// EndlessHeader, EndlessHeaders and EndlessStatus send a header line, header lines and a status
+	// line without an end, EndlessInterim 103 responses. EndlessBody sends a complete answer, and then
+	// fill in the same body. All stop at maxEndless.
+	EndlessHeader  Fault = "endless header"
+	EndlessHeaders Fault = "endless headers"
+	EndlessStatus  Fault = "endless status"
+	EndlessInterim Fault = "endless interim"
+	EndlessBody    Fault = "endless body"
+)
+
+// SetFaults sets the faults of the next requests, in order.
+func (e *Endpoint) SetFaults(faults ...Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+}
+
+// FaultQueue holds faults that several endpoints share; their next requests take them in order.
+type FaultQueue struct {
+	mu   sync.Mutex
+	list []Fault
+}
+
+// take removes and returns the next fault, or None.
+func (f *FaultQueue) take() Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.list) == 0 {
+		return None
+	}
+	n := f.list[0]
+	f.list = f.list[1:]
+	return n
+}
+
+// ShareFaults gives several endpoints a common queue of faults for the next requests at any of
+// them.
+func ShareFaults(list []Fault, endpoints ...*Endpoint) {
+	f := &FaultQueue{list: list}
+	for _, e := range endpoints {
+		e.mu.Lock()
+		e.shared = f
+		e.mu.Unlock()
+	}
+}
+
+// nextFault removes and returns the fault of the next request. Shared faults come first.
+func (e *Endpoint) nextFault() Fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.shared != nil {
+		if f := e.shared.take(); f != None {
+			return f
+		}
+	}
+	if len(e.faults) == 0 {
+		return None
+	}
+	f := e.faults[0]
+	e.faults = e.faults[1:]
+	return f
+}
