internal/site: endpoints pause, and a run states its fault

For the soak: endpoints that write nothing for a time and then go on where they were, as internal/simsite has them. Run.Fault tells which requests an endpoint failed itself.

--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -26,6 +26,8 @@
 	Header http.Header
 	// LastEvent is the number of the last event that the sender has, or 0.
 	LastEvent int
+	// Fault is the endpoint's fault with this request.
+	Fault Fault
 	// ReceivedAt is the time of receipt. EndedAt is the time at which the endpoint stopped working
 	// on the request, zero while it works on it.
 	ReceivedAt, EndedAt time.Time
@@ -68,6 +70,7 @@
 	limited  bool    // it states rate in its answers
 	rate     float64 // in requests per second
 	leaving  bool    // it says in its answers that it leaves
+	pauses   []Pause // in the order in which they began
 }
 
 // Start listens on loopback and serves connections.
@@ -154,11 +157,13 @@
 func (e *Endpoint) answer(c net.Conn, r *http.Request, body string) bool {
 	id := r.Header.Get("Heathkeel-Attempt-Id")
 	if expected := r.Header.Get("Heathkeel-Expect-Instance"); expected != "" && expected != e.Instance {
+		e.awaitPauses()
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, e.Instance)
 		return true
 	}
 	f := e.nextFault()
 	if f == Full {
+		e.awaitPauses()
 		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, e.leavingHeader())
 		return true
 	}
@@ -169,7 +174,7 @@
 		return false
 	}
 	index := len(e.runs)
-	e.runs = append(e.runs, Run{AttemptID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, LastEvent: lastEvent, ReceivedAt: time.Now()})
+	e.runs = append(e.runs, Run{AttemptID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, LastEvent: lastEvent, Fault: f, ReceivedAt: time.Now()})
 	e.inFlight++
 	e.mu.Unlock()
 	defer func() {
@@ -185,6 +190,7 @@
 		e.Crash()
 		return false
 	}
+	e.awaitPauses()
 	switch f {
 	case Reset:
 		resetConn(c)
@@ -274,6 +280,7 @@
 	}
 	for n := lastEvent + 1; n <= e.Events; n++ {
 		time.Sleep(e.currentPace())
+		e.awaitPauses()
 		text := EventText(n)
 		if n == 3 {
 			switch f {
@@ -299,6 +306,7 @@
 		sendEndlessFill(c)
 		return false
 	}
+	e.awaitPauses()
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil && f != Closing
 }
