internal/soak: one record of disturbances, with the spans in which paths were cut

Hosts and endpoints each had their own copy of it. The spans say which faults end by themselves what passes through a host or an endpoint's connections (kills, stops of the process, links of callers and endpoints), so that a promise can judge a request's whole life; faults of the store are none. Planned stops have spans too. What the present promises use is unchanged.

--- a/internal/soak/endpoints_test.go
+++ b/internal/soak/endpoints_test.go
@@ -18,37 +18,19 @@
 // fleetEndpoint is an endpoint with the disturbances of its proxy.
 type fleetEndpoint struct {
 	limits
+	disturbances
 	*site.Endpoint
 	service string
 	version string // of its software
 
-	mu               sync.Mutex
-	leftAt           time.Time // when the store accepted its leaving, zero before
-	disturbances     int
-	undisturbedSince time.Time
-	rates            []statedRate // in the order of time
-}
-
-// beginDisturbance records the begin of a fault and returns the function that records its end.
-func (m *fleetEndpoint) beginDisturbance() func() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.disturbances++
-	return func() {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		m.disturbances--
-		m.undisturbedSince = time.Now()
-	}
+	mu     sync.Mutex
+	leftAt time.Time    // when the store accepted its leaving, zero before
+	rates  []statedRate // in the order of time
 }
 
 // isUndisturbed reports whether nothing has disturbed the endpoint's proxy for the contact time
 // before at.
-func (m *fleetEndpoint) isUndisturbed(at time.Time) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.disturbances == 0 && at.Sub(m.undisturbedSince) > m.contact
-}
+func (m *fleetEndpoint) isUndisturbed(at time.Time) bool { return m.undisturbedFor(at, m.contact) }
 
 // addEndpoint starts an endpoint behind a proxy and writes its entry.
 func (f *fleet) addEndpoint(service string) error {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -207,7 +207,7 @@
 func (c *faultInjector) disturbCallerProxy() func() {
 	h, mode, duration := c.randomHost(), c.rand.IntN(5), c.randomDuration(300*time.Millisecond, 2*time.Second)
 	return func() {
-		defer h.beginDisturbance()()
+		defer h.beginPathCut()()
 		if mode == 4 {
 			h.callerProxy.Silence()
 			return
@@ -226,7 +226,7 @@
 func (c *faultInjector) disturbEndpointProxy() func() {
 	m, mode, duration := c.randomEndpoint(), c.rand.IntN(4), c.randomDuration(300*time.Millisecond, 3*time.Second)
 	return func() {
-		defer m.beginDisturbance()()
+		defer m.beginPathCut()()
 		disturbProxy(m.Proxy, mode, duration)
 	}
 }
@@ -235,8 +235,8 @@
 func (c *faultInjector) silenceEndpoint() func() {
 	m := c.randomEndpoint()
 	return func() {
+		defer m.beginPathCut()()
 		m.Proxy.Silence()
-		m.beginDisturbance()()
 	}
 }
 
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -51,6 +51,7 @@
 // host is a host with its process, its proxies and its disturbances.
 type host struct {
 	limits
+	disturbances
 	name         string
 	front        string // address for callers, of callerProxy
 	settings     string // content of the settings file
@@ -59,41 +60,23 @@
 	storeProxy   *link.Proxy // to the store
 	callerProxy  *link.Proxy // from callers
 
-	mu               sync.Mutex
-	process          *exec.Cmd
-	ended            chan struct{}
-	starts           int
-	disturbances     int       // number of current faults
-	undisturbedSince time.Time // when the last fault ended
-	stoppingSince    time.Time // when SIGTERM was sent, zero if it was not
-}
-
-// beginDisturbance records the begin of a fault and returns the function that records its end.
-func (h *host) beginDisturbance() func() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.disturbances++
-	return func() {
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.disturbances--
-		h.undisturbedSince = time.Now()
-	}
+	mu            sync.Mutex
+	process       *exec.Cmd
+	ended         chan struct{}
+	starts        int
+	stoppingSince time.Time // when SIGTERM was sent, zero if it was not
+	stops         []span    // planned stops, each from SIGTERM to the next start
 }
 
 // isUndisturbed reports whether nothing has disturbed the host for the contact time before at.
-func (h *host) isUndisturbed(at time.Time) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.disturbances == 0 && at.Sub(h.undisturbedSince) > h.contact
-}
+func (h *host) isUndisturbed(at time.Time) bool { return h.undisturbedFor(at, h.contact) }
 
 // onlyStopping reports whether the host is being stopped and nothing else has disturbed it from the
 // contact time before since until now.
 func (h *host) onlyStopping(since time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.stoppingSince.IsZero() && h.disturbances == 0 && since.Sub(h.undisturbedSince) > h.contact
+	return !h.stoppingSince.IsZero() && h.undisturbedFor(since, h.contact)
 }
 
 // fleet holds the hosts, the store and the endpoints of one run.
@@ -263,7 +246,11 @@
 	if err := startOn(h.process, f.cores); err != nil {
 		return err
 	}
-	h.ended, h.stoppingSince, h.undisturbedSince = make(chan struct{}), time.Time{}, time.Now()
+	h.ended = make(chan struct{})
+	h.noteStart()
+	if !h.stoppingSince.IsZero() {
+		h.stoppingSince, h.stops[len(h.stops)-1].until = time.Time{}, time.Now()
+	}
 	// Bootstrap is true only while the whole system starts for the first time.
 	h.settings = strings.ReplaceAll(h.settings, "Bootstrap=true", "Bootstrap=false")
 	go func(p *exec.Cmd, ended chan struct{}) {
@@ -305,6 +292,7 @@
 	defer h.mu.Unlock()
 	if s == syscall.SIGTERM {
 		h.stoppingSince = time.Now()
+		h.stops = append(h.stops, span{from: h.stoppingSince})
 	}
 	_ = h.process.Process.Signal(s) // the process may have ended by itself
 }
--- a/internal/soak/pressure_test.go
+++ b/internal/soak/pressure_test.go
@@ -73,7 +73,6 @@
 
 // smallInBursts counts the small workspace's requests during bursts, and those refused of them.
 func (r *record) smallInBursts() (sent, refused int) {
-	type span struct{ from, until time.Time }
 	var bursts []span
 	for _, s := range r.sent {
 		if s.burst {
--- a/internal/soak/processes_test.go
+++ b/internal/soak/processes_test.go
@@ -38,7 +38,7 @@
 			return
 		}
 		defer c.release(h)
-		defer h.beginDisturbance()()
+		defer h.beginPathCut()()
 		h.signal(syscall.SIGKILL)
 		<-h.done()
 		time.Sleep(down)
@@ -86,7 +86,7 @@
 		select {
 		case <-h.done():
 		case <-time.After(wait):
-			defer h.beginDisturbance()()
+			defer h.beginPathCut()()
 			h.signal(syscall.SIGKILL)
 			<-h.done()
 		}
@@ -102,7 +102,7 @@
 			return
 		}
 		defer c.release(h)
-		defer h.beginDisturbance()()
+		defer h.beginPathCut()()
 		h.signal(syscall.SIGSTOP)
 		time.Sleep(duration)
 		h.signal(syscall.SIGCONT)
