internal/soak: endpoints pause; TestPausedEndpoints, red: hosts end what their endpoints would go on with

The soak has a new fault: all endpoints, or a random part of them, write nothing for 0.8 to 3 s and go on where they were, within half a second of a change of the configuration (idle limit, time-out of the stream routes, another route, objectives of the stream routes). It has a source of chance of its own, so that the other faults of a seed stay the same, and overlaps with them.

New promise: a request that ran only at endpoints which go on with it in time (no fault of their own with it, not leaving, connections not cut) and whose host was not killed, held, cut off from its callers or at the end of a planned stop completes, unless its caller left. Faults of the store, changes of keys and of the configuration, endpoints that are ejected and bursts are no excuse. The endpoint's end of it is its own record of the request, its fault and its pauses; the caller's end is the status and the complete answer.

Arrivals at an endpoint that pauses while it works no longer count as undisturbed: an endpoint that writes nothing can't notice that its caller has left, and its answer may come after the end of a planned stop. The new promise judges these with the exact times.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -70,6 +70,12 @@
 				s.status, s.duringStop = 0, true
 			}
 		}},
+		{"what an endpoint goes on with is not ended by its host", func(r *record) { r.byID["review"].complete = false }},
+		{"what an endpoint goes on with is not ended by its host", func(r *record) { r.byID["ask"].status = http.StatusGatewayTimeout }},
+		{"what an endpoint goes on with is not ended by its host", func(r *record) {
+			engine.Pause(time.Millisecond)
+			r.byID["review"].complete = false
+		}},
 		{"a host stays within its memory", func(r *record) { r.memory = []string{"one"} }},
 		{"a host does not read without an end", func(r *record) { r.endless = []string{"one"} }},
 		{"a burst leaves other workspaces their answers", func(r *record) {
--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -5,7 +5,7 @@
 // Package soak is a randomized test of the real programs. It starts hkedge as separate processes on
 // loopback, with fakes of the platform's store and of endpoints behind them and callers in
 // front of them. It injects faults from outside: proxies that delay, stall, reset and silence
-// connections, signals, changes of settings, a store that fails, and endpoints that fail and leave.
+// connections, signals, changes of settings, a store that fails, and endpoints that fail, pause and leave.
 // The promises are checked against what callers and endpoints see.
 //
 // The package holds tests only. The rule that a process starts no other process applies to the
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -31,6 +31,7 @@
 
 	configMu      sync.Mutex // held while the configuration is changed
 	configVersion int
+	variant       configVariant
 }
 
 // fault is a fault or a change. prepare makes all random choices and returns the function that
@@ -311,10 +312,10 @@
 	generation := c.clients.currentGeneration()
 	if !rotate {
 		c.configVersion++
-		c.fleet.store.Put(platform.KeyConfig, newConfig(c.configVersion, workspaceKeys(generation)))
+		c.fleet.store.Put(platform.KeyConfig, c.config(c.configVersion, workspaceKeys(generation)))
 		return
 	}
-	withBothKeys := newConfig(c.configVersion+1, workspaceKeys(generation))
+	withBothKeys := c.config(c.configVersion+1, workspaceKeys(generation))
 	for i, k := range workspaceKeys(generation + 1) {
 		withBothKeys.Tenants[i].Keys = append(withBothKeys.Tenants[i].Keys, k)
 	}
@@ -323,7 +324,7 @@
 	c.clients.rotateKeys()
 	time.Sleep(applyTime / 2)
 	c.configVersion += 2
-	c.fleet.store.Put(platform.KeyConfig, newConfig(c.configVersion, workspaceKeys(generation+1)))
+	c.fleet.store.Put(platform.KeyConfig, c.config(c.configVersion, workspaceKeys(generation+1)))
 	c.clients.noteWithdrawn(generation)
 }
 
--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -18,7 +18,7 @@
 type arrival struct {
 	site.Run
 	endpoint *fleetEndpoint
-	// undisturbed is set if nothing disturbed the endpoint's proxy for the contact time before.
+	// undisturbed is set if nothing disturbed the endpoint's proxy for the contact time before, and the endpoint did not pause.
 	undisturbed bool
 }
 
@@ -82,6 +82,7 @@
 	{"repeats stay within their budget", (*record).overBudget},
 	{"an endpoint stops when its caller has left", (*record).ranAfterCallerLeft},
 	{"a planned stop cuts no request", (*record).cutByStop},
+	{"what an endpoint goes on with is not ended by its host", (*record).endedByHosts},
 	{"a rate that an endpoint states is kept", (*record).overRate},
 	{"a burst leaves other workspaces their answers", (*record).lostToBursts},
 	{"a leaving endpoint gets no work", func(r *record) []string { return r.late }},
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -73,7 +73,6 @@
 		await(t, h.name+" is ready", h.isReady)
 	}
 	c := &clients{fleet: f, withdrawn: make(map[int]time.Time)}
-	random := rand.New(rand.NewPCG(uint64(r.seed), 0))
 	ctx, stop := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for i := range callers {
@@ -87,29 +86,10 @@
 	w := &arrivalWatcher{fleet: f, clients: c}
 	watchCtx, stopWatcher := context.WithCancel(context.Background())
 	wg.Go(func() { w.run(watchCtx) })
-	injector := &faultInjector{fleet: f, clients: c, rand: random, claimed: make(map[*host]bool), startedAt: time.Now(), configVersion: 1}
-	faultCtx, stopFaults := context.WithTimeout(context.Background(), r.duration)
-	wg.Go(func() { f.stateRates(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), rateSource))) })
-	wg.Go(func() { f.stateLoads(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), loadSource))) })
-	wg.Go(func() { f.endlessAnswers(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), endless))) })
-	wg.Go(func() { c.bursts(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), burstSource))) })
-	wg.Go(func() { c.readSlowly(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), slowSource))) })
+	injector := &faultInjector{fleet: f, clients: c, rand: rand.New(rand.NewPCG(uint64(r.seed), 0)), claimed: make(map[*host]bool), startedAt: time.Now(), configVersion: 1}
 	var senders endlessSenders
-	wg.Go(func() { senders.run(faultCtx, f, rand.New(rand.NewPCG(uint64(r.seed), senderSource))) })
-	wg.Go(func() { injector.storeGoesBack(faultCtx, rand.New(rand.NewPCG(uint64(r.seed), eraSource))) })
-	injector.run(faultCtx)
-	stopFaults()
-	if r.timed {
-		time.Sleep(recoveryTime)
-	}
-	served := 0
-	for _, h := range f.hosts {
-		if r.timed {
-			served += countServed(c, h)
-			continue
-		}
-		await(t, h.name+" serves again", func() bool { return countServed(c, h) > 0 })
-	}
+	injector.runAll(r, &wg, &senders)
+	served := serveAgain(t, c, r.timed)
 	stop()
 	stopWatcher()
 	wg.Wait()
@@ -130,8 +110,45 @@
 	}
 	asked, wentOn := rec.resumed()
 	small, refused := rec.smallInBursts()
-	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %d of %d streams that callers resumed went on, at most %d MB, %d of %d of the small workspace refused in bursts, %s",
-		r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, wentOn, asked, peak, refused, small, statusCounts(rec))
+	paused, ended := rec.pausedRequests()
+	t.Logf("seed %d: %d requests, %d runs, %d of %d served after the last fault, %d of %d streams that callers resumed went on, at most %d MB, %d of %d of the small workspace refused in bursts, %d of %d ended whose endpoints paused and went on, %s",
+		r.seed, len(rec.sent), len(rec.arrivals), served, len(f.hosts)*finalRequests, wentOn, asked, peak, refused, small, ended, paused, statusCounts(rec))
+}
+
+// runAll injects the faults of the list and those that have sources of chance of their own, for the duration of the run. Of the latter,
+// some may end later, in the group.
+func (c *faultInjector) runAll(r runOptions, wg *sync.WaitGroup, senders *endlessSenders) {
+	ctx, stop := context.WithTimeout(context.Background(), r.duration)
+	defer stop()
+	begin := func(source uint64, run func(ctx context.Context, r *rand.Rand)) {
+		own := rand.New(rand.NewPCG(uint64(r.seed), source))
+		wg.Go(func() { run(ctx, own) })
+	}
+	begin(rateSource, c.fleet.stateRates)
+	begin(loadSource, c.fleet.stateLoads)
+	begin(endless, c.fleet.endlessAnswers)
+	begin(burstSource, c.clients.bursts)
+	begin(slowSource, c.clients.readSlowly)
+	begin(senderSource, func(ctx context.Context, r *rand.Rand) { senders.run(ctx, c.fleet, r) })
+	begin(eraSource, c.storeGoesBack)
+	begin(pauseSource, func(ctx context.Context, r *rand.Rand) { c.pauseEndpoints(ctx, r, soakPauses) })
+	c.run(ctx)
+}
+
+// serveAgain checks that hosts serve after the last fault, and returns how many of finalRequests they served in a timed run.
+func serveAgain(t *testing.T, c *clients, timed bool) int {
+	if timed {
+		time.Sleep(recoveryTime)
+	}
+	served := 0
+	for _, h := range c.fleet.hosts {
+		if timed {
+			served += countServed(c, h)
+			continue
+		}
+		await(t, h.name+" serves again", func() bool { return countServed(c, h) > 0 })
+	}
+	return served
 }
 
 // Sources of chance beside those of the callers, which count from 1.
@@ -142,6 +159,7 @@
 	endless      = 1<<20 + 3<<16 // of the endless answers
 	slowSource   = 1<<20 + 4<<16 // of the slow readers
 	senderSource = 1<<20 + 5<<16 // of the endless senders
+	pauseSource  = 1<<20 + 6<<16 // of the pauses of endpoints
 	eraSource    = 1 << 21       // of the times at which the store goes back
 )
 
@@ -254,7 +272,7 @@
 func (w *arrivalWatcher) markUndisturbed(r *record) {
 	for id, runs := range r.runs {
 		for i := range runs {
-			runs[i].undisturbed = w.undisturbed[id][runs[i].ReceivedAt]
+			runs[i].undisturbed = w.undisturbed[id][runs[i].ReceivedAt] && !runs[i].paused()
 		}
 	}
 }
