--- a/internal/soak/promises_test.go
+++ b/internal/soak/promises_test.go
@@ -18,7 +18,7 @@
 type arrival struct {
 	site.Run
 	endpoint *fleetEndpoint
-	// undisturbed is set if nothing disturbed the endpoint's proxy for the contact time before, and the endpoint did not pause.
+	// undisturbed is set if nothing disturbed the endpoint's proxy for the contact time before.
 	undisturbed bool
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -272,7 +272,7 @@
 func (w *arrivalWatcher) markUndisturbed(r *record) {
 	for id, runs := range r.runs {
 		for i := range runs {
-			runs[i].undisturbed = w.undisturbed[id][runs[i].ReceivedAt] && !runs[i].paused()
+			runs[i].undisturbed = w.undisturbed[id][runs[i].ReceivedAt]
 		}
 	}
 }
