--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -18,57 +18,6 @@
 	"github.com/heathkeel/heathkeel/internal/link"
 )
 
-// Fault is a fault of an endpoint with one request.
-type Fault string
-
-// Faults of an endpoint.
-const (
-	// None answers as usual.
-	None Fault = ""
-	// Full answers 503 and states that the request was not executed.
-	Full Fault = "full"
-	// Error answers 500.
-	Error Fault = "error"
-	// Reset runs the request and resets the connection without an answer.
-	Reset Fault = "reset"
-	// Hang runs the request and never answers.
-	Hang Fault = "hang"
-	// Truncated closes the connection in the middle of the answer.
-	Truncated Fault = "torn"
-	// TruncatedEvent closes the connection in the middle of a stream's third event.
-	TruncatedEvent Fault = "torn event"
-	// InvalidAnswer sends bytes that are not HTTP.
-	InvalidAnswer Fault = "no answer"
-	// NoStamp answers without the response stamp.
-	NoStamp Fault = "no stamp"
-	// ExtraAnswer sends the answer twice.
-	ExtraAnswer Fault = "surplus"
-	// WrongAnswer sends the answer to another request before its own.
-	WrongAnswer Fault = "foreign"
-	// Unframed answers without a length and ends the answer by closing the connection.
-	Unframed Fault = "unframed"
-	// UnframedReset answers without a length and resets the connection in the middle of the answer.
-	UnframedReset Fault = "unframed reset"
-	// HangEvent sends two events of a stream and then nothing more.
-	HangEvent Fault = "hang event"
-	// SkipEvent omits the third event of a stream.
-	SkipEvent Fault = "skip event"
-	// DoubleEvent sends the third event of a stream twice.
-	DoubleEvent Fault = "double event"
-	// Closing sends Connection: close and closes the connection after the answer.
-	Closing Fault = "closing"
-	// Interim sends a 103 response before the answer.
-	Interim Fault = "interim"
-	// EndlessHeader, EndlessHeaders and EndlessStatus send a header line, header lines and a status
-	// line without an end, EndlessInterim 103 responses. EndlessBody sends a complete answer, and then
-	// fill in the same body. All stop at maxEndless.
-	EndlessHeader  Fault = "endless header"
-	EndlessHeaders Fault = "endless headers"
-	EndlessStatus  Fault = "endless status"
-	EndlessInterim Fault = "endless interim"
-	EndlessBody    Fault = "endless body"
-)
-
 // Run is a request that an endpoint ran.
 type Run struct {
 	// AttemptID, Method, URI and Body are the parts of the request.
@@ -77,6 +26,8 @@
 	Header http.Header
 	// LastEvent is the number of the last event that the sender has, or 0.
 	LastEvent int
+	// Fault is the endpoint's fault with this request.
+	Fault Fault
 	// ReceivedAt is the time of receipt. EndedAt is the time at which the endpoint stopped working
 	// on the request, zero while it works on it.
 	ReceivedAt, EndedAt time.Time
@@ -119,6 +70,7 @@
 	limited  bool    // it states rate in its answers
 	rate     float64 // in requests per second
 	leaving  bool    // it says in its answers that it leaves
+	pauses   []Pause // in the order in which they began
 }
 
 // Start listens on loopback and serves connections.
@@ -150,13 +102,6 @@
 // Stop closes the listener.
 func (e *Endpoint) Stop() { _ = e.l.Close() }
 
-// SetFaults sets the faults of the next requests, in order.
-func (e *Endpoint) SetFaults(faults ...Fault) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.faults = faults
-}
-
 // SetPace changes Pace while the endpoint runs.
 func (e *Endpoint) SetPace(d time.Duration) {
 	e.mu.Lock()
@@ -185,52 +130,6 @@
 	return e.inFlight
 }
 
-// FaultQueue holds faults that several endpoints share; their next requests take them in order.
-type FaultQueue struct {
-	mu   sync.Mutex
-	list []Fault
-}
-
-// take removes and returns the next fault, or None.
-func (f *FaultQueue) take() Fault {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.list) == 0 {
-		return None
-	}
-	n := f.list[0]
-	f.list = f.list[1:]
-	return n
-}
-
-// ShareFaults gives several endpoints a common queue of faults for the next requests at any of
-// them.
-func ShareFaults(list []Fault, endpoints ...*Endpoint) {
-	f := &FaultQueue{list: list}
-	for _, e := range endpoints {
-		e.mu.Lock()
-		e.shared = f
-		e.mu.Unlock()
-	}
-}
-
-// nextFault removes and returns the fault of the next request. Shared faults come first.
-func (e *Endpoint) nextFault() Fault {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.shared != nil {
-		if f := e.shared.take(); f != None {
-			return f
-		}
-	}
-	if len(e.faults) == 0 {
-		return None
-	}
-	f := e.faults[0]
-	e.faults = e.faults[1:]
-	return f
-}
-
 // serve answers the requests of one connection.
 func (e *Endpoint) serve(c net.Conn) {
 	defer e.closeConn(c)
@@ -258,11 +157,13 @@
 func (e *Endpoint) answer(c net.Conn, r *http.Request, body string) bool {
 	id := r.Header.Get("Heathkeel-Attempt-Id")
 	if expected := r.Header.Get("Heathkeel-Expect-Instance"); expected != "" && expected != e.Instance {
+		e.awaitPauses()
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, e.Instance)
 		return true
 	}
 	f := e.nextFault()
 	if f == Full {
+		e.awaitPauses()
 		fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n", id, e.leavingHeader())
 		return true
 	}
@@ -273,7 +174,7 @@
 		return false
 	}
 	index := len(e.runs)
-	e.runs = append(e.runs, Run{AttemptID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, LastEvent: lastEvent, ReceivedAt: time.Now()})
+	e.runs = append(e.runs, Run{AttemptID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, LastEvent: lastEvent, Fault: f, ReceivedAt: time.Now()})
 	e.inFlight++
 	e.mu.Unlock()
 	defer func() {
@@ -289,6 +190,7 @@
 		e.Crash()
 		return false
 	}
+	e.awaitPauses()
 	switch f {
 	case Reset:
 		resetConn(c)
@@ -378,6 +280,7 @@
 	}
 	for n := lastEvent + 1; n <= e.Events; n++ {
 		time.Sleep(e.currentPace())
+		e.awaitPauses()
 		text := EventText(n)
 		if n == 3 {
 			switch f {
@@ -403,6 +306,7 @@
 		sendEndlessFill(c)
 		return false
 	}
+	e.awaitPauses()
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil && f != Closing
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -31,6 +31,7 @@
 
 	configMu      sync.Mutex // held while the configuration is changed
 	configVersion int
+	variant       configVariant
 }
 
 // fault is a fault or a change. prepare makes all random choices and returns the function that
@@ -207,7 +208,7 @@
 func (c *faultInjector) disturbCallerProxy() func() {
 	h, mode, duration := c.randomHost(), c.rand.IntN(5), c.randomDuration(300*time.Millisecond, 2*time.Second)
 	return func() {
-		defer h.beginDisturbance()()
+		defer h.beginPathCut()()
 		if mode == 4 {
 			h.callerProxy.Silence()
 			return
@@ -226,7 +227,7 @@
 func (c *faultInjector) disturbEndpointProxy() func() {
 	m, mode, duration := c.randomEndpoint(), c.rand.IntN(4), c.randomDuration(300*time.Millisecond, 3*time.Second)
 	return func() {
-		defer m.beginDisturbance()()
+		defer m.beginPathCut()()
 		disturbProxy(m.Proxy, mode, duration)
 	}
 }
@@ -235,8 +236,8 @@
 func (c *faultInjector) silenceEndpoint() func() {
 	m := c.randomEndpoint()
 	return func() {
+		defer m.beginPathCut()()
 		m.Proxy.Silence()
-		m.beginDisturbance()()
 	}
 }
 
@@ -311,10 +312,10 @@
 	generation := c.clients.currentGeneration()
 	if !rotate {
 		c.configVersion++
-		c.fleet.store.Put(platform.KeyConfig, newConfig(c.configVersion, workspaceKeys(generation)))
+		c.fleet.store.Put(platform.KeyConfig, c.config(c.configVersion, workspaceKeys(generation)))
 		return
 	}
-	withBothKeys := newConfig(c.configVersion+1, workspaceKeys(generation))
+	withBothKeys := c.config(c.configVersion+1, workspaceKeys(generation))
 	for i, k := range workspaceKeys(generation + 1) {
 		withBothKeys.Tenants[i].Keys = append(withBothKeys.Tenants[i].Keys, k)
 	}
@@ -323,7 +324,7 @@
 	c.clients.rotateKeys()
 	time.Sleep(applyTime / 2)
 	c.configVersion += 2
-	c.fleet.store.Put(platform.KeyConfig, newConfig(c.configVersion, workspaceKeys(generation+1)))
+	c.fleet.store.Put(platform.KeyConfig, c.config(c.configVersion, workspaceKeys(generation+1)))
 	c.clients.noteWithdrawn(generation)
 }
 
