ingress: keep a silent relayed send while the other host is heard of

A host that reaches no endpoint relays its requests. It ended a relayed send after a silence of twice an endpoint's limit (2 s for streams of the tests, 1.5 s for plain requests), and asked for the retry and for another host only then. The other host waits for a silent endpoint all that time and notices it itself. Callers saw streams cut with status 200 ("this host ended the send", silent_ms 2000), 502 instead of 200, and three runs on routes that allow two: the host that took over was told of one send less than the first had made.

Ruled out: the time of the endpoints' own silence limit (the cuts come 2 s after the last event and carry the name of the other host), and the loss of the connection (silent_ms is 0 there).

Ways weighed: the limit as it was; none at all, so that a host that dies silently costs the whole deadline; a longer one, which moves the fault to longer silences; judging the host instead of its silence (kept). A silent send is ended only if the other host is heard of no more or reaches no endpoint, a host that was not tried is there, and the retry was granted. The log now says why a lost relay does not go on.

TestRelayWatch fails if the send is never ended, and in three cases if silence alone ends it.

--- a/edge/host.go
+++ b/edge/host.go
@@ -207,8 +207,8 @@
 		Tolerance:     quota.Tolerance{Window: b.QuotaWindow, Overshoot: b.QuotaOvershoot, Slack: b.QuotaSlack},
 		ExposeShare:   b.ExposeShare,
 		ColdTolerance: ingress.ColdTolerance{Overshoot: b.ColdOvershoot, Slack: b.ColdSlack},
-		RelayTargets:  h.relayTargets,
-		FirstStart:    b.Bootstrap, BodyMemory: h.bodyMemory(), Memory: h.memoryLimit(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
+		RelayTargets:  h.relayTargets, ReachesEndpoints: h.reachesEndpoints,
+		FirstStart: b.Bootstrap, BodyMemory: h.bodyMemory(), Memory: h.memoryLimit(), Trace: h.Trace, Log: h.Log.WithName("ingress"),
 	}
 	h.storeHealth = &feed.StoreHealth{
 		Now: h.now, RunTime: h.gapDetector.RunTime, OutageAfter: time.Duration(outageShare * float64(b.DrainTime)), RetryInterval: endpointsRetryInterval,
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -235,6 +235,11 @@
 	return out
 }
 
+// reachesEndpoints reports whether another host was heard of recently and reaches endpoints.
+func (h *Host) reachesEndpoints(host string) bool {
+	return slices.ContainsFunc(h.agent.Live(), func(m peers.Member) bool { return m.Host == host && !m.Info.CutOff })
+}
+
 // minRelayWeight is the weight of a host in relaying whose capacity is unknown, in cores.
 const minRelayWeight = 0.01
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -34,8 +34,7 @@
 	relayLeavingHeader = "Heathkeel-Relay-Leaving"
 	// maxRelays limits the hosts to which a request is relayed, one after the other.
 	maxRelays = 3
-	// relaySilenceFactor is the factor by which the silence of another host may be longer than that of an endpoint, which it notices
-	// itself.
+	// relaySilenceFactor is the factor by which another host may be silent for longer than an endpoint before it may be given up.
 	relaySilenceFactor = 2
 	// targetsTTL is the time for which the list of hosts is kept.
 	targetsTTL = 200 * time.Millisecond
@@ -55,6 +54,7 @@
 	priorSends int    // endpoints that were sent the request before
 	to         string // the host to which this one relayed it last, or empty
 	lost       bool   // that host sent no complete response
+	granted    bool   // the retry after it was granted before its send was ended
 	refusals   int    // hosts that did not run it
 }
 
@@ -133,7 +133,7 @@
 			break
 		}
 		tried[to.Host] = true
-		result, f := c.sendToTarget(ctx, to)
+		result, f := c.sendToTarget(ctx, to, tried)
 		switch result {
 		case sendCompleted, sendAbandoned:
 			c.finish(ctx, result)
@@ -149,8 +149,8 @@
 			return
 		case sendLost:
 			c.relayed.lost = true
-			if !c.route.MayRepeat() || c.sends() >= c.route.Attempts || !c.s.takeRetry(c.service.Name) {
-				c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: backoffLost})
+			if denied := c.relayDenied(); denied != "" {
+				c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: denied, RetryAfter: backoffLost})
 				return
 			}
 		}
@@ -158,6 +158,19 @@
 	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: retryAfter})
 }
 
+// relayDenied returns why a request is not relayed again after a host sent no complete response, or an empty reason if it may be.
+func (c *call) relayDenied() sched.Reason {
+	switch {
+	case !c.route.MayRepeat():
+		return reasonNotRepeatable
+	case c.sends() >= c.route.Attempts:
+		return reasonAttempts
+	case !c.relayed.granted && !c.s.takeRetry(c.service.Name):
+		return reasonRetryBudget
+	}
+	return ""
+}
+
 // concernsRequest reports whether a refusal of another host holds at any host. A key or route that this host knows and the other does
 // not is new, and a host without room says nothing about the others.
 func (f *refusal) concernsRequest() bool {
@@ -180,8 +193,9 @@
 // reasonCutOff is the reason of a refusal by a host that reaches no endpoint, while no other host takes the request.
 const reasonCutOff sched.Reason = "this host reaches no endpoint, and other hosts did not take the request"
 
-// sendToTarget sends the request to another host and forwards its response. A response that the other host made itself is returned.
-func (c *call) sendToTarget(ctx context.Context, to RelayTarget) (sendOutcome, refusal) {
+// sendToTarget sends the request to another host and forwards its response. A response that the other host made itself is returned. tried
+// are the hosts to which it may not go afterwards.
+func (c *call) sendToTarget(ctx context.Context, to RelayTarget, tried map[string]bool) (sendOutcome, refusal) {
 	conn, _, err := c.s.relayPool.Get(ctx, to.Front)
 	if err != nil {
 		return sendUnsent, refusal{}
@@ -199,9 +213,16 @@
 	c.s.Count.Relayed.Add(1)
 	c.timings.lastSent = c.s.Now()
 	stopCancel := context.AfterFunc(ctx, conn.Close)
-	silence := newSilenceTimer(relaySilenceFactor*c.silenceTimeout(), conn.Close)
-	result, f := c.relayRoundTrip(ctx, conn, header, silence)
-	c.noteSilence(silence)
+	watch := relayWatch{
+		conn: conn, limit: relaySilenceFactor * c.silenceTimeout(), now: c.s.Now, gaps: c.s.Watch,
+		mayEnd: func() bool { return c.mayEndRelay(to, tried) },
+	}
+	watch.start()
+	result, f := c.relayRoundTrip(ctx, conn, header)
+	c.lost, c.relayed.granted = lostSend{}, watch.stop()
+	if c.relayed.granted {
+		c.lost.silence = watch.limit
+	}
 	c.noteExceeded(conn)
 	result = settle(conn, result, !stopCancel())
 	if result == sendLost {
@@ -231,7 +252,7 @@
 }
 
 // relayRoundTrip sends the request on a connection to another host and forwards the response.
-func (c *call) relayRoundTrip(ctx context.Context, conn *upstream.Conn, header http.Header, silence *silenceTimer) (sendOutcome, refusal) {
+func (c *call) relayRoundTrip(ctx context.Context, conn *upstream.Conn, header http.Header) (sendOutcome, refusal) {
 	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header, Body: c.body, HasBody: c.hasBody}
 	sent := c.s.Now()
 	if err := conn.Send(&req); err != nil {
@@ -253,7 +274,7 @@
 		resp.Header.Del(relayLeavingHeader)
 		c.noteLeaving(incarnation)
 	}
-	result, _ := c.forwardResponse(ctx, resp, sent, silence)
+	result, _ := c.forwardResponse(ctx, resp, sent, newSilenceTimer(0, nil)) // relayWatch has the limit on silence
 	return result, refusal{}
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -77,6 +77,9 @@
 	Memory int64
 	// RelayTargets returns the hosts to which requests may be relayed while this one reaches no endpoint; nil means that there are none.
 	RelayTargets func() []RelayTarget
+	// ReachesEndpoints reports whether another host was heard of recently and reaches endpoints, even if it takes no new requests; nil
+	// means that it is not known of any.
+	ReachesEndpoints func(host string) bool
 	// Trace logs a line for every request, without a limit on their number.
 	Trace bool
 	// Log receives state changes and failures.
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -104,8 +104,11 @@
 	}
 }
 
+// Received returns the number of bytes that have come on the connection. It may be called while the connection is in use.
+func (c *Conn) Received() int64 { return c.meter.total.Load() }
+
 // consumed returns the bytes that the parser has read from the connection.
-func (c *Conn) consumed() int64 { return c.meter.total - int64(c.reader.Buffered()) }
+func (c *Conn) consumed() int64 { return c.meter.total.Load() - int64(c.reader.Buffered()) }
 
 // surplusBytes returns the number of bytes that were read after the end of a response that was read completely.
 func (c *Conn) surplusBytes() int {
--- a/upstream/meter.go
+++ b/upstream/meter.go
@@ -4,12 +4,15 @@
 
 package upstream
 
-import "net"
+import (
+	"net"
+	"sync/atomic"
+)
 
 // meter counts the bytes that are read from a connection, and limits them while a head is read.
 type meter struct {
 	net     net.Conn
-	total   int64
+	total   atomic.Int64
 	readErr error // the first error of the connection
 	head    headScanner
 	inHead  bool
@@ -18,7 +21,7 @@
 // Read implements io.Reader.
 func (m *meter) Read(p []byte) (int, error) {
 	n, err := m.net.Read(p)
-	m.total += int64(n)
+	m.total.Add(int64(n))
 	if err != nil && m.readErr == nil {
 		m.readErr = err
 	}
