--- a/edge/silence_test.go
+++ b/edge/silence_test.go
@@ -199,8 +199,8 @@
 	}
 }
 
-// TestSilentEndpointsFailNoPlainRequests checks that plain requests which may be repeated wait for endpoints that send nothing for a while.
-func TestSilentEndpointsFailNoPlainRequests(t *testing.T) {
+// TestSilentEndpointsFailNoPlainRequestsOfFleets checks that plain requests which may be repeated wait for endpoints that send nothing for a while.
+func TestSilentEndpointsFailNoPlainRequestsOfFleets(t *testing.T) {
 	for _, hosts := range []int{6, 85} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			t.Parallel()
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -34,8 +34,7 @@
 	relayLeavingHeader = "Heathkeel-Relay-Leaving"
 	// maxRelays limits the hosts to which a request is relayed, one after the other.
 	maxRelays = 3
-	// relaySilenceFactor is the factor by which the silence of another host may be longer than that of an endpoint, which it notices
-	// itself.
+	// relaySilenceFactor is the factor by which another host may be silent for longer than an endpoint before it may be given up.
 	relaySilenceFactor = 2
 	// targetsTTL is the time for which the list of hosts is kept.
 	targetsTTL = 200 * time.Millisecond
@@ -55,15 +54,10 @@
 	priorSends int    // endpoints that were sent the request before
 	to         string // the host to which this one relayed it last, or empty
 	lost       bool   // that host sent no complete response
+	granted    bool   // the retry after it was granted before its send was ended
 	refusals   int    // hosts that did not run it
 }
 
-// relayChoice is the choice of the hosts to which a call is relayed.
-type relayChoice struct {
-	tried map[string]bool
-	next  *RelayTarget // takes over from a host that is silent: a connection to it is open and the retry is charged
-}
-
 // parseRelayHeader parses relayHeader. It returns false if the header is there and wrong.
 func (r *relayState) parseRelayHeader(h http.Header) bool {
 	v := h.Get(relayHeader)
@@ -131,15 +125,15 @@
 // relay relays the request to other hosts and writes the final response. No send of the call may be in flight.
 func (c *call) relay(ctx context.Context) {
 	c.endpoint = feed.Endpoint{}
-	c.relayChoice.tried = make(map[string]bool)
+	tried := make(map[string]bool)
 	retryAfter := backoffUnreachable
 	for range maxRelays {
-		to, ok := c.nextTarget()
+		to, ok := pickTarget(c.s.relayTargets(), tried, rand.Float64())
 		if !ok || ctx.Err() != nil {
 			break
 		}
-		c.relayChoice.tried[to.Host] = true
-		result, f := c.sendToTarget(ctx, to)
+		tried[to.Host] = true
+		result, f := c.sendToTarget(ctx, to, tried)
 		switch result {
 		case sendCompleted, sendAbandoned:
 			c.finish(ctx, result)
@@ -153,12 +147,10 @@
 		case sendFailed:
 			c.finishFailedRelay(ctx, f)
 			return
-		case sendReplaced:
-			c.relayed.lost = true
 		case sendLost:
 			c.relayed.lost = true
-			if !c.route.MayRepeat() || c.sends() >= c.route.Attempts || !c.s.takeRetry(c.service.Name) {
-				c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, RetryAfter: backoffLost})
+			if denied := c.relayDenied(); denied != "" {
+				c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: denied, RetryAfter: backoffLost})
 				return
 			}
 		}
@@ -166,47 +158,17 @@
 	c.giveUp(ctx, sched.Decision{Verdict: sched.Refuse, Reason: reasonCutOff, RetryAfter: retryAfter})
 }
 
-// nextTarget returns the host to which the request is relayed next, and false if there is none.
-func (c *call) nextTarget() (RelayTarget, bool) {
-	if to := c.relayChoice.next; to != nil {
-		c.relayChoice.next = nil
-		return *to, true
+// relayDenied returns why a request is not relayed again after a host sent no complete response, or an empty reason if it may be.
+func (c *call) relayDenied() sched.Reason {
+	switch {
+	case !c.route.MayRepeat():
+		return reasonNotRepeatable
+	case c.sends() >= c.route.Attempts:
+		return reasonAttempts
+	case !c.relayed.granted && !c.s.takeRetry(c.service.Name):
+		return reasonRetryBudget
 	}
-	return pickTarget(c.s.relayTargets(), c.relayChoice.tried, rand.Float64())
-}
-
-// replaceRelay ends a relayed send whose host is silent, once a connection to another host is open and the retry is charged. It tries
-// until tries ends.
-func (c *call) replaceRelay(ctx, tries context.Context, conn *upstream.Conn) bool {
-	t := time.NewTimer(hedgeInterval)
-	defer t.Stop()
-	for !c.secureTarget(ctx) {
-		t.Reset(hedgeInterval)
-		select {
-		case <-t.C:
-		case <-tries.Done():
-			return false
-		}
-	}
-	conn.Close()
-	return true
-}
-
-// secureTarget opens a connection to another host and charges the retry. It returns false if one of them fails.
-func (c *call) secureTarget(ctx context.Context) bool {
-	if !c.route.MayRepeat() || c.sends() >= c.route.Attempts {
-		return false
-	}
-	to, ok := pickTarget(c.s.relayTargets(), c.relayChoice.tried, rand.Float64())
-	if !ok || !c.s.takeRetry(c.service.Name) {
-		return false
-	}
-	if err := c.s.relayPool.Warm(ctx, to.Front); err != nil || ctx.Err() != nil {
-		c.s.returnRetry(c.service.Name)
-		return false
-	}
-	c.relayChoice.next = &to
-	return true
+	return ""
 }
 
 // concernsRequest reports whether a refusal of another host holds at any host. A key or route that this host knows and the other does
@@ -231,8 +193,9 @@
 // reasonCutOff is the reason of a refusal by a host that reaches no endpoint, while no other host takes the request.
 const reasonCutOff sched.Reason = "this host reaches no endpoint, and other hosts did not take the request"
 
-// sendToTarget sends the request to another host and forwards its response. A response that the other host made itself is returned.
-func (c *call) sendToTarget(ctx context.Context, to RelayTarget) (sendOutcome, refusal) {
+// sendToTarget sends the request to another host and forwards its response. A response that the other host made itself is returned. tried
+// are the hosts to which it may not go afterwards.
+func (c *call) sendToTarget(ctx context.Context, to RelayTarget, tried map[string]bool) (sendOutcome, refusal) {
 	conn, _, err := c.s.relayPool.Get(ctx, to.Front)
 	if err != nil {
 		return sendUnsent, refusal{}
@@ -250,26 +213,31 @@
 	c.s.Count.Relayed.Add(1)
 	c.timings.lastSent = c.s.Now()
 	x := &exchange{conn: conn, sentAt: c.timings.lastSent, stopCancel: context.AfterFunc(ctx, conn.Close)}
-	x.silence.limit, x.silence.ctx = relaySilenceFactor*c.silenceTimeout(), ctx
-	x.silence.replace = func(hedgeCtx, tries context.Context) bool { return c.replaceRelay(hedgeCtx, tries, conn) }
+	watch := relayWatch{
+		conn: conn, limit: relaySilenceFactor * c.silenceTimeout(), now: c.s.Now, gaps: c.s.Watch,
+		mayEnd: func() bool { return c.mayEndRelay(to, tried) },
+	}
+	watch.start()
 	result, f := c.relayRoundTrip(ctx, x, header)
+	c.lost, c.relayed.granted = lostSend{}, watch.stop()
+	if c.relayed.granted {
+		c.lost.silence = watch.limit
+	}
 	c.noteExceeded(conn)
 	result = settle(conn, result, !x.stopCancel())
-	if result == sendLost || result == sendReplaced {
-		c.noteRelayLost(x, result)
+	if result == sendLost {
+		c.noteRelayLost()
 	}
 	return result, f
 }
 
 // noteRelayLost counts and logs a relayed send without a complete response.
-func (c *call) noteRelayLost(x *exchange, result sendOutcome) {
+func (c *call) noteRelayLost() {
 	c.tracker.MarkLost()
 	c.s.Count.RelaysLost.Add(1)
 	why := "the host to which it was relayed did not send a complete response"
-	c.lost = lostSend{}
-	if result == sendReplaced {
-		c.lost.silence = x.silence.limit
-		why = "the host to which it was relayed was silent, and another one takes over"
+	if c.relayed.granted {
+		why = "the host to which it was relayed was silent and not heard of, and another one takes over"
 	}
 	c.logOutcome(outcome.SendLost, 0, why, 0)
 }
@@ -294,12 +262,7 @@
 
 // relayRoundTrip sends the request on a connection to another host and forwards the response.
 func (c *call) relayRoundTrip(ctx context.Context, x *exchange, header http.Header) (sendOutcome, refusal) {
-	x.silence.arm()
-	err := c.request(x, header)
-	if x.silence.settle(err) {
-		return sendReplaced, refusal{}
-	}
-	if err != nil {
+	if err := c.request(x, header); err != nil {
 		return sendLost, refusal{}
 	}
 	resp := x.resp
@@ -315,7 +278,7 @@
 		resp.Header.Del(relayLeavingHeader)
 		c.noteLeaving(incarnation)
 	}
-	result, _ := c.forwardResponse(ctx, x)
+	result, _ := c.forwardResponse(ctx, x) // relayWatch has the limit on silence
 	return result, refusal{}
 }
 
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -67,7 +67,6 @@
 	savedResponse *response // a 5xx response to forward if no retry succeeds
 	stream        stream
 	relayed       relayState
-	relayChoice   relayChoice
 	replacement   *replacement // took over, and is not in use yet
 }
 
