internal/site: TestEndpointRestarts restarts the endpoint that runs the request

Cause: a fault of the test. It restarted the first endpoint with any request in flight. The stand-in counts a run as in flight until it has written the answer and its goroutine has run on; the caller may have the answer before. So the endpoint of the request that startWithLongTimeouts waits for, answered a moment ago, could be taken, while the request under test hung at the other endpoint, which did not restart. The routes of this test have timeouts and objectives of an hour, so the host rightly waited, and the test's caller gave up after 30 s. No host lost a request: it is no instance of LOST.

Mend: the endpoint is found by the ID of the request.

--- a/internal/site/again_test.go
+++ b/internal/site/again_test.go
@@ -5,6 +5,7 @@
 package site
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -15,54 +16,75 @@
 // TestEndpointRestarts checks what happens to a request that hangs at an endpoint when the endpoint
 // restarts under its name and the connection is not closed. The host must not wait for the former
 // incarnation: it repeats the request elsewhere if that is allowed, and otherwise tells the caller
-// at once that it may have run.
+// at once that it may have run. A request at another endpoint goes on.
+//
+// The endpoint to restart is the one that runs the request, not any that is at work: the caller has an
+// answer before its endpoint has noted the end of the run, and a request at an endpoint that does not
+// restart is waited for, here for longer than the caller of the test waits.
 func TestEndpointRestarts(t *testing.T) {
 	cases := []struct {
 		name, path string
+		stream     bool
 		fault      Fault
 		status     int
 		runs       int // of the request, at all endpoints
 	}{
-		{"a stream that may go on elsewhere, nothing came", "/review/a", Hang, 200, 2},
-		{"a stream that may go on elsewhere, some events came", "/review/a", HangEvent, 200, 2},
-		{"a stream that may not go on elsewhere, nothing came", "/draft/a", Hang, 502, 1},
-		{"a plain request that may be repeated", "/ask/a", Hang, 200, 2},
-		{"a plain request that may not be repeated", "/push/a", Hang, 502, 1},
+		{"a stream that may go on elsewhere, nothing came", "/review/a", true, Hang, 200, 2},
+		{"a stream that may go on elsewhere, some events came", "/review/a", true, HangEvent, 200, 2},
+		{"a stream that may not go on elsewhere, nothing came", "/draft/a", true, Hang, 502, 1},
+		{"a plain request that may be repeated", "/ask/a", false, Hang, 200, 2},
+		{"a plain request that may not be repeated", "/push/a", false, Hang, 502, 1},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			s, h := startWithLongTimeouts(t)
+			events := s.engines[0].Events
+			service, other := Engines, "/push/a"
+			if !tc.stream {
+				service, other = Plain, "/draft/a"
+			}
+			s.setFaults(Hang, 1)
+			go Do(h.Boot.Front, Call{Path: other, Key: "new-key", ID: "other", Body: "b", Tokens: "10,30"})
+			s.awaitRunning(t, "other")
 			s.setFaults(tc.fault, 1)
 			answer := make(chan Answer, 1)
 			go func() {
 				answer <- Do(h.Boot.Front, Call{Path: tc.path, Key: "new-key", ID: "again", Body: "b", Tokens: "10,30"})
 			}()
-			isWorking := func(e *Endpoint) bool { return e.InFlight() > 0 }
-			s.await(t, "it runs", func() bool { return s.findEndpoint(isWorking) != nil })
-			e := s.findEndpoint(isWorking)
+			e := s.awaitRunning(t, "again")
 			e.StartedMS = 1_800_000_000_000
-			service := Engines
-			if e.Events == 0 {
-				service = Plain
-			}
 			s.PutEntry(service, e, "ready")
 			a := <-answer
 			must.EqOp(t, tc.status, a.Status)
-			if tc.status == 200 && service == Engines {
-				must.EqOp(t, StreamBody(e.Events), a.Body)
+			if tc.status == 200 && tc.stream {
+				must.EqOp(t, StreamBody(events), a.Body)
 			}
 			must.EqOp(t, tc.runs, s.countRuns("again"))
 			requests, _ := s.readCounters(t, h)
 			must.EqOp(t, 1, requests["LifeOver"])
+			must.NotNil(t, s.findRunning("other"))
+			must.EqOp(t, 1, s.countRuns("other"))
 		})
 	}
 }
 
-// findEndpoint returns the first endpoint for which ok returns true, or nil.
-func (s *testSite) findEndpoint(ok func(*Endpoint) bool) *Endpoint {
+// awaitRunning waits until an endpoint works on a request, and returns that endpoint.
+func (s *testSite) awaitRunning(t *testing.T, id string) *Endpoint {
+	t.Helper()
+	var e *Endpoint
+	s.await(t, "request "+id+" runs", func() bool {
+		e = s.findRunning(id)
+		return e != nil
+	})
+	return e
+}
+
+// findRunning returns an endpoint that works on a request, or nil.
+func (s *testSite) findRunning(id string) *Endpoint {
+	isRun := func(r Run) bool { return r.AttemptID == id && r.EndedAt.IsZero() }
 	for i := range 2 {
 		for _, e := range []*Endpoint{s.plain[i], s.engines[i]} {
-			if ok(e) {
+			if slices.ContainsFunc(e.Runs(), isRun) {
 				return e
 			}
 		}
