internal/site: a run of the stand-in ends before its caller has the whole answer

The stand-in noted the end of a run after it had written the answer, so that a caller could have the answer of a run that still counted as in flight.

Now the end is noted before the last bytes of a complete answer are written.

--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -78,7 +78,8 @@
 	// LastEvent is the number of the last event that the sender has, or 0.
 	LastEvent int
 	// ReceivedAt is the time of receipt. EndedAt is the time at which the endpoint stopped working
-	// on the request, zero while it works on it.
+	// on the request, zero while it works on it. A run that is answered completely ends before the
+	// caller has the whole answer.
 	ReceivedAt, EndedAt time.Time
 }
 
@@ -267,21 +268,11 @@
 		return true
 	}
 	lastEvent, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	e.mu.Lock()
-	if e.crashed {
-		e.mu.Unlock()
+	end, ok := e.beginRun(Run{AttemptID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, LastEvent: lastEvent, ReceivedAt: time.Now()})
+	if !ok {
 		return false
 	}
-	index := len(e.runs)
-	e.runs = append(e.runs, Run{AttemptID: id, Method: r.Method, URI: r.RequestURI, Body: body, Header: r.Header, LastEvent: lastEvent, ReceivedAt: time.Now()})
-	e.inFlight++
-	e.mu.Unlock()
-	defer func() {
-		e.mu.Lock()
-		e.inFlight--
-		e.runs[index].EndedAt = time.Now()
-		e.mu.Unlock()
-	}()
+	defer end()
 	if e.crashesOn(r, body) && e.AnswersBeforeCrash {
 		time.AfterFunc(e.CrashDelay, func() { e.Crash() })
 	} else if e.crashesOn(r, body) {
@@ -308,9 +299,28 @@
 		return false
 	}
 	if e.Events > 0 && f != Error {
-		return e.answerStream(c, id, f, lastEvent)
+		return e.answerStream(c, id, f, lastEvent, end)
 	}
-	return e.answerPlain(c, id, f, body)
+	return e.answerPlain(c, id, f, body, end)
+}
+
+// beginRun records a request, and returns the function that records its end, whose later calls have no
+// effect. It returns false if the endpoint has crashed.
+func (e *Endpoint) beginRun(r Run) (end func(), ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.crashed {
+		return nil, false
+	}
+	index := len(e.runs)
+	e.runs = append(e.runs, r)
+	e.inFlight++
+	return sync.OnceFunc(func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.inFlight--
+		e.runs[index].EndedAt = time.Now()
+	}), true
 }
 
 // resetConn closes a connection with a TCP reset.
@@ -332,8 +342,9 @@
 	return h
 }
 
-// answerPlain sends an answer whose body names the request.
-func (e *Endpoint) answerPlain(c net.Conn, id string, f Fault, body string) bool {
+// answerPlain sends an answer whose body names the request. It calls end before it writes a complete
+// answer, so that no caller has the answer of a run that has not ended.
+func (e *Endpoint) answerPlain(c net.Conn, id string, f Fault, body string, end func()) bool {
 	status := "200 OK"
 	if f == Error {
 		status = "500 Internal Server Error"
@@ -342,6 +353,7 @@
 	head := e.responseHead(id, f, status)
 	switch f {
 	case Unframed:
+		end()
 		fmt.Fprint(c, head+"\r\n"+text)
 		return false
 	case EndlessBody:
@@ -359,6 +371,7 @@
 		fmt.Fprint(c, head+text[:3])
 		return false
 	}
+	end()
 	fmt.Fprint(c, head+text)
 	if f == ExtraAnswer {
 		fmt.Fprint(c, head+text)
@@ -369,8 +382,8 @@
 // EventText returns the text of event n of a stream.
 func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
 
-// answerStream sends the events after lastEvent.
-func (e *Endpoint) answerStream(c net.Conn, id string, f Fault, lastEvent int) bool {
+// answerStream sends the events after lastEvent. It calls end before it writes the end of the stream.
+func (e *Endpoint) answerStream(c net.Conn, id string, f Fault, lastEvent int, end func()) bool {
 	fmt.Fprint(c, e.responseHead(id, f, "200 OK")+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
 	chunk := func(s string) error {
 		_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s)
@@ -403,6 +416,7 @@
 		sendEndlessFill(c)
 		return false
 	}
+	end()
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil && f != Closing
 }
