edge: an answer that leaves out the known configuration is not refused as an invalid one

What was seen: the users' logs have "configuration refused", "configuration is no JSON ..." at several hosts, revisions 44 to 46, although valid documents were written.

Cause: a host that fetches the settings from another one names the configuration that it has; if the other has the same, it leaves the document out of its answer (value omitted). The host then offered the empty value as a document of that revision. It is read as JSON, fails with "unexpected end of JSON input", and is logged and counted (settings_refused) as a refused configuration. This happens whenever a host reads a new document from the store, or from a third host, between the heartbeat that told of it and its fetch, so with most changes. The configuration in force stays, and the orders and the proof of age of the same answer are used: only the log and the counter were false, and sent operators to look for an error in a document that has none.

Now a document that was left out is not offered.

Test: TestValidSettingsNotRefused, 40 valid changes on simulated time, whole hosts.

--- a/edge/settings_test.go
+++ b/edge/settings_test.go
@@ -8,11 +8,14 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/internal/simsite"
@@ -78,3 +81,50 @@
 		})
 	}
 }
+
+// TestValidSettingsNotRefused changes the configuration again and again, by valid documents. No host may
+// log or count one as refused, by whichever way it learned of it: operators would look for an error in
+// the document. Hosts did so when they had read a document from the store while they asked another host
+// for the same one, which then leaves it out of its answer.
+func TestValidSettingsNotRefused(t *testing.T) {
+	const changes = 40
+	cases := []struct {
+		name  string
+		boot  platform.Boot
+		hosts int
+	}{
+		{"few hosts", smallBoot, 6},
+		{"many hosts", largeBoot, 78},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var applied, refused atomic.Int64
+				log := funcr.New(func(_, line string) {
+					switch {
+					case strings.Contains(line, "configuration in force"):
+						applied.Add(1)
+					case strings.Contains(line, "configuration refused"):
+						if refused.Add(1) == 1 {
+							t.Log(line)
+						}
+					}
+				}, funcr.Options{})
+				s := &simsite.Site{Boot: tc.boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: log}
+				defer s.Stop()
+				must.NoError(t, s.Start(site.Example(), 6, tc.hosts))
+				time.Sleep(6 * time.Second)
+				before := applied.Load()
+				for i := range changes {
+					c := site.Example()
+					c.Version += 1 + i
+					s.Store.Put(platform.KeyConfig, c)
+					time.Sleep(time.Duration(100+70*(i%20)) * time.Millisecond)
+				}
+				time.Sleep(6 * time.Second)
+				must.Greater(t, int64(changes), applied.Load()-before)
+				must.Zero(t, refused.Load())
+			})
+		})
+	}
+}
--- a/edge/share.go
+++ b/edge/share.go
@@ -183,7 +183,9 @@
 		path += "?" + knownConfig + "=" + configName(src)
 	}
 	if h.fetchJSON(ctx, p.Control, path, &b) {
-		h.settings.Offer(b.Value, b.Revision)
+		if len(b.Value) > 0 { // otherwise left out, since this host had that configuration when it asked
+			h.settings.Offer(b.Value, b.Revision)
+		}
 		h.settings.OfferOrders(b.Orders)
 		// A peer that has restarted may send older settings than it had proven.
 		h.settings.ReceiveProof(p.Settings.Revision, int64(p.Settings.Sum), p.Settings.At)
