ingress, places: a host keeps a limit on rejections at once that others keep already

Cause: a limit on rejections comes into force half of the contact time (1.5 s) after a host first hears of it, since an endpoint keeps its room for the contact time after its first statement. A host that starts later counted that time from its own start. With more than 3 in a second an endpoint crashes.

Ruled out: requests to hosts that are down (both run again at once), and load of the machine (the test runs on simulated time).

Change: a report of a limit on rejections says whether its sender keeps it; the receiver then keeps it at once. This holds for hosts that start, and for those that were suspended for longer than a statement lasts.

An endpoint that crashed gets no requests for up to 8 s after its return.

--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -157,18 +157,21 @@
 		return limitsInForce{}, false
 	}
 	t.ownStated.merge(stated)
-	changed := b.mergeLimits(t, stated)
+	changed := b.mergeLimits(t, stated, b.rejectLimitDelay)
 	return t.inForce, changed
 }
 
-// mergeLimits adds statements and reports whether the limits in force changed; mu must be held.
-func (b *balancer) mergeLimits(t *target, stated *statedLimits) bool {
+// mergeLimits adds statements and reports whether the limits in force changed. A limit on rejections comes into force after
+// rejectLimitDelay at the latest. mu must be held.
+func (b *balancer) mergeLimits(t *target, stated *statedLimits, rejectLimitDelay time.Duration) bool {
 	t.stated.merge(stated)
 	if t.stated.known() {
 		b.stating[t.Incarnation()] = t
 		b.anyStating.Store(true)
 	}
-	if !t.applyLimits(b.now(), b.rejectLimitDelay) {
+	now := b.now()
+	t.rejectLimitedAt = min(t.rejectLimitedAt, now+rejectLimitDelay)
+	if !t.applyLimits(now, rejectLimitDelay) {
 		return false
 	}
 	b.applyLimits()
@@ -289,6 +292,9 @@
 			stated = &t.stated
 		}
 		r := places.LimitReports{Rate: stated.rate.Report(now), Rejects: stated.rejects.Report(now)}
+		if r.Rejects != nil {
+			r.Rejects.InForce = t.inForce.rejectLimited
+		}
 		if r.Rate != nil || r.Rejects != nil {
 			out[incarnation] = r
 		}
@@ -303,9 +309,15 @@
 	defer b.mu.Unlock()
 	now := b.now()
 	for incarnation, r := range reports {
-		if t := b.targets[incarnation]; t != nil {
-			b.mergeLimits(t, &statedLimits{rate: r.Rate.Stated(now), rejects: r.Rejects.Stated(now)})
+		t := b.targets[incarnation]
+		if t == nil {
+			continue
+		}
+		delay := b.rejectLimitDelay
+		if r.Rejects != nil && r.Rejects.InForce {
+			delay = 0 // the endpoint first stated the limit long ago, before this host started or while it was suspended
 		}
+		b.mergeLimits(t, &statedLimits{rate: r.Rate.Stated(now), rejects: r.Rejects.Stated(now)}, delay)
 	}
 }
 
--- a/places/limit.go
+++ b/places/limit.go
@@ -67,6 +67,8 @@
 	// After and Before are the ages of its limits in time.
 	After  int64 `json:"a"`
 	Before int64 `json:"b"`
+	// InForce says that the reporting host keeps the limit already.
+	InForce bool `json:"f,omitempty"`
 }
 
 // reportedFor is the time for which hosts report a statement: long enough for some heartbeats to be lost.
