sched: hosts ask for a slot to probe an ejected endpoint that takes requests with grants only

What callers saw: an endpoint that limits rejections and had crashed for 4 s got no requests for up to 8 s more. A run of TestRejectLimits in which one crashed after 11 s of 20 stayed at 5 of 6 parts of the capacity to its end (95 to 99 requests a second; 113 to 118 before).

Cause: hosts ask owners for slots of healthy endpoints only, and a half-open one is not healthy. Where each request needs a grant, the owner alone could probe the endpoint, with the slot that it holds for itself, and each failed probe doubles its ejection time.

Ruled out: the pause after a rejection (1 s), and slots that stay granted: the endpoint takes requests as soon as the owner's probe succeeds.

Change: hosts that may probe a half-open endpoint of this kind ask its owner for a slot, with the same chance as for any probe. Other endpoints are asked for as before.

Non-repeatable requests may still probe only 2 s after the ejection.

--- a/sched/grant.go
+++ b/sched/grant.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/places"
 )
 
@@ -137,7 +138,7 @@
 	list := s.askOrder[:0]
 	for _, e := range p.members {
 		zoneCost, ok := zones.cost(e)
-		if ok && ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now)) {
+		if ok && ask(e) && p.usable(now, e) && (p.panicMode || e.health.Healthy(now) || s.mayAskToProbe(now, e)) {
 			load := s.load(now, e)/float64(e.slots()) + jitter*s.Rand.Float64() + zoneCost + s.slowLoad(now, e)
 			if now-e.requestedAt <= requestedFor && e.requestedAt > 0 {
 				load = math.Inf(-1)
@@ -157,6 +158,16 @@
 	return out
 }
 
+// mayAskToProbe reports whether the owner of a half-open endpoint is asked for a slot. Where each request needs a grant, no host but
+// the owner could probe the endpoint otherwise, and it would get no requests until the owner's own probe succeeded.
+func (s *Scheduler) mayAskToProbe(now time.Duration, e *endpointState) bool {
+	if !e.grantsOnly() || e.health.State(now) != outlier.HalfOpen {
+		return false
+	}
+	ok, _ := e.health.Admits(now, true)
+	return ok && s.Rand.Float64()*float64(s.SharingHosts) < maxProbers
+}
+
 // ApplyGrant applies an answer of the owner of an endpoint's slots. It reports whether a granted
 // slot is useful; if not, it is to be returned.
 func (s *Scheduler) ApplyGrant(now time.Duration, name string, g places.Grant) bool {
--- a/sched/grant_test.go
+++ b/sched/grant_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/heathkeel/heathkeel/outlier"
 	"github.com/heathkeel/heathkeel/places"
 	"github.com/heathkeel/heathkeel/settings"
 )
@@ -99,3 +100,39 @@
 	s.ApplyReport(ownerReportTTL+2, "e0", Report{At: ownerReportTTL + 2, Slots: 7, Running: 7, Model: "m", AcceptsPrompts: true, Estimated: true})
 	must.EqOp(t, 7, e.others)
 }
+
+// TestProbeWithGrant checks that a host asks the owner of an endpoint that takes requests with grants only for a slot to probe it after
+// its ejection, once at a time. It guards against an endpoint that gets no requests until its owner's own probe has succeeded.
+func TestProbeWithGrant(t *testing.T) {
+	const ms, halfOpen = time.Millisecond, 2 * time.Second
+	s, request := scarceHost(t, 2)
+	s.SharingHosts = maxProbers // each host probes
+	for _, e := range s.endpoints {
+		e.RejectLimited = true
+		s.ApplyReport(0, e.Name, Report{Slots: 7, Step: 5 * ms, Model: "m", AcceptsPrompts: true, Estimated: true})
+	}
+	ejected := s.byName["e0"]
+	ejected.health.Fail(0, 0, outlier.Unreachable, 0)
+	wait := func(now time.Duration) *Request {
+		r := request(now)
+		r.Settings.Repeatable = true
+		must.EqOp(t, Wait, s.Submit(now, r).Verdict)
+		return r
+	}
+	r := wait(0)
+	must.MapNotContainsKey(t, s.SlotRequests(0, true), "e0")
+	must.True(t, s.Withdraw(r))
+
+	r = wait(halfOpen)
+	must.EqOp(t, outlier.HalfOpen, ejected.health.State(halfOpen))
+	must.MapContainsKey(t, s.SlotRequests(halfOpen, true), "e0")
+	must.True(t, s.ApplyGrant(halfOpen+ms, "e0", places.Grant{Slots: 1}))
+	decisions := s.Poll(halfOpen + ms)
+	must.SliceLen(t, 1, decisions)
+	must.EqOp(t, "e0", decisions[0].Endpoint)
+
+	wait(halfOpen + 2*ms)
+	must.MapNotContainsKey(t, s.SlotRequests(halfOpen+2*ms, true), "e0") // the probe is in flight
+	s.Done(halfOpen+3*ms, r, Completed, 0)
+	must.MapContainsKey(t, s.SlotRequests(halfOpen+3*ms, true), "e0")
+}
