ingress, places: an owner that has not heard of an endpoint's limit grants no slots to hosts that keep it

What callers saw: rejections of their requests in the first 40 ms after a host that owns slots starts again; with more than three in a second the endpoint crashes. No crash of this kind was seen.

Cause: the others ask the restarted host for slots before the first report of a limit reaches it (10 to 25 ms after the restart). It took the endpoint for one without limits, and granted slots from a count of zero while up to ten requests ran there.

Change: a request to an owner says that the host needs a grant; an owner that has never heard of a limit of that endpoint does not answer it. One that knows of a lifted limit grants as before, so that lifting takes no longer.

--- a/ingress/limits_test.go
+++ b/ingress/limits_test.go
@@ -64,3 +64,23 @@
 		})
 	}
 }
+
+// TestOwnerWithoutStatements checks that a host which has not heard of an endpoint's limit grants no slots to one that keeps it. It
+// guards against an owner that has just started and grants slots that are taken.
+func TestOwnerWithoutStatements(t *testing.T) {
+	b, now := newBalancerWithEngines(1)
+	s := &Server{balance: b, Host: "x"}
+	s.SetOwners([]places.Candidate{{Host: "x", Zone: "z"}}, 1)
+	ask := func(seq uint32, needsGrant bool) int {
+		return s.HandleSlotRequests("y", 1, seq, map[string]places.Request{"e0": {Rank: 0, NeedsGrant: needsGrant}})["y"]["e0"].Slots
+	}
+	must.EqOp(t, 0, ask(1, true))
+	s.MergeLimits(map[string]places.LimitReports{"e0": {Rejects: &places.LimitReport{Limited: true, Value: 3, InForce: true}}})
+	must.EqOp(t, 0, ask(2, true))
+	*now += ownerDelay
+	must.EqOp(t, 1, ask(3, true))
+
+	unlimited, _ := newBalancerWithEngines(1)
+	s = &Server{balance: unlimited, Host: "x"}
+	must.EqOp(t, 1, ask(1, false))
+}
--- a/ingress/places.go
+++ b/ingress/places.go
@@ -59,7 +59,7 @@
 		if grantsOnly && !t.inForce.any() {
 			continue
 		}
-		request := places.Request{Running: b.sched.InFlight(incarnation), Rank: -1, Returned: b.slots.returned[incarnation], Rejected: t.rejected}
+		request := places.Request{Running: b.sched.InFlight(incarnation), Rank: -1, Returned: b.slots.returned[incarnation], Rejected: t.rejected, NeedsGrant: t.inForce.grantsOnly()}
 		rank, wanted := ranks[incarnation]
 		if wanted {
 			request.Rank, request.Wants = rank, b.sched.Wants(incarnation)
@@ -106,6 +106,9 @@
 		if t.inForce.grantsOnly() && !t.mayGrant(now) {
 			continue // the sender may take this host for the owner, and this host another one
 		}
+		if request.NeedsGrant && !t.stated.known() {
+			continue // this host has just started: it knows neither the limit nor what other hosts have running there
+		}
 		slow := b.sched.Slowdown(now, incarnation)
 		for _, x := range allocator.AllocateShares(now, b.sched.TierLimit(now, incarnation), b.slots.rand) {
 			s.Count.SlotsGranted.Add(1)
--- a/places/book.go
+++ b/places/book.go
@@ -34,6 +34,8 @@
 	Returned bool `json:"b,omitempty"`
 	// Rejected says that an endpoint that crashes when it has to reject requests rejected one of the host.
 	Rejected bool `json:"f,omitempty"`
+	// NeedsGrant says that the endpoint stated a limit for which the host sends no request there without a grant.
+	NeedsGrant bool `json:"n,omitempty"`
 	// Wants says for which workspaces it wants the slot. Without them, a request counts as one of workspace "" and of Rank.
 	Wants Wants `json:"w,omitzero"`
 	// Stated is the latest load that the endpoint stated to the host since its last message, nil for none.
