--- a/edge/cutoff_test.go
+++ b/edge/cutoff_test.go
@@ -13,6 +13,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/shoenig/test/must"
 
 	"github.com/heathkeel/heathkeel/internal/simnet"
@@ -214,3 +215,39 @@
 		e.StateRate(-1)
 	}
 }
+
+// TestStreamsOfHostsWithoutEndpointsGoOn checks that streams which run at a host when it loses its paths to all endpoints go on by other
+// hosts, although their own connections only fall silent.
+func TestStreamsOfHostsWithoutEndpointsGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		boot := smallBoot
+		boot.RetrySlack, boot.RetryRatio = 600, 1
+		s := &simsite.Site{Boot: boot, Zones: 3, StrongPerZone: 2, Latency: time.Millisecond, Log: logr.Discard()}
+		defer s.Stop()
+		must.NoError(t, s.Start(shortObjectives(), 0, 6))
+		for range 6 {
+			must.NoError(t, s.AddEngine("v1", simsite.Streams{Events: 60, Pace: 50 * time.Millisecond}))
+		}
+		time.Sleep(4 * time.Second)
+		const streams = 24
+		whole := 0
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for n := range streams {
+			wg.Go(func() {
+				a := s.SendStream(s.Hosts[0], simsite.StreamCall{ID: fmt.Sprint("stream-", n)})
+				mu.Lock()
+				defer mu.Unlock()
+				if a.Complete {
+					whole++
+				}
+			})
+			time.Sleep(40 * time.Millisecond)
+		}
+		s.Hosts[0].CutOffEndpoints(simnet.Silent)
+		wg.Wait()
+		s.Hosts[0].Heal()
+		time.Sleep(5 * time.Second)
+		must.EqOp(t, streams, whole)
+	})
+}
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -47,40 +47,40 @@
 	return d
 }
 
-// submitHedge asks for a second slot for a request, at an endpoint that has not been silent for d. It refuses if the silence seems to have a
-// common cause.
-func (b *balancer) submitHedge(c *call, first *sched.Request, d time.Duration) sched.Decision {
+// submitHedge asks for a second slot for a request, at an endpoint that has not been silent for d and was not tried. It refuses if no
+// endpoint has a slot now, and if the silence seems to have a common cause and the request may wait.
+func (b *balancer) submitHedge(c *call, first *sched.Request, d time.Duration, mayWait bool) sched.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
 	silent, common := b.silentEndpoints(now, c.service.Name, d)
-	if common {
+	if common && mayWait {
 		return sched.Decision{Verdict: sched.Refuse}
 	}
+	for _, incarnation := range c.hedges.tried {
+		silent[incarnation] = true
+	}
 	c.req.Settings, c.req.HomeOnly, c.req.Version, c.req.Avoid = first.Settings, first.HomeOnly, c.stream.version, silent
 	c.req.Model = b.pickPool(now, c)
 	b.holdGrants(now)
 	decision := b.sched.Hedge(now, c.req, first)
 	b.noteDispatch(decision)
-	if decision.Verdict == sched.Wait {
-		b.requestSlots()
-	}
 	b.poll(now)
 	return decision
 }
 
 // silentEndpoints returns the endpoints of a service at which requests of this host run, and which have sent nothing for d; mu must be held.
-// common says that requests run at half of the service's endpoints or more, and that none of them sends anything: another endpoint would
-// not answer sooner.
+// common says that requests run at several and at more than are idle, and that none of them sends anything: another endpoint would
+// probably not answer sooner.
 func (b *balancer) silentEndpoints(now time.Duration, service string, d time.Duration) (silent map[string]bool, common bool) {
 	silent = make(map[string]bool)
-	all, busy, speaking := 0, 0, 0
+	idle, busy, speaking := 0, 0, 0
 	for incarnation, t := range b.targets {
-		if t.Service != service {
+		if t.Service != service || !b.getsRequests(t) {
 			continue
 		}
-		all++
 		if t.ownLoad.Running == 0 {
+			idle++
 			continue
 		}
 		busy++
@@ -91,7 +91,7 @@
 			silent[incarnation] = true
 		}
 	}
-	return silent, speaking == 0 && len(silent) > 1 && 2*busy >= all
+	return silent, speaking == 0 && busy > 1 && idle < busy
 }
 
 // noteFailure tells the scheduler that an endpoint failed a send.
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -9,7 +9,7 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
+	"math/rand/v2"
 	"time"
 
 	"github.com/heathkeel/heathkeel/attempt"
@@ -21,8 +21,13 @@
 // Whichever sends something first goes on, and the other send is ended: silence does not show that an endpoint has failed, and the retry
 // budget, the scheduler or the other endpoint may refuse the request.
 
-// hedgeInterval is the time between two tries to send a request to another endpoint while its own is silent.
-const hedgeInterval = 200 * time.Millisecond
+const (
+	// hedgeInterval is the time between two tries to send a request to another endpoint while its own is silent.
+	hedgeInterval = 200 * time.Millisecond
+	// commonSilenceShare is the time for which a hedge waits because all endpoints are silent, as a share of the silence limit. Silent
+	// connections look the same, and there a hedge on a new connection is answered.
+	commonSilenceShare = 0.5
+)
 
 // replacement is a send that takes over from one whose endpoint is silent.
 type replacement struct {
@@ -30,19 +35,34 @@
 	exchange *exchange
 }
 
+// hedges are the hedges of a call that did not take over.
+type hedges struct {
+	failures failures
+	tried    []string // incarnations of their endpoints
+}
+
 // watchSilence makes a replacement begin when the endpoint of a send is silent for too long.
 func (c *call) watchSilence(ctx context.Context, x *exchange) {
 	x.silence.limit, x.silence.ctx = c.silenceTimeout(), ctx
 	x.silence.replace = func(hedgeCtx, tries context.Context) bool { return c.replace(ctx, hedgeCtx, tries, x) }
 }
 
-// replace tries to replace a send until that succeeds, the request may not be sent again, or tries ends. It ends the replaced send.
+// replace tries to replace a send until that succeeds, the request may not be sent again, or tries ends. It ends the replaced send. A host
+// that reaches no endpoint takes the retry and a connection to another host instead.
 func (c *call) replace(ctx, hedgeCtx, tries context.Context, x *exchange) bool {
 	c.s.pool.CloseStale(x.conn)
+	begun := c.s.Now()
 	t := time.NewTimer(hedgeInterval)
 	defer t.Stop()
-	for c.sends() < c.route.Attempts {
-		if c.replacement = c.tryHedge(ctx, hedgeCtx, x.silence.limit); c.replacement != nil {
+	for c.mayHedge() {
+		cutOff := c.s.CutOff()
+		switch {
+		case cutOff:
+			c.retryCharged = c.mayRelay() && c.secureRelay(hedgeCtx)
+		default:
+			c.replacement = c.tryHedge(ctx, hedgeCtx, x.silence.limit, c.s.Now()-begun)
+		}
+		if c.replacement != nil || c.retryCharged {
 			x.conn.Close()
 			return true
 		}
@@ -57,10 +77,29 @@
 	return false
 }
 
-// tryHedge hedges the request if that may help and is allowed now. While further attempts are left, the other endpoint has to begin its
-// answer within the time for which the first one was silent.
-func (c *call) tryHedge(ctx, hedgeCtx context.Context, silence time.Duration) *replacement {
-	if c.s.CutOff() || !c.s.takeRetry(c.service.Name) {
+// mayHedge reports whether the request may be sent to another endpoint while the present one may still answer.
+func (c *call) mayHedge() bool {
+	n := &c.hedges.failures
+	return c.sends() < c.route.Attempts && n.dials < maxDials && n.rejects <= maxRejects
+}
+
+// secureRelay takes a retry and opens a connection to a host to which the request may be relayed. It returns false if one of both fails.
+func (c *call) secureRelay(ctx context.Context) bool {
+	to, ok := pickTarget(c.s.relayTargets(), nil, rand.Float64())
+	if !ok || !c.s.takeRetry(c.service.Name) {
+		return false
+	}
+	if err := c.s.relayPool.Warm(ctx, to.Front); err != nil || ctx.Err() != nil {
+		c.s.returnRetry(c.service.Name)
+		return false
+	}
+	return true
+}
+
+// tryHedge hedges the request if that is allowed now and another endpoint may answer sooner. waited is the time since the first try. While
+// further attempts are left, the other endpoint has to begin its answer within the time for which the first one was silent.
+func (c *call) tryHedge(ctx, hedgeCtx context.Context, silence, waited time.Duration) *replacement {
+	if len(c.granted) > 0 || len(c.s.crashes.onTrial(c)) > 0 || !c.s.takeRetry(c.service.Name) {
 		return nil
 	}
 	if c.sends()+1 < c.route.Attempts {
@@ -69,12 +108,14 @@
 		defer cancel()
 	}
 	h := c.fork()
-	d := h.wait(hedgeCtx, c.s.balance.submitHedge(h, c.req, silence/2))
+	mayWait := waited < time.Duration(commonSilenceShare*float64(silence))
+	d := c.s.balance.submitHedge(h, c.req, silence/2, mayWait)
 	if d.Verdict != sched.Run {
 		c.s.returnRetry(c.service.Name)
 		return nil
 	}
 	h.endpoint, h.timings.chosen = c.s.balance.endpoint(d.Endpoint), c.s.Now()
+	c.hedges.tried = append(c.hedges.tried, h.endpoint.Incarnation())
 	// What silenced the connection of the first send may have silenced those that were idle at the time, too.
 	c.s.pool.CloseIdleSince(h.endpoint.Address, c.s.Now()-silence)
 	return c.hedge(ctx, hedgeCtx, h)
@@ -83,24 +124,35 @@
 // hedge sends the request to another endpoint, and returns the send once that endpoint has begun to answer, or nil.
 func (c *call) hedge(ctx, hedgeCtx context.Context, h *call) *replacement {
 	c.s.Count.Hedged.Add(1)
-	x, result, backoff := h.open(hedgeCtx)
-	if x != nil {
-		h.tracker.MarkSent()
-		result, backoff = h.awaitBody(x)
-		if result == sendCompleted && x.stopCancel() {
-			x.stopCancel = context.AfterFunc(ctx, x.conn.Close)
-			return &replacement{h, x}
-		}
-		h.endHedge(hedgeCtx, x, result, backoff)
-	} else {
+	x, _, _ := h.open(hedgeCtx)
+	if x == nil {
+		c.hedges.failures.dials++
 		c.s.returnRetry(c.service.Name)
+		c.endHedge(h)
+		return nil
+	}
+	h.tracker.MarkSent()
+	result, backoff := h.awaitBody(x)
+	if result == sendCompleted && x.stopCancel() {
+		x.stopCancel = context.AfterFunc(ctx, x.conn.Close)
+		return &replacement{h, x}
 	}
+	if result == sendNotExecuted {
+		c.hedges.failures.rejects++
+		c.s.Count.Rejected.Add(1)
+	}
+	h.endHedgedExchange(hedgeCtx, x, result, backoff)
+	c.endHedge(h)
+	return nil
+}
+
+// endHedge gives the slot of a further send back that does not take over, and counts the send.
+func (c *call) endHedge(h *call) {
 	c.s.Count.HedgesDropped.Add(1)
 	c.s.balance.endSend(h, sched.Canceled, 0, 0)
 	if h.tracker.MayHaveRun() {
 		c.tracker.MarkHedged()
 	}
-	return nil
 }
 
 // fork returns a copy of the call for a further send.
@@ -122,10 +174,10 @@
 	}
 	stream := c.route.Kind == route.Stream
 	switch {
-	case x.resp.StatusCode >= http.StatusInternalServerError, stream && !isSuccess(x.resp):
-		return sendFailed, backoffLost
-	case isSuccess(x.resp) && x.resp.Header.Get(c.s.Headers.ResponseStamp) == "":
+	case isSuccess(x.resp) && !c.isUsable(x.resp):
 		return sendLost, backoffLost
+	case !c.isUsable(x.resp):
+		return sendFailed, backoffLost
 	}
 	r := bufio.NewReaderSize(x.resp.Body, eventBuffer)
 	_, err := r.Peek(1)
@@ -143,8 +195,9 @@
 	io.Closer
 }
 
-// endHedge ends a further send that does not take over.
-func (c *call) endHedge(ctx context.Context, x *exchange, result sendOutcome, backoff time.Duration) {
+// endHedgedExchange ends a further send that does not take over. One that was abandoned says nothing about its endpoint, other than one
+// that was silent for too long.
+func (c *call) endHedgedExchange(ctx context.Context, x *exchange, result sendOutcome, backoff time.Duration) {
 	defer x.unregister()
 	uncanceled := x.stopCancel()
 	c.noteExceeded(x.conn)
@@ -153,16 +206,23 @@
 		result = sendAbandoned
 	}
 	result = settle(x.conn, result, !uncanceled)
-	gapSeen := c.s.Watch.GapSince(x.sentAt)
-	if ctx.Err() != nil {
+	silent := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if silent {
+		result = sendLost
+		c.s.pool.CloseStale(x.conn)
+	}
+	if ctx.Err() != nil && !silent {
 		return
 	}
+	gapSeen := c.s.Watch.GapSince(x.sentAt)
 	if !gapSeen {
 		c.s.balance.noteVersion(c, result, c.s.Now()-x.sentAt)
 		c.reportFailure(result, backoff, corrupt)
 	}
 	if result == sendLost {
 		c.s.Count.Lost.Add(1)
+	}
+	if result == sendLost && !silent {
 		c.s.crashes.noteLost(c, gapSeen)
 	}
 }
@@ -170,6 +230,7 @@
 // takeReplacement ends the replaced send and goes on with the one that has taken over.
 func (c *call) takeReplacement(ctx context.Context, x *exchange) *exchange {
 	c.endReplaced(x)
+	c.lost = lostSend{}
 	h, y := c.replacement.call, c.replacement.exchange
 	c.replacement = nil
 	c.endpoint, c.req, c.header, c.granted = h.endpoint, h.req, h.header, h.granted
@@ -187,7 +248,7 @@
 	x.unregister()
 	c.s.Count.MuteAtWork.Add(1)
 	c.s.Count.WorkLostMS.Add((c.s.Now() - x.sentAt).Milliseconds())
-	if !c.s.Watch.GapSince(x.sentAt) {
+	if !x.unusable && !c.s.Watch.GapSince(x.sentAt) {
 		c.s.balance.noteVersion(c, sendLost, c.s.Now()-x.sentAt)
 		c.reportFailure(sendLost, backoffUnreachable, false)
 	}
@@ -203,8 +264,6 @@
 	}
 	h, x := c.replacement.call, c.replacement.exchange
 	c.replacement = nil
-	h.endHedge(ctx, x, sendAbandoned, 0)
-	c.s.balance.endSend(h, sched.Canceled, 0, 0)
-	c.s.Count.HedgesDropped.Add(1)
-	c.tracker.MarkHedged()
+	h.endHedgedExchange(ctx, x, sendAbandoned, 0)
+	c.endHedge(h)
 }
--- a/ingress/lostsend.go
+++ b/ingress/lostsend.go
@@ -53,6 +53,10 @@
 	case c.sends() >= c.route.Attempts+f.rejects:
 		return reasonAttempts
 	}
+	if c.retryCharged {
+		c.retryCharged = false
+		return ""
+	}
 	if !c.s.takeRetry(c.service.Name) {
 		return reasonRetryBudget
 	}
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -43,17 +43,18 @@
 // request can be retried if it breaks off.
 func (c *call) forwardPlain(x *exchange) (sendOutcome, time.Duration) {
 	resp, sent := x.resp, x.sentAt
-	x.silence.arm()
-	body, whole, err := c.readBuffered(resp.Body)
-	if x.silence.settle(err) && err != nil {
+	body, whole, err := c.readBuffered(x)
+	if errors.Is(err, errReplaced) {
 		return sendReplaced, 0
 	}
-	c.dropReplacement(c.r.Context())
 	if err != nil {
 		return sendLost, backoffLost
 	}
-	if whole && !c.endIsWhole(c.r.Context(), resp, len(body) > 0) {
-		return sendLost, backoffLost
+	if whole {
+		whole, c.endUnknown = c.endIsWhole(c.r.Context(), resp, len(body) > 0)
+		if !whole {
+			return sendLost, backoffLost
+		}
 	}
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if !whole {
@@ -74,8 +75,11 @@
 	return sendCompleted, 0
 }
 
+// errReplaced means that another endpoint has taken over while the body was read.
+var errReplaced = errors.New("another endpoint has taken over")
+
 // readBuffered reads a body up to maxBuffered bytes, or fewer if the host has no memory for more. whole says that it was read to its end.
-func (c *call) readBuffered(r io.Reader) (body []byte, whole bool, err error) {
+func (c *call) readBuffered(x *exchange) (body []byte, whole bool, err error) {
 	for {
 		if len(body) == cap(body) {
 			size := min(max(minBuffered, 2*cap(body)), maxBuffered+1)
@@ -84,10 +88,17 @@
 			}
 			body = append(make([]byte, 0, size), body...)
 		}
-		n, err := r.Read(body[len(body):cap(body)])
+		x.silence.arm()
+		n, err := x.resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
+		ended := errors.Is(err, io.EOF)
+		replaced := x.silence.stop(streamError(err, ended))
+		switch {
+		case ended:
+			c.dropReplacement(c.r.Context())
 			return body, len(body) <= maxBuffered, nil
+		case replaced:
+			err = errReplaced
 		}
 		if err != nil {
 			c.memory.Free(Responses, int64(cap(body)))
@@ -145,8 +156,11 @@
 				return sendAbandoned, 0
 			}
 		}
-		if err == io.EOF && !c.endIsWhole(c.r.Context(), resp, true) {
-			return sendLost, backoffLost
+		if err == io.EOF {
+			var whole bool
+			if whole, c.endUnknown = c.endIsWhole(c.r.Context(), resp, true); !whole {
+				return sendLost, backoffLost
+			}
 		}
 		if err == io.EOF {
 			c.s.balance.noteFirstOutput(c, c.elapsed(sent, c.s.Now()))
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -26,6 +27,7 @@
 	// stopCancel keeps the end of the request from closing the connection, and returns false if it has closed it.
 	stopCancel func() bool
 	silence    silenceTimer
+	unusable   bool // the head of the response says that it is not the answer
 }
 
 // send sends the request to the endpoint c.endpoint and handles its response. It returns the outcome and the backoff.
@@ -39,6 +41,10 @@
 	c.s.paths.sendBegun()
 	result, backoff = c.roundTrip(ctx, x)
 	for result == sendReplaced {
+		if c.replacement == nil { // the request is relayed
+			result, backoff = sendLost, backoffLost
+			break
+		}
 		x = c.takeReplacement(ctx, x)
 		result, backoff = c.forwardResponse(ctx, x)
 	}
@@ -218,7 +224,12 @@
 func (c *call) roundTrip(ctx context.Context, x *exchange) (sendOutcome, time.Duration) {
 	x.silence.arm()
 	err := c.request(x, c.header)
-	if x.silence.settle(err) {
+	x.unusable = err == nil && !c.isUsable(x.resp)
+	waitErr := err
+	if x.unusable {
+		waitErr = errUnusable
+	}
+	if x.silence.stop(waitErr) {
 		return sendReplaced, 0
 	}
 	if err != nil {
@@ -231,6 +242,23 @@
 	return c.forwardResponse(ctx, x)
 }
 
+// errUnusable means that a response cannot be forwarded as the answer to the request.
+var errUnusable = errors.New("response is not the answer")
+
+// isUsable reports whether a response, by its head, may be forwarded as the answer to the request. A request is sent to another endpoint
+// after any other response, if that is allowed.
+func (c *call) isUsable(resp *http.Response) bool {
+	switch {
+	case resp.StatusCode == http.StatusMisdirectedRequest, resp.Header.Get(c.s.Headers.NotExecuted) != "":
+		return false
+	case resp.StatusCode >= http.StatusInternalServerError:
+		return false
+	case isSuccess(resp):
+		return resp.Header.Get(c.s.Headers.ResponseStamp) != ""
+	}
+	return !c.stream.started
+}
+
 // request sends the request and reads the head of the response.
 func (c *call) request(x *exchange, header http.Header) (err error) {
 	req := upstream.Request{Method: c.r.Method, URI: c.uri, Host: c.r.Host, Header: header, Body: c.body, HasBody: c.hasBody}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -68,6 +68,8 @@
 	stream        stream
 	relayed       relayState
 	replacement   *replacement // took over, and is not in use yet
+	hedges        hedges
+	retryCharged  bool // the next retry was taken from the budget already
 }
 
 // ServeHTTP implements http.Handler.
--- a/ingress/silence.go
+++ b/ingress/silence.go
@@ -31,14 +31,14 @@
 )
 
 // silenceTimer starts a replacement for a send whose endpoint is silent for too long. The silent send stays open: it ends only when
-// another endpoint has taken over. The goroutine of the send calls arm before, and heard or lost after, each wait for the endpoint.
+// another endpoint has taken over. The goroutine of the send calls arm before, and stop after, each wait for the endpoint.
 type silenceTimer struct {
 	// limit is the silence after which a replacement is tried; 0 means never.
 	limit time.Duration
 	// ctx ends with the request.
 	ctx context.Context
 	// replace tries to get a replacement until tries ends, and abandons it when ctx ends. It reports whether the replacement has taken over.
-	// The goroutine of the send does not touch the call meanwhile.
+	// The goroutine of the send changes nothing of the call between arm and stop.
 	replace func(ctx, tries context.Context) bool
 
 	timer    *time.Timer
@@ -76,19 +76,9 @@
 	t.result <- !ended && t.replace(ctx, tries)
 }
 
-// heard stops the timer, and abandons a replacement, since the endpoint has sent something. It returns true if the replacement has
-// already taken over.
-func (t *silenceTimer) heard() (replaced bool) { return t.stop(false) }
-
-// lost stops the timer, since the send ended without a complete response. It waits for a replacement that is being tried, and returns true
-// if that has taken over.
-func (t *silenceTimer) lost() (replaced bool) { return t.stop(true) }
-
-// settle calls heard or lost, depending on the error of the wait for the endpoint.
-func (t *silenceTimer) settle(err error) (replaced bool) { return t.stop(err != nil) }
-
-// stop stops the timer. If it has fired, stop ends the replacement, or its further tries only if finish is true, and returns its result.
-func (t *silenceTimer) stop(finish bool) (replaced bool) {
+// stop stops the timer after a wait for the endpoint, and returns true if a replacement has taken over. A replacement that is being tried
+// is abandoned if the wait brought something that can be forwarded. After an error, stop waits for the present try.
+func (t *silenceTimer) stop(err error) (replaced bool) {
 	if !t.armed {
 		return false
 	}
@@ -100,7 +90,7 @@
 	t.ended = true
 	switch {
 	case t.cancel == nil: // it has fired and not begun
-	case finish:
+	case err != nil:
 		t.endTries()
 	default:
 		t.cancel()
--- a/ingress/silence_test.go
+++ b/ingress/silence_test.go
@@ -51,10 +51,10 @@
 				for range 2 { // the timer is used for each wait of a send
 					s.arm()
 					time.Sleep(tc.silence)
-					must.EqOp(t, tc.replaced, s.settle(tc.err))
+					must.EqOp(t, tc.replaced, s.stop(tc.err))
 					must.EqOp(t, tc.waited, time.Since(start))
 					must.EqOp(t, tc.begun, begun)
-					must.False(t, s.heard()) // not armed
+					must.False(t, s.stop(nil)) // not armed
 					begun, start = 0, time.Now()
 				}
 			})
@@ -71,6 +71,6 @@
 		}}
 		s.arm()
 		time.Sleep(2 * time.Second)
-		must.False(t, s.lost())
+		must.False(t, s.stop(errors.New("connection reset")))
 	})
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -121,11 +121,18 @@
 	n, repeated := 0, 0
 	c.noteContinued()
 	for {
+		if n == 1 && x.silence.replace != nil {
+			x.silence.limit = c.silenceTimeout() // that of a stream which has begun
+		}
 		x.silence.arm()
 		e, err := r.next()
-		whole := errors.Is(err, io.EOF) && c.endIsWhole(ctx, resp, n > 0)
-		replaced := x.silence.settle(streamError(err, whole))
+		whole, unknown := false, false
+		if errors.Is(err, io.EOF) {
+			whole, unknown = c.endIsWhole(ctx, resp, n > 0)
+		}
+		replaced := x.silence.stop(streamError(err, whole))
 		if whole {
+			c.endUnknown = unknown
 			c.dropReplacement(ctx)
 			return c.finishStream(resp, n, sent)
 		}
--- a/ingress/unframed.go
+++ b/ingress/unframed.go
@@ -22,10 +22,10 @@
 // in order, so that an unframed response which it did not complete looks complete: its port then refuses connections. That counts also
 // where this host reaches no endpoint, or takes several that crash together for that: whatever refuses the connection may have ended the
 // other one. Where the port gives no answer the response is passed on, but says nothing about the request. hasBody says that anything of the body has come; a
-// stream without any is none.
-func (c *call) endIsWhole(ctx context.Context, resp *http.Response, hasBody bool) bool {
+// stream without any is none. unknown says that the port gave no answer.
+func (c *call) endIsWhole(ctx context.Context, resp *http.Response, hasBody bool) (whole, unknown bool) {
 	if !isUnframed(resp) || !bodyAllowed(c.r.Method, resp.StatusCode) || c.endpoint.Instance == "" {
-		return true
+		return true, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxProbeWait)
 	defer cancel()
@@ -34,8 +34,7 @@
 	c.s.paths.connected(c.endpoint.Address, begun, err)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		c.s.Count.CutUnframed.Add(1)
-		return false
+		return false, false
 	}
-	c.endUnknown = err != nil
-	return hasBody || c.route.Kind != route.Stream
+	return hasBody || c.route.Kind != route.Stream, err != nil
 }
--- a/ingress/unframed_test.go
+++ b/ingress/unframed_test.go
@@ -66,8 +66,9 @@
 				must.True(t, s.CutOff())
 			}
 			c := &call{s: s, r: &http.Request{Method: http.MethodPost}, route: &route.Route{Kind: route.Stream}, endpoint: list[0]}
-			must.EqOp(t, tc.whole, c.endIsWhole(context.Background(), tc.resp, tc.hasBody))
-			must.EqOp(t, tc.unknown, c.endUnknown)
+			whole, unknown := c.endIsWhole(context.Background(), tc.resp, tc.hasBody)
+			must.EqOp(t, tc.whole, whole)
+			must.EqOp(t, tc.unknown, unknown)
 		})
 	}
 }
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -243,17 +243,21 @@
 	return s.admit(now, r)
 }
 
-// Hedge decides a second dispatch of a request: r is to go to another endpoint than first, which stays dispatched.
+// Hedge decides a second dispatch of a request: r is to go to another endpoint than first, which stays dispatched. It does not wait, and
+// counts neither as demand nor as a lack of capacity: r is dispatched to an endpoint with a free slot for which no other request of its
+// tier or a higher one waits, or refused.
 func (s *Scheduler) Hedge(now time.Duration, r, first *Request) Decision {
 	r.pool = s.poolOf(r)
 	r.cost, r.expectedOutput, r.long = first.cost, first.expectedOutput, first.long
 	r.lengthQuantile, r.longDraw = first.lengthQuantile, first.longDraw
 	r.rationExempt = true // its caller has already waited for an answer
 	r.avoid = first.dispatchedTo
-	if !s.versionServes(r, r.avoid) {
-		return s.refuse(now, r, ReasonNoEndpoint, versionRetryAfter)
+	if !r.pool.floor.excludes(now, r.rank()) && !s.mustQueue(r) {
+		if d, ok := s.dispatch(now, r); ok {
+			return d
+		}
 	}
-	return s.admit(now, r)
+	return Decision{Request: r, Verdict: Refuse, Reason: ReasonNoEndpoint}
 }
 
 // Tick updates the state that changes with time alone; call it about every 50 ms.
