--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -92,7 +92,7 @@
 		n, err := x.resp.Body.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
 		ended := errors.Is(err, io.EOF)
-		replaced := x.silence.stop(streamError(err, ended))
+		replaced := x.silence.stop(waitError(err, ended))
 		switch {
 		case ended:
 			c.dropReplacement(c.r.Context())
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -130,7 +130,7 @@
 		if errors.Is(err, io.EOF) {
 			whole, unknown = c.endIsWhole(ctx, resp, n > 0)
 		}
-		replaced := x.silence.stop(streamError(err, whole))
+		replaced := x.silence.stop(waitError(err, whole))
 		if whole {
 			c.endUnknown = unknown
 			c.dropReplacement(ctx)
@@ -178,8 +178,8 @@
 	}
 }
 
-// streamError returns the error of a wait for an event, or nil if the stream is whole.
-func streamError(err error, whole bool) error {
+// waitError returns the error of a wait for an endpoint, or nil if its response is whole.
+func waitError(err error, whole bool) error {
 	if whole {
 		return nil
 	}
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -78,8 +78,8 @@
 	// Parts lists the parts of the prompt but the last, as the caller stated them, cut to some of them if they
 	// are many. Events of kind SendLost have it.
 	Parts string `json:"parts,omitempty"`
-	// SilentMS is the silence of the endpoint for which the host itself ended the last send, 0 if it did not.
-	// Events of kinds SendLost and Truncated have it.
+	// SilentMS is the silence of the endpoint, or of the host to which the request was relayed, after which another
+	// one took over, 0 if the last send ended by itself. Events of kinds SendLost and Truncated have it.
 	SilentMS int64 `json:"silent_ms,omitempty"`
 	// Fingerprint is the same for all attempts of one request at all hosts. SentMS is the time since
 	// the last send, and OtherInFlight the number of other requests known to be at that endpoint.
