--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -23,7 +23,7 @@
 // startEngines starts n runners with the same arguments.
 func (f *fleet) startEngines(n int, args ...string) error {
 	for i := range n {
-		if _, err := f.startRunner(fmt.Sprintf("e-%d", i), engines, "", args...); err != nil {
+		if _, err := f.startRunner(fmt.Sprintf("e-%d", i), engines, args...); err != nil {
 			return err
 		}
 	}
@@ -33,7 +33,7 @@
 // settle starts two runners for short requests and the hosts, and lets them run for longer than ContactMs without any disruption.
 func (f *fleet) settle() error {
 	for i := range 2 {
-		if _, err := f.startRunner(fmt.Sprintf("p-%d", i), plain, ""); err != nil {
+		if _, err := f.startRunner(fmt.Sprintf("p-%d", i), plain); err != nil {
 			return err
 		}
 	}
@@ -76,6 +76,61 @@
 // maxCut is the number of requests from which on the rule LOST is broken: more than three times.
 const maxCut = 3
 
+// caseReborn cuts a runner's machine off from all machines for a short time. Behind the cut the runner, whose answers end with their
+// connections, crashes and starts again. The rule ORDER is broken if the client of a stream that it had gets one that is complete by the
+// protocol and lacks its end.
+func caseReborn(f *fleet, trouble bool) (bool, error) {
+	const events = 40
+	args := []string{"-unframed", "-events", fmt.Sprint(events), "-pace", "100ms"}
+	for i := range 6 {
+		if err := f.startBehindProxy(fmt.Sprintf("e-%d", i), engines, args...); err != nil {
+			return false, err
+		}
+	}
+	if err := f.settle(); err != nil {
+		return false, err
+	}
+	begun, done := make(chan string, 1), make(chan error, 1)
+	go func() { done <- f.cutAndCrash(begun, trouble, args) }()
+	a := f.do(f.hosts[0], call{id: "reborn", method: "POST", path: "/stream-draft/1", body: "x", deadline: 10 * time.Second, begun: begun})
+	if a.status != 200 {
+		return false, fmt.Errorf("status %d, %v", a.status, a.err)
+	}
+	if err := <-done; err != nil {
+		return false, err
+	}
+	n := countEvents(a.body)
+	f.rec.note("the stream has", fmt.Sprint(n), "of", fmt.Sprint(events), "events, and is complete by the protocol:", fmt.Sprint(a.complete))
+	return a.complete && n < events, nil
+}
+
+// cutAndCrash waits for the stamp of the stream, cuts its runner off, kills it and starts it again behind the cut, and ends the cut.
+func (f *fleet) cutAndCrash(begun <-chan string, trouble bool, args []string) error {
+	instance, _, _ := strings.Cut(<-begun, ".")
+	time.Sleep(time.Second)
+	if !trouble {
+		return nil
+	}
+	r := f.runner(instance)
+	if r == nil {
+		return fmt.Errorf("no runner has the stamp %q", instance)
+	}
+	f.cut(r, true)
+	time.Sleep(300 * time.Millisecond)
+	f.setState(r, "") // a runner that crashes says nothing
+	f.signalRunner(r, syscall.SIGKILL)
+	<-r.ended
+	time.Sleep(time.Second)
+	again, err := f.launchRunner(instance+"-again", engines, r.own, args...)
+	if err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	f.cut(r, false)
+	f.announce(again, r.address)
+	return nil
+}
+
 // caseFreeze freezes a host. Meanwhile a runner whose answers end with their connections crashes under a stream of that host, and starts
 // again at its address. The rule ORDER is broken if the client gets a stream that is complete by the protocol and lacks its end.
 func caseFreeze(f *fleet, trouble bool) (bool, error) {
@@ -119,10 +174,14 @@
 	f.signalRunner(r, syscall.SIGKILL)
 	<-r.ended
 	time.Sleep(reuseAfter)
-	_, err := f.startRunner(instance+"-again", engines, r.address, args...)
+	again, err := f.launchRunner(instance+"-again", engines, r.address, args...)
+	if err != nil {
+		return err
+	}
+	f.announce(again, r.address)
 	time.Sleep(500 * time.Millisecond)
 	f.signal(h, syscall.SIGCONT)
-	return err
+	return nil
 }
 
 // caseComment lets one runner of six turn slow, so that it sends a comment before the first event of a stream. The rule ORDER is broken
@@ -135,7 +194,7 @@
 			wait *= slowed
 		}
 		args := []string{"-events", fmt.Sprint(events), "-pace", "50ms", "-first", wait.String(), "-comment", "1s"}
-		if _, err := f.startRunner(fmt.Sprintf("e-%d", i), engines, "", args...); err != nil {
+		if _, err := f.startRunner(fmt.Sprintf("e-%d", i), engines, args...); err != nil {
 			return false, err
 		}
 	}
@@ -187,7 +246,7 @@
 		done <- f.doAll(56, call{id: "leave", method: "POST", path: "/stream-draft/1", body: "x", deadline: 10 * time.Second})
 	}()
 	time.Sleep(1200 * time.Millisecond)
-	if r := f.runners[0]; trouble {
+	if r := f.runner("e-0"); trouble {
 		f.setState(r, "draining")
 		time.Sleep(drainTime + 500*time.Millisecond)
 		f.signalRunner(r, syscall.SIGTERM)
@@ -208,7 +267,7 @@
 func caseSlow(f *fleet, trouble bool) (bool, error) {
 	const size = 260 << 10
 	for i := range 4 {
-		if _, err := f.startRunner(fmt.Sprintf("d-%d", i), documents, "", "-bytes", fmt.Sprint(size)); err != nil {
+		if _, err := f.startRunner(fmt.Sprintf("d-%d", i), documents, "-bytes", fmt.Sprint(size)); err != nil {
 			return false, err
 		}
 	}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -12,11 +12,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/heathkeel/heathkeel/internal/link"
 	"github.com/heathkeel/heathkeel/internal/site"
 )
 
@@ -43,9 +45,12 @@
 
 // runner is one runner process and its entry in the store.
 type runner struct {
-	instance, service, address string
-	cmd                        *exec.Cmd
-	ended                      chan struct{}
+	instance, service string
+	// address is in the entry; own is where the process listens. They differ if a proxy carries its connections.
+	address, own string
+	proxy        *link.Proxy
+	cmd          *exec.Cmd
+	ended        chan struct{}
 
 	mu    sync.Mutex
 	state string // of the entry, empty while there is none
@@ -60,9 +65,18 @@
 	server  *http.Server
 	storeAt string
 	hosts   []*host
-	runners []*runner
 	stop    chan struct{}
 	port    int
+
+	mu      sync.Mutex
+	runners []*runner
+}
+
+// allRunners returns the runners that were started so far.
+func (f *fleet) allRunners() []*runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.runners)
 }
 
 // newFleet starts a store that holds a configuration.
@@ -95,7 +109,7 @@
 			return
 		case <-t.C:
 		}
-		for _, r := range f.runners {
+		for _, r := range f.allRunners() {
 			f.putEntry(r)
 		}
 	}
@@ -120,8 +134,26 @@
 	f.putEntry(r)
 }
 
-// startRunner starts a runner process at an address, or at a free one if it is empty, and writes its entry.
-func (f *fleet) startRunner(instance, service, address string, args ...string) (*runner, error) {
+// announce writes the entry of a runner that is ready at an address.
+func (f *fleet) announce(r *runner, address string) {
+	r.mu.Lock()
+	r.address = address
+	r.mu.Unlock()
+	f.setState(r, "ready")
+}
+
+// startRunner starts a runner process at a free address and writes its entry.
+func (f *fleet) startRunner(instance, service string, args ...string) (*runner, error) {
+	r, err := f.launchRunner(instance, service, "", args...)
+	if err != nil {
+		return nil, err
+	}
+	f.setState(r, "ready")
+	return r, nil
+}
+
+// launchRunner starts a runner process at an address, or at a free one if it is empty. It has no entry yet.
+func (f *fleet) launchRunner(instance, service, address string, args ...string) (*runner, error) {
 	if address == "" {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -134,7 +166,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &runner{instance: instance, service: service, address: address, ended: make(chan struct{}), state: "ready"}
+	r := &runner{instance: instance, service: service, address: address, own: address, ended: make(chan struct{})}
 	r.cmd = exec.Command(self, append([]string{"runner", "-address", address, "-instance", instance}, args...)...)
 	r.cmd.Stdout, r.cmd.Stderr = f.rec, os.Stderr
 	if err := r.cmd.Start(); err != nil {
@@ -150,16 +182,38 @@
 	}); err != nil {
 		return nil, fmt.Errorf("runner %s does not listen: %w", instance, err)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.runners = append(f.runners, r)
-	f.putEntry(r)
 	return r, nil
 }
 
+// startBehindProxy starts a runner process whose connections go through a proxy, so that its machine can be cut off.
+func (f *fleet) startBehindProxy(instance, service string, args ...string) error {
+	r, err := f.launchRunner(instance, service, "", args...)
+	if err != nil {
+		return err
+	}
+	r.proxy = &link.Proxy{Listen: "127.0.0.1:0", Target: r.own}
+	if err := r.proxy.Start(); err != nil {
+		return err
+	}
+	f.announce(r, r.proxy.Listen)
+	return nil
+}
+
+// cut cuts a runner's machine off in both directions, or ends that. What is under way is held up, and goes on afterwards.
+func (f *fleet) cut(r *runner, on bool) {
+	f.rec.note("runner", r.instance, "is cut off:", fmt.Sprint(on))
+	r.proxy.Stall(link.Upstream, on)
+	r.proxy.Stall(link.Downstream, on)
+}
+
 // runner returns the newest runner with a name, or nil.
 func (f *fleet) runner(instance string) *runner {
-	for i := len(f.runners) - 1; i >= 0; i-- {
-		if f.runners[i].instance == instance {
-			return f.runners[i]
+	for _, r := range slices.Backward(f.allRunners()) {
+		if r.instance == instance {
+			return r
 		}
 	}
 	return nil
@@ -312,8 +366,10 @@
 			<-h.ended
 		}
 	}
-	for _, r := range f.runners {
-		_ = r.cmd.Process.Signal(syscall.SIGCONT)
+	for _, r := range f.allRunners() {
+		if r.proxy != nil {
+			r.proxy.Stop()
+		}
 		_ = r.cmd.Process.Kill()
 		<-r.ended
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -17,6 +17,7 @@
 
 // cases are the cases by name. Each returns whether the rule was broken.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
+	"reborn":  caseReborn,
 	"freeze":  caseFreeze,
 	"comment": caseComment,
 	"late":    caseLate,
