review: streams of two versions after a runner's restart

Cause: a runner that crashed and started again under its Id with another version is taken for its former life until its entry is read; streams of the former version go on there.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -282,3 +282,77 @@
 	f.rec.note("connections closed without a whole answer:", fmt.Sprint(cut), "allowed:", fmt.Sprint(maxCut))
 	return cut > maxCut, nil
 }
+
+// caseAgain lets a runner, which was added when the streams had begun and so is idle, crash and start again under its Id, with another
+// version of its software. Then two other runners of eight crash. The rule ORDER is broken if more than two streams hold events of both
+// versions.
+func caseAgain(f *fleet, trouble bool) (bool, error) {
+	const events, maxMixed = 90, 2
+	args := []string{"-events", fmt.Sprint(events), "-pace", "100ms"}
+	for i := range 7 {
+		if err := f.startBorn(fmt.Sprintf("e-%d", i), args...); err != nil {
+			return false, err
+		}
+	}
+	if err := f.settle(); err != nil {
+		return false, err
+	}
+	done := make(chan []answer, 1)
+	go func() {
+		done <- f.doAll(54, call{id: "again", method: "POST", path: "/stream-review/1", body: "x", deadline: 12 * time.Second})
+	}()
+	time.Sleep(time.Second)
+	if err := f.startBorn("e-7", args...); err != nil {
+		return false, err
+	}
+	time.Sleep(1500 * time.Millisecond)
+	if trouble {
+		if err := f.crashAndUpgrade(args); err != nil {
+			return false, err
+		}
+	}
+	mixed := 0
+	for _, a := range <-done {
+		if strings.Contains(a.body, "of v1") && strings.Contains(a.body, "of v2") {
+			mixed++
+			f.rec.note("stream", a.header.Get("Heathkeel-Response-Stamp"), "holds events of v1 and of v2, and is complete by the protocol:", fmt.Sprint(a.complete))
+		}
+	}
+	f.rec.note("streams with events of two versions:", fmt.Sprint(mixed), "allowed:", fmt.Sprint(maxMixed))
+	return mixed > maxMixed, nil
+}
+
+// startBorn starts a runner of version v1 whose entry tells when it was started.
+func (f *fleet) startBorn(instance string, args ...string) error {
+	r, err := f.launchRunner(instance, engines, "", args...)
+	if err != nil {
+		return err
+	}
+	r.born = time.Now().UnixMilli()
+	f.announce(r, r.own)
+	return nil
+}
+
+// crashAndUpgrade kills the idle runner, starts it again under its Id with another version 2 s later, and kills two others while it has
+// not written its entry yet: it does so 0.3 s after it has begun to listen.
+func (f *fleet) crashAndUpgrade(args []string) error {
+	old := f.runner("e-7")
+	f.setState(old, "")
+	f.signalRunner(old, syscall.SIGKILL)
+	<-old.ended
+	time.Sleep(2 * time.Second)
+	again, err := f.launchRunner(old.instance, engines, old.own, append(args, "-version", "v2")...)
+	if err != nil {
+		return err
+	}
+	again.version, again.born = "v2", time.Now().UnixMilli()
+	time.Sleep(100 * time.Millisecond)
+	for _, r := range []*runner{f.runner("e-0"), f.runner("e-1")} {
+		f.setState(r, "")
+		f.signalRunner(r, syscall.SIGKILL)
+	}
+	time.Sleep(200 * time.Millisecond)
+	f.announce(again, again.own)
+	f.rec.note("runner e-7 has written its entry with version v2")
+	return nil
+}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -49,6 +50,8 @@
 	// address is in the entry; own is where the process listens. They differ if a proxy carries its connections.
 	address, own string
 	proxy        *link.Proxy
+	version      string // of its software
+	born         int64  // Unix time of its start in milliseconds, or 0 if its entry does not tell
 	cmd          *exec.Cmd
 	ended        chan struct{}
 
@@ -123,7 +126,7 @@
 		return
 	}
 	r.seq++
-	f.store.Put("servers/"+r.instance, site.EndpointEntry{Service: r.service, Address: r.address, Zone: "zone-1", Version: "v1", Slots: 8, State: r.state, Seq: r.seq})
+	f.store.Put("servers/"+r.instance, site.EndpointEntry{Service: r.service, Address: r.address, Zone: "zone-1", Version: cmp.Or(r.version, "v1"), Slots: 8, State: r.state, Seq: r.seq, StartedMS: r.born})
 }
 
 // setState changes the state in a runner's entry and writes it; an empty one only stops the writes.
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"late":    caseLate,
 	"leave":   caseLeave,
 	"slow":    caseSlow,
+	"again":   caseAgain,
 }
 
 func main() {
--- a/review/stand/runner.go
+++ b/review/stand/runner.go
@@ -24,6 +24,7 @@
 // server is a runner of the platform. It does what PROTOCOL.md says of a sound one.
 type server struct {
 	instance string
+	version  string        // of its software
 	bytes    int           // of an answer that is no stream
 	work     time.Duration // time of such an answer
 	events   int           // of a stream
@@ -44,6 +45,7 @@
 	fs := flag.NewFlagSet("runner", flag.ExitOnError)
 	address := fs.String("address", "", "listen address")
 	fs.StringVar(&s.instance, "instance", "", "id")
+	fs.StringVar(&s.version, "version", "v1", "version of its software")
 	fs.IntVar(&s.bytes, "bytes", 800, "bytes of an answer that is no stream")
 	fs.DurationVar(&s.work, "work", 20*time.Millisecond, "time of an answer that is no stream")
 	fs.IntVar(&s.events, "events", 40, "events of a stream")
@@ -164,7 +166,7 @@
 	time.Sleep(wait)
 	for n := last + 1; n < s.events && err == nil; n++ {
 		time.Sleep(s.pace)
-		_, err = fmt.Fprint(c, s.piece(eventText(n)))
+		_, err = fmt.Fprint(c, s.piece(eventText(n, s.version)))
 	}
 	if err == nil && !s.unframed {
 		_, err = fmt.Fprint(c, "0\r\n\r\n")
@@ -185,7 +187,7 @@
 	return fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 }
 
-// eventText returns event n of a stream.
-func eventText(n int) string {
-	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("token ", 8)+fmt.Sprint(n))
+// eventText returns event n of a stream of a version.
+func eventText(n int, version string) string {
+	return fmt.Sprintf("id: %d\ndata: %s\n\n", n, strings.Repeat("token ", 8)+fmt.Sprint(n)+" of "+version)
 }
