--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -225,7 +225,7 @@
 	if err := f.settle(); err != nil {
 		return false, err
 	}
-	cut := countCut(f.doAll(7, call{id: "late", method: "POST", path: "/stream-review/1", body: strings.Repeat("x", size), deadline: 15 * time.Second}))
+	cut := countCut(f.doAll(14, call{id: "late", method: "POST", path: "/stream-review/1", body: strings.Repeat("x", size), deadline: 15 * time.Second}))
 	f.rec.note("connections closed without a whole answer:", fmt.Sprint(cut), "allowed:", fmt.Sprint(maxCut))
 	return cut > maxCut, nil
 }
