ingress, upstream: whole answers of endpoints that stop in order are not cut

Cause: endIsWhole opened a connection at the end of such an answer and took a refusal for a crash. A port refuses connections after a planned stop as well, and a probe that is sent once the answer has ended cannot tell the two.

Ruled out: the endpoint's reset (the record shows orderly ends), the callers' time-outs, the stop of the process (the events are all there), and the answers of endpoints that do not leave (whole in all runs).

Change: while an endpoint that leaves works on answers that may end with their connections, its port is probed every 0.2 s. From a refusal on, the pool notes whether an open connection that held no bytes then brings some: a process that has closed its port and writes on is stopping in order, and its answers are whole when they end. Where the refusal is first seen at the end of an answer, the host waits up to 0.3 s for bytes on its other connections to that address, and no longer than one of them is open: those of a killed process end together. Endpoints that are not known to leave are judged as before: packets that were lost may come after the end of their process.

Weighed: (a) whole whenever the endpoint is known to leave: passes on short streams of one that is killed while it drains; (b) an idle connection kept as a witness: one more connection for each endpoint with such an answer, and a lost FIN looks like life; (c) this one: the probes are few, and stop with the answers. What it cannot tell: an endpoint killed between closing its port and ending its answers.

--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -158,7 +158,7 @@
 		listed[incarnation], newestStartMS[e.Instance] = true, e.StartedMS
 		t := b.targets[incarnation]
 		if t == nil {
-			t = &target{sends: make(map[*call]func()), saidLeaving: b.leavers.has(incarnation)}
+			t = &target{sends: make(map[*call]*targetSend), saidLeaving: b.leavers.has(incarnation)}
 			b.targets[incarnation] = t
 		}
 		t.update(now, e)
--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -36,6 +36,8 @@
 	NoOrigin atomic.Int64
 	// CutUnframed counts responses without a length or chunks whose endpoint had crashed when they ended.
 	CutUnframed atomic.Int64
+	// EndedAfterClose counts such responses of endpoints that had closed their port and gone on to write.
+	EndedAfterClose atomic.Int64
 	// OverLimit counts responses of endpoints and other hosts that exceeded a limit, and those with bytes behind their end.
 	OverLimit atomic.Int64
 	// IdleClosed counts callers' connections without a request that were closed because there were too many.
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -155,7 +155,7 @@
 	if t == nil || !b.getsRequests(t) || b.sched.Rests(b.now(), t.Incarnation()) {
 		return func() {}, false
 	}
-	t.sends[c] = cancel
+	t.sends[c] = &targetSend{cancel: cancel}
 	return func() {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/ingress/plain.go
+++ b/ingress/plain.go
@@ -51,14 +51,14 @@
 		return sendLost, backoffLost
 	}
 	if whole {
-		whole, c.endUnknown = c.endIsWhole(c.r.Context(), resp, len(body) > 0)
+		whole, c.endUnknown = c.endIsWhole(c.r.Context(), x, len(body) > 0)
 		if !whole {
 			return sendLost, backoffLost
 		}
 	}
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if !whole {
-		return c.forwardLarge(buffered, resp, sent)
+		return c.forwardLarge(buffered, x)
 	}
 	if buffered.status >= http.StatusInternalServerError && c.route.MayRepeat() && c.sends() < c.route.Attempts {
 		c.savedResponse = buffered
@@ -137,7 +137,8 @@
 }
 
 // forwardLarge forwards a large response as it arrives.
-func (c *call) forwardLarge(buffered *response, resp *http.Response, sent time.Duration) (sendOutcome, time.Duration) {
+func (c *call) forwardLarge(buffered *response, x *exchange) (sendOutcome, time.Duration) {
+	resp, sent := x.resp, x.sentAt
 	c.timings.firstWritten = c.s.Now()
 	c.copyHeader(buffered.header)
 	c.stream.started = true
@@ -158,7 +159,7 @@
 		}
 		if err == io.EOF {
 			var whole bool
-			if whole, c.endUnknown = c.endIsWhole(c.r.Context(), resp, true); !whole {
+			if whole, c.endUnknown = c.endIsWhole(c.r.Context(), x, true); !whole {
 				return sendLost, backoffLost
 			}
 		}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -285,6 +285,9 @@
 	if resp.Header.Get(c.s.Headers.NotExecuted) != "" {
 		return c.discard(x.conn, resp, backoffFull)
 	}
+	if !isUnframed(resp) {
+		c.s.balance.noteFramed(c)
+	}
 	return sendCompleted, 0
 }
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -99,6 +99,8 @@
 	ageLimits     atomic.Pointer[AgeLimits]
 	stopStarted   atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
 
+	portWatch portWatch
+
 	mu           sync.Mutex
 	quotas       *quota.Book
 	retryBudgets map[string]*quota.RetryBudget
@@ -123,6 +125,7 @@
 	s.paths.now, s.paths.dial, s.paths.addresses, s.paths.onChange = s.Now, s.pool.Warm, func() []string { return s.balance.addresses() }, s.noteCutOff
 	s.paths.probing = make(map[string]bool)
 	s.crashes = crashes{now: s.Now, dial: s.dialCrashed, log: s.Log, notifyPeers: func() {}, probes: make(map[string]*crashProbe)}
+	s.portWatch = portWatch{now: s.Now, addresses: func() []string { return s.balance.closingAddresses() }, probe: s.pool.Probe, probing: make(map[string]bool)}
 	s.crashes.registry.Host, s.crashes.parts.Host, s.crashes.parts.Parts = s.Host, s.Host, true
 	s.origins = origins{now: s.Now, ask: func(origin.Keys) int { return 0 }, queries: make(map[origin.Key]map[*originQuery]bool)}
 	s.origins.history.Complete, s.origins.history.Since = s.FirstStart, s.Now()
@@ -330,6 +333,7 @@
 func (s *Server) Tick() {
 	s.paths.check()
 	s.balance.tick(s.Now())
+	s.portWatch.check()
 }
 
 // Sweep closes connections that were idle too long and drops expired state; call it about once a second.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -128,7 +128,7 @@
 		e, err := r.next()
 		whole, unknown := false, false
 		if errors.Is(err, io.EOF) {
-			whole, unknown = c.endIsWhole(ctx, resp, n > 0)
+			whole, unknown = c.endIsWhole(ctx, x, n > 0)
 		}
 		replaced := x.silence.stop(waitError(err, whole))
 		if whole {
--- a/ingress/target.go
+++ b/ingress/target.go
@@ -21,14 +21,13 @@
 	peerLoad peers.Load
 	// requestTime is the mean time of a request while a plain service has free slots, in seconds; see zones.
 	requestTime float64
-	step        sched.Quantile // time of a token with little concurrent load, or of a request at a plain service
-	// sends are the requests in flight at the endpoint, each with the function that cancels it.
-	sends       map[*call]func()
-	saidLeaving bool          // it said itself that it leaves; its list entry may say otherwise
-	replaced    bool          // a later incarnation has replaced it
-	heardAt     time.Duration // when it last sent something to this host, by the host's clock
-	busySince   time.Duration // when it got a request of this host while it had none
-	coldUntil   time.Duration // when it is warm, by the host's clock
+	step        sched.Quantile        // time of a token with little concurrent load, or of a request at a plain service
+	sends       map[*call]*targetSend // the requests in flight at the endpoint
+	saidLeaving bool                  // it said itself that it leaves; its list entry may say otherwise
+	replaced    bool                  // a later incarnation has replaced it
+	heardAt     time.Duration         // when it last sent something to this host, by the host's clock
+	busySince   time.Duration         // when it got a request of this host while it had none
+	coldUntil   time.Duration         // when it is warm, by the host's clock
 	// stated is what the endpoint stated about its limits, according to all hosts, and ownStated what this host read itself.
 	stated, ownStated statedLimits
 	inForce           limitsInForce
@@ -46,11 +45,27 @@
 // cancelSends cancels all requests in flight, because a later incarnation has replaced the endpoint.
 func (t *target) cancelSends() {
 	t.replaced = true
-	for _, cancel := range t.sends {
-		cancel()
+	for _, send := range t.sends {
+		send.cancel()
 	}
 }
 
+// targetSend is a request in flight at an endpoint.
+type targetSend struct {
+	cancel func()
+	framed bool // the head of its response says where the response ends
+}
+
+// awaitsEnd reports whether the endpoint works on a request whose response may end with its connection.
+func (t *target) awaitsEnd() bool {
+	for _, send := range t.sends {
+		if !send.framed {
+			return true
+		}
+	}
+	return false
+}
+
 // stepTime returns the time of a token as this host observed it, else as other hosts did, or 0 if unknown.
 func (t *target) stepTime() time.Duration {
 	if t.step.Value > 0 {
--- a/ingress/unframed_test.go
+++ b/ingress/unframed_test.go
@@ -66,7 +66,7 @@
 				must.True(t, s.CutOff())
 			}
 			c := &call{s: s, r: &http.Request{Method: http.MethodPost}, route: &route.Route{Kind: route.Stream}, endpoint: list[0]}
-			whole, unknown := c.endIsWhole(context.Background(), tc.resp, tc.hasBody)
+			whole, unknown := c.endIsWhole(context.Background(), &exchange{resp: tc.resp}, tc.hasBody)
 			must.EqOp(t, tc.whole, whole)
 			must.EqOp(t, tc.unknown, unknown)
 		})
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -30,6 +30,8 @@
 	Room int
 	// Fails decides for each request whether it is answered with an error; nil means never.
 	Fails func() bool
+	// Unframed makes the answers of a plain service end with their connection, without a length or chunks.
+	Unframed bool
 	// Slowdown is the factor by which Work takes longer now; nil means 1. StatesLoad makes the endpoint state its load and that factor in its
 	// answers.
 	Slowdown   func() float64
@@ -37,6 +39,8 @@
 
 	site     *Site
 	server   *http.Server
+	listener net.Listener
+	ip       string
 	address  string
 	zone     string
 	coldLeft time.Duration // as its entry says
@@ -126,6 +130,9 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
+	if e.Unframed {
+		w.Header().Set("Transfer-Encoding", "identity")
+	}
 	_, _ = w.Write([]byte("ran " + id))
 }
 
@@ -306,14 +313,14 @@
 
 // start listens and writes the endpoint's entry.
 func (e *Endpoint) start(ip string) error {
-	e.address = ip + ":8000"
+	e.ip, e.address = ip, ip+":8000"
 	l, err := e.site.Net.Host(ip).Listen(context.Background(), "tcp", e.address)
 	if err != nil {
 		return err
 	}
 	srv := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = srv.Serve(l) }()
-	e.server = srv
+	e.server, e.listener = srv, l
 	e.putEntry("ready")
 	return nil
 }
--- /dev/null
+++ b/internal/simsite/leave.go
@@ -0,0 +1,24 @@
+// Copyright ©2026 The heathkeel Authors. All rights reserved.
+// Use of this source code is governed by a BSD-style
+// license that can be found in the LICENSE file.
+
+package simsite
+
+import "time"
+
+// ClosePort makes the endpoint refuse new connections. It goes on to work on those that are open, as a process does that stops in order.
+func (e *Endpoint) ClosePort() { _ = e.listener.Close() }
+
+// Kill ends the endpoint's process: its port refuses connections, and open ones end. Its entry stays.
+func (e *Endpoint) Kill() {
+	e.mu.Lock()
+	e.crashed = true
+	e.overload.downUntil = time.Now().Add(time.Hour)
+	e.mu.Unlock()
+	_ = e.server.Close()
+}
+
+// StartAgain starts another endpoint of the same kind, with a new name, at the address of one that was killed.
+func (s *Site) StartAgain(e *Endpoint) error {
+	return s.addEndpointAt(&Endpoint{Service: e.Service, Version: e.Version, Streams: e.Streams, Work: e.Work, Unframed: e.Unframed}, e.ip)
+}
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -5,6 +5,7 @@
 package simsite
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -220,18 +221,26 @@
 // AddEndpoint starts an endpoint of version v1.
 func (s *Site) AddEndpoint() error { return s.AddVersion("v1", nil) }
 
+// AddPlain starts a plain service of version v1 that takes a time for each request; with unframed set its answers end with their connections.
+func (s *Site) AddPlain(work time.Duration, unframed bool) error {
+	return s.addEndpoint(&Endpoint{Service: site.Plain, Version: "v1", Work: work, Unframed: unframed})
+}
+
 // AddVersion starts an endpoint of a version; fails decides which requests it answers with an error.
 func (s *Site) AddVersion(version string, fails func() bool) error {
 	return s.addEndpoint(&Endpoint{Service: site.Plain, Version: version, Fails: fails})
 }
 
 // addEndpoint names and starts an endpoint.
-func (s *Site) addEndpoint(e *Endpoint) error {
+func (s *Site) addEndpoint(e *Endpoint) error { return s.addEndpointAt(e, "") }
+
+// addEndpointAt names and starts an endpoint at an IP address; an empty one stands for one that no endpoint has had.
+func (s *Site) addEndpointAt(e *Endpoint, address string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e.Instance, e.zone = fmt.Sprintf("endpoint-%d", s.endpointCount), fmt.Sprintf("zone-%d", s.endpointCount%s.Zones)
 	e.site, e.overload.slots = s, make(chan struct{}, slots)
-	if err := e.start(ip(endpointNet, s.endpointCount%s.Zones, s.endpointCount)); err != nil {
+	if err := e.start(cmp.Or(address, ip(endpointNet, s.endpointCount%s.Zones, s.endpointCount))); err != nil {
 		return err
 	}
 	s.servers = append(s.servers, e.server)
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -7,7 +7,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -187,7 +186,7 @@
 func (c *Conn) Close() {
 	if c.closed.CompareAndSwap(false, true) {
 		_ = c.net.Close()
-		c.pool.noteClosed(c.address)
+		c.pool.noteClosed(c)
 	}
 }
 
@@ -202,10 +201,8 @@
 		return false
 	}
 	noData := false
-	var buf [1]byte
 	err = raw.Read(func(fd uintptr) bool {
-		_, _, rerr := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		noData = errors.Is(rerr, unix.EAGAIN)
+		noData = isDrained(fd)
 		return true
 	})
 	return err == nil && noData
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -37,7 +37,9 @@
 
 	mu          sync.Mutex
 	idle        map[string][]*Conn
+	inUse       map[string]map[*Conn]bool
 	openCounts  map[string]int
+	refused     map[string]bool // addresses that refused the latest connection
 	headBuffers sync.Pool
 	totalOpened int64
 	maxIdle     int // limit of idle connections per address; 0 means maxIdleConns
@@ -53,12 +55,16 @@
 		}
 		if now := p.Now(); now-c.idleSince < c.idleTimeout && c.usable() {
 			c.takenAt = now
+			p.markInUse(c)
 			return c, true, nil
 		}
 		c.Close()
 	}
-	c, err = p.connect(ctx, address)
-	return c, false, err
+	if c, err = p.connect(ctx, address); err != nil {
+		return nil, false, err
+	}
+	p.markInUse(c)
+	return c, false, nil
 }
 
 // Warm opens a connection to an address and keeps it for a later request. The error of a
@@ -75,11 +81,12 @@
 // connect opens a connection and counts it.
 func (p *Pool) connect(ctx context.Context, address string) (*Conn, error) {
 	nc, err := p.dial(ctx, address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noteDialed(address, err)
 	if err != nil {
 		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.openCounts == nil {
 		p.openCounts = make(map[string]int)
 	}
@@ -92,7 +99,7 @@
 
 // newConn returns a connection of a pool.
 func newConn(p *Pool, address string, nc net.Conn) *Conn {
-	m := &meter{net: nc}
+	m := &meter{net: nc, now: p.Now}
 	return &Conn{pool: p, address: address, net: nc, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
@@ -134,6 +141,7 @@
 func (p *Pool) put(c *Conn) {
 	c.idleSince = p.Now()
 	p.mu.Lock()
+	p.unmarkInUse(c)
 	if p.idle == nil {
 		p.idle = make(map[string][]*Conn)
 	}
@@ -150,11 +158,12 @@
 }
 
 // noteClosed removes a connection from the count of open ones.
-func (p *Pool) noteClosed(address string) {
+func (p *Pool) noteClosed(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.openCounts[address]--; p.openCounts[address] <= 0 {
-		delete(p.openCounts, address)
+	p.unmarkInUse(c)
+	if p.openCounts[c.address]--; p.openCounts[c.address] <= 0 {
+		delete(p.openCounts, c.address)
 	}
 }
 
@@ -179,6 +188,9 @@
 func (p *Pool) Sweep() {
 	now := p.Now()
 	p.closeMatching(func(_ string, c *Conn) bool { return now-c.idleSince >= c.idleTimeout })
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweepRefusals()
 }
 
 // closeMatching closes the idle connections that match.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -118,7 +118,7 @@
 			go func() {
 				_, _ = peer.Write([]byte("HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length: 0\r\n" + tc.header + "\r\n"))
 			}()
-			c := newConn(&Pool{}, "", local)
+			c := newConn(&Pool{Now: func() time.Duration { return 0 }}, "", local)
 			_, err := c.ReadResponse("GET", "X-Id", "7")
 			must.NoError(t, err)
 			must.EqOp(t, tc.want, c.idleTimeout)
