origin, edge, ingress, sched: no stream begins at a version before the store says so

Callers take their streams up again, and many are answered 200 with the first part from one version and the rest from the other.

Cause: after such a kill nobody remembers streams, and a version that alone is listed was taken for the one that began them unless a record in the store said that there were several. That record was written up to a second after the second version was listed, not at all while the store refused, and read with stale reads.

Change: the record of a service always names the versions at which streams may have begun, has no lease, and says whether it is whole and of which era of the store. A resumable stream begins at a version only once that is on record: until then the scheduler passes over its endpoints, for 5 s at most (1 s where the records cannot be read). A host that starts reads the records, not stale, and counts their versions as listed until just then; without a whole record it knows of no sole version for a minute. A host that has not read them does not answer others that it knows nothing of a stream.

Weighed: a record of each change written at once, its absence still proof (mixes where the store refuses, and within its round trip); versions read from the store's history (20 s, a large read at each start); one version at a time for new streams (half of the endpoints idle in a roll-out); this one. It costs a read at each start of a host, and for each change of version one to three writes and about one read at each other host.

Not proven: a store that takes no writes for 5 s, a version that comes and goes wholly in that time, and then a kill of all hosts.

TestHistory: a first start alone is no longer proof of a sole version (the model has the sequence: another host begins at a version that this one never lists, and is killed); the case is kept with the opposite, stricter outcome, and the cases of the old record became cases of the new one.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -112,7 +112,7 @@
 }
 
 // applyOwnEntries applies the entries that hosts have written to the store: host entries and
-// records. All of them were read, so that services without a record have had one version.
+// records of requests. The records of versions are read apart: these reads may be old.
 func (h *Host) applyOwnEntries(items []feed.Item) {
 	var hosts []feed.Item
 	for _, it := range items {
@@ -120,12 +120,10 @@
 		case strings.HasPrefix(it.Key, platform.PrefixRecords):
 			h.restoreRecord(it)
 		case strings.HasPrefix(it.Key, platform.PrefixVersions):
-			h.applyVersions(it)
 		default:
 			hosts = append(hosts, it)
 		}
 	}
-	h.ingress.NoteHistoryRead()
 	h.applyHostEntries(hosts)
 }
 
--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -8,7 +8,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -38,6 +37,7 @@
 	leaveShare float64
 	tries      int
 	pause      time.Duration
+	events     int // of a stream; 0 means playedEvents
 
 	mu     sync.Mutex
 	rand   *rand.Rand
@@ -50,6 +50,7 @@
 	mixed             int // streams with events of two versions
 	begins, begun     int // first requests at hosts that were there, and those that brought an event
 	resumes, resumed  int // the same of requests to resume a stream, and those that brought an event or the end
+	takenUp, wentOn   int // streams that their callers took up at hosts that were there, and those that went on
 }
 
 // draw returns a random number below n.
@@ -62,15 +63,19 @@
 // follow plays one caller.
 func (p *streamPlay) follow(id string) {
 	c := simsite.StreamCall{ID: id + "-0"}
+	takenUp, wentOn := false, false
 	leaves := float64(p.draw(1000)) < 1000*p.leaveShare
 	var versions []string
 	for try := range p.tries {
 		c.LeaveAfter = 0
 		if leaves && try == 0 {
-			c.LeaveAfter = 1 + p.draw(playedEvents-1)
+			c.LeaveAfter = 1 + p.draw(cmp.Or(p.events, playedEvents)-1)
 		}
 		a := p.site.SendStream(p.site.Hosts[p.draw(len(p.site.Hosts))], c)
 		p.note(&c, &a)
+		if c.Resumes != "" && !a.NoHost {
+			takenUp, wentOn = true, wentOn || a.WentOn()
+		}
 		versions = append(versions, a.Versions...)
 		if a.Complete {
 			break
@@ -85,7 +90,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.counts.streams++
-	if len(versions) == playedEvents {
+	if takenUp {
+		p.counts.takenUp++
+	}
+	if wentOn {
+		p.counts.wentOn++
+	}
+	if len(versions) == cmp.Or(p.events, playedEvents) {
 		p.counts.complete++
 	}
 	if len(slices.Compact(versions)) > 1 {
@@ -100,7 +111,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	wentOn := a.Status == http.StatusOK && (len(a.Versions) > 0 || a.Complete)
+	wentOn := a.WentOn()
 	n, ok := &p.counts.begins, &p.counts.begun
 	if c.Resumes != "" {
 		n, ok = &p.counts.resumes, &p.counts.resumed
--- a/ingress/balance.go
+++ b/ingress/balance.go
@@ -33,6 +33,7 @@
 	leavers   leavers
 	evacuated map[string]bool // availability zones whose endpoints get no new requests
 	rollouts  rollout.Book
+	recorded  recordedVersions
 	rand      *rand.Rand
 	fleet     places.Fleet // all hosts
 	// coldTolerance is by how much the hosts may exceed the rate of a cold endpoint.
@@ -147,10 +148,12 @@
 }
 
 // setEndpoints applies a new endpoint list. Sends to an earlier incarnation of an endpoint that has restarted are canceled:
-// nothing works on them any more, and their connections may not show it. It returns these incarnations, except those that were leaving.
-func (b *balancer) setEndpoints(now time.Duration, list []feed.Endpoint) (restarted []string) {
+// nothing works on them any more, and their connections may not show it. onRecord are the versions at which resumable streams may
+// begin. It returns these incarnations, except those that were leaving.
+func (b *balancer) setEndpoints(now time.Duration, list []feed.Endpoint, onRecord map[serviceVersion]bool) (restarted []string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.recorded.onRecord = onRecord
 	listed := make(map[string]bool, len(list))
 	newestStartMS := make(map[string]int64, len(list))
 	for _, e := range list {
@@ -215,8 +218,9 @@
 // syncEndpoints passes the endpoints to the scheduler; mu must be held.
 func (b *balancer) syncEndpoints(now time.Duration) {
 	list := make([]sched.Endpoint, 0, len(b.targets))
+	b.updateHolds(now)
 	for _, t := range b.targets {
-		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: versionOf(&t.Endpoint), Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Zone: t.Zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
+		list = append(list, sched.Endpoint{Name: t.Incarnation(), Engine: true, Version: versionOf(&t.Endpoint), Unrecorded: b.recorded.isHeld(t.Service, versionOf(&t.Endpoint)), Slots: t.Slots, Leaving: !b.getsRequests(t), CrossZone: t.Zone != b.zone, Zone: t.Zone, Cold: b.coldLimit(now, t), RateLimited: t.inForce.rateLimited, Rate: t.inForce.rate, RejectLimited: t.inForce.rejectLimited})
 	}
 	slices.SortFunc(list, func(x, y sched.Endpoint) int {
 		if x.Name < y.Name {
@@ -344,6 +348,7 @@
 	defer b.mu.Unlock()
 	b.updateRollouts(now)
 	b.updateLimits(now)
+	b.endHolds(now)
 	b.sched.Tick(now)
 	b.poll(now)
 }
--- a/ingress/balance_test.go
+++ b/ingress/balance_test.go
@@ -29,7 +29,7 @@
 	for i := range n {
 		list = append(list, feed.Endpoint{Instance: fmt.Sprint("e", i), Service: "s", Slots: 10, Zone: "z"})
 	}
-	b.setEndpoints(0, list)
+	b.setEndpoints(0, list, nil)
 	return b, now
 }
 
--- a/ingress/dispatch.go
+++ b/ingress/dispatch.go
@@ -17,7 +17,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.req.Settings = b.effectiveSettings(c)
-	c.req.Version = c.stream.version
+	c.req.Version, c.req.Resumable = c.stream.version, c.resumable()
 	c.req.Model = b.pickPool(b.now(), c)
 	c.req.HomeOnly = c.relayed.from != ""
 	b.zones.noteArrival(b.now(), c)
@@ -61,6 +61,7 @@
 		silent[incarnation] = true
 	}
 	c.req.Settings, c.req.HomeOnly, c.req.Version, c.req.Avoid = first.Settings, first.HomeOnly, c.stream.version, silent
+	c.req.Resumable = c.resumable()
 	c.req.Model = b.pickPool(now, c)
 	b.holdGrants(now)
 	decision := b.sched.Hedge(now, c.req, first)
--- a/ingress/load_sim_test.go
+++ b/ingress/load_sim_test.go
@@ -159,7 +159,7 @@
 	for _, w := range m.works {
 		list = append(list, feed.Endpoint{Instance: w.name, Service: "s", Slots: m.slots, Zone: "z"})
 	}
-	b.setEndpoints(0, list)
+	b.setEndpoints(0, list, nil)
 	b.setHostCount(m.hosts, false)
 	for _, t := range b.targets {
 		t.step.Observe(float64(m.work)/100, stepQuantile)
--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -135,28 +135,6 @@
 // request.
 func (s *Server) SetOriginAsker(ask func(keys origin.Keys) int) { s.origins.ask = ask }
 
-// NoteMixed applies a record which says that streams of a service may have begun at several versions until a time.
-func (s *Server) NoteMixed(service string, until time.Duration) {
-	s.origins.mu.Lock()
-	defer s.origins.mu.Unlock()
-	s.origins.history.NoteMixed(service, until)
-	s.origins.tellNewlyMixed()
-}
-
-// NoteHistoryRead records that all records were read that NoteMixed applies. Services without one have had one version for long.
-func (s *Server) NoteHistoryRead() {
-	s.origins.mu.Lock()
-	defer s.origins.mu.Unlock()
-	s.origins.history.Complete = true
-}
-
-// MixedServices returns the services whose endpoints have had several versions lately.
-func (s *Server) MixedServices() []string {
-	s.origins.mu.Lock()
-	defer s.origins.mu.Unlock()
-	return s.origins.history.MixedServices(s.Now())
-}
-
 // TakeOrigins returns the streams of which other hosts are to be told, each once.
 func (s *Server) TakeOrigins() origin.Report {
 	s.origins.mu.Lock()
@@ -164,11 +142,15 @@
 	return s.origins.book.TakeUntold()
 }
 
-// LookUpOrigins returns what this host knows of streams that another host asks about.
+// LookUpOrigins returns what this host knows of streams that another host asks about. It does not say of any that it is unknown before it
+// has read the records of versions.
 func (s *Server) LookUpOrigins(keys origin.Keys) origin.Report {
 	s.origins.mu.Lock()
 	defer s.origins.mu.Unlock()
 	r := s.origins.book.LookUp(keys)
+	if !s.origins.recordsRead {
+		r.Unknown = nil
+	}
 	r.Seen = s.origins.history.Seen(s.Now())
 	return r
 }
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -61,6 +61,9 @@
 		list = append(list, feed.Endpoint{Instance: v, Service: "s", Version: v})
 	}
 	s.SetEndpoints(list)
+	s.SetVersionsRecord("s", origin.Record{Versions: versions, Whole: true})
+	s.SetVersionsRecord("t", origin.Record{Versions: []string{"v1"}, Whole: true})
+	s.NoteVersionsRead()
 	for routeName, service := range map[string]string{"r": "s", "split": "t"} {
 		c := originCall(s, routeName, "w", "", "")
 		c.id, c.service, c.endpoint = "begun", c.table.Service(service), feed.Endpoint{Instance: "v1", Service: service, Version: "v1"}
--- a/ingress/origins.go
+++ b/ingress/origins.go
@@ -30,7 +30,10 @@
 	mu      sync.Mutex
 	book    origin.Book
 	history origin.History
-	queries map[origin.Key]map[*originQuery]bool
+	// recordsRead says that the records of versions were read. Before, this host does not know whether a version that it has not listed
+	// began streams, so that its answer to another host would prove nothing.
+	recordsRead bool
+	queries     map[origin.Key]map[*originQuery]bool
 }
 
 // originQuery is a question to other hosts about one stream, by its keys at the services that may have begun it.
@@ -43,8 +46,8 @@
 }
 
 // setEndpoints applies a list of endpoints. It must be called before requests are sent by the list, so that no stream begins at a
-// second version while other hosts are not told of streams.
-func (o *origins) setEndpoints(list []feed.Endpoint) {
+// second version while other hosts are not told of streams. It returns the versions on record.
+func (o *origins) setEndpoints(list []feed.Endpoint) map[serviceVersion]bool {
 	versions := make(map[string]map[string]bool)
 	for i := range list {
 		e := &list[i]
@@ -57,6 +60,7 @@
 	defer o.mu.Unlock()
 	o.history.SetListed(o.now(), versions)
 	o.tellNewlyMixed()
+	return o.onRecord()
 }
 
 // tellNewlyMixed makes other hosts be told of all streams of services that have come to have several versions; mu must be held.
--- a/ingress/ownerfleet_test.go
+++ b/ingress/ownerfleet_test.go
@@ -134,7 +134,7 @@
 		b := newBalancer("z", policy, rand.New(rand.NewPCG(uint64(i)+1000*cfg.seed, 1)), func() time.Duration { return f.now })
 		b.requestSlots = func() { f.trigger(h) }
 		b.setTable(table)
-		b.setEndpoints(0, list)
+		b.setEndpoints(0, list, nil)
 		h.s = &Server{balance: b}
 		f.setHostCount(h)
 		f.hosts = append(f.hosts, h)
--- a/ingress/places_test.go
+++ b/ingress/places_test.go
@@ -56,6 +56,6 @@
 	must.Eq(t, map[string]map[string]places.Grant{"y": {"e0": {Running: 9}}}, got) // the last slot is reserved for the top tier
 	got = s.HandleSlotRequests("x", 1, 2, map[string]places.Request{"e0": {Running: 5, Rank: -1}})
 	must.Eq(t, map[string]map[string]places.Grant{"y": {"e0": {Slots: 1, Running: 5}}}, got) // a waiting host gets its grant when slots get free
-	b.setEndpoints(0, nil)
+	b.setEndpoints(0, nil, nil)
 	must.MapEmpty(t, b.slots.allocators)
 }
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -205,8 +205,8 @@
 
 // SetEndpoints must be called with each new endpoint list.
 func (s *Server) SetEndpoints(list []feed.Endpoint) {
-	s.origins.setEndpoints(list)
-	for _, incarnation := range s.balance.setEndpoints(s.Now(), list) {
+	onRecord := s.origins.setEndpoints(list)
+	for _, incarnation := range s.balance.setEndpoints(s.Now(), list, onRecord) {
 		s.crashes.noteRestarted(incarnation)
 	}
 }
--- a/ingress/versions.go
+++ b/ingress/versions.go
@@ -81,7 +81,7 @@
 	if c.req.Version != "" {
 		return b.poolOf(service, c.req.Version)
 	}
-	if b.rollouts.Active() && b.rollouts.PicksNew(now, service, b.rand.Float64()) {
+	if b.rollouts.Active() && !b.holdsNewVersion(c) && b.rollouts.PicksNew(now, service, b.rand.Float64()) {
 		return service + newVersionSuffix
 	}
 	return service
--- a/ingress/zones_test.go
+++ b/ingress/zones_test.go
@@ -23,7 +23,7 @@
 // planned, or counts and logs it wrongly.
 func TestZonePlan(t *testing.T) {
 	b, now := newBalancerWithEngines(1)
-	b.setEndpoints(0, []feed.Endpoint{{Instance: "e0", Service: "s", Slots: 10, Zone: "z"}, {Instance: "e1", Service: "s", Slots: 10, Zone: "y"}})
+	b.setEndpoints(0, []feed.Endpoint{{Instance: "e0", Service: "s", Slots: 10, Zone: "z"}, {Instance: "e1", Service: "s", Slots: 10, Zone: "y"}}, nil)
 	var lines []string
 	b.zones.observed, b.zones.log = true, funcr.New(func(_, line string) { lines = append(lines, line) }, funcr.Options{})
 	b.zones.liveHosts = map[string]int{"z": 1, "y": 2}
--- a/internal/simsite/stream.go
+++ b/internal/simsite/stream.go
@@ -162,6 +162,11 @@
 	Complete bool
 }
 
+// WentOn reports whether the request brought an event, or the end of the stream.
+func (a *StreamAnswer) WentOn() bool {
+	return a.Status == http.StatusOK && (len(a.Versions) > 0 || a.Complete)
+}
+
 // SendStream sends one request for a stream to a host.
 func (s *Site) SendStream(h *Host, c StreamCall) StreamAnswer {
 	t := &http.Transport{DialContext: s.Net.Host(callerIP).DialContext, DisableKeepAlives: true, DisableCompression: true}
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -75,35 +75,40 @@
 
 // TestHistory checks when a version is known to be the only one that can have begun a stream.
 func TestHistory(t *testing.T) {
-	const recorded = 5 * time.Second // until when a record says that there were several, if it does
 	type list map[string]map[string]bool
 	one, two, both := list{"s": {"v1": true}}, list{"s": {"v2": true}}, list{"s": {"v1": true, "v2": true}}
+	whole := func(versions ...string) *Record { return &Record{Versions: versions, Whole: true} }
 	cases := []struct {
 		name     string
 		complete bool
-		lists    []list // one each second
+		record   *Record // read before the first list; nil for none
+		lists    []list  // one each second
 		after    time.Duration
 		sole     string // "" for none
 		mixed    bool
-		record   bool
 	}{
-		{"from the first start on", true, []list{one}, 0, "v1", false, false},
-		{"after another start", false, []list{one}, 0, "", false, false},
-		{"long after another start", false, []list{one}, Memory, "v1", false, false},
-		{"two versions", true, []list{one, both}, 10 * Memory, "", true, false},
-		{"the old one has just gone", true, []list{one, both, two}, 0, "", true, false},
-		{"the old one went a while ago", true, []list{one, both, two}, Memory / 2, "", true, false},
-		{"the old one went long ago", true, []list{one, both, two}, Memory, "v2", false, false},
-		{"all went at once", true, []list{one, {}, two}, 0, "", true, false},
-		{"a record", true, []list{one}, recorded - 1, "", true, true},
-		{"a record that is over", true, []list{one}, recorded, "v1", false, true},
-		{"no endpoints", true, []list{{}}, 0, "", false, false},
+		{"from the first start on, before there is a record", true, nil, []list{one}, 0, "", false},
+		{"from the first start on", true, whole("v1"), []list{one}, 0, "v1", false},
+		{"after another start", false, nil, []list{one}, 0, "", false},
+		{"long after another start", false, nil, []list{one}, Memory, "v1", false},
+		{"two versions", true, nil, []list{one, both}, 10 * Memory, "", true},
+		{"the old one has just gone", true, nil, []list{one, both, two}, 0, "", true},
+		{"the old one went a while ago", true, nil, []list{one, both, two}, Memory / 2, "", true},
+		{"the old one went long ago", true, nil, []list{one, both, two}, Memory, "v2", false},
+		{"all went at once", true, nil, []list{one, {}, two}, 0, "", true},
+		{"a record of the listed version", false, whole("v1"), []list{one}, 0, "v1", false},
+		{"a record of another version", false, whole("v1"), []list{two}, 0, "", true},
+		{"a record of two versions", false, whole("v1", "v2"), []list{one}, 0, "", true},
+		{"a record of another version, long after", false, whole("v1"), []list{two}, Memory, "v2", false},
+		{"a record that may lack versions", false, &Record{Versions: []string{"v1"}}, []list{one}, 0, "", false},
+		{"no endpoints", true, nil, []list{{}}, 0, "", false},
+		{"no endpoints, and a record", false, whole("v1"), []list{{}}, 0, "v1", false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			h := History{Complete: tc.complete}
-			if tc.record {
-				h.NoteMixed("s", recorded)
+			if tc.record != nil {
+				h.SetRecord(0, "s", *tc.record)
 			}
 			now := time.Duration(0)
 			becameMixed := 0
@@ -122,3 +127,50 @@
 		})
 	}
 }
+
+// TestRecords checks what a record has to say, which versions lack one, and that a version which comes back after long counts as one that
+// is not on record, since another host may have taken it off.
+func TestRecords(t *testing.T) {
+	listed := func(versions ...string) map[string]map[string]bool {
+		l := map[string]map[string]bool{"s": {}}
+		for _, v := range versions {
+			l["s"][v] = true
+		}
+		return l
+	}
+	var h History
+	h.SetListed(0, listed("v1"))
+	must.Eq(t, []string{"s"}, h.Unrecorded())
+	want, current := h.WantedRecord(0, "s")
+	must.Eq(t, Record{Versions: []string{"v1"}}, want)
+	must.False(t, current)
+
+	h.SetRecord(0, "s", want)
+	must.SliceEmpty(t, h.Unrecorded())
+	_, current = h.WantedRecord(0, "s")
+	must.True(t, current)
+	want, current = h.WantedRecord(Memory, "s")
+	must.True(t, want.Whole)
+	must.False(t, current)
+
+	h.SetRecord(Memory, "s", want)
+	h.SetListed(Memory, listed("v1", "v2"))
+	must.Eq(t, []string{"s"}, h.Unrecorded())
+	must.False(t, h.OnRecord("s", "v2"))
+	want, _ = h.WantedRecord(Memory, "s")
+	must.Eq(t, Record{Versions: []string{"v1", "v2"}, Whole: true}, want)
+	h.SetRecord(Memory, "s", want)
+
+	h.SetListed(2*Memory, listed("v2"))
+	_, current = h.WantedRecord(2*Memory+Memory, "s")
+	must.True(t, current)
+	want, _ = h.WantedRecord(2*Memory+recordMemory, "s")
+	must.Eq(t, Record{Versions: []string{"v2"}, Whole: true}, want)
+	must.True(t, h.OnRecord("s", "v1"))
+	h.SetListed(3*Memory, listed("v1", "v2"))
+	must.False(t, h.OnRecord("s", "v1"))
+
+	h.DropRecords()
+	must.False(t, h.OnRecord("s", "v2"))
+	must.Eq(t, []string{"s"}, h.Unrecorded())
+}
--- a/sched/endpoint.go
+++ b/sched/endpoint.go
@@ -39,6 +39,8 @@
 	Engine bool
 	// Version is the version of its software.
 	Version string
+	// Unrecorded says that no answer may begin at the endpoint that callers may resume: its version is not on record yet.
+	Unrecorded bool
 	// Slots is the number of requests that run at once.
 	Slots int
 	// Leaving says that the endpoint gets no new requests.
--- a/sched/order.go
+++ b/sched/order.go
@@ -361,7 +361,7 @@
 				out = s.dispatchPassing(now, q, out)
 				break
 			}
-			if !ok && (r.long || r.Version != "") {
+			if !ok && (r.long || s.isRestricted(r)) {
 				break
 			}
 			if !ok {
--- a/sched/request.go
+++ b/sched/request.go
@@ -21,6 +21,8 @@
 	Model string
 	// Version is the version of the endpoints' software that has to serve it, because that version began its answer; empty means any.
 	Version string
+	// Resumable says that callers may resume the answer, so that it may not begin at an endpoint whose version is not on record.
+	Resumable bool
 	// Blocks are the hashes of the prompt's cache blocks and PromptTokens is its length.
 	Blocks       []uint64
 	PromptTokens int
--- a/sched/scheduler.go
+++ b/sched/scheduler.go
@@ -36,6 +36,7 @@
 	silentPeers int
 
 	endpoints          []*endpointState
+	anyUnrecorded      bool // of the endpoints
 	byName             map[string]*endpointState
 	pools              map[uint64]*pool
 	poolCache          map[poolCacheKey]*pool
@@ -81,7 +82,9 @@
 	for _, e := range s.endpoints {
 		e.present = false
 	}
+	s.anyUnrecorded = false
 	for _, d := range list {
+		s.anyUnrecorded = s.anyUnrecorded || d.Unrecorded
 		e := s.byName[d.Name]
 		if e == nil {
 			e = &endpointState{index: len(s.endpoints)}
--- a/sched/version.go
+++ b/sched/version.go
@@ -10,8 +10,18 @@
 // back if no endpoint of that version gets requests: endpoints that crash are back after some seconds.
 const versionRetryAfter = time.Second
 
-// accepts reports whether an endpoint is of the version that the request needs, if it needs one.
-func (r *Request) accepts(e *endpointState) bool { return r.Version == "" || r.Version == e.Version }
+// accepts reports whether an endpoint is of the version that the request needs, or, if it needs none, may begin its answer.
+func (r *Request) accepts(e *endpointState) bool {
+	if r.Version == "" {
+		return !r.Resumable || !e.Unrecorded
+	}
+	return r.Version == e.Version
+}
+
+// isRestricted reports whether the version of an endpoint may keep it from serving the request.
+func (s *Scheduler) isRestricted(r *Request) bool {
+	return r.Version != "" || r.Resumable && s.anyUnrecorded
+}
 
 // versionServes reports whether an endpoint of the version that a request needs gets requests, leaving out one of them.
 func (s *Scheduler) versionServes(r *Request, except *endpointState) bool {
