ingress: a resumed stream is planned by what is left of it

What callers saw: after a kill of all hosts, streams whose origin is known are refused, "deadline cannot be met" and "long answer while places are short", with seconds left for a few events.

Cause: a stream that its caller takes up was planned with the length of the whole one, while the endpoint makes the rest only. Change: the tokens that the caller has, by the number of its last event, count off. Where the number cannot be a count, nothing does.

TestRestOfResumedStream fails before.

--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/heathkeel/heathkeel/feed"
@@ -58,6 +59,19 @@
 	return origin.KeyOf(workspace, c.route.Name, service, id)
 }
 
+// tokensMade returns how many tokens of a stream the caller that resumes it has, as far as the number of its last event tells: the endpoint
+// makes only the rest.
+func (c *call) tokensMade() int {
+	if !c.resumable() {
+		return 0
+	}
+	last, err := strconv.Atoi(c.r.Header.Get(c.s.Headers.LastEvent))
+	if err != nil || last < 0 || last > c.tokensOut {
+		return 0 // no stream, or not a count of events
+	}
+	return min(last*c.eventTokens(), c.tokensOut)
+}
+
 // bindOrigin finds out at which version the stream began that the caller resumes, and makes the request one for that version. It
 // refuses a request whose stream may have begun at several versions.
 func (c *call) bindOrigin(ctx context.Context) *refusal {
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -218,3 +218,29 @@
 	c.noteOrigin()
 	must.Len(t, 1, s.TakeOrigins().Known["v1"]) // the new request; the stream itself is known
 }
+
+// TestRestOfResumedStream checks that a stream which its caller resumes is planned by what is left of it.
+func TestRestOfResumedStream(t *testing.T) {
+	cases := []struct {
+		name          string
+		route, last   string
+		max, expected int
+	}{
+		{"new", "r", "", 100, 60},
+		{"resumed", "r", "10", 60, 20},
+		{"longer than expected", "r", "20", 20, 1},
+		{"longer than allowed", "r", "30", 1, 1},
+		{"the number is no count", "r", "4711", 100, 60},
+		{"no number", "r", "x", 100, 60},
+		{"not resumable", "once", "10", 100, 60},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := originCall(originServer("v1"), tc.route, "w", "begun", tc.last)
+			c.service.EventTokens, c.tokensOut, c.lengthHint = 4, 100, 60
+			r := c.newRequest(0)
+			must.EqOp(t, tc.max, r.MaxTokens)
+			must.EqOp(t, tc.expected, r.ExpectedTokens)
+		})
+	}
+}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -167,8 +167,13 @@
 
 // newRequest returns a request to the scheduler that asks for a slot at the given time.
 func (c *call) newRequest(asked time.Duration) *sched.Request {
+	made := c.tokensMade()
+	expected := c.lengthHint
+	if expected > 0 {
+		expected = max(1, expected-made)
+	}
 	r := &sched.Request{
-		ID: c.id, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut), ExpectedTokens: c.lengthHint,
+		ID: c.id, PromptTokens: c.tokensIn, MaxTokens: max(1, c.tokensOut-made), ExpectedTokens: expected,
 		Arrived: c.arrived, Deadline: c.deadline, DispatchBy: c.dispatchBy(asked), Data: make(chan sched.Decision, 1),
 	}
 	if c.service.Engine {
