sched, ingress: resumed streams wait for a slot from when their origin is known, before others of their tier

Cause: the time for which a request may wait for a slot, 0.22 of its objective (176 ms), began with its arrival; the lookup of a stream's origin at other hosts and in the store takes 120 ms and more of it after a kill of all hosts. And what continues an answer was rationed by length and queued behind new requests, though what its caller has is worth nothing without the rest.

Change: the wait begins when the origin is known; such a request is not rationed and waits behind higher tiers only.

TestContinuedRequestsPass and TestRationExemptsRedispatches fail before.

--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -59,6 +59,11 @@
 	return origin.KeyOf(workspace, c.route.Name, service, id)
 }
 
+// continuesStream reports whether the caller has events of the stream, and its version is known.
+func (c *call) continuesStream() bool {
+	return c.stream.version != "" && c.r.Header.Get(c.s.Headers.LastEvent) != ""
+}
+
 // tokensMade returns how many tokens of a stream the caller that resumes it has, as far as the number of its last event tells: the endpoint
 // makes only the rest.
 func (c *call) tokensMade() int {
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -193,6 +193,10 @@
 		c.refuse(*f)
 		return
 	}
+	if c.continuesStream() {
+		// The time in which the origin was looked up is not one in which it could get a slot.
+		c.req.Continues, c.req.DispatchBy = true, c.dispatchBy(c.s.Now())
+	}
 	c.s.noteFirstAttempt(c.service.Name)
 	d := c.s.balance.submit(c)
 	for n := (failures{}); ; {
--- a/sched/order.go
+++ b/sched/order.go
@@ -106,9 +106,13 @@
 }
 
 // mustQueue reports whether a request of the same or a higher tier already waits; a new request
-// then waits behind it.
+// then waits behind it. One that continues an answer waits behind higher tiers only.
 func (s *Scheduler) mustQueue(r *Request) bool {
-	for k := 0; k <= r.rank(); k++ {
+	last := r.rank()
+	if r.Continues {
+		last--
+	}
+	for k := 0; k <= last; k++ {
 		if r.pool.tiers[k].waiting > 0 {
 			return true
 		}
--- a/sched/ration.go
+++ b/sched/ration.go
@@ -125,7 +125,7 @@
 		s.recentLengths[r.Settings.Service] = recent
 	}
 	r.lengthQuantile = recent.quantile(r.expectedOutput, s.Rand.Float64())
-	r.rationExempt = s.Rand.Float64() < exemptChance
+	r.rationExempt = s.Rand.Float64() < exemptChance || r.Continues
 	if s.SlotOwners {
 		r.longDraw = s.Rand.Float64()
 	}
--- a/sched/ration_test.go
+++ b/sched/ration_test.go
@@ -203,4 +203,7 @@
 	}
 	must.EqOp(t, ReasonLength, s.Submit(fleet.now, fleet.request(time.Second)).Reason)
 	must.NotEq(t, ReasonLength, s.Redispatch(fleet.now, r).Reason)
+	continued := fleet.request(time.Second)
+	continued.Continues = true
+	must.NotEq(t, ReasonLength, s.Submit(fleet.now, continued).Reason)
 }
--- a/sched/request.go
+++ b/sched/request.go
@@ -23,6 +23,9 @@
 	Version string
 	// Resumable says that callers may resume the answer, so that it may not begin at an endpoint whose version is not on record.
 	Resumable bool
+	// Continues says that the caller has the first part of the answer. The request is not rationed by its length, and does not wait
+	// behind others of its tier: what its caller has is worth nothing without the rest.
+	Continues bool
 	// Blocks are the hashes of the prompt's cache blocks and PromptTokens is its length.
 	Blocks       []uint64
 	PromptTokens int
--- a/sched/version_test.go
+++ b/sched/version_test.go
@@ -100,3 +100,72 @@
 	must.Len(t, 1, decisions)
 	must.EqOp(t, other, decisions[0].Request)
 }
+
+// fillVersion submits requests that need a version until one waits.
+func fillVersion(t *testing.T, s *testScheduler, version string, rank int) {
+	t.Helper()
+	for range 20 {
+		r := s.request("w", rank)
+		r.Version = version
+		if s.Submit(s.now, r).Verdict == Wait {
+			return
+		}
+	}
+	t.Fatal("no request waits")
+}
+
+// TestResumableRequestsAwaitRecords checks that a request whose answer callers may resume does not begin at an endpoint whose version is not
+// on record, waits for one if that has no room, and does not hold up others meanwhile.
+func TestResumableRequestsAwaitRecords(t *testing.T) {
+	cases := []struct {
+		name       string
+		resumable  bool
+		version    string
+		unrecorded bool // the version of the only endpoint with room
+		verdict    Verdict
+	}{
+		{"resumable", true, "", true, Wait},
+		{"of that version", true, "v2", true, Run},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newTestScheduler(Config{Disabled: Rules{Reserve: true}}, engine{name: "a", slots: 1}, engine{name: "c", slots: 2})
+			s.SetEndpoints([]Endpoint{
+				{Name: "a", Engine: true, Slots: 1, Version: "v1"}, {Name: "c", Engine: true, Slots: 2, Version: "v2", Unrecorded: tc.unrecorded},
+			})
+			fillVersion(t, s, "v1", 0)
+			r := s.request("w", 0)
+			r.Resumable, r.Version = tc.resumable, tc.version
+			r.Continues = tc.version != ""
+			must.EqOp(t, tc.verdict, s.Submit(s.now, r).Verdict)
+		})
+	}
+	for _, unrecorded := range []bool{false, true} {
+		s := newTestScheduler(Config{Disabled: Rules{Reserve: true}}, engine{name: "c", slots: 2})
+		s.SetEndpoints([]Endpoint{{Name: "c", Engine: true, Slots: 2, Version: "v2", Unrecorded: unrecorded}})
+		r := s.request("w", 0)
+		r.Resumable = true
+		must.EqOp(t, !unrecorded, s.Submit(s.now, r).Verdict == Run)
+	}
+}
+
+// TestContinuedRequestsPass checks that a request which continues an answer does not wait behind others of its tier, only behind those of
+// higher ones.
+func TestContinuedRequestsPass(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		waitingRank int
+		verdict     Verdict
+	}{{"its own tier", 1, Run}, {"a higher tier", 0, Wait}} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := newVersionScheduler()
+			fillVersion(t, s, "v1", tc.waitingRank)
+			fresh := s.request("w", 1)
+			fresh.Version = "v2"
+			must.EqOp(t, Wait, s.Submit(s.now, fresh).Verdict)
+			r := s.request("w", 1)
+			r.Version, r.Continues = "v2", true
+			must.EqOp(t, tc.verdict, s.Submit(s.now, r).Verdict)
+		})
+	}
+}
