ingress: lists of endpoints and records of versions reach the balancer in order

Seen by reading the diff: a list that was taken before a record, and applied after it, left a version held, or not held, until the next list. One lock orders both.

--- a/ingress/recorded.go
+++ b/ingress/recorded.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/heathkeel/heathkeel/origin"
@@ -146,6 +147,8 @@
 
 // changeRecords changes what is known of the records of versions, and applies it.
 func (s *Server) changeRecords(change func(o *origins)) {
+	s.recordsMu.Lock()
+	defer s.recordsMu.Unlock()
 	s.origins.mu.Lock()
 	change(&s.origins)
 	s.origins.tellNewlyMixed()
@@ -182,20 +185,38 @@
 	return false
 }
 
-// resumableServices returns the services with streams that callers may resume.
+// resumableCache holds the services with streams that callers may resume, of one configuration.
+type resumableCache struct {
+	mu       sync.Mutex
+	table    *route.Table
+	services map[string]bool
+}
+
+// resumableServices returns the services with streams that callers may resume. The result must not be changed.
 func (s *Server) resumableServices() map[string]bool {
 	src := s.Settings.Current()
 	if src == nil {
 		return nil
 	}
+	c := &s.resumable
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.table != src.Table {
+		c.table, c.services = src.Table, resumableServicesOf(src.Table)
+	}
+	return c.services
+}
+
+// resumableServicesOf returns the services of a configuration with streams that callers may resume.
+func resumableServicesOf(t *route.Table) map[string]bool {
 	out := make(map[string]bool)
-	for i := range src.Table.Document.Routes {
-		r := &src.Table.Document.Routes[i]
+	for i := range t.Document.Routes {
+		r := &t.Document.Routes[i]
 		if r.Kind != route.Stream || !r.Resumable {
 			continue
 		}
-		for _, t := range r.Targets {
-			out[t.Service] = true
+		for _, to := range r.Targets {
+			out[to.Service] = true
 		}
 	}
 	return out
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -101,6 +101,9 @@
 	stopStarted   atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
 
 	portWatch portWatch
+	// recordsMu orders changes of the list of endpoints and of the records of versions, so that the balancer gets both in order.
+	recordsMu sync.Mutex
+	resumable resumableCache
 
 	mu           sync.Mutex
 	quotas       *quota.Book
@@ -206,6 +209,8 @@
 
 // SetEndpoints must be called with each new endpoint list.
 func (s *Server) SetEndpoints(list []feed.Endpoint) {
+	s.recordsMu.Lock()
+	defer s.recordsMu.Unlock()
 	onRecord := s.origins.setEndpoints(list)
 	for _, incarnation := range s.balance.setEndpoints(s.Now(), list, onRecord) {
 		s.crashes.noteRestarted(incarnation)
