edge: the first record is written at once

Cause: no resumable stream begins before the versions are on record, hosts wrote nothing in their first second, since they do not know their rank then, looked each 0.1 s and read each 0.3 s; and the first answer of the store, which tells its era, made a host read once more after that time.

Change: in that second the seeds write, as there are few of them; hosts look each 25 ms and read each 0.1 s while a record is missing; the era is taken from the first answer. The tests are as they were, but for TestHedges, whose server has no store: it is told a record.

Now: the six tests green, TestHeldPart, TestRelayedRequests and TestResumeFails three times each; TestStreamsAfterKillsAndRollouts green.

--- a/edge/versions.go
+++ b/edge/versions.go
@@ -18,9 +18,9 @@
 // Parameters of the records of the versions at which streams may have begun.
 const (
 	// versionsInterval is the time between two looks at which records are missing.
-	versionsInterval = 100 * time.Millisecond
+	versionsInterval = 25 * time.Millisecond
 	// versionsReadInterval is the time between two reads while records are missing or were not read.
-	versionsReadInterval = 300 * time.Millisecond
+	versionsReadInterval = 100 * time.Millisecond
 	// versionsReviewInterval is the time between two looks at records that say more than they have to.
 	versionsReviewInterval = 10 * time.Second
 	// versionsWriters is the number of hosts that write a missing record at once, or soon after the hosts before them in the order of
@@ -28,7 +28,8 @@
 	versionsWriters     = 3
 	versionsWriterDelay = 300 * time.Millisecond
 	versionsOtherDelay  = 2 * time.Second
-	// versionsStart is the time after its start from which a host writes: before, it does not know its rank.
+	// versionsStart is the time after its start from which a host knows its rank. Before, only seeds write a missing record: when the
+	// whole system starts for the first time, all others would.
 	versionsStart = time.Second
 	// versionsCallTimeout limits a call to the store.
 	versionsCallTimeout = time.Second
@@ -89,18 +90,18 @@
 	}
 	missing := h.ingress.UnrecordedServices()
 	k.noteMissing(now, missing)
-	if !k.read || now < versionsStart {
+	if !k.read {
 		return
 	}
 	for _, service := range missing {
-		if now-k.missingSince[service] >= k.writeDelay() {
+		if now-k.missingSince[service] >= k.writeDelay(now) {
 			k.write(ctx, service)
 		}
 	}
 	if len(missing) > 0 {
 		k.readAll(ctx)
 	}
-	if now-k.reviewedAt >= versionsReviewInterval && h.agent.Rank() == 0 {
+	if now >= versionsStart && now-k.reviewedAt >= versionsReviewInterval && h.agent.Rank() == 0 {
 		k.reviewedAt = now
 		k.review(ctx)
 	}
@@ -111,7 +112,7 @@
 	if k.era != 0 {
 		k.host.ingress.DropVersionsRecords()
 	}
-	k.era, k.read = era, false
+	k.era, k.read, k.readAt = era, false, 0
 	clear(k.revisions)
 }
 
@@ -129,7 +130,13 @@
 }
 
 // writeDelay returns the time after which this host writes a record that lacks a version.
-func (k *versionsKeeper) writeDelay() time.Duration {
+func (k *versionsKeeper) writeDelay(now time.Duration) time.Duration {
+	if now < versionsStart {
+		if k.host.isSeed() {
+			return 0
+		}
+		return versionsStart
+	}
 	if rank := k.host.agent.Rank(); rank < versionsWriters {
 		return time.Duration(rank) * versionsWriterDelay
 	}
@@ -150,6 +157,9 @@
 		k.host.Log.V(1).Info("records of versions not read; it is tried again", "cause", err.Error())
 		return
 	}
+	if k.era == 0 { // the answer was the first to tell it
+		k.era = k.store.Era()
+	}
 	for _, it := range page.Items {
 		k.apply(it)
 	}
--- a/ingress/hedge_test.go
+++ b/ingress/hedge_test.go
@@ -23,6 +23,7 @@
 	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/feed"
 	"github.com/heathkeel/heathkeel/ingress"
+	"github.com/heathkeel/heathkeel/origin"
 	"github.com/heathkeel/heathkeel/platform"
 	"github.com/heathkeel/heathkeel/route"
 )
@@ -72,6 +73,7 @@
 		list = append(list, feed.Endpoint{Instance: fmt.Sprint("e", i), Service: "s", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "z", Slots: 4})
 	}
 	s.SetEndpoints(list)
+	s.SetVersionsRecord("s", origin.Record{Versions: []string{"unstated"}, Whole: true})
 	return s
 }
 
