feed: TestCutWatchReadLateIsNoProof reads revision and age of one moment

Cause: the test asked for the revision and then for its age. Where the answer to the watch came between the two, the age was that of the newer revision, which is proven to a later moment, and the test took it for the older one's. Ruled out: a proof of the old revision at a later moment; Age holds both under one lock, and Settings.InForce reads them together.

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -235,9 +235,13 @@
 			time.Sleep(1777 * time.Millisecond)
 			m.put("op/config", strings.Repeat("x", i+1))
 			wrote, newest := s.Now(), m.revision
-			for s.Age.Revision() < newest {
-				age, _ := s.Age.At(s.Now())
-				must.LessEq(t, wrote, s.Now()-age)
+			for {
+				now := s.Now()
+				revision, age, _ := s.Age.at(now) // of one moment: a newer revision may be proven between two calls
+				if revision >= newest {
+					break
+				}
+				must.LessEq(t, wrote, now-age)
 				time.Sleep(10 * time.Millisecond)
 			}
 		}
