outcome, ingress: lines on refused requests tell which stream they resume

Cause: only lines of streams that went on named the stream and its origin, so that nothing told why streams that callers took up again after a kill of all hosts were refused: each was one of thousands of refusals. Change: lines on refused requests that name a last event carry resumes, last_event and origin.

--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -50,6 +50,9 @@
 // resumes returns the ID of the request that brought the caller the first event of the stream that it resumes, or "".
 func (c *call) resumes() string { return c.r.Header.Get(c.s.Headers.Resumes) }
 
+// lastEvent returns the number of the last event that the caller has of the stream that it resumes, or "" if it has none.
+func (c *call) lastEvent() string { return c.r.Header.Get(c.s.Headers.LastEvent) }
+
 // originKey returns the key of the stream that a request of the call's workspace and route began at a service.
 func (c *call) originKey(service, id string) origin.Key {
 	workspace := ""
@@ -61,7 +64,7 @@
 
 // continuesStream reports whether the caller has events of the stream, and its version is known.
 func (c *call) continuesStream() bool {
-	return c.stream.version != "" && c.r.Header.Get(c.s.Headers.LastEvent) != ""
+	return c.stream.version != "" && c.lastEvent() != ""
 }
 
 // tokensMade returns how many tokens of a stream the caller that resumes it has, as far as the number of its last event tells: the endpoint
@@ -70,7 +73,7 @@
 	if !c.resumable() {
 		return 0
 	}
-	last, err := strconv.Atoi(c.r.Header.Get(c.s.Headers.LastEvent))
+	last, err := strconv.Atoi(c.lastEvent())
 	if err != nil || last < 0 || last > c.tokensOut {
 		return 0 // no stream, or not a count of events
 	}
@@ -80,7 +83,7 @@
 // bindOrigin finds out at which version the stream began that the caller resumes, and makes the request one for that version. It
 // refuses a request whose stream may have begun at several versions.
 func (c *call) bindOrigin(ctx context.Context) *refusal {
-	hasEvents := c.r.Header.Get(c.s.Headers.LastEvent) != ""
+	hasEvents := c.lastEvent() != ""
 	if !c.resumable() || (!hasEvents && c.resumes() == "") {
 		return nil
 	}
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -29,7 +29,9 @@
 	case outcome.Truncated:
 		e.SilentMS = c.lost.silence.Milliseconds()
 	case outcome.Continued:
-		e.Version, e.Resumes, e.LastEvent, e.Origin = c.endpoint.Version, c.resumes(), c.header.Get(c.s.Headers.LastEvent), string(c.stream.source)
+		e.Version, e.Resumes, e.LastEvent, e.Origin = c.endpoint.Version, c.resumes(), c.lastEvent(), string(c.stream.source)
+	case outcome.Refused:
+		e.Resumes, e.LastEvent, e.Origin = c.resumes(), c.lastEvent(), string(c.stream.source)
 	case outcome.Held:
 		e.Fingerprint = c.fingerprint().String()
 	}
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -65,8 +65,9 @@
 	// Version is the version of that endpoint's software. Resumes is the ID of the attempt that, according to
 	// the caller, brought the first event of the stream, and LastEvent the number of the last event that the
 	// caller has. Origin says how the host knows at which version the stream began that the caller resumes:
-	// remembered, asked (another host knew it) or sole (only one version has served for long). Events of kind
-	// Continued have them, those of kind SendLost the version only.
+	// remembered, asked (another host knew it), saved (it was in the store) or sole (only one version has served
+	// for long). Events of kind Continued have them, those of kind Refused all but the version if the request
+	// resumes a stream, those of kind SendLost the version only.
 	Version   string `json:"version,omitempty"`
 	Resumes   string `json:"resumes,omitempty"`
 	LastEvent string `json:"last_event,omitempty"`
@@ -144,6 +145,10 @@
 		fields = append(fields, "silent_ms", e.SilentMS)
 	case Continued:
 		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
+	case Refused:
+		if e.LastEvent != "" {
+			fields = append(fields, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
+		}
 	case Held:
 		fields = append(fields, "fingerprint", e.Fingerprint)
 	}
