quota, ingress: streams that go on get a workspace's amount before requests that begin

Cause: hosts that start know nothing of what was used and begin an account near zero; callers notice the break after two seconds, when requests that begin something, and their retries, have used up what there was. A stream that goes on had no claim before them. Change: most of the allowed debt of an account is for streams that go on; requests that begin something may use a quarter of it. What all together may use is as before. Test: TestStreamsThatGoOnComeFirst, before: 10 and 0 of 30 streams at loads of 2 and 10. TestInitialLevel: a first and a later start let pass as much as before in all, of it 2050 and 150 to begin; TestUseWithinLimit draws both kinds.

--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -282,7 +282,11 @@
 		}
 	}
 	c.s.mu.Lock()
-	ok, wait := c.s.quotas.Take(c.s.Now(), w.Name, quota.Limit{Rate: w.Rate, Burst: w.Burst}, c.units)
+	take := c.s.quotas.Take
+	if c.resumable() && c.lastEvent() != "" {
+		take = c.s.quotas.TakeToContinue
+	}
+	ok, wait := take(c.s.Now(), w.Name, quota.Limit{Rate: w.Rate, Burst: w.Burst}, c.units)
 	c.s.mu.Unlock()
 	if ok {
 		return nil
--- a/quota/book.go
+++ b/quota/book.go
@@ -25,11 +25,14 @@
 // The level of an account is this host's estimate of what all hosts together have left. It is refilled at Rate
 // up to Burst, and decreases by this host's use, by the use that peers report, and by an equal share of the
 // rate for each host that has not reported yet. A request passes if two conditions hold. The level plus the
-// allowed debt is above zero, whatever the size of the request, so that large requests are not starved by small
-// ones. And since all other hosts last reported, this host has used less than an equal share of the level. A
-// peer that becomes silent is assumed to use an equal share of the level and then its share of the rate; its
-// next report replaces the assumed use by the real one. So hosts that lose contact use together no more than
-// they would have used otherwise.
+// debt that the kind of request may use is above zero, whatever the size of the request, so that large requests are
+// not starved by small ones. And since all other hosts last reported, this host has used less than
+// an equal share of what is left. A peer that becomes silent is assumed to use an equal share of the level and
+// then its share of the rate; its next report replaces the assumed use by the real one. So hosts that lose contact
+// use together no more than they would have used otherwise.
+//
+// Most of the debt is for streams that go on: when hosts fail, many of them come at once, after requests that
+// begin something have used up the rest.
 type Book struct {
 	// Tolerance is how far the hosts together may exceed a limit.
 	Tolerance Tolerance
@@ -134,14 +137,24 @@
 	a.level = min(max(a.level, -maxDebtSeconds*a.limit.Rate), a.limit.Burst)
 }
 
-// Take takes an amount, or returns false and the time after which to retry.
+// Take takes an amount for a request that begins something, or returns false and the time after which to retry.
 func (b *Book) Take(now time.Duration, name string, limit Limit, amount float64) (bool, time.Duration) {
+	return b.take(now, name, limit, amount, beginRatio*b.Tolerance.allowedDebt(limit))
+}
+
+// TakeToContinue takes an amount for a request that goes on with a stream, or returns false and the time after which to retry.
+func (b *Book) TakeToContinue(now time.Duration, name string, limit Limit, amount float64) (bool, time.Duration) {
+	return b.take(now, name, limit, amount, b.Tolerance.allowedDebt(limit))
+}
+
+// take takes an amount if the level is not below -debt.
+func (b *Book) take(now time.Duration, name string, limit Limit, amount, debt float64) (bool, time.Duration) {
 	if limit.Rate <= 0 {
 		return true, 0
 	}
 	a := b.account(now, name, limit)
 	b.markSilentPeers(now)
-	available := a.level + b.Tolerance.allowedDebt(limit)
+	available := a.level + debt
 	if available <= 0 {
 		return false, time.Duration(-available / limit.Rate * float64(time.Second))
 	}
--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -87,6 +87,9 @@
 	return peak
 }
 
+// takes are the two ways of taking an amount: to begin something, and to go on with a stream.
+var takes = []func(b *Book, now time.Duration, name string, limit Limit, amount float64) (bool, time.Duration){(*Book).Take, (*Book).TakeToContinue}
+
 // TestUseWithinLimit requests up to ten times the rate from several hosts, while reports are lost and hosts are
 // isolated and restarted. It checks that the use in any 8 s stays within the limit plus tolerance: burst and
 // rate of the window, 10 % more, and a slack of one second of the rate, which is about the slack of the users'
@@ -126,7 +129,7 @@
 					demand -= amount
 					continue
 				}
-				if ok, _ := f.books[i].Take(f.now, "w", limit, amount); ok {
+				if ok, _ := takes[randN(2)](f.books[i], f.now, "w", limit, amount); ok {
 					f.uses = append(f.uses, use{f.now, amount})
 				}
 				demand -= amount
@@ -198,40 +201,88 @@
 }
 
 // TestInitialLevel checks how much passes immediately at the first start of all hosts, and at a later start,
-// when earlier use is not known.
+// when earlier use is not known: of requests that begin something, and after these of streams that go on.
 func TestInitialLevel(t *testing.T) {
 	limit := Limit{Rate: 1000, Burst: 2000}
 	cases := []struct {
 		name           string
 		full           bool
 		tolerance      Tolerance
-		minUse, maxUse float64
+		begun          float64 // least use of requests that begin something; at most one amount more
+		minUse, maxUse float64 // of both together
 	}{
-		{"first start", true, Tolerance{}, 2000, 2010},
-		{"first start with tolerance", true, Tolerance{Slack: 1000}, 2200, 2210},
-		{"later start", false, Tolerance{}, 0, 0},
-		{"later start with tolerance", false, Tolerance{Slack: 1000}, 300, 310},
+		{"first start", true, Tolerance{}, 2000, 2000, 2010},
+		{"first start with tolerance", true, Tolerance{Slack: 1000}, 2050, 2200, 2210},
+		{"later start", false, Tolerance{}, 0, 0, 0},
+		{"later start with tolerance", false, Tolerance{Slack: 1000}, 150, 300, 310},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			b := NewBook(0)
 			b.StartFull, b.Tolerance = tc.full, tc.tolerance
-			must.Between(t, tc.minUse, takeUntilRefused(b, 0, limit, 10), tc.maxUse)
+			begun := repeatUntilRefused(b.Take, 0, limit, 10)
+			must.Between(t, tc.begun, begun, tc.begun+10)
+			must.Between(t, tc.minUse, begun+takeUntilRefused(b, 0, limit, 10), tc.maxUse)
 		})
 	}
 }
 
-// takeUntilRefused takes amounts until one is refused and returns their sum.
+// takeUntilRefused takes amounts for streams that go on, which may use all that is left, until one is refused, and returns their sum.
 func takeUntilRefused(b *Book, now time.Duration, limit Limit, amount float64) float64 {
+	return repeatUntilRefused(b.TakeToContinue, now, limit, amount)
+}
+
+// repeatUntilRefused takes amounts until one is refused and returns their sum.
+func repeatUntilRefused(take func(time.Duration, string, Limit, float64) (bool, time.Duration), now time.Duration, limit Limit, amount float64) float64 {
 	total := 0.0
 	for {
-		if ok, _ := b.Take(now, "w", limit, amount); !ok {
+		if ok, _ := take(now, "w", limit, amount); !ok {
 			return total
 		}
 		total += amount
 	}
 }
 
+// TestStreamsThatGoOnComeFirst guards against refusals of streams that callers take up after a kill of all hosts: new requests of up to ten
+// times the rate had used the workspace's amount before them. Callers notice the break after two seconds and try each half of a second.
+func TestStreamsThatGoOnComeFirst(t *testing.T) {
+	const hosts, streams, amount, tries = 6, 30, 100, 4
+	limit := Limit{Rate: 1000, Burst: 1000}
+	for _, load := range []float64{0.5, 2, 10} {
+		t.Run(fmt.Sprint(load), func(t *testing.T) {
+			f := newFleet(hosts, Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 2 * limit.Rate})
+			for i := range hosts {
+				f.restart(i, hosts)
+			}
+			tried, wentOn, next := make([]int, streams), make([]bool, streams), 0
+			for ; f.now < 5*time.Second; f.now += step {
+				if f.now%(200*time.Millisecond) == 0 {
+					f.report(func() bool { return false })
+				}
+				for demand := load * limit.Rate * step.Seconds(); demand > 0; demand -= 5 {
+					_, _ = f.books[next%hosts].Take(f.now, "w", limit, 5)
+					next++
+				}
+				for i := range streams {
+					due := 2*time.Second + time.Duration(i+tried[i]*streams)*step
+					if wentOn[i] || tried[i] == tries || f.now < due {
+						continue
+					}
+					wentOn[i], _ = f.books[(i+tried[i])%hosts].TakeToContinue(f.now, "w", limit, amount)
+					tried[i]++
+				}
+			}
+			n := 0
+			for _, ok := range wentOn {
+				if ok {
+					n++
+				}
+			}
+			must.GreaterEq(t, streams/2, n)
+		})
+	}
+}
+
 // TestEqualShareUntilAllReport checks that a host uses no more than an equal share of the level until all
 // others have reported again.
 func TestEqualShareUntilAllReport(t *testing.T) {
--- a/quota/bound.go
+++ b/quota/bound.go
@@ -10,6 +10,9 @@
 // before they receive each other's reports.
 const debtRatio = 0.2
 
+// beginRatio is the fraction of the allowed debt that requests may use which begin something. The rest is for streams that go on.
+const beginRatio = 0.25
+
 // Tolerance is how far a workspace may exceed its limit in a window: Overshoot·(Rate·Window + Burst) + Slack.
 // The zero value tolerates nothing.
 type Tolerance struct {
@@ -21,7 +24,7 @@
 	Slack float64
 }
 
-// allowedDebt returns how far below zero a level may be for requests to pass, in units.
+// allowedDebt returns how far below zero a level may be for streams to go on, in units.
 func (t Tolerance) allowedDebt(limit Limit) float64 {
 	return debtRatio * (t.Overshoot*(limit.Rate*t.Window.Seconds()+limit.Burst) + t.Slack)
 }
