ingress, upstream: an end behind which another process may listen is not taken for the end of the response

Cause: endIsWhole took any process that takes a connection at the address for the one that wrote the response. Ways weighed: the health path after each such end (a request more for each unframed response); another open connection as a sign of life (behind a cut none can be trusted until it brings bytes); the endpoint's entry (it stays for three heartbeats, and the new one comes late). Chosen: the health path, asked over a new connection with the instance that is expected, and only where bytes paused for as long as a process takes to start, at the end or up to 5 s before it: an end that is known at once leaves no room for another process. 421 means another one; any other answer, or none in 0.3 s, means that the response is judged as before. Why it holds: the end of a connection is late only if it was held up, and then no byte came meanwhile.

--- a/edge/endings_test.go
+++ b/edge/endings_test.go
@@ -77,10 +77,27 @@
 		time.Sleep(servedOn)
 		e.Kill()
 		time.Sleep(rebornAfter)
-		if err := s.StartAgain(e); err != nil {
+		if err := s.StartAgain(e, true); err != nil {
 			panic(err)
 		}
 	}, -1},
+	// Hosts learn of the end once another process listens at the port.
+	{"it is killed behind a cut, and another starts at its address", func(s *simsite.Site, e *simsite.Endpoint) {
+		e.CutOff()
+		time.Sleep(300 * time.Millisecond)
+		e.Kill()
+		time.Sleep(time.Second)
+		if err := s.StartAgain(e, false); err != nil {
+			panic(err)
+		}
+		time.Sleep(time.Second)
+		e.Reconnect()
+	}, -1},
+	{"it is cut off for a while", func(_ *simsite.Site, e *simsite.Endpoint) {
+		e.CutOff()
+		time.Sleep(1400 * time.Millisecond)
+		e.Reconnect()
+	}, 0},
 }
 
 // TestEndsOfLeavingEndpoints checks that hosts pass on the whole streams of an endpoint that stops in order, whose port refuses
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -28,6 +28,7 @@
 	stopCancel func() bool
 	silence    silenceTimer
 	unusable   bool // the head of the response says that it is not the answer
+	progress   progress
 }
 
 // send sends the request to the endpoint c.endpoint and handles its response. It returns the outcome and the backoff.
@@ -78,6 +79,7 @@
 	c.header.Set(c.s.Headers.Deadline, formatDeadline(remaining))
 	c.header.Set(c.s.Headers.ExpectInstance, c.endpoint.Instance)
 	x := &exchange{conn: conn, unregister: unregister, stopCancel: context.AfterFunc(ctx, conn.Close), sentAt: c.s.Now()}
+	x.progress.note(x.sentAt)
 	c.responsePending = true
 	c.noteSend(x.sentAt)
 	return x, sendCompleted, 0
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -149,6 +149,7 @@
 		}
 		at := c.s.Now()
 		c.noteHeard(at)
+		x.progress.note(at)
 		switch {
 		case n == 0:
 			c.s.balance.noteFirstOutput(c, c.elapsed(sent, at))
--- a/ingress/unframed.go
+++ b/ingress/unframed.go
@@ -33,8 +33,9 @@
 // endpoint that leaves as planned, but it goes on to write its responses: bytes that were sent after a refusal show that it lives. Of an
 // endpoint that is not known to leave they show nothing, since packets are lost and sent again after the end of their process. A refusal
 // counts also where this host reaches no endpoint, or takes several that crash together for that: whatever refuses the connection
-// may have ended the other one. Where the port gives no answer the response is passed on, but says nothing about the request. hasBody says
-// that anything of the body has come; a stream without any is none. unknown says that the port gave no answer.
+// may have ended the other one. So does another process that has taken the port meanwhile. Where the port gives no answer the response is
+// passed on, but says nothing about the request. hasBody says that anything of the body has come; a stream without any is none. unknown
+// says that the port gave no answer.
 func (c *call) endIsWhole(ctx context.Context, x *exchange, hasBody bool) (whole, unknown bool) {
 	if !isUnframed(x.resp) || !bodyAllowed(c.r.Method, x.resp.StatusCode) || c.endpoint.Instance == "" {
 		return true, false
@@ -45,8 +46,13 @@
 		c.logUnframedEnd("the endpoint leaves, and wrote after its port had closed", true)
 		return mayBeWhole, false
 	}
-	err := c.probePort(ctx)
-	if !errors.Is(err, syscall.ECONNREFUSED) {
+	err := c.probeProcess(ctx, x)
+	switch {
+	case errors.Is(err, errOtherProcess):
+		c.s.Count.CutUnframed.Add(1)
+		c.logUnframedEnd("another process listens at the port", false)
+		return false, false
+	case !errors.Is(err, syscall.ECONNREFUSED):
 		return mayBeWhole, err != nil
 	}
 	if leaving && c.awaitSign(ctx, x.conn) {
@@ -88,7 +94,8 @@
 	return false
 }
 
-// logUnframedEnd counts and logs how the end of a response was judged that ended with its connection, at an endpoint whose port is closed.
+// logUnframedEnd counts and logs how the end of a response was judged that ended with its connection, at an endpoint whose port is closed or
+// another's.
 func (c *call) logUnframedEnd(seen string, whole bool) {
 	if whole {
 		c.s.Count.EndedAfterClose.Add(1)
--- a/internal/simnet/cut.go
+++ b/internal/simnet/cut.go
@@ -48,13 +48,17 @@
 	}
 }
 
-// Heal ends a cut.
+// Heal ends a cut. What was written before a connection was closed behind the cut arrives, too.
 func (h *Host) Heal() {
 	h.net.mu.Lock()
 	h.cut = nil
-	conns := make([]*conn, 0, len(h.conns))
-	for c := range h.conns {
-		conns = append(conns, c)
+	var conns []*conn
+	for _, o := range h.net.hosts {
+		for c := range o.conns {
+			if o == h || c.remote.Addr() == h.IP {
+				conns = append(conns, c)
+			}
+		}
 	}
 	h.net.mu.Unlock()
 	for _, c := range conns {
--- a/internal/simsite/endpoint.go
+++ b/internal/simsite/endpoint.go
@@ -44,6 +44,7 @@
 	address  string
 	zone     string
 	coldLeft time.Duration // as its entry says
+	unlisted bool          // it has no entry
 
 	mu       sync.Mutex
 	arrivals []Arrival
@@ -68,6 +69,9 @@
 	crashes    int
 }
 
+// healthPath is the path at which endpoints answer which instance they are, as in site.Example.
+const healthPath = "/healthz"
+
 // slots is the number of requests that an endpoint runs at once, as its entry says.
 const slots = 8
 
@@ -97,6 +101,16 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if expected := r.Header.Get("Heathkeel-Expect-Instance"); expected != "" && expected != e.Instance {
+		w.Header().Set("Heathkeel-Attempt-Id", r.Header.Get("Heathkeel-Attempt-Id"))
+		w.Header().Set("Heathkeel-Not-Executed", "1")
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == healthPath {
+		w.Header().Set("Heathkeel-Instance-Id", e.Instance)
+		return
+	}
 	ip, _, _ := net.SplitHostPort(r.RemoteAddr)
 	e.mu.Lock()
 	a := Arrival{ID: r.Header.Get("Heathkeel-Attempt-Id"), From: ip, ReceivedAt: time.Now(), Rate: -1}
@@ -321,6 +335,8 @@
 	srv := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
 	go func() { _ = srv.Serve(l) }()
 	e.server, e.listener = srv, l
-	e.putEntry("ready")
+	if !e.unlisted {
+		e.putEntry("ready")
+	}
 	return nil
 }
--- a/internal/simsite/leave.go
+++ b/internal/simsite/leave.go
@@ -4,7 +4,12 @@
 
 package simsite
 
-import "time"
+import (
+	"net/netip"
+	"time"
+
+	"github.com/heathkeel/heathkeel/internal/simnet"
+)
 
 // ClosePort makes the endpoint refuse new connections. It goes on to work on those that are open, as a process does that stops in order.
 func (e *Endpoint) ClosePort() { _ = e.listener.Close() }
@@ -18,7 +23,17 @@
 	_ = e.server.Close()
 }
 
-// StartAgain starts another endpoint of the same kind, with a new name, at the address of one that was killed.
-func (s *Site) StartAgain(e *Endpoint) error {
-	return s.addEndpointAt(&Endpoint{Service: e.Service, Version: e.Version, Streams: e.Streams, Work: e.Work, Unframed: e.Unframed}, e.ip)
+// CutOff holds up all packets between the endpoint's machine and others until Reconnect: what was written before arrives then.
+func (e *Endpoint) CutOff() {
+	e.site.Net.Host(e.ip).Cut(simnet.Silent, func(netip.Addr) bool { return true })
+}
+
+// Reconnect ends the effect of CutOff.
+func (e *Endpoint) Reconnect() { e.site.Net.Host(e.ip).Heal() }
+
+// StartAgain starts another endpoint of the same kind, with a new name, at the address of one that was killed. Unless listed is set, it does
+// not reach the store to write its entry.
+func (s *Site) StartAgain(e *Endpoint, listed bool) error {
+	again := &Endpoint{Service: e.Service, Version: e.Version, Streams: e.Streams, Work: e.Work, Unframed: e.Unframed, unlisted: !listed}
+	return s.addEndpointAt(again, e.ip)
 }
--- a/route/document.go
+++ b/route/document.go
@@ -65,6 +65,8 @@
 	Name string
 	// MaxConnections is the number of connections that an endpoint accepts from all hosts together; 0 means unknown.
 	MaxConnections int
+	// HealthPath is the path at which an endpoint answers a GET while it is healthy; empty means none.
+	HealthPath string
 	// Engine says that the endpoints are engines; else they are plain services.
 	Engine bool
 	// Slots is the number of requests that an engine batches; 0 means unknown.
--- a/upstream/process.go
+++ b/upstream/process.go
@@ -23,6 +23,16 @@
 	return nil
 }
 
+// Open opens a connection to an address, also if there is an idle one: it leads to the process that listens there now.
+func (p *Pool) Open(ctx context.Context, address string) (*Conn, error) {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.markInUse(c)
+	return c, nil
+}
+
 // WroteAfterRefusal reports whether the process at an address has refused a connection, accepted none since, and written something
 // afterwards to one that is in use.
 func (p *Pool) WroteAfterRefusal(address string) bool {
