ingress: a comment before the first event of a stream is no event with the number 0

Cause: that something was forwarded was taken to mean that the number of the last event is known; it was 0 then. Change: the number is known once an event that has one was forwarded. So it is for the request to another host (relay.go). TestStreamsWithComments: two of four cases red before, green now.

--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -251,7 +251,7 @@
 		sends = max(sends, c.route.Attempts-1) // the host that was lost may have used all but the last
 	}
 	h.Set(relayHeader, c.s.Host+" "+strconv.Itoa(sends))
-	if c.stream.events > 0 {
+	if c.stream.hasID {
 		h.Set(c.s.Headers.LastEvent, strconv.FormatInt(c.stream.lastID, 10))
 		if c.resumes() == "" {
 			h.Set(c.s.Headers.Resumes, c.id)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -23,7 +23,8 @@
 type stream struct {
 	started bool          // the header was written
 	events  int           // events forwarded
-	lastID  int64         // number of the last event forwarded
+	lastID  int64         // number of the last event forwarded that has one
+	hasID   bool          // there is one: comments have none, and 0 may be the first
 	lastAt  time.Duration // when it was forwarded
 	version string        // the version of the endpoints' software that began it, empty if unknown
 	source  originSource  // how the version is known of a stream that another request of the caller began
@@ -159,14 +160,14 @@
 		}
 		lastAt = at
 		n++
-		if e.hasID && c.stream.events > 0 && e.id <= c.stream.lastID {
+		if e.hasID && c.stream.hasID && e.id <= c.stream.lastID {
 			if repeated += len(e.bytes); repeated > maxRepeated {
 				c.logExceeded(limitRepeated)
 				return sendLost, backoffLost
 			}
 			continue
 		}
-		if e.hasID && c.stream.events > 0 && e.id != c.stream.lastID+1 {
+		if e.hasID && c.stream.hasID && e.id != c.stream.lastID+1 {
 			c.s.Log.Info("event out of order", "id", c.id, "endpoint", c.endpoint.Instance, "event", e.id, "last", c.stream.lastID)
 			return sendLost, backoffLost
 		}
@@ -217,7 +218,7 @@
 	}
 	c.stream.events++
 	if e.hasID {
-		c.stream.lastID = e.id
+		c.stream.lastID, c.stream.hasID = e.id, true
 		c.header.Set(c.s.Headers.LastEvent, strconv.FormatInt(e.id, 10))
 	}
 	return more || c.flush() == nil
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -284,6 +284,9 @@
 // EventText returns the text of event n of a stream.
 func EventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
 
+// CommentText is a comment in a stream, as servers send it to keep a connection open.
+const CommentText = ": still here\n\n"
+
 // answerStream sends the events after lastEvent. It calls end before it writes the end of the stream.
 func (e *Endpoint) answerStream(c net.Conn, id string, f Fault, lastEvent int, end func()) bool {
 	fmt.Fprint(c, e.responseHead(id, f, "200 OK")+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
@@ -291,7 +294,14 @@
 		_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s)
 		return err
 	}
-	for n := lastEvent + 1; n <= e.Events; n++ {
+	first := lastEvent + 1
+	if f == CommentFromZero && lastEvent == 0 {
+		first = 0
+	}
+	if f == Comment || f == CommentFromZero {
+		_ = chunk(CommentText) // an error recurs with the first event
+	}
+	for n := first; n <= e.Events; n++ {
 		time.Sleep(e.currentPace())
 		e.awaitPauses()
 		text := EventText(n)
--- a/internal/site/fault.go
+++ b/internal/site/fault.go
@@ -43,6 +43,9 @@
 	SkipEvent Fault = "skip event"
 	// DoubleEvent sends the third event of a stream twice.
 	DoubleEvent Fault = "double event"
+	// Comment sends a comment before a stream's events, and CommentFromZero numbers these from 0.
+	Comment         Fault = "comment"
+	CommentFromZero Fault = "comment from zero"
 	// Closing sends Connection: close and closes the connection after the answer.
 	Closing Fault = "closing"
 	// Interim sends a 103 response before the answer.
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -313,3 +313,38 @@
 		})
 	}
 }
+
+// TestStreamsWithComments guards against events that are dropped, or taken for out of order, because a comment came before them: their numbers
+// may begin with 0, and go on behind the last event that the caller has.
+func TestStreamsWithComments(t *testing.T) {
+	s := startTestSite(t, 1)
+	rest := ""
+	for n := 4; n <= streamEvents; n++ {
+		rest += EventText(n)
+	}
+	cases := []struct {
+		name   string
+		faults []Fault
+		last   string // Last-Event-Id of the caller
+		want   string
+	}{
+		{"from 1", []Fault{Comment}, "", CommentText + StreamBody(streamEvents)},
+		{"from 0", []Fault{CommentFromZero}, "", CommentText + EventText(0) + StreamBody(streamEvents)},
+		{"a caller resumes", []Fault{Comment}, "3", CommentText + rest},
+		{"a host resumes", []Fault{TruncatedEvent, Comment}, "", EventText(1) + EventText(2) + CommentText + EventText(3) + rest},
+	}
+	for i, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := Call{Path: "/review/a", Key: Key, ID: fmt.Sprint("comment-", i), Body: "b", Tokens: "10,30"}
+			if tc.last != "" {
+				c.Header = http.Header{"Last-Event-Id": {tc.last}}
+			}
+			ShareFaults(tc.faults, s.engines[0], s.engines[1])
+			a := Do(s.Hosts[0].Boot.Front, c)
+			ShareFaults(nil, s.engines[0], s.engines[1])
+			must.EqOp(t, 200, a.Status)
+			must.True(t, a.Complete)
+			must.EqOp(t, tc.want, a.Body)
+		})
+	}
+}
