soak: endpoints that end while their answers do, and kills of all hosts while versions change

The stand-in endpoint answers the health path without a run, and can end its streams with their connections, and be killed in order.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -119,7 +119,7 @@
 		switch {
 		case strings.HasPrefix(it.Key, platform.PrefixRecords):
 			h.restoreRecord(it)
-		case strings.HasPrefix(it.Key, platform.PrefixVersions):
+		case strings.HasPrefix(it.Key, platform.PrefixVersions): // read by versionsKeeper
 		default:
 			hosts = append(hosts, it)
 		}
--- a/internal/site/crash.go
+++ b/internal/site/crash.go
@@ -41,7 +41,16 @@
 
 // Crash simulates the end of the endpoint's process: its port refuses connections, and open
 // connections are reset. It returns false if the endpoint had crashed before.
-func (e *Endpoint) Crash() bool {
+func (e *Endpoint) Crash() bool { return e.crash(resetConn) }
+
+// Kill simulates the end of the endpoint's process while nothing that it was sent is unread: its port refuses connections, and open
+// connections are closed in order. It returns false if the endpoint had crashed before.
+func (e *Endpoint) Kill() bool {
+	return e.crash(func(c net.Conn) { _ = c.Close() })
+}
+
+// crash ends the endpoint and its open connections.
+func (e *Endpoint) crash(endConn func(net.Conn)) bool {
 	e.mu.Lock()
 	if e.crashed {
 		e.mu.Unlock()
@@ -50,7 +59,7 @@
 	e.crashed = true
 	_ = e.l.Close()
 	for c := range e.conns {
-		resetConn(c)
+		endConn(c)
 	}
 	e.mu.Unlock()
 	if e.OnCrash != nil {
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -42,6 +42,8 @@
 	StartedMS int64
 	// Events is the number of events of a stream; 0 makes the endpoint a plain service.
 	Events int
+	// UnframedStreams makes streams end with their connections, without chunks.
+	UnframedStreams bool
 	// Pace is the time before each event, the first one included. Use SetPace to change it while
 	// the endpoint runs.
 	Pace time.Duration
@@ -74,6 +76,9 @@
 	pauses   []Pause // in the order in which they began
 }
 
+// healthPath is the path at which endpoints say which instance they are.
+const healthPath = "/healthz"
+
 // Start listens on loopback and serves connections.
 func (e *Endpoint) Start() error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -162,6 +167,10 @@
 		fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nHeathkeel-Attempt-Id: %s\r\nHeathkeel-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id, e.Instance)
 		return true
 	}
+	if r.URL.Path == healthPath {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nHeathkeel-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", e.Instance)
+		return true
+	}
 	f := e.nextFault()
 	if f == Full {
 		e.awaitPauses()
@@ -289,9 +298,17 @@
 
 // answerStream sends the events after lastEvent. It calls end before it writes the end of the stream.
 func (e *Endpoint) answerStream(c net.Conn, id string, f Fault, lastEvent int, end func()) bool {
-	fmt.Fprint(c, e.responseHead(id, f, "200 OK")+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+	fmt.Fprint(c, e.responseHead(id, f, "200 OK")+"Content-Type: text/event-stream\r\n")
+	if e.UnframedStreams {
+		fmt.Fprint(c, "\r\n")
+	} else {
+		fmt.Fprint(c, "Transfer-Encoding: chunked\r\n\r\n")
+	}
 	chunk := func(s string) error {
-		_, err := fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s)
+		if !e.UnframedStreams {
+			s = fmt.Sprintf("%x\r\n%s\r\n", len(s), s)
+		}
+		_, err := io.WriteString(c, s)
 		return err
 	}
 	first := lastEvent + 1
@@ -331,6 +348,9 @@
 	}
 	e.awaitPauses()
 	end()
+	if e.UnframedStreams {
+		return false
+	}
 	_, err := fmt.Fprint(c, "0\r\n\r\n")
 	return err == nil && f != Closing
 }
--- a/internal/soak/callers_test.go
+++ b/internal/soak/callers_test.go
@@ -85,6 +85,8 @@
 // clients send requests until their context ends.
 type clients struct {
 	fleet *fleet
+	// readerTries is how often a stream that breaks is asked for; 0 means readerTries.
+	readerTries int
 
 	mu         sync.Mutex
 	generation int // of the current keys
--- a/internal/soak/endpoints_test.go
+++ b/internal/soak/endpoints_test.go
@@ -41,6 +41,21 @@
 	if service == site.Engines {
 		m.Events, m.version = streamEvents, engineVersions[f.endpointCount%len(engineVersions)]
 	}
+	return f.launch(m)
+}
+
+// addEngine starts an engine of a version, without a proxy: its port and its connections end with it.
+func (f *fleet) addEngine(version string, pace time.Duration, unframed bool) (*fleetEndpoint, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endpointCount++
+	e := &site.Endpoint{Instance: fmt.Sprintf("%s-%d", site.Engines, f.endpointCount), Pace: pace, Events: streamEvents, UnframedStreams: unframed}
+	m := &fleetEndpoint{limits: f.limits, Endpoint: e, service: site.Engines, version: version}
+	return m, f.launch(m)
+}
+
+// launch starts an endpoint and writes its entry; mu must be held.
+func (f *fleet) launch(m *fleetEndpoint) error {
 	if err := m.Start(); err != nil {
 		return err
 	}
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -332,7 +332,9 @@
 	}
 	for _, m := range f.allEndpoints() {
 		m.Stop()
-		m.Proxy.Stop()
+		if m.Proxy != nil {
+			m.Proxy.Stop()
+		}
 	}
 	_ = f.server.Close()
 }
--- a/internal/soak/streams_test.go
+++ b/internal/soak/streams_test.go
@@ -5,6 +5,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -39,7 +40,7 @@
 // readStream reads one stream, with further requests where it breaks off. In some of them the caller leaves.
 func (c *clients) readStream(ctx context.Context, t *http.Transport, r *rand.Rand) {
 	resumes, last := "", 0
-	for range readerTries {
+	for range cmp.Or(c.readerTries, readerTries) {
 		s := c.nextStreamRequest(c.fleet.hosts[r.IntN(len(c.fleet.hosts))], resumes, last)
 		leave := time.Duration(0)
 		if r.IntN(3) == 0 {
