--- a/quota/book_test.go
+++ b/quota/book_test.go
@@ -5,7 +5,6 @@
 package quota
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -13,80 +12,6 @@
 	"pgregory.net/rapid"
 )
 
-// fleet simulates hosts that report to each other what they used, with losses.
-type fleet struct {
-	tolerance    Tolerance
-	now          time.Duration
-	books        []*Book
-	incarnations []uint64
-	isolated     []bool          // sends and receives nothing
-	upAt         []time.Duration // when the host's process has started
-	uses         []use
-}
-
-// use is an amount that was taken.
-type use struct {
-	at     time.Duration
-	amount float64
-}
-
-// step is the time step of the simulation.
-const step = 20 * time.Millisecond
-
-func newFleet(n int, tolerance Tolerance) *fleet {
-	f := &fleet{tolerance: tolerance, books: make([]*Book, n), incarnations: make([]uint64, n), isolated: make([]bool, n), upAt: make([]time.Duration, n)}
-	for i := range n {
-		f.restart(i, n)
-		f.books[i].StartFull = true
-	}
-	return f
-}
-
-// restart replaces a host by a new incarnation, which knows nothing.
-func (f *fleet) restart(i, n int) {
-	f.books[i] = NewBook(f.now)
-	f.books[i].Tolerance = f.tolerance
-	f.books[i].SetHosts(n, 0)
-	f.incarnations[i]++
-}
-
-// restartTime is the time from a process's end to the start of the next; real processes took 0.52 s.
-const restartTime = 500 * time.Millisecond
-
-// kill ends a host's process, which starts again after restartTime.
-func (f *fleet) kill(i, n int) {
-	f.upAt[i] = f.now + restartTime
-	f.now += restartTime
-	f.restart(i, n)
-	f.now -= restartTime
-}
-
-// report sends the reports of all hosts to all others; lost says which reports do not arrive.
-func (f *fleet) report(lost func() bool) {
-	for i := range f.books {
-		r := f.books[i].Report(f.now)
-		for j := range f.books {
-			if i != j && !f.isolated[i] && !f.isolated[j] && f.now >= f.upAt[i] && f.now >= f.upAt[j] && !lost() {
-				f.books[j].ApplyReport(f.now, fmt.Sprint(i), f.incarnations[i], r)
-			}
-		}
-	}
-}
-
-// maxUse returns the maximum use within any window.
-func (f *fleet) maxUse(window time.Duration) float64 {
-	peak, sum, first := 0.0, 0.0, 0
-	for _, u := range f.uses {
-		sum += u.amount
-		for f.uses[first].at <= u.at-window {
-			sum -= f.uses[first].amount
-			first++
-		}
-		peak = max(peak, sum)
-	}
-	return peak
-}
-
 // takes are the two ways of taking an amount: to begin something, and to go on with a stream.
 var takes = []func(b *Book, now time.Duration, name string, limit Limit, amount float64) (bool, time.Duration){(*Book).Take, (*Book).TakeToContinue}
 
@@ -200,33 +125,6 @@
 	must.Between(t, 100, taken, 104)
 }
 
-// TestInitialLevel checks how much passes immediately at the first start of all hosts, and at a later start,
-// when earlier use is not known: of requests that begin something, and after these of streams that go on.
-func TestInitialLevel(t *testing.T) {
-	limit := Limit{Rate: 1000, Burst: 2000}
-	cases := []struct {
-		name           string
-		full           bool
-		tolerance      Tolerance
-		begun          float64 // least use of requests that begin something; at most one amount more
-		minUse, maxUse float64 // of both together
-	}{
-		{"first start", true, Tolerance{}, 2000, 2000, 2010},
-		{"first start with tolerance", true, Tolerance{Slack: 1000}, 2050, 2200, 2210},
-		{"later start", false, Tolerance{}, 0, 0, 0},
-		{"later start with tolerance", false, Tolerance{Slack: 1000}, 150, 300, 310},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			b := NewBook(0)
-			b.StartFull, b.Tolerance = tc.full, tc.tolerance
-			begun := repeatUntilRefused(b.Take, 0, limit, 10)
-			must.Between(t, tc.begun, begun, tc.begun+10)
-			must.Between(t, tc.minUse, begun+takeUntilRefused(b, 0, limit, 10), tc.maxUse)
-		})
-	}
-}
-
 // takeUntilRefused takes amounts for streams that go on, which may use all that is left, until one is refused, and returns their sum.
 func takeUntilRefused(b *Book, now time.Duration, limit Limit, amount float64) float64 {
 	return repeatUntilRefused(b.TakeToContinue, now, limit, amount)
@@ -243,46 +141,6 @@
 	}
 }
 
-// TestStreamsThatGoOnComeFirst guards against refusals of streams that callers take up after a kill of all hosts: new requests of up to ten
-// times the rate had used the workspace's amount before them. Callers notice the break after two seconds and try each half of a second.
-func TestStreamsThatGoOnComeFirst(t *testing.T) {
-	const hosts, streams, amount, tries = 6, 30, 100, 4
-	limit := Limit{Rate: 1000, Burst: 1000}
-	for _, load := range []float64{0.5, 2, 10} {
-		t.Run(fmt.Sprint(load), func(t *testing.T) {
-			f := newFleet(hosts, Tolerance{Window: 8 * time.Second, Overshoot: 0.1, Slack: 2 * limit.Rate})
-			for i := range hosts {
-				f.restart(i, hosts)
-			}
-			tried, wentOn, next := make([]int, streams), make([]bool, streams), 0
-			for ; f.now < 5*time.Second; f.now += step {
-				if f.now%(200*time.Millisecond) == 0 {
-					f.report(func() bool { return false })
-				}
-				for demand := load * limit.Rate * step.Seconds(); demand > 0; demand -= 5 {
-					_, _ = f.books[next%hosts].Take(f.now, "w", limit, 5)
-					next++
-				}
-				for i := range streams {
-					due := 2*time.Second + time.Duration(i+tried[i]*streams)*step
-					if wentOn[i] || tried[i] == tries || f.now < due {
-						continue
-					}
-					wentOn[i], _ = f.books[(i+tried[i])%hosts].TakeToContinue(f.now, "w", limit, amount)
-					tried[i]++
-				}
-			}
-			n := 0
-			for _, ok := range wentOn {
-				if ok {
-					n++
-				}
-			}
-			must.GreaterEq(t, streams/2, n)
-		})
-	}
-}
-
 // TestEqualShareUntilAllReport checks that a host uses no more than an equal share of the level until all
 // others have reported again.
 func TestEqualShareUntilAllReport(t *testing.T) {
@@ -367,31 +225,6 @@
 	}
 }
 
-// TestNewHostAdoptsLevels checks that a host that starts while others run adopts their levels.
-func TestNewHostAdoptsLevels(t *testing.T) {
-	limit := Limit{Rate: 1000, Burst: 5000}
-	b := NewBook(0)
-	b.SetHosts(2, 0)
-	b.ApplyReport(0, "a", 1, Report{Left: map[string]float64{"w": -900}})
-	must.EqOp(t, 0, takeUntilRefused(b, 0, limit, 10))
-	b.ApplyReport(3*time.Second, "a", 1, Report{Left: map[string]float64{"w": -4000}}) // the learning period is over
-	must.Greater(t, 0, takeUntilRefused(b, 3*time.Second, limit, 10))
-}
-
-// TestLearningHostsReportNoLevels checks that hosts that started together do not lower each other's levels:
-// none of them knows what was used before.
-func TestLearningHostsReportNoLevels(t *testing.T) {
-	limit := Limit{Rate: 1000, Burst: 5000}
-	learning := NewBook(0)
-	_, _ = learning.Take(time.Second, "w", limit, 2000)
-	must.MapEmpty(t, learning.Report(time.Second).Left)
-	must.EqOp(t, 1000, learning.Report(3 * time.Second).Left["w"])
-	first := NewBook(0)
-	first.StartFull = true
-	_, _ = first.Take(0, "w", limit, 4000)
-	must.EqOp(t, 1000, first.Report(0).Left["w"]) // at the first start it is known that nothing was used
-}
-
 // TestSilenceTimeoutGrows checks that hosts of a large fleet, which receive each other's reports seldom, do not
 // consider each other silent between two reports.
 func TestSilenceTimeoutGrows(t *testing.T) {
@@ -416,21 +249,3 @@
 		})
 	}
 }
-
-// TestEqualShareBeforeReports checks that a host that starts together with many others and has received no
-// report uses one share of what may be left, however many requests it gets.
-func TestEqualShareBeforeReports(t *testing.T) {
-	const hosts = 60
-	limit := Limit{Rate: 1000, Burst: 2000}
-	tolerance := Tolerance{Slack: 100000}
-	b := NewBook(0)
-	b.Tolerance = tolerance
-	b.SetHosts(hosts, 0)
-	sum := 0.0
-	for now := time.Duration(0); now < time.Second; now += 20 * time.Millisecond {
-		sum += takeUntilRefused(b, now, limit, 10)
-	}
-	share := ((1+initialLevelRatio)*tolerance.allowedDebt(limit) + limit.Rate) / hosts
-	must.LessEq(t, share+10, sum)
-	must.GreaterEq(t, share/2, sum)
-}
