sched, ingress: callers of refused streams return by the time that they have left

What callers saw: after a kill of all hosts, streams that their callers took up were refused for the amount of their workspace, or for lack of slots of their version, told to come back after 0.1 to 0.25 s, and had used up their few tries within a second. Cause: the retry time of a refusal is the earliest time at which there may be room. Many wait for the same room, which comes back over the seconds that a stream's caller has left (5 to 10 s), while it has three or four tries. Change: the caller of a refused stream is told to come back after an eighth of the time that it has left, 1.2 s at most, a quarter more or less; later if there is no room until then.

--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -50,6 +50,9 @@
 // resumes returns the ID of the request that brought the caller the first event of the stream that it resumes, or "".
 func (c *call) resumes() string { return c.r.Header.Get(c.s.Headers.Resumes) }
 
+// takesUpStream reports whether the caller has the first part of a stream and asks for the rest.
+func (c *call) takesUpStream() bool { return c.resumable() && c.lastEvent() != "" }
+
 // lastEvent returns the number of the last event that the caller has of the stream that it resumes, or "" if it has none.
 func (c *call) lastEvent() string { return c.r.Header.Get(c.s.Headers.LastEvent) }
 
--- a/ingress/refuse.go
+++ b/ingress/refuse.go
@@ -6,11 +6,13 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/heathkeel/heathkeel/outcome"
+	"github.com/heathkeel/heathkeel/sched"
 )
 
 // refusal is a final response made by the host itself.
@@ -26,8 +28,8 @@
 	c.skipBody()
 	h := c.w.Header()
 	if f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests {
-		retryAfter := max(f.retryAfter, minRetryAfter)
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+		f.retryAfter = c.retryAfter(f.retryAfter)
+		h.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 	}
 	if c.r.Header.Get(relayHeader) != "" {
 		h.Set(relayRefusedHeader, "1")
@@ -47,6 +49,17 @@
 	c.logOutcome(kind, f.status, f.why, f.retryAfter)
 }
 
+// minRetryAfter is the shortest Retry-After that a refusal sends.
+const minRetryAfter = 100 * time.Millisecond
+
+// retryAfter returns the Retry-After of a refusal, given the earliest time at which the request may be served.
+func (c *call) retryAfter(earliest time.Duration) time.Duration {
+	if c.route != nil && c.takesUpStream() {
+		earliest = sched.ContinueRetryAfter(earliest, c.deadline-c.s.Now(), rand.Float64())
+	}
+	return max(earliest, minRetryAfter)
+}
+
 // Limits of what is read of a refused body, in bytes and time.
 const (
 	// Afterwards net/http reads up to 512 KB more. All of it is dropped.
@@ -65,6 +78,3 @@
 	_, _ = io.CopyN(io.Discard, c.r.Body, maxSkipped)
 	_ = c.rc.SetReadDeadline(time.Time{})
 }
-
-// minRetryAfter is the shortest Retry-After that a refusal sends.
-const minRetryAfter = 100 * time.Millisecond
--- a/sched/retryafter.go
+++ b/sched/retryafter.go
@@ -38,6 +38,25 @@
 	return time.Duration(latest * (earliestShare + retrySpread*u))
 }
 
+// Retry times of refused requests that go on with a stream.
+const (
+	// continueShare is the share of its remaining time after which a caller returns, at most maxContinueWait.
+	continueShare   = 1.0 / 8
+	maxContinueWait = 1200 * time.Millisecond
+	// continueSpread is the share of that time by which callers come earlier or later: streams that break off together are taken up
+	// together.
+	continueSpread = 0.25
+)
+
+// ContinueRetryAfter returns the time after which the caller of a refused request that goes on with a stream should return, given the
+// earliest time at which there may be room for it and the time that the caller has left; u is a random number in [0, 1). A caller returns a
+// few times only, and many others wait for the same room: told to return as soon as there is some, it would give up within a second, long
+// before its stream has to end.
+func ContinueRetryAfter(earliest, left time.Duration, u float64) time.Duration {
+	t := min(time.Duration(continueShare*float64(left)), maxContinueWait)
+	return max(earliest, time.Duration(float64(t)*(1+continueSpread*(2*u-1))))
+}
+
 // usesFleetState reports whether decisions use the backlog of all hosts: in a large fleet of which
 // at least half of the hosts are heard.
 func (s *Scheduler) usesFleetState() bool {
