upstream: a closed window is no dead endpoint

Cause: TCP_USER_TIMEOUT ends a connection whose bytes wait for the other end's window, also where that end answers each probe. Ways weighed: no time-out at all (a dead endpoint is found after minutes of retransmissions); one as long as the request's deadline (simple, but dead endpoints are found later by each long body); a shorter write deadline of our own (a closed window looks like silence again); the kernel's account of what was answered (TCP_INFO), chosen. First form: acknowledgements alone; ones that come with bytes do not count as such to the kernel, and answers to probes are limited in rate, so bytes of the endpoint count as well. Change: while a body of more than 16 KB is on its way for over a third of the time-out, the option is off, and the pool looks each twelfth of it whether the endpoint answered what was sent last. TestBodyReadLate green, TestSilence (states, no clock).

--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -35,6 +35,7 @@
 	bodyEnded   bool  // the latest response was read to the end
 	exceeded    Limit // or empty
 	bodyWrite   chan error
+	watched     atomic.Bool // see watchAcks
 }
 
 // Request is a request to send on a connection.
@@ -73,6 +74,7 @@
 		_, err := c.net.Write(r.Body)
 		c.bodyWrite <- err
 	}()
+	c.watchAcks()
 	return nil
 }
 
@@ -222,7 +224,7 @@
 			return raw.Control(func(fd uintptr) {
 				// The option only detects a dead endpoint sooner; without it, the deadline of the
 				// request applies.
-				_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, tcpUserTimeoutMS)
+				_ = setUserTimeout(fd, p.ackTimeout())
 				// It is set before the connection is opened, because the window's scale depends on it.
 				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, SocketBuffer)
 			})
@@ -234,6 +236,3 @@
 // SocketBuffer is the size in bytes of the socket buffers that responses pass through; the kernel takes up to twice as much. With 10 ms
 // for a round trip a connection carries 9 MB/s. Without it the kernel lets a buffer grow to 4 MB (sending) and 32 MB (receiving).
 const SocketBuffer = 96 << 10
-
-// tcpUserTimeoutMS is the time in milliseconds after which unacknowledged bytes close a connection.
-const tcpUserTimeoutMS = 3000
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -16,6 +16,7 @@
 // Defaults and limits of a Pool.
 const (
 	defaultIdleTimeout = 2 * time.Second
+	defaultAckTimeout  = 3 * time.Second
 	readBufferBytes    = 4 << 10
 	headBufferBytes    = 2 << 10
 	maxIdleConns       = 16 // per address
@@ -34,6 +35,9 @@
 	Dial Dial
 	// DialTimeout limits the time for opening a connection.
 	DialTimeout time.Duration
+	// AckTimeout is the time after which a connection is ended whose other end acknowledges nothing of what was sent to it; 0 means
+	// defaultAckTimeout.
+	AckTimeout time.Duration
 
 	mu          sync.Mutex
 	idle        map[string][]*Conn
