--- a/router/completions.go
+++ b/router/completions.go
@@ -171,8 +171,12 @@
 // Limits on resuming a stream.
 const (
 	// maxResumeAttempts is the maximum number of attempts to resume a broken stream
-	// at its engine.
-	maxResumeAttempts = 3
+	// at its engine: a second, as the path to it may be broken for a moment and nothing
+	// else holds the rest.
+	maxResumeAttempts = 20
+	// maxRefusedResumes is the number of attempts that cannot connect after which the
+	// stream is given up sooner, because its engine has ended.
+	maxRefusedResumes = 3
 	// resumeRetryInterval is the time between two attempts.
 	resumeRetryInterval = 50 * time.Millisecond
 )
@@ -181,15 +185,20 @@
 // received.
 func (r *Router) resumeStream(ctx context.Context, engineReq *engineRequest, s *endpoint.CheckedStream) error {
 	_ = s.Close()
+	refused := 0
 	for range maxResumeAttempts {
 		next, err := engineReq.engine.Resume(context.WithoutCancel(ctx), engineReq.job.id(), s.NextSeq)
-		if err == nil {
+		switch {
+		case err == nil:
 			s.Stream = next
 			r.metrics.Count(engineReq.job.key(), "stream resumed")
 			return nil
-		}
-		if errors.Is(err, endpoint.ErrUnknownStream) {
+		case errors.Is(err, endpoint.ErrUnknownStream):
 			return err
+		case errors.Is(err, endpoint.ErrNotSent):
+			if refused++; refused == maxRefusedResumes {
+				return endpoint.ErrLost
+			}
 		}
 		time.Sleep(resumeRetryInterval)
 	}
