edge: a planned stop leaves no more than an eighth of the grace period unused

Cause: 0.7 s were left unused of each grace period, more than a sixth of all below 4.2 s. Change: an eighth, 0.7 s at most. At the 8 s of all sites nothing changes.

--- a/edge/stop.go
+++ b/edge/stop.go
@@ -85,10 +85,17 @@
 const (
 	// minLinger is how long callers with old address answers are still served.
 	minLinger = 3500 * time.Millisecond
-	// graceReserve is the part of the grace period that is left unused.
-	graceReserve = 700 * time.Millisecond
+	// maxGraceReserve and graceReserveShare limit the part of the grace period that is left unused, in which the process ends: what still
+	// runs in the last sixth of the period may be cut, and nothing before.
+	maxGraceReserve   = 700 * time.Millisecond
+	graceReserveShare = 1.0 / 8
 )
 
+// graceReserve returns the part of a grace period that is left unused.
+func graceReserve(grace time.Duration) time.Duration {
+	return min(maxGraceReserve, time.Duration(graceReserveShare*float64(grace)))
+}
+
 // stop announces the stop to callers and peers and returns when no request is active or the grace
 // period is over.
 func (h *Host) stop() {
@@ -97,7 +104,7 @@
 	h.ingress.Stop()
 	h.agent.TriggerHeartbeat()
 	h.Log.Info("stopping", "active", h.ingress.Active())
-	for h.now()-start < h.Boot.GracePeriod-graceReserve {
+	for h.now()-start < h.Boot.GracePeriod-graceReserve(h.Boot.GracePeriod) {
 		if h.now()-start > min(minLinger, h.Boot.GracePeriod/2) && h.ingress.Active() == 0 {
 			break
 		}
