edge: a host goes on to accept connections after errors

Cause: the loop took a second error for the end of the listener, and dropped what the second call returned. Ways weighed: end the process (its requests are cut); wait for descriptors (net.ErrClosed alone ends the loop), chosen, as net/http does.

--- a/edge/listen.go
+++ b/edge/listen.go
@@ -79,21 +79,10 @@
 			_ = f.queue.Close()
 		}
 	}()
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
-			}
-			time.Sleep(20 * time.Millisecond)
-			if _, aerr := l.Accept(); aerr != nil {
-				return
-			}
-			continue
-		}
+	acceptAll(l, f.host.Log, func(c net.Conn) {
 		limitSocketBuffers(c)
 		f.currentQueue(l.Addr()).conns <- c
-	}
+	})
 }
 
 // currentQueue returns the queue of the server for the current limits, and starts that server if
