feed: tables of the configuration come in their order

Cause: OnChange was called after a compare-and-swap, without a lock, so that the one that is applied first may be applied last. Ways weighed: the receiver compares revisions (each receiver, and eras make them no plain order); one lock around the change and its announcement, chosen. Result: TestTablesComeInOrder, red before (newer, older).

--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -266,6 +266,32 @@
 	must.EqOp(t, 1, s.RefusedCount())
 }
 
+// TestTablesComeInOrder guards against a host that keeps the older of two tables that two sources offer at the same time: the one that is
+// applied first may take longer.
+func TestTablesComeInOrder(t *testing.T) {
+	const enough = 50 * time.Millisecond // for an offer that does not wait
+	var applied []string
+	newerDone := make(chan struct{})
+	s := &Settings{Parse: parseVersion, Log: logr.Discard()}
+	s.OnChange = func(t *route.Table) {
+		name := t.Document.Routes[0].Name
+		if name == "older" {
+			go func() {
+				defer close(newerDone)
+				s.Offer([]byte("newer"), 2)
+			}()
+			select {
+			case <-newerDone:
+			case <-time.After(enough):
+			}
+		}
+		applied = append(applied, name)
+	}
+	s.Offer([]byte("older"), 1)
+	<-newerDone
+	must.Eq(t, []string{"older", "newer"}, applied)
+}
+
 // TestAgeIsOfTheSameSettings checks that settings that are replaced while a host looks at them do not get the age of the newer ones.
 func TestAgeIsOfTheSameSettings(t *testing.T) {
 	const now = 10 * time.Second
--- a/feed/settings.go
+++ b/feed/settings.go
@@ -41,7 +41,7 @@
 	// MaxAge is the age up to which requests may be decided by the settings while the store does not
 	// fail for this host; 0 means any age.
 	MaxAge time.Duration
-	// OnChange is called with each new table.
+	// OnChange is called with each new table, in their order; calls do not overlap. It must not call Offer.
 	OnChange func(*route.Table)
 	// OnOrders is called with all orders when they change; it may be nil. Calls do not overlap.
 	OnOrders func([]Order)
@@ -51,6 +51,7 @@
 	// Age tracks how old the configuration may be.
 	Age Age
 
+	offerMu    sync.Mutex // held while current changes and OnChange learns it
 	current    atomic.Pointer[Config]
 	orders     atomic.Pointer[Orders]
 	ordersMu   sync.Mutex // held while orders change
@@ -285,35 +286,32 @@
 // Offer puts a document in force unless the one in force is equally new or newer. A document that
 // cannot be read is refused whole, and the one in force stays.
 func (s *Settings) Offer(value []byte, revision uint64) {
-	for {
-		old := s.current.Load()
-		if old != nil && (old.Revision > revision || (old.Revision == revision && bytes.Equal(old.Value, value))) {
-			return
-		}
-		d, err := s.Parse(value)
-		if err != nil {
-			s.refusedCount.Add(1)
-			s.Log.Error(err, "configuration refused", "revision", ownRevision(revision))
-			return
-		}
-		next := &Config{Value: value, Revision: revision, Table: route.NewTable(d, revision)}
-		if old != nil && old.outlasts(d.Version, revision) {
-			next = &Config{Value: old.Value, Revision: revision, Table: old.Table, kept: true}
-		}
-		if old != nil && old.Revision == revision && next.Version() <= old.Version() {
-			return
-		}
-		if !s.current.CompareAndSwap(old, next) {
-			continue
-		}
-		if next.kept {
-			s.Log.Info("store came back with an older configuration; the one in force stays", "version", next.Version(), "stored_version", d.Version, "revision", ownRevision(revision))
-			return
-		}
-		s.Log.Info("configuration in force", "revision", ownRevision(revision), "era", eraOf(revision), "version", d.Version, "routes", len(d.Routes))
-		s.OnChange(next.Table)
+	s.offerMu.Lock()
+	defer s.offerMu.Unlock()
+	old := s.current.Load()
+	if old != nil && (old.Revision > revision || (old.Revision == revision && bytes.Equal(old.Value, value))) {
+		return
+	}
+	d, err := s.Parse(value)
+	if err != nil {
+		s.refusedCount.Add(1)
+		s.Log.Error(err, "configuration refused", "revision", ownRevision(revision))
+		return
+	}
+	next := &Config{Value: value, Revision: revision, Table: route.NewTable(d, revision)}
+	if old != nil && old.outlasts(d.Version, revision) {
+		next = &Config{Value: old.Value, Revision: revision, Table: old.Table, kept: true}
+	}
+	if old != nil && old.Revision == revision && next.Version() <= old.Version() {
+		return
+	}
+	s.current.Store(next)
+	if next.kept {
+		s.Log.Info("store came back with an older configuration; the one in force stays", "version", next.Version(), "stored_version", d.Version, "revision", ownRevision(revision))
 		return
 	}
+	s.Log.Info("configuration in force", "revision", ownRevision(revision), "era", eraOf(revision), "version", d.Version, "routes", len(d.Routes))
+	s.OnChange(next.Table)
 }
 
 // Version returns the version that the operator gave the document.
