edge: origins of streams are saved twice as often

Cause: while versions mix, origins are written to the store each 0.125 s; what began since the last batch is lost with all hosts. Ways weighed: a write before each first event (its round trip for each stream); at once when told (up to 250 writes a second); each 0.06 s, chosen. TestStreamsAfterKillsAndRollouts: 0 mixed in all 22 plays. TestVersionChangeCost bounds the batches by the interval, as before: 17 a second and one of the second host.

--- a/edge/savedstreams.go
+++ b/edge/savedstreams.go
@@ -21,8 +21,8 @@
 const (
 	// savedInterval is the time between two writes of the host of the lowest rank: what began in the last of them is lost with all
 	// hosts. The host of the next rank saves the same at every otherSavedEach-th of these times, in case the first is without the store.
-	savedInterval  = 125 * time.Millisecond
-	otherSavedEach = 8
+	savedInterval  = 60 * time.Millisecond
+	otherSavedEach = 16
 	streamSavers   = 2
 	// savedTTL is the time for which a batch stays in the store: its lease is up to leaseReusePeriod old when it is written.
 	savedTTL = leaseReusePeriod + origin.Memory
