site, upstream: answers that end in their head

Tried here: heads cut at every byte (upstream, five framings), and whole hosts whose endpoints end in the status line, in the last field's value and before the empty line, plain and streamed, repeatable or not, also behind a host that relays. Every cut is an error of the send: callers get 502 or, where the request may be repeated, the answer of another endpoint. It does not happen here; nothing but tests changes.

go test -run TestTruncatedHeadIsNoResponse ./upstream green go test -run 'TestEndpointFaults|TestRelayedEndpointFaults' ./internal/site green

--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -201,6 +201,9 @@
 	case InvalidAnswer:
 		fmt.Fprint(c, "\x00\x01 not http at all\r\n\r\n")
 		return false
+	case TruncatedStatus, TruncatedField, TruncatedHead:
+		fmt.Fprint(c, e.truncatedHead(id, f))
+		return false
 	case WrongAnswer:
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nHeathkeel-Attempt-Id: somebody-else\r\nHeathkeel-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother")
 	case Interim:
@@ -253,6 +256,20 @@
 	return h
 }
 
+// truncatedHead returns the beginning of an answer that ends in its head.
+func (e *Endpoint) truncatedHead(id string, f Fault) string {
+	const status = "HTTP/1.1 200 OK"
+	head := e.responseHead(id, f, "200 OK") + "Content-Length: 25"
+	switch f {
+	case TruncatedStatus:
+		return status[:len(status)-1]
+	case TruncatedField:
+		return head[:len(head)-1]
+	default:
+		return head + "\r\n"
+	}
+}
+
 // answerPlain sends an answer whose body names the request. It calls end before it writes a complete
 // answer, so that no caller has the answer of a run that has not ended.
 func (e *Endpoint) answerPlain(c net.Conn, id string, f Fault, body string, end func()) bool {
--- a/internal/site/fault.go
+++ b/internal/site/fault.go
@@ -25,6 +25,11 @@
 	Truncated Fault = "torn"
 	// TruncatedEvent closes the connection in the middle of a stream's third event.
 	TruncatedEvent Fault = "torn event"
+	// TruncatedStatus, TruncatedField and TruncatedHead close the connection in the head of the answer: in the status line, in the value of
+	// the last field, and before the empty line.
+	TruncatedStatus Fault = "torn status"
+	TruncatedField  Fault = "torn field"
+	TruncatedHead   Fault = "torn head"
 	// InvalidAnswer sends bytes that are not HTTP.
 	InvalidAnswer Fault = "no answer"
 	// NoStamp answers without the response stamp.
--- a/upstream/limits_test.go
+++ b/upstream/limits_test.go
@@ -240,3 +240,32 @@
 	<-done
 	must.Less(t, maxTaken, written.Load()-read)
 }
+
+// TestTruncatedHeadIsNoResponse guards against a head that ends with its connection being taken for the whole head of a response.
+func TestTruncatedHeadIsNoResponse(t *testing.T) {
+	heads := []struct{ name, head string }{
+		{"with a length", okHead + "Content-Length: 25\r\n\r\n"},
+		{"in chunks", okHead + "Transfer-Encoding: chunked\r\n\r\n"},
+		{"without a length", okHead + "Connection: close\r\n\r\n"},
+		{"behind an interim response", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + okHead + "Content-Length: 25\r\n\r\n"},
+		{"lines without carriage returns", "HTTP/1.1 200 OK\nX-Id: 7\nContent-Length: 25\n\n"},
+	}
+	for _, tc := range heads {
+		t.Run(tc.name, func(t *testing.T) {
+			for n := range len(tc.head) {
+				near, far := net.Pipe()
+				p := &Pool{Now: func() time.Duration { return 0 }}
+				p.Dial = func(context.Context, string, string) (net.Conn, error) { return near, nil }
+				c, _, err := p.Get(t.Context(), "endpoint")
+				must.NoError(t, err)
+				go func() {
+					_, _ = io.WriteString(far, tc.head[:n])
+					_ = far.Close()
+				}()
+				_, err = c.ReadResponse("GET", "X-Id", "7")
+				must.Error(t, err, must.Sprintf("after %q", tc.head[:n]))
+				c.Close()
+			}
+		})
+	}
+}
