--- a/internal/site/again_test.go
+++ b/internal/site/again_test.go
@@ -5,7 +5,9 @@
 package site
 
 import (
+	"encoding/json"
 	"slices"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -104,6 +106,10 @@
 		"x-5":               EndpointEntry{Service: Plain, Address: s.engines[0].Address, Zone: "zone-1", Version: "v1", Slots: 8, State: "paused"},
 		"x-6":               EndpointEntry{Service: Plain, Address: s.engines[0].Address, Zone: "zone-1", Version: "v1", Slots: 0, State: "ready"},
 		"x-7":               make([]byte, 1<<20),
+		"x-8":               EndpointEntry{Service: Plain, Address: "127.0.0.1:65536", Zone: "zone-1", Version: "v1", Slots: 8, State: "ready"},
+		"x-9":               EndpointEntry{Service: Plain, Address: s.engines[0].Address, Zone: "zone-1", Version: "v1", Slots: 8, State: "ready", ColdLeftMs: 1e300},
+		"x-10":              json.RawMessage(strings.Repeat("[", 9000) + strings.Repeat("]", 9000)),
+		"x-11":              json.RawMessage(`{"Service":"x","Slots":1` + strings.Repeat("0", 400) + `}`),
 		s.plain[0].Instance: map[string]any{"Service": 7},
 	} {
 		s.Store.Put(platform.PrefixEndpoints+key, value)
