ingress: hosts are asked for the versions that they list also where a caller names no request

What callers saw here: events of two versions in one stream, where the caller sends the number of its last event and names no request. Cause: the only version that a host has listed lately counts as the one that began an unknown stream if another host has answered, since its answer tells which versions it has listed. Where the caller named no request there was no key to ask by, so nobody was asked, and that counted as an answer. A host that reaches neither the store nor the others keeps a list that is young enough for up to the drain time. Class: the absence of a question taken for its answer. Ruled out: hosts that stand still or are suspended (the request and the news arrive together; streams that name their request were right in all ways). Change: others are asked by the key of the request itself.

--- a/ingress/origin.go
+++ b/ingress/origin.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -116,12 +117,10 @@
 
 // findOrigin looks for the stream that the caller names, first among those that this host remembers, then at other hosts. If it finds
 // it, it binds the request to the service and the version that began it. It also reports whether another host answered, if there is
-// any: one that hears no other cannot know what the others began.
+// any: one that hears no other cannot know what the others began. Other hosts are asked also where the caller names no request, since their
+// answers tell which versions they have listed.
 func (c *call) findOrigin(ctx context.Context) (found, heard bool) {
-	id := c.resumes()
-	if id == "" {
-		return false, true
-	}
+	id := cmp.Or(c.resumes(), c.id)
 	var keys origin.Keys
 	for i := range c.route.Targets {
 		keys = append(keys, c.originKey(c.route.Targets[i].Service, id))
--- a/ingress/origin_test.go
+++ b/ingress/origin_test.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -188,21 +189,24 @@
 		{"no answer", 0, 2, 0, nil, false},
 		{"an old list", 2 * time.Second, 2, 2, nil, false},
 	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := originServer("v1")
-				s.DrainTime = 2 * time.Second
-				s.ListConfirmedAt = func() (time.Duration, bool) { return s.Now() - tc.listAge, true }
-				s.SetOriginAsker(func(keys origin.Keys) int {
-					for i := range tc.answers {
-						time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys, Seen: tc.seen}) })
-					}
-					return tc.asked
+	for _, resumes := range []string{"elsewhere", ""} {
+		for _, tc := range cases {
+			t.Run(fmt.Sprintf("%s, request named: %t", tc.name, resumes != ""), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := originServer("v1")
+					s.DrainTime = 2 * time.Second
+					s.ListConfirmedAt = func() (time.Duration, bool) { return s.Now() - tc.listAge, true }
+					s.SetOriginAsker(func(keys origin.Keys) int {
+						for i := range tc.answers {
+							time.AfterFunc(time.Millisecond, func() { s.OriginsReceived(string(rune('a'+i)), &origin.Report{Unknown: keys, Seen: tc.seen}) })
+						}
+						return tc.asked
+					})
+					must.EqOp(t, tc.goesOn, originCall(s, "r", "w", resumes, "3").bindOrigin(context.Background()) == nil)
+					must.MapEmpty(t, s.origins.queries)
 				})
-				must.EqOp(t, tc.goesOn, originCall(s, "r", "w", "elsewhere", "3").bindOrigin(context.Background()) == nil)
 			})
-		})
+		}
 	}
 }
 
