sched, ingress, outcome: lines of refused requests tell by which estimates; the longest tenth is counted

The lines could not tell a refusal by the estimated wait from one by the speed of engines, nor that a ration was out of date. No logic changes.

--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -69,6 +69,10 @@
 	// SlotsGranted counts slots that this host granted as their owner, and SlotsReturned those that were granted to it and that it did not
 	// need. ShareLimited counts, for each workspace, the seconds in which it was limited by its share of the slots that this host owns.
 	SlotsGranted, SlotsReturned, ShareLimited atomic.Int64
+	// LengthKnown counts requests with an expected length of the answer, LengthKnownServed those of them that were served, and Longest and
+	// LongestServed the same of the longest tenth of each service. If a much smaller share of the longest is served, it is refused for its
+	// length.
+	LengthKnown, LengthKnownServed, Longest, LongestServed atomic.Int64
 	// LinesDropped counts log lines about requests that were dropped because they exceeded the limit of their kind.
 	LinesDropped atomic.Int64
 }
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/heathkeel/heathkeel/attempt"
@@ -199,6 +200,7 @@
 	}
 	c.s.noteFirstAttempt(c.service.Name)
 	d := c.s.balance.submit(c)
+	c.countLength(&c.s.Count.LengthKnown, &c.s.Count.Longest)
 	for n := (failures{}); ; {
 		d = c.wait(ctx, d)
 		if d.Verdict != sched.Run {
@@ -302,6 +304,21 @@
 	c.s.Metrics.Record(k, m, d)
 }
 
+// longestRank is the length rank from which a request belongs to the longest tenth of its service.
+const longestRank = 0.9
+
+// countLength counts a request whose answer has an expected length, and whether it belongs to the longest.
+func (c *call) countLength(known, longest *atomic.Int64) {
+	rank := c.req.Estimates().LengthRank
+	if rank == 0 {
+		return
+	}
+	known.Add(1)
+	if rank >= longestRank {
+		longest.Add(1)
+	}
+}
+
 // finish counts a call whose last send has ended, and answers the caller if it has no response yet.
 func (c *call) finish(ctx context.Context, result sendOutcome) {
 	c.s.balance.noteTransfer(c)
@@ -310,6 +327,7 @@
 	}
 	if result == sendCompleted {
 		c.s.Count.Served.Add(1)
+		c.countLength(&c.s.Count.LengthKnownServed, &c.s.Count.LongestServed)
 		if !c.serverError && !c.endUnknown {
 			c.s.crashes.noteAnswer(c)
 		}
--- a/ingress/tell.go
+++ b/ingress/tell.go
@@ -119,6 +119,9 @@
 	if c.req != nil {
 		e.PredictedMS = c.req.PredictedFirstToken().Milliseconds()
 		e.StepUS, e.Load = c.req.Step().Microseconds(), c.req.Load()
+		estimates := c.req.Estimates()
+		e.LengthRank, e.Admitted = estimates.LengthRank, estimates.Admitted
+		e.EstimatedWaitMS, e.EstimatedEndMS = estimates.Wait.Milliseconds(), estimates.Completion.Milliseconds()
 	}
 	if c.table != nil {
 		_, e.Revision = feed.SplitEra(c.table.Revision)
--- a/outcome/event.go
+++ b/outcome/event.go
@@ -117,6 +117,13 @@
 	// requests there, both as the host estimated them at the last send.
 	StepUS int64   `json:"step_us"`
 	Load   float64 `json:"load"`
+	// LengthRank is the share of its service's recent requests with a shorter expected answer, and Admitted the share of them that the
+	// ration of its tier admitted. EstimatedWaitMS is the estimated wait for a slot, and EstimatedEndMS the time to the end of the answer
+	// at the fastest endpoint if it were idle. All are as of the request's arrival; 0 if they were not needed.
+	LengthRank      float64 `json:"length_rank"`
+	Admitted        float64 `json:"admitted"`
+	EstimatedWaitMS int64   `json:"estimated_wait_ms"`
+	EstimatedEndMS  int64   `json:"estimated_end_ms"`
 	// RetryAfterMS is the time after which the answer asks the caller to retry.
 	RetryAfterMS int64 `json:"retry_after_ms"`
 	// Revision is the revision of the settings that decided the request, and SettingsAgeMS their maximum
@@ -146,6 +153,7 @@
 	case Continued:
 		fields = append(fields, "version", e.Version, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
 	case Refused:
+		fields = append(fields, "length_rank", e.LengthRank, "admitted", e.Admitted, "estimated_wait_ms", e.EstimatedWaitMS, "estimated_end_ms", e.EstimatedEndMS)
 		if e.LastEvent != "" {
 			fields = append(fields, "resumes", e.Resumes, "last_event", e.LastEvent, "origin", e.Origin)
 		}
--- a/sched/order.go
+++ b/sched/order.go
@@ -215,7 +215,9 @@
 		return false
 	}
 	wait := time.Duration(s.cfg.EarlyWaitWeight * float64(s.estimateWait(now, r)))
-	return now+wait+s.minIdleCompletion(now, r) > r.Deadline
+	completion := s.minIdleCompletion(now, r)
+	r.estimates.Wait, r.estimates.Completion = wait, completion
+	return now+wait+completion > r.Deadline
 }
 
 // dispatchLastChance dispatches a request at its queue deadline to the best endpoint that admits
--- a/sched/ration.go
+++ b/sched/ration.go
@@ -134,6 +134,7 @@
 // beyondRation reports whether a request is beyond the share of its tier that is admitted now.
 func (s *Scheduler) beyondRation(r *Request) bool {
 	admitted := s.admittedShare(r)
+	r.estimates.LengthRank, r.estimates.Admitted = r.lengthQuantile, admitted
 	if r.rationExempt || r.lengthQuantile <= admitted {
 		return false
 	}
--- a/sched/request.go
+++ b/sched/request.go
@@ -59,6 +59,7 @@
 	rationExempt   bool    // rations do not apply to it
 	longDraw       float64 // drawn uniformly from [0, 1) where slot owners divide slots; see beyondRation
 	spareOnly      bool    // only endpoints with spare slots admit it
+	estimates      Estimates
 
 	dispatchedTo *endpointState
 	dispatchedAt time.Duration
@@ -95,6 +96,18 @@
 // Load returns the estimated number of requests at the endpoint at the last dispatch.
 func (r *Request) Load() float64 { return r.load }
 
+// Estimates are what a request's refusal for its length or its deadline was decided by.
+type Estimates struct {
+	// LengthRank is the share of its service's recent requests with a shorter expected answer, 0 if it has no expected length, and
+	// Admitted the share of them that its tier's ration admitted.
+	LengthRank, Admitted float64
+	// Wait is the estimated wait for a slot, and Completion the time to the end of the answer at the fastest endpoint if it were idle.
+	Wait, Completion time.Duration
+}
+
+// Estimates returns the estimates as of the request's arrival.
+func (r *Request) Estimates() Estimates { return r.estimates }
+
 // rank returns the rank of the tier, 0 the highest, less than maxRanks.
 func (r *Request) rank() int { return min(max(r.Settings.Rank, 0), maxRanks-1) }
 
