--- a/ingress/ownerfleet_test.go
+++ b/ingress/ownerfleet_test.go
@@ -51,6 +51,11 @@
 	loads                   []load
 	measureBytes            bool
 	seed                    uint64
+	speeds                  []float64 // of the endpoints, in turn; nil means that all have speed 1
+	kinds                   []kind    // of requests; nil means that all are alike
+	// surge is by how much more than their rate all loads send for the first half of each surgePeriod; they send as much less in the other.
+	surge       float64
+	surgePeriod time.Duration
 }
 
 // load is the demand of one workspace.
@@ -62,6 +67,8 @@
 	service time.Duration // mean duration of a request
 	retries int
 	atOnce  bool // refused callers return at once
+	// kind is the index of the requests' kind, and workspace that of the load with whose workspace they are sent, if there are kinds.
+	kind, workspace int
 }
 
 // loadStats counts the requests of one load. A request counts as served if its first output came within the objective.
@@ -69,6 +76,7 @@
 	offered, served, ran, refused, attempts int
 	slotTime                                time.Duration
 	longestWait                             time.Duration // at a host, of a request that was run
+	sizes                                   sizes
 }
 
 // ownerHost is a simulated host.
@@ -95,6 +103,7 @@
 type simCall struct {
 	call
 	load    int
+	tokens  int // of the answer
 	host    int
 	at      int // endpoint
 	took    time.Duration
@@ -117,6 +126,9 @@
 		objective = 150 * time.Millisecond
 	}
 	doc.Routes = []route.Route{{Name: "r", Objective: objective, Targets: []route.Target{{Service: "s", Weight: 1}}}}
+	if cfg.kinds != nil {
+		doc.Routes = routesOf(cfg.kinds)
+	}
 	for i, l := range cfg.loads {
 		doc.Workspaces = append(doc.Workspaces, route.Workspace{Name: fmt.Sprint("w", i), Rank: l.rank})
 		f.stats = append(f.stats, &loadStats{})
@@ -262,7 +274,7 @@
 }
 
 // arrive lets a request arrive at a random host.
-func (f *ownerFleet) arrive(load, retries int, first time.Duration) {
+func (f *ownerFleet) arrive(load, retries int, first time.Duration, tokens int) {
 	i := f.rand.IntN(len(f.hosts))
 	for f.hosts[i].down {
 		i = f.rand.IntN(len(f.hosts))
@@ -270,7 +282,7 @@
 	h := f.hosts[i]
 	l := &f.cfg.loads[load]
 	doc := h.s.balance.table.Document
-	x := &simCall{load: load, host: i, retries: retries, first: first}
+	x := &simCall{load: load, host: i, retries: retries, first: first, tokens: tokens}
 	x.route, x.service, x.workspace, x.arrived = &doc.Routes[0], &doc.Services[0], &doc.Workspaces[load], f.now
 	x.took = time.Duration((0.5 + f.rand.Float64()) * float64(l.service))
 	x.req = &sched.Request{PromptTokens: 20, MaxTokens: simTokens, ExpectedTokens: simTokens/2 + f.rand.IntN(simTokens), Arrived: f.now, Deadline: f.now + 10*time.Second, DispatchBy: x.dispatchBy(f.now), Data: make(chan sched.Decision, 1)}
@@ -278,6 +290,9 @@
 	if f.cfg.plain {
 		x.req.MaxTokens, x.req.ExpectedTokens, x.req.PromptTokens, x.req.Objective = 1, 0, 0, sched.Objective{}
 	}
+	if f.cfg.kinds != nil {
+		f.setKind(x)
+	}
 	f.stats[load].attempts++
 	f.decided(x, h.s.balance.submit(&x.call))
 	f.collect(h)
@@ -326,8 +341,10 @@
 			if l.atOnce {
 				delay = 2 * time.Millisecond
 			}
-			f.at(delay, func() { f.arrive(x.load, x.retries+1, x.first) })
+			f.at(delay, func() { f.arrive(x.load, x.retries+1, x.first, x.tokens) })
+			return
 		}
+		st.sizes.add(x, false)
 	}
 }
 
@@ -337,20 +354,22 @@
 		x := e.queue[0]
 		e.queue = e.queue[1:]
 		e.running++
+		perToken, whole := f.setDuration(x)
 		st := f.stats[x.load]
 		st.ran++
 		objective := simObjective
 		if f.cfg.plain {
 			objective = 150 * time.Millisecond
 		}
-		if f.now-x.arrived+x.took/simTokens <= objective {
+		if f.now-x.arrived+perToken <= objective {
 			st.served++
 		}
+		st.sizes.add(x, whole)
 		st.slotTime += x.took
 		f.busy += x.took
 		h := f.hosts[x.host]
-		f.at(x.took/simTokens, func() {
-			h.s.balance.observeStep(&x.call, x.took/simTokens)
+		f.at(perToken, func() {
+			h.s.balance.observeStep(&x.call, perToken)
 			h.s.balance.noteFirstOutput(&x.call, 0)
 		})
 		f.at(x.took, func() {
@@ -360,7 +379,7 @@
 			if f.cfg.plain {
 				elapsed = x.took
 			}
-			h.s.balance.endSend(&x.call, sched.Completed, simTokens, elapsed)
+			h.s.balance.endSend(&x.call, sched.Completed, x.tokens, elapsed)
 			f.collect(h)
 			f.start(e)
 		})
@@ -381,10 +400,10 @@
 			if f.now < l.from || (l.until > 0 && f.now >= l.until) {
 				continue
 			}
-			f.carry[i] += l.rate * simStep.Seconds()
+			f.carry[i] += l.rate * f.surgeFactor() * simStep.Seconds()
 			for ; f.carry[i] >= 1; f.carry[i]-- {
 				f.stats[i].offered++
-				f.arrive(i, 0, f.now)
+				f.arrive(i, 0, f.now, f.drawTokens(l))
 			}
 		}
 		for i, h := range f.hosts {
@@ -408,6 +427,17 @@
 	}
 }
 
+// surgeFactor returns the factor by which loads differ from their mean rate now.
+func (f *ownerFleet) surgeFactor() float64 {
+	if f.cfg.surge == 0 {
+		return 1
+	}
+	if f.now%f.cfg.surgePeriod < f.cfg.surgePeriod/2 {
+		return 1 + f.cfg.surge
+	}
+	return 1 - f.cfg.surge
+}
+
 // record stores samples for the hosts' reports to each other.
 func (f *ownerFleet) record(keep int) {
 	total := make([]int, len(f.endpoints))
