sched: hosts ration no lengths where slot owners divide slots

At 64 hosts and 16 workspaces one comes in ten seconds, so that the ration tells of a shortage of minutes ago, and a quarter of the longer requests was refused by it. Class: a decision about the fleet by the outcome of a handful of one host's own requests. Weighed: rations by tier of all workspaces (takes small workspaces' requests for a large one, docs/design/shares.md); the share admitted kept among hosts (one more message, and owners decide already); none (kept). Change: where owners divide slots, beyondRation refuses nobody.

TestLongAnswersAreNotRationedWithSlotOwners fails before.

--- a/sched/ration.go
+++ b/sched/ration.go
@@ -37,10 +37,6 @@
 	// exemptChance is the probability that a request is exempt from the ration, so that long ones
 	// do not starve in a long shortage. It has no measurable cost.
 	exemptChance = 0.05
-	// longShare is the probability that a longer request is admitted all the same where slot owners
-	// divide slots: they leave few slots to the lowest tier, whose longest tenth would otherwise be
-	// served less than half as often as the tier.
-	longShare = 0.75
 	// spareFill is the share of its slot limit up to which a tier still accepts requests beyond
 	// the ration: at a lower load there is no shortage, or it is over. Without this rule requests
 	// were refused for seconds after a surge; 0.65 and 0.95 have the same effect.
@@ -126,19 +122,18 @@
 	}
 	r.lengthQuantile = recent.quantile(r.expectedOutput, s.Rand.Float64())
 	r.rationExempt = s.Rand.Float64() < exemptChance || r.Continues
-	if s.SlotOwners {
-		r.longDraw = s.Rand.Float64()
-	}
 }
 
-// beyondRation reports whether a request is beyond the share of its tier that is admitted now.
+// beyondRation reports whether a request is beyond the share of its tier that is admitted now. Where slot
+// owners divide slots none is: they decide who gets one, and one host sees too few requests of a
+// workspace to know what share that is.
 func (s *Scheduler) beyondRation(r *Request) bool {
 	admitted := s.admittedShare(r)
 	r.estimates.LengthRank, r.estimates.Admitted = r.lengthQuantile, admitted
-	if r.rationExempt || r.lengthQuantile <= admitted {
+	if s.SlotOwners || r.rationExempt {
 		return false
 	}
-	return !s.SlotOwners || r.longDraw >= longShare
+	return r.lengthQuantile > admitted
 }
 
 // rationRetryAfter returns the retry time of a request refused by a ration: a shortage is assumed
--- a/sched/ration_test.go
+++ b/sched/ration_test.go
@@ -207,3 +207,22 @@
 	continued.Continues = true
 	must.NotEq(t, ReasonLength, s.Submit(fleet.now, continued).Reason)
 }
+
+// TestLongAnswersAreNotRationedWithSlotOwners guards against long answers being refused because one host has seen requests of their
+// workspace in vain, while the owners of slots still decide who gets one.
+func TestLongAnswersAreNotRationedWithSlotOwners(t *testing.T) {
+	s := newFleet(1, 2, 0, Rules{}).hosts[0]
+	s.SlotOwners = true
+	for range maxRecentLengths {
+		s.Submit(0, &Request{Settings: &settings.Effective{Service: "s", Rank: 1}, Model: "none", MaxTokens: 100, ExpectedTokens: 1})
+	}
+	fleet := &hostFleet{now: time.Second}
+	for range 100 {
+		r := fleet.request(time.Second)
+		r.pool = s.poolOf(r)
+		for range 100 {
+			s.ration(r).noteUnplaced(fleet.now)
+		}
+		must.NotEq(t, ReasonLength, s.Submit(fleet.now, r).Reason)
+	}
+}
--- a/sched/request.go
+++ b/sched/request.go
@@ -57,7 +57,6 @@
 	lastChance     bool    // it has reached its queue deadline
 	lengthQuantile float64 // share of its service's requests with a shorter expected answer
 	rationExempt   bool    // rations do not apply to it
-	longDraw       float64 // drawn uniformly from [0, 1) where slot owners divide slots; see beyondRation
 	spareOnly      bool    // only endpoints with spare slots admit it
 	estimates      Estimates
 
