sched: the early refusal counts no wait beyond the queue deadline

Class: an estimate without a bound that holds elsewhere. Weighed: no early refusal (a request that can end nowhere in time would wait in vain); the wait in the fleet instead of the host's (as unbounded); the bound (kept). Change: the wait is at most the time until the queue deadline. Requests without one are judged as before.

TestLongAnswerIsNotRefusedForWaitBeyondQueueDeadline fails before. TestLongAnswersAreServedLikeOthers does not change: its second tries have more time left.

--- a/sched/order.go
+++ b/sched/order.go
@@ -209,12 +209,14 @@
 	return least
 }
 
-// cannotMeetDeadline reports whether a request that arrives now cannot end in time.
+// cannotMeetDeadline reports whether a request that arrives now cannot end in time. It waits no longer than until its queue deadline,
+// however much waits before it: it has got a slot then, or is refused.
 func (s *Scheduler) cannotMeetDeadline(now time.Duration, r *Request) bool {
 	if s.cfg.Disabled.EarlyRefusal || len(r.pool.members) == 0 {
 		return false
 	}
 	wait := time.Duration(s.cfg.EarlyWaitWeight * float64(s.estimateWait(now, r)))
+	wait = min(wait, r.queueDeadline()-now)
 	completion := s.minIdleCompletion(now, r)
 	r.estimates.Wait, r.estimates.Completion = wait, completion
 	return now+wait+completion > r.Deadline
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -388,3 +388,23 @@
 	}
 	must.Len(t, 0, Blocks("short"))
 }
+
+// TestLongAnswerIsNotRefusedForWaitBeyondQueueDeadline guards against long answers being refused at once in a surge, because the estimated
+// wait is longer than any request waits.
+func TestLongAnswerIsNotRefusedForWaitBeyondQueueDeadline(t *testing.T) {
+	s := newTestScheduler(Config{Disabled: Rules{Rationing: true}}, engine{name: "a", slots: 1})
+	s.submit(80, "w", 0)
+	submit := func(dispatchBy time.Duration) (*Request, Decision) {
+		r := s.request("w", 1)
+		r.MaxTokens, r.ExpectedTokens = 3000, 3000
+		r.pool = s.poolOf(r)
+		s.estimate(r)
+		r.Deadline, r.DispatchBy = s.now+s.minIdleCompletion(s.now, r)+time.Second, dispatchBy
+		return r, s.Submit(s.now, r)
+	}
+	r, d := submit(0)
+	must.Eq(t, ReasonDeadline, d.Reason) // it would wait for all that is before it
+	must.Greater(t, time.Second, r.Estimates().Wait)
+	_, d = submit(s.now + 200*time.Millisecond)
+	must.Eq(t, Wait, d.Verdict)
+}
