sched: long answers go to endpoints that are fast enough, and wait for them

Class: one mean for endpoints that differ. Weighed: the share of slots that would end it in time, above a half (refuses what two fifths of the endpoints could serve); the fastest (kept: the choice by value sends it to one that can); grants given back while the next request does not fit (slots idle), or used for the next request of the same workspace that fits (kept). Change: tooLate asks the fastest usable endpoint; chooseGranted compares with the best value at any endpoint, like chooseByValue; a grant that does not fit the next request goes to the first one behind it of the same workspace that it fits.

TestLongAnswerAwaitsFastEndpoint fails before.

--- a/sched/grant.go
+++ b/sched/grant.go
@@ -217,16 +217,10 @@
 			if q.waiting == 0 || p.floor.excludes(now, rank) || (workspace != "" && (f == nil || f.waiting == 0)) {
 				continue
 			}
-			r := q.head()
-			if workspace != "" {
-				r = f.next()
+			if workspace == "" {
+				f = nil // of an earlier version, for any workspace
 			}
-			if s.outwaitsRest(now, r) || s.tooLate(now, r) {
-				continue // Poll refuses it
-			}
-			choose := func(now time.Duration, r *Request) *candidate { return s.chooseGranted(now, r, e) }
-			if d, ok := s.dispatchChosen(now, r, choose); ok {
-				s.unqueue(r)
+			if d, ok := s.dispatchGranted(now, q, f, e); ok {
 				s.pending = append(s.pending, d)
 				return true
 			}
@@ -235,8 +229,45 @@
 	return false
 }
 
+// dispatchGranted dispatches a request of a tier to an endpoint that granted a slot: the next one of a flow, or of the tier if f is nil, or
+// else the first one behind it for which the endpoint is fast enough.
+func (s *Scheduler) dispatchGranted(now time.Duration, q *tierQueue, f *flow, e *endpointState) (Decision, bool) {
+	next := q.head()
+	if f != nil {
+		next = f.next()
+	}
+	if d, ok := s.dispatchGrantedTo(now, next, e); ok {
+		return d, true
+	}
+	n := 0
+	for at := q.arrival.Front(); at != nil && n < maxPassing; at = at.Next() {
+		r := at.Value.(*Request)
+		if r == next || (f != nil && r.flow != f) {
+			continue
+		}
+		n++
+		if d, ok := s.dispatchGrantedTo(now, r, e); ok {
+			return d, true
+		}
+	}
+	return Decision{}, false
+}
+
+// dispatchGrantedTo dispatches a waiting request to an endpoint that granted a slot.
+func (s *Scheduler) dispatchGrantedTo(now time.Duration, r *Request, e *endpointState) (Decision, bool) {
+	if s.outwaitsRest(now, r) || s.tooLate(now, r) {
+		return Decision{}, false // Poll refuses it
+	}
+	d, ok := s.dispatchChosen(now, r, func(now time.Duration, r *Request) *candidate { return s.chooseGranted(now, r, e) })
+	if ok {
+		s.unqueue(r)
+	}
+	return d, ok
+}
+
 // chooseGranted returns an endpoint that granted a slot as the candidate for a request, or nil if it
-// does not admit the request or gives less than minValueShare of its value there if it were idle.
+// does not admit the request or gives less than minValueShare of the best possible value: a long answer
+// does not end in time at an endpoint that is much slower than others.
 func (s *Scheduler) chooseGranted(now time.Duration, r *Request, e *endpointState) *candidate {
 	s.matchPrefix(r)
 	s.cands = s.cands[:0]
@@ -252,8 +283,8 @@
 	c.firstToken = s.predictFirstToken(now, r, e, load, c.cached)
 	if r.Objective.FirstToken > 0 {
 		target := s.firstTokenTarget(now, r)
-		idle := s.expectedValue(now, r, e, 0, e.prefillTime(r.PromptTokens)+e.step(), target)
-		if c.value = s.expectedValue(now, r, e, load, c.firstToken, target); c.value < minValueShare*idle {
+		c.value = s.expectedValue(now, r, e, load, c.firstToken, target)
+		if c.value < minValueShare*s.idealValue(now, r, target) {
 			return nil
 		}
 	}
--- a/sched/grant_test.go
+++ b/sched/grant_test.go
@@ -136,3 +136,37 @@
 	s.Done(halfOpen+3*ms, r, Completed, 0)
 	must.MapContainsKey(t, s.SlotRequests(halfOpen+3*ms, true), "e0")
 }
+
+// TestLongAnswerAwaitsFastEndpoint guards against long answers being refused, or sent to an endpoint that cannot end them in time, because
+// some endpoints of their pool are much slower than the others.
+func TestLongAnswerAwaitsFastEndpoint(t *testing.T) {
+	const ms = time.Millisecond
+	s, request := scarceHost(t, 3)
+	s.SlotOwners = true
+	for name, step := range map[string]time.Duration{"e0": 50 * ms, "e1": 4 * ms, "e2": 50 * ms} {
+		s.ApplyReport(0, name, Report{Slots: 7, Running: 7, Step: step, Model: "m", AcceptsPrompts: true, Estimated: true})
+	}
+	s.ApplyGrant(0, "e0", places.Grant{Running: 7}) // owners answer
+	long, short := request(0), request(0)
+	long.MaxTokens, long.ExpectedTokens = 1500, 1500
+	must.EqOp(t, Wait, s.Submit(0, long).Verdict)
+	must.EqOp(t, Wait, s.Submit(0, short).Verdict)
+	grants := []struct {
+		from string
+		to   *Request
+	}{{"e0", short}, {"e2", nil}, {"e1", long}}
+	for i, g := range grants {
+		at := time.Duration(10*(i+1)) * ms
+		s.Wake()
+		must.EqOp(t, g.to != nil, s.ApplyGrant(at, g.from, places.Grant{Slots: 1, Workspace: "w"}))
+		decisions := s.Poll(at)
+		if g.to == nil {
+			must.SliceEmpty(t, decisions)
+			continue
+		}
+		must.SliceLen(t, 1, decisions)
+		must.EqOp(t, Run, decisions[0].Verdict)
+		must.True(t, decisions[0].Request == g.to)
+		must.EqOp(t, g.from, decisions[0].Endpoint)
+	}
+}
--- a/sched/order.go
+++ b/sched/order.go
@@ -4,7 +4,10 @@
 
 package sched
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Submit decides a new request. It checks, in this order: the rate limits set by operators, the
 // retry budget, whether any endpoint could serve the request, whether all of them rest for longer
@@ -254,28 +257,25 @@
 	return out
 }
 
-// tooLate reports whether a waiting request is no longer likely to end in time; running it would
+// tooLate reports whether no endpoint is fast enough to end a waiting request in time; running it would
 // only take room from others.
 func (s *Scheduler) tooLate(now time.Duration, r *Request) bool {
-	return !s.cfg.Disabled.EarlyRefusal && now+s.meanIdleCompletion(now, r) > r.Deadline
+	return !s.cfg.Disabled.EarlyRefusal && now+s.fastestCompletion(now, r) > r.Deadline
 }
 
-// meanIdleCompletion returns the mean time to the end of the answer over the pool's slots if the
-// endpoints were idle.
-func (s *Scheduler) meanIdleCompletion(now time.Duration, r *Request) time.Duration {
-	sum, slots := 0.0, 0.0
+// fastestCompletion returns the shortest time to the end of the answer over the pool's usable endpoints
+// if they were idle, and 0 if there are none.
+func (s *Scheduler) fastestCompletion(now time.Duration, r *Request) time.Duration {
+	least := time.Duration(math.MaxInt64)
 	for _, e := range r.pool.members {
-		if !r.pool.usable(now, e) {
-			continue
+		if r.pool.usable(now, e) {
+			least = min(least, s.idleCompletion(r, e))
 		}
-		n := float64(e.slots())
-		sum += n * float64(s.idleCompletion(r, e))
-		slots += n
 	}
-	if slots == 0 {
+	if least == math.MaxInt64 {
 		return 0
 	}
-	return time.Duration(sum / slots)
+	return least
 }
 
 // idleCompletion returns the time to the end of the answer at an endpoint if it were idle.
--- a/sched/value.go
+++ b/sched/value.go
@@ -118,14 +118,12 @@
 	s.matchPrefix(r)
 	s.cands = s.cands[:0]
 	target := s.firstTokenTarget(now, r)
-	best, ideal, silentLoad := math.Inf(-1), 0.0, s.silentLoad(r.pool)
+	best, silentLoad := math.Inf(-1), s.silentLoad(r.pool)
 	zones := s.zoneRuleFor(now, r.pool, r)
 	for _, e := range r.pool.members {
 		if !e.available(now) || !r.accepts(e) {
 			continue
 		}
-		idle := e.prefillTime(r.PromptTokens) + e.step()
-		ideal = max(ideal, s.expectedValue(now, r, e, 0, idle, target))
 		load := s.load(now, e) + silentLoad
 		zoneCost, ok := zones.cost(e)
 		if !ok || r.avoids(e) || !s.admits(now, r, e, load) {
@@ -140,13 +138,25 @@
 		best = max(best, c.value)
 		s.cands = append(s.cands, c)
 	}
-	if best < minValueShare*ideal && !r.lastChance {
+	if best < minValueShare*s.idealValue(now, r, target) && !r.lastChance {
 		s.cands = s.cands[:0]
 		return nil
 	}
 	return s.leastLoaded(best - valueTolerance)
 }
 
+// idealValue returns the best value that any endpoint would give a request if it were idle.
+func (s *Scheduler) idealValue(now time.Duration, r *Request, target time.Duration) float64 {
+	ideal := 0.0
+	for _, e := range r.pool.members {
+		if e.available(now) && r.accepts(e) {
+			idle := e.prefillTime(r.PromptTokens) + e.step()
+			ideal = max(ideal, s.expectedValue(now, r, e, 0, idle, target))
+		}
+	}
+	return ideal
+}
+
 // leastLoaded picks the least loaded of two random candidates in this host's zone and two in other
 // zones, all worth at least minValue. The random draw keeps hosts that decide at the same moment
 // from all picking the same endpoint, and the split by zone keeps the few candidates in this zone
