sched: rations of small fleets admit long answers at least half as often as all

What callers would see: at 2.5 times the capacity the longest tenth of a tier is served 0.14 where the tier is served 0.31. Cause: a ration admits the shortest answers first, and of the others one in twenty, whatever share of all is admitted. What users are promised is about the share served, by size. So 0.47 beside the one in twenty that are exempt: at least 0.52 of the admitted share, whatever it is. Change: a ration admits the shortest requests up to a share, and of the longer ones a part, so that all together are the admitted share.

TestRationAdmitsLongAnswers fails before.

--- a/ingress/sizes_test.go
+++ b/ingress/sizes_test.go
@@ -139,12 +139,16 @@
 	return out
 }
 
-// minSizeShare is the least share of a size class that is served, over that of its kind. Users ask for half; this is the aim.
-const minSizeShare = 0.75
-
 // TestLongAnswersAreServedLikeOthers guards against the longest tenth of a tier, or the fifth below it, being served much less often than
 // the tier, whatever the overload and the size of the fleet.
-func TestLongAnswersAreServedLikeOthers(t *testing.T) {
+func TestLongAnswersAreServedLikeOthers(t *testing.T) { testLongAnswers(t, 0.75) }
+
+// TestLongAnswersAreServedHalfAsOften does the same for what users are promised.
+func TestLongAnswersAreServedHalfAsOften(t *testing.T) { testLongAnswers(t, 0.5) }
+
+// testLongAnswers checks that the share served of each size class is at least minShare of that of its kind.
+func testLongAnswers(t *testing.T, minShare float64) {
+	t.Helper()
 	const endpoints, slots, workspaces = 24, 4, 8
 	const directHosts = 9 // the largest fleet without slot owners
 	speeds := []float64{0.4, 1.65, 1.65}
@@ -183,8 +187,8 @@
 					}
 					served, fifth, tenth := all.servedShare(0, 1), all.servedShare(0.7, 0.9), all.servedShare(0.9, 1)
 					t.Logf("kind %d: served %.2f of %d, fifth below %.2f, largest tenth %.2f; utilization %.2f", k, served, len(all), fifth, tenth, f.utilization())
-					must.GreaterEq(t, minSizeShare*served, fifth, must.Sprint("fifth below the largest tenth of kind ", k))
-					must.GreaterEq(t, minSizeShare*served, tenth, must.Sprint("largest tenth of kind ", k))
+					must.GreaterEq(t, minShare*served, fifth, must.Sprint("fifth below the largest tenth of kind ", k))
+					must.GreaterEq(t, minShare*served, tenth, must.Sprint("largest tenth of kind ", k))
 				}
 			})
 		}
--- a/sched/ration.go
+++ b/sched/ration.go
@@ -37,6 +37,9 @@
 	// exemptChance is the probability that a request is exempt from the ration, so that long ones
 	// do not starve in a long shortage. It has no measurable cost.
 	exemptChance = 0.05
+	// minLongShare is the share of the longer requests that a ration admits, over the share of all
+	// that it admits. Together with the exempt ones it is a little more than the half that is promised.
+	minLongShare = 0.47
 	// spareFill is the share of its slot limit up to which a tier still accepts requests beyond
 	// the ration: at a lower load there is no shortage, or it is over. Without this rule requests
 	// were refused for seconds after a surge; 0.65 and 0.95 have the same effect.
@@ -121,7 +124,8 @@
 		s.recentLengths[r.Settings.Service] = recent
 	}
 	r.lengthQuantile = recent.quantile(r.expectedOutput, s.Rand.Float64())
-	r.rationExempt = s.Rand.Float64() < exemptChance || r.Continues
+	r.rationDraw = s.Rand.Float64()
+	r.rationExempt = r.rationDraw < exemptChance || r.Continues
 }
 
 // beyondRation reports whether a request is beyond the share of its tier that is admitted now. Where slot
@@ -133,7 +137,16 @@
 	if s.SlotOwners || r.rationExempt {
 		return false
 	}
-	return r.lengthQuantile > admitted
+	if s.SharingHosts > directHosts {
+		return r.lengthQuantile > admitted
+	}
+	return r.lengthQuantile > shortestShare(admitted) && r.rationDraw >= exemptChance+minLongShare*admitted
+}
+
+// shortestShare returns the share of a service's requests, the shortest, that a ration always admits
+// if it admits the given share of all, and minLongShare of that share of the longer ones.
+func shortestShare(admitted float64) float64 {
+	return admitted * (1 - minLongShare) / (1 - minLongShare*admitted)
 }
 
 // rationRetryAfter returns the retry time of a request refused by a ration: a shortage is assumed
--- a/sched/ration_test.go
+++ b/sched/ration_test.go
@@ -226,3 +226,30 @@
 		must.NotEq(t, ReasonLength, s.Submit(fleet.now, r).Reason)
 	}
 }
+
+// TestRationAdmitsLongAnswers guards against a ration that admits the longest answers of a service less than half as often as all of them.
+func TestRationAdmitsLongAnswers(t *testing.T) {
+	const n = 20000
+	for _, admitted := range []float64{0.15, 0.3, 0.5, 0.7, 0.9, 1} {
+		t.Run(fmt.Sprint(admitted), func(t *testing.T) {
+			s := newFleet(6, 2, 0, Rules{}).hosts[0]
+			r := (&hostFleet{}).request(time.Second)
+			r.pool = s.poolOf(r)
+			s.ration(r).refusedShare = 1 - admitted
+			all, longest := 0, 0
+			for i := range n {
+				r.lengthQuantile, r.rationDraw = (float64(i)+0.5)/n, s.Rand.Float64()
+				r.rationExempt = r.rationDraw < exemptChance
+				if s.beyondRation(r) {
+					continue
+				}
+				all++
+				if r.lengthQuantile > 0.9 {
+					longest++
+				}
+			}
+			must.InDelta(t, admitted, float64(all)/n, 0.05)
+			must.GreaterEq(t, 0.5*float64(all)/n, float64(longest)/(0.1*n))
+		})
+	}
+}
--- a/sched/request.go
+++ b/sched/request.go
@@ -57,6 +57,7 @@
 	lastChance     bool    // it has reached its queue deadline
 	lengthQuantile float64 // share of its service's requests with a shorter expected answer
 	rationExempt   bool    // rations do not apply to it
+	rationDraw     float64 // drawn uniformly from [0, 1); see beyondRation
 	spareOnly      bool    // only endpoints with spare slots admit it
 	estimates      Estimates
 
