--- a/ingress/identify.go
+++ b/ingress/identify.go
@@ -23,9 +23,6 @@
 	// maxIdentify is the time in which an endpoint answers which process it is. One that has not after that waits for a slot: another
 	// process would have refused the request at once.
 	maxIdentify = 300 * time.Millisecond
-	// maxEnding is the time in which a process that is killed has closed all its sockets. The port may take a connection after the first of
-	// them was closed, and ends it when it is closed itself.
-	maxEnding = 10 * time.Millisecond
 )
 
 // progress tells when the bytes of a response came. The zero value has seen none.
@@ -56,18 +53,14 @@
 // probeProcess opens a connection to the endpoint after the end of a response. It returns errOtherProcess if the port has come to belong to
 // another process.
 func (c *call) probeProcess(ctx context.Context, x *exchange) error {
+	if c.service == nil || c.service.HealthPath == "" || !x.progress.mayHideRestart(c.s.Now()) {
+		return c.probePort(ctx)
+	}
 	conn, err := c.openProbe(ctx)
 	if err != nil {
 		return err
 	}
 	defer conn.Release()
-	if c.service == nil || c.service.HealthPath == "" || !x.progress.mayHideRestart(c.s.Now()) {
-		if !conn.EndsWithin(maxEnding) {
-			return nil
-		}
-		conn.Close()
-		return c.probePort(ctx)
-	}
 	ctx, cancel := context.WithTimeout(ctx, maxIdentify)
 	defer cancel()
 	stop := context.AfterFunc(ctx, conn.Close)
--- a/upstream/process.go
+++ b/upstream/process.go
@@ -7,9 +7,7 @@
 import (
 	"context"
 	"errors"
-	"os"
 	"syscall"
-	"time"
 )
 
 // The connections to an address together tell more of the process behind it than each alone. A process that stops in order closes its
@@ -35,16 +33,6 @@
 	return c, nil
 }
 
-// EndsWithin waits for d and reports whether the other side ends the connection in that time.
-func (c *Conn) EndsWithin(d time.Duration) bool {
-	_ = c.net.SetReadDeadline(time.Now().Add(d)) // a connection without deadlines ends when it is closed
-	defer func() { _ = c.net.SetReadDeadline(time.Time{}) }()
-	var b [1]byte
-	n, err := c.net.Read(b[:])
-	c.noReuse = c.noReuse || n > 0 // no request was sent yet
-	return n == 0 && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // WroteAfterRefusal reports whether the process at an address has refused a connection, accepted none since, and written something
 // afterwards to one that is in use.
 func (p *Pool) WroteAfterRefusal(address string) bool {
