sched: requests that need a fast endpoint wait longer for one

Cause (H6 of docs/incidents/short-89.md): in a shortage the tiers above take the slots of the fast engines, and 0.78 of what the lowest tier is sent goes to slow ones, a third of all, where an answer of 1,200 tokens and more cannot end in time. All waited for the same 0.22 s. Class: the same patience for requests that may take a ninth of what becomes free as for those that may take all. Weighed: slots of fast engines kept for long answers of the lowest tier (a higher tier would be shed for a lower one); to send them to slow engines (they are cut at their deadline); a wait of twice or three times as long (three, since a quarter of the longer ones is rationed). Change: a request that some usable endpoints are too slow for waits three times as long as others before it is refused.

TestLongAnswerWaitsLongerForFastEndpoint fails before.

--- a/sched/order.go
+++ b/sched/order.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -62,6 +63,9 @@
 	if d, ok := s.makeQueueRoom(now, r); !ok {
 		return d
 	}
+	if s.needsFastEndpoint(now, r) {
+		r.extendWait(now)
+	}
 	s.enqueue(r)
 	d := Decision{Request: r, Verdict: Wait}
 	s.logDecision(now, d, nil)
@@ -278,6 +282,24 @@
 	return least
 }
 
+// needsFastEndpoint reports whether some usable endpoints are too slow to end a request in time.
+func (s *Scheduler) needsFastEndpoint(now time.Duration, r *Request) bool {
+	return slices.ContainsFunc(r.pool.members, func(e *endpointState) bool {
+		return r.pool.usable(now, e) && now+s.idleCompletion(r, e) > r.Deadline
+	})
+}
+
+// fastEndpointWait is the factor by which a request waits longer that needs a fast endpoint: it may take few of the slots that become free,
+// and in a shortage the slow endpoints have most of those that are left to the lowest tier.
+const fastEndpointWait = 3
+
+// extendWait makes a request wait longer for a slot.
+func (r *Request) extendWait(now time.Duration) {
+	if r.DispatchBy > now {
+		r.DispatchBy = now + fastEndpointWait*(r.DispatchBy-now)
+	}
+}
+
 // idleCompletion returns the time to the end of the answer at an endpoint if it were idle.
 func (s *Scheduler) idleCompletion(r *Request, e *endpointState) time.Duration {
 	if !e.Engine {
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -408,3 +408,29 @@
 	_, d = submit(s.now + 200*time.Millisecond)
 	must.Eq(t, Wait, d.Verdict)
 }
+
+// TestLongAnswerWaitsLongerForFastEndpoint guards against a lowest tier whose long answers get no slots, because those of the slow endpoints,
+// which are most of what is left to it, are of no use to them.
+func TestLongAnswerWaitsLongerForFastEndpoint(t *testing.T) {
+	const wait = 200 * time.Millisecond
+	s := newTestScheduler(Config{Disabled: Rules{Share: true}}, engine{name: "slow", slots: 4, running: 9, step: 50 * time.Millisecond}, engine{name: "fast", slots: 4, running: 9, step: 5 * time.Millisecond})
+	begun := s.now
+	submit := func(tokens int) *Request {
+		r := s.request("w", 1)
+		r.MaxTokens, r.ExpectedTokens = 3000, tokens
+		r.Deadline, r.DispatchBy = begun+10*time.Second, begun+wait
+		must.EqOp(t, Wait, s.Submit(s.now, r).Verdict)
+		return r
+	}
+	short, long := submit(10), submit(1000)
+	refusedAt := make(map[*Request]time.Duration)
+	for s.now < begun+time.Second {
+		s.now += 10 * time.Millisecond
+		for _, d := range s.Poll(s.now) {
+			must.EqOp(t, Refuse, d.Verdict)
+			refusedAt[d.Request] = s.now - begun
+		}
+	}
+	must.EqOp(t, wait, refusedAt[short])
+	must.EqOp(t, fastEndpointWait*wait, refusedAt[long])
+}
