ingress: TestSlowestReaderIsEnded waits until the ended response is counted

Cause, in the test: the memory of the slowest response is given away when its connection is told to end, and its goroutine counts it afterwards; the test read the count as soon as the next response was whole. Code and checks are as they were; the test waits until all goroutines rest before it reads the count.

--- a/ingress/slowreader_test.go
+++ b/ingress/slowreader_test.go
@@ -162,6 +162,7 @@
 		got, err := io.ReadAll(resp.Body)
 		must.NoError(t, err)
 		must.EqOp(t, len(body), len(got))
+		synctest.Wait() // the response that was ended for its memory is counted after that was given away
 		must.EqOp(t, 1, s.Count.SlowReadersForMemory.Load())
 		must.EqOp(t, 1, log.count("read slowest of all"))
 		// The others are read late, but whole.
