sched: the rest of a stream waits no longer for a fast endpoint

Change: only requests that were never dispatched and continue nothing wait longer. TestLongAnswerWaitsLongerForFastEndpoint has the case; it fails before.

--- a/sched/order.go
+++ b/sched/order.go
@@ -63,7 +63,7 @@
 	if d, ok := s.makeQueueRoom(now, r); !ok {
 		return d
 	}
-	if s.needsFastEndpoint(now, r) {
+	if !r.Continues && r.dispatchedAt == 0 && s.needsFastEndpoint(now, r) {
 		r.extendWait(now)
 	}
 	s.enqueue(r)
@@ -293,7 +293,7 @@
 // and in a shortage the slow endpoints have most of those that are left to the lowest tier.
 const fastEndpointWait = 3
 
-// extendWait makes a request wait longer for a slot.
+// extendWait makes a request wait longer for a slot. The rest of a stream does not: its caller has waited already, and gives up soon.
 func (r *Request) extendWait(now time.Duration) {
 	if r.DispatchBy > now {
 		r.DispatchBy = now + fastEndpointWait*(r.DispatchBy-now)
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -415,14 +415,15 @@
 	const wait = 200 * time.Millisecond
 	s := newTestScheduler(Config{Disabled: Rules{Share: true}}, engine{name: "slow", slots: 4, running: 9, step: 50 * time.Millisecond}, engine{name: "fast", slots: 4, running: 9, step: 5 * time.Millisecond})
 	begun := s.now
-	submit := func(tokens int) *Request {
+	submit := func(tokens int, continues bool) *Request {
 		r := s.request("w", 1)
+		r.Continues = continues
 		r.MaxTokens, r.ExpectedTokens = 3000, tokens
 		r.Deadline, r.DispatchBy = begun+10*time.Second, begun+wait
 		must.EqOp(t, Wait, s.Submit(s.now, r).Verdict)
 		return r
 	}
-	short, long := submit(10), submit(1000)
+	short, long, rest := submit(10, false), submit(1000, false), submit(1000, true)
 	refusedAt := make(map[*Request]time.Duration)
 	for s.now < begun+time.Second {
 		s.now += 10 * time.Millisecond
@@ -432,5 +433,6 @@
 		}
 	}
 	must.EqOp(t, wait, refusedAt[short])
+	must.EqOp(t, wait, refusedAt[rest]) // its caller gives up soon
 	must.EqOp(t, fastEndpointWait*wait, refusedAt[long])
 }
