--- a/review/stand2/leaver.go
+++ b/review/stand2/leaver.go
@@ -9,8 +9,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/heathkeel/heathkeel/internal/site"
 )
 
 // Times of crashOfLeaver.
@@ -28,12 +26,7 @@
 // is killed.
 func crashOfLeaver(f *fleet) (bool, error) {
 	f.configure()
-	for _, r := range []struct{ id, service string }{{"i-e1", site.Engines}, {"i-e2", site.Engines}, {"i-p1", site.Plain}, {"i-p2", site.Plain}} {
-		if _, err := f.startRunner(r.id, r.service); err != nil {
-			return false, err
-		}
-	}
-	if err := f.startHosts(3); err != nil {
+	if err := f.startAll(3); err != nil {
 		return false, err
 	}
 	time.Sleep(3500 * time.Millisecond) // past ContactMs
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -24,6 +24,7 @@
 // cases are the cases by the names of their folders.
 var cases = map[string]func(f *fleet) (broken bool, err error){
 	"6": crashOfLeaver,
+	"7": longLine,
 }
 
 // errUsage means that the command line names no case.
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -26,8 +26,8 @@
 const slots = 8
 
 // runnerServer is the server in the process of a runner. The query of a request says how it is answered: events and pace give the number
-// of events of a stream and the milliseconds between them, unframed gives the answer no length, and parts writes the body of a plain
-// answer in that many parts, pace apart. It writes a line for each run.
+// of events of a stream and the milliseconds between them, last the length of the text in the last event, unframed gives the answer no
+// length, and parts writes the body of a plain answer in that many parts, pace apart. It writes a line for each run.
 type runnerServer struct {
 	id string
 	l  net.Listener
@@ -149,6 +149,14 @@
 // eventText returns an event of a stream.
 func eventText(n int) string { return fmt.Sprintf("id: %d\ndata: token %d\n\n", n, n) }
 
+// quotedID is the end of the text of a last event with a given length: what a model writes that explains event streams.
+const quotedID = "id: 1"
+
+// lastText returns the last event of a stream whose text has a length.
+func lastText(n, length int) string {
+	return fmt.Sprintf("id: %d\ndata: %s%s\n\n", n, strings.Repeat("x", length-len(quotedID)), quotedID)
+}
+
 // writeStream writes the events after one, and reports whether all were written.
 func writeStream(c net.Conn, head string, q url.Values, after int) bool {
 	framed := !q.Has("unframed")
@@ -162,6 +170,9 @@
 	for n := after + 1; n <= number(q, "events", 1); n++ {
 		time.Sleep(time.Duration(number(q, "pace", 10)) * time.Millisecond)
 		text := eventText(n)
+		if q.Has("last") && n == number(q, "events", 1) {
+			text = lastText(n, number(q, "last", 0))
+		}
 		if framed {
 			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
 		}
