--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -25,6 +25,8 @@
 var cases = map[string]func(f *fleet) (broken bool, err error){
 	"6": crashOfLeaver,
 	"7": longLine,
+	"8": graceChange,
+	"9": asterisk,
 }
 
 // errUsage means that the command line names no case.
