--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -31,9 +31,13 @@
 	return id
 }
 
-// request sends a request to a host, on a connection of its own, and reads the answer. onHead is called with the stamp once the head is
-// there; it may be nil.
-func (f *fleet) request(h *host, method, path string, onHead func(stamp string)) *answer {
+// request sends a request to a host, on a connection of its own, and reads the answer.
+func (f *fleet) request(h *host, method, path string) *answer {
+	return f.requestBy(&http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}, h, method, path)
+}
+
+// requestBy sends a request to a host by a client and reads the answer.
+func (f *fleet) requestBy(client *http.Client, h *host, method, path string) *answer {
 	a := &answer{id: fmt.Sprintf("%016x", rand.Uint64())}
 	req, err := http.NewRequest(method, "http://"+h.front()+path, nil)
 	if err != nil {
@@ -48,7 +52,6 @@
 	req.Header.Set("Heathkeel-Prompt-Prefix", fmt.Sprintf("5c1e07a2:60,%x:40", rand.Uint32()))
 	req.Header.Set("Authorization", "Token "+site.Key)
 	f.note("client sends %s %s %s", a.id, method, path)
-	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	resp, err := client.Do(req)
 	if err != nil {
 		a.err = err
@@ -57,9 +60,6 @@
 	}
 	defer resp.Body.Close()
 	a.status, a.stamp = resp.StatusCode, resp.Header.Get("Heathkeel-Response-Stamp")
-	if onHead != nil {
-		onHead(a.stamp)
-	}
 	b, err := io.ReadAll(resp.Body)
 	a.body, a.err = string(b), err
 	f.note("client got %d with stamp %s and %d bytes to %s, complete: %v", a.status, a.stamp, len(b), a.id, a.complete())
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -72,6 +72,7 @@
 
 	mu        sync.Mutex
 	processes []*process
+	lines     []string // that runners wrote
 	record    *os.File
 	begun     time.Time
 	stopBeats chan struct{}
--- a/review/stand2/grace.go
+++ b/review/stand2/grace.go
@@ -47,7 +47,7 @@
 			all.Add(1)
 			go func() {
 				defer all.Done()
-				if a := f.request(h, "POST", path, nil); a.status != 200 || !a.complete() {
+				if a := f.request(h, "POST", path); a.status != 200 || !a.complete() {
 					mu.Lock()
 					defer mu.Unlock()
 					cut[a.id] = time.Now()
--- a/review/stand2/leaver.go
+++ b/review/stand2/leaver.go
@@ -22,7 +22,7 @@
 	crashAfter = time.Second
 )
 
-// crashOfLeaver is case 6: a runner that leaves as planned has closed its port and goes on with its answers, which have no length. Then it
+// crashOfLeaver is the case of a planned leave that ends badly: a runner that leaves as planned has closed its port and goes on with its answers, which have no length. Then it
 // is killed.
 func crashOfLeaver(f *fleet) (bool, error) {
 	f.configure()
@@ -37,7 +37,7 @@
 		all.Add(1)
 		go func() {
 			defer all.Done()
-			a := f.request(h, method, path, nil)
+			a := f.request(h, method, path)
 			mu.Lock()
 			defer mu.Unlock()
 			answers = append(answers, a)
--- a/review/stand2/longline.go
+++ b/review/stand2/longline.go
@@ -38,7 +38,7 @@
 	broken := false
 	for _, path := range []string{"/draft/", "/review/"} {
 		for i := range 4 {
-			a := f.request(f.hosts[i%len(f.hosts)], "POST", fmt.Sprintf("%s?events=%d&pace=20&last=%d", path, longLineEvents, length), nil)
+			a := f.request(f.hosts[i%len(f.hosts)], "POST", fmt.Sprintf("%s?events=%d&pace=20&last=%d", path, longLineEvents, length))
 			if a.complete() && a.status == 200 && a.body != want.String() {
 				f.note("%s appears complete, with %d of %d bytes and %d of %d events", a.id, len(a.body), want.Len(), strings.Count(a.body, "\ndata: "), longLineEvents)
 				broken = true
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -23,10 +23,11 @@
 
 // cases are the cases by the names of their folders.
 var cases = map[string]func(f *fleet) (broken bool, err error){
-	"6": crashOfLeaver,
-	"7": longLine,
-	"8": graceChange,
-	"9": asterisk,
+	"6":  crashOfRunner,
+	"7":  crashOfLeaver,
+	"8":  graceChange,
+	"9":  longLine,
+	"10": plannedEnd,
 }
 
 // errUsage means that the command line names no case.
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -19,6 +19,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/heathkeel/heathkeel/internal/site"
 )
 
@@ -47,6 +49,9 @@
 	s := &runnerServer{id: id, l: l}
 	end := make(chan os.Signal, 1)
 	signal.Notify(end, syscall.SIGUSR1)
+	if err := holdMemory(); err != nil {
+		return err
+	}
 	fmt.Println("listening", l.Addr())
 	go s.accept()
 	<-end
@@ -58,6 +63,28 @@
 	return nil
 }
 
+// memoryVariable names the megabytes of shared memory that a runner holds, as one does for its weights or its cache.
+const memoryVariable = "RUNNER_MEMORY_MB"
+
+// holdMemory takes the shared memory.
+func holdMemory() error {
+	mb, err := strconv.Atoi(os.Getenv(memoryVariable))
+	if err != nil || mb == 0 {
+		return nil // none
+	}
+	fd, err := unix.MemfdCreate("weights", 0)
+	if err != nil {
+		return err
+	}
+	part := make([]byte, 1<<20)
+	for range mb {
+		if _, err := unix.Write(fd, part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // accept serves connections until the listener is closed.
 func (s *runnerServer) accept() {
 	for {
@@ -238,6 +265,9 @@
 			listening <- address
 		}
 		f.note("runner %s: %s", id, line)
+		f.mu.Lock()
+		f.lines = append(f.lines, line)
+		f.mu.Unlock()
 	}, exe, "runner", id, "127.0.0.1:0")
 	if err != nil {
 		return nil, err
