--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -139,6 +140,18 @@
 	return p, nil
 }
 
+// stopOnSignal ends all processes and this one when it is told to end before the case is over.
+func (f *fleet) stopOnSignal() {
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-ended
+		f.note("ended from outside")
+		f.stop()
+		os.Exit(exitNotRun)
+	}()
+}
+
 // stop ends all processes.
 func (f *fleet) stop() {
 	close(f.stopBeats)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -56,6 +56,7 @@
 		return exitNotRun
 	}
 	defer f.stop()
+	f.stopOnSignal()
 	broken, err := cases[name](f)
 	switch {
 	case err != nil:
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -6,6 +6,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -252,6 +253,9 @@
 	seq   int
 }
 
+// errRunnerEnded means that a runner ended before it took connections.
+var errRunnerEnded = errors.New("a runner ended before it took connections")
+
 // startRunner starts a runner and its heartbeats to the store.
 func (f *fleet) startRunner(id, service string) (*runner, error) {
 	r := &runner{id: id, service: service, state: "ready"}
@@ -272,7 +276,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r.address = <-listening
+	select {
+	case r.address = <-listening:
+	case <-r.done:
+		return nil, errRunnerEnded
+	}
 	f.runners = append(f.runners, r)
 	f.beat(r)
 	go func() {
