--- a/review/stand2/ending.go
+++ b/review/stand2/ending.go
@@ -10,8 +10,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/heathkeel/heathkeel/internal/site"
 )
 
 const (
@@ -20,20 +18,17 @@
 	endingPace   = 200
 	// closesBefore is the time before the end of its streams at which a leaving runner closes its port.
 	closesBefore = 30 * time.Millisecond
+	// engines is the number of engines, of which two leave, and of streams of each host.
+	engines = 12
 	// maxUnanswered is the number of times that the rule allows.
 	maxUnanswered = 3
 )
 
-// plannedEnd is the case of runners that leave as planned: they close their ports a moment before their last answers, which have no length,
+// plannedEnd is the case of two of twelve runners that leave as planned: they close their ports a moment before their last answers, which have no length,
 // end. Nothing is killed.
 func plannedEnd(f *fleet) (bool, error) {
 	f.configure()
-	for _, r := range []struct{ id, service string }{{"i-e1", site.Engines}, {"i-e2", site.Engines}, {"i-p1", site.Plain}} {
-		if _, err := f.startRunner(r.id, r.service); err != nil {
-			return false, err
-		}
-	}
-	if err := f.startHosts(7); err != nil {
+	if err := f.startAll(engines, 4, 7); err != nil {
 		return false, err
 	}
 	time.Sleep(3500 * time.Millisecond) // past ContactMs
@@ -43,13 +38,13 @@
 	var kept, all sync.WaitGroup
 	begin := make(chan struct{})
 	for _, h := range f.hosts {
-		for range 2 {
+		for range engines {
 			all.Add(1)
 			kept.Add(1)
 			go func() {
 				defer all.Done()
 				client := &http.Client{Transport: &http.Transport{DisableCompression: true}}
-				f.requestBy(client, h, "POST", "/ask/") // from here on the connection is a kept one
+				f.requestBy(client, h, "POST", "/ask/?pace=1") // from here on the connection is a kept one
 				kept.Done()
 				<-begin
 				a := f.requestBy(client, h, "POST", "/draft/?unframed&events=30&pace=200")
@@ -63,9 +58,6 @@
 	sent := time.Now()
 	close(begin)
 	time.Sleep(500 * time.Millisecond)
-	if _, err := f.startRunner("i-e3", site.Engines); err != nil {
-		return false, err
-	}
 	if f.trouble {
 		for _, r := range leaving {
 			f.drain(r)
@@ -84,10 +76,21 @@
 			cut++
 		}
 	}
-	f.note("%d of %d requests from kept connections to sound runners have no whole answer", cut, len(answers))
+	f.note("%d of %d requests from kept connections to sound runners have no whole answer; %d of the requests were at the runners that leave", cut, len(answers), atLeavers(answers))
 	return cut > maxUnanswered, nil
 }
 
+// atLeavers returns the number of answers that came from the runners that leave.
+func atLeavers(answers []*answer) int {
+	n := 0
+	for _, a := range answers {
+		if a.runnerID() == "i-e1" || a.runnerID() == "i-e2" {
+			n++
+		}
+	}
+	return n
+}
+
 // wroteWhole reports whether a runner wrote the whole answer to a request.
 func (f *fleet) wroteWhole(id string) bool {
 	f.mu.Lock()
--- a/review/stand2/fleet.go
+++ b/review/stand2/fleet.go
@@ -271,11 +271,19 @@
 	}, "\n")
 }
 
-// configure writes a configuration with a route of each kind.
+// configure writes a configuration with a route of each kind, with the time-outs of litoral-cobro.
 func (f *fleet) configure() {
 	c := site.Example()
 	for i := range c.Routes {
-		c.Routes[i].TimeoutMs = 12000
+		r := &c.Routes[i]
+		switch {
+		case r.Kind != "streaming":
+			r.TimeoutMs = 800
+		case r.Resumable:
+			r.TimeoutMs = 12000
+		default:
+			r.TimeoutMs = 10000
+		}
 	}
 	f.store.Put("op/config", c)
 }
--- a/review/stand2/grace.go
+++ b/review/stand2/grace.go
@@ -27,7 +27,7 @@
 	if f.trouble {
 		f.grace = shortGrace
 	}
-	if err := f.startAll(3); err != nil {
+	if err := f.startAll(2, 2, 3); err != nil {
 		return false, err
 	}
 	h := f.hosts[0]
@@ -42,8 +42,8 @@
 	var mu sync.Mutex
 	cut := make(map[string]time.Time)
 	var all sync.WaitGroup
-	for _, path := range []string{"/draft/?events=95&pace=100", "/review/?events=95&pace=100", "/push/?parts=95&pace=100"} {
-		for range 3 {
+	for _, path := range []string{"/draft/?events=95&pace=100", "/review/?events=95&pace=100"} {
+		for range 4 {
 			all.Add(1)
 			go func() {
 				defer all.Done()
--- a/review/stand2/leaver.go
+++ b/review/stand2/leaver.go
@@ -15,18 +15,17 @@
 const (
 	// drainTime is the time for which a runner serves on after the store has taken its entry.
 	drainTime = 2 * time.Second
-	// leaverEvents and leaverPace make streams that outlast the drain time by some seconds.
+	// leaverEvents, 100 ms apart, make streams that outlast the drain time by some seconds.
 	leaverEvents = 60
-	leaverPace   = 100 // ms
 	// crashAfter is the time from the end of the drain time to the crash.
 	crashAfter = time.Second
 )
 
-// crashOfLeaver is the case of a planned leave that ends badly: a runner that leaves as planned has closed its port and goes on with its answers, which have no length. Then it
-// is killed.
+// crashOfLeaver is the case of a planned leave that ends badly: one of eight runners leaves as planned, has closed its port and goes on with
+// its streams, which have no length. Then it is killed.
 func crashOfLeaver(f *fleet) (bool, error) {
 	f.configure()
-	if err := f.startAll(3); err != nil {
+	if err := f.startAll(8, 1, 3); err != nil {
 		return false, err
 	}
 	time.Sleep(3500 * time.Millisecond) // past ContactMs
@@ -43,32 +42,19 @@
 			answers = append(answers, a)
 		}()
 	}
-	for i := range 6 {
-		h := f.hosts[i%len(f.hosts)]
-		send(h, "POST", "/draft/?unframed&events=60&pace=100")
-		send(h, "POST", "/push/?unframed&parts=60&pace=100")
-		time.Sleep(30 * time.Millisecond)
+	for i := range 36 {
+		send(f.hosts[i%len(f.hosts)], "POST", "/draft/?unframed&events=60&pace=100")
+		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(500 * time.Millisecond)
-	for _, r := range f.runners {
-		if r.id == "i-e1" || r.id == "i-p1" {
-			f.drain(r)
-		}
-	}
+	leaver := f.runners[0]
+	f.drain(leaver)
 	time.Sleep(drainTime + 100*time.Millisecond)
-	for _, r := range f.runners {
-		if r.id == "i-e1" || r.id == "i-p1" {
-			r.signal(syscall.SIGUSR1)
-		}
-	}
+	leaver.signal(syscall.SIGUSR1)
 	time.Sleep(crashAfter)
 	if f.trouble {
-		for _, r := range f.runners {
-			if r.id == "i-e1" || r.id == "i-p1" {
-				f.note("runner %s is killed", r.id)
-				r.signal(syscall.SIGKILL)
-			}
-		}
+		f.note("runner %s is killed", leaver.id)
+		leaver.signal(syscall.SIGKILL)
 	}
 	all.Wait()
 	return f.judgeWhole(answers), nil
--- a/review/stand2/longline.go
+++ b/review/stand2/longline.go
@@ -23,7 +23,7 @@
 // longLine is the case of an event with a long line: runners, clients and the platform are all sound.
 func longLine(f *fleet) (bool, error) {
 	f.configure()
-	if err := f.startAll(2); err != nil {
+	if err := f.startAll(2, 2, 2); err != nil {
 		return false, err
 	}
 	length := shortText
@@ -48,10 +48,15 @@
 	return broken, nil
 }
 
-// startAll starts two runners of each service and n hosts.
-func (f *fleet) startAll(n int) error {
-	for _, r := range []struct{ id, service string }{{"i-e1", site.Engines}, {"i-e2", site.Engines}, {"i-p1", site.Plain}, {"i-p2", site.Plain}} {
-		if _, err := f.startRunner(r.id, r.service); err != nil {
+// startAll starts runners of both services and n hosts.
+func (f *fleet) startAll(engines, plain, n int) error {
+	for i := range engines {
+		if _, err := f.startRunner(fmt.Sprintf("i-e%d", i+1), site.Engines); err != nil {
+			return err
+		}
+	}
+	for i := range plain {
+		if _, err := f.startRunner(fmt.Sprintf("i-p%d", i+1), site.Plain); err != nil {
 			return err
 		}
 	}
