--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -152,6 +152,10 @@
 		if err != nil {
 			return
 		}
+		if f, ok := e.takeEarly(r); ok {
+			e.answerEarly(c, r, f)
+			return
+		}
 		body, err := io.ReadAll(r.Body)
 		if err != nil {
 			return
--- a/internal/site/fault.go
+++ b/internal/site/fault.go
@@ -47,6 +47,20 @@
 	Unframed Fault = "unframed"
 	// UnframedReset answers without a length and resets the connection in the middle of the answer.
 	UnframedReset Fault = "unframed reset"
+	// EarlyReset, EarlyClose, EarlyLate, EarlyLarge and EarlyTorn answer without a length before the request's body was read, and do not
+	// complete the answer: the connection is reset, closed with bytes unread, reset once some of the body was read, reset behind a part that
+	// is too large to be held back, and reset within an event. See answerEarly.
+	EarlyReset Fault = "early reset"
+	EarlyClose Fault = "early close"
+	EarlyLate  Fault = "early late"
+	EarlyLarge Fault = "early large"
+	EarlyTorn  Fault = "early torn"
+	// EarlyFramed, EarlyEnd and EarlyFinish answer as early, and completely: with a length and then a reset, without one and with an end once
+	// the body was read, and without one and with an end of the endpoint's side at once. EarlyInterim does as EarlyEnd, behind a 103.
+	EarlyFramed  Fault = "early framed"
+	EarlyEnd     Fault = "early end"
+	EarlyFinish  Fault = "early finish"
+	EarlyInterim Fault = "early interim"
 	// HangEvent sends two events of a stream and then nothing more.
 	HangEvent Fault = "hang event"
 	// SkipEvent omits the third event of a stream.
--- a/upstream/ackwatch.go
+++ b/upstream/ackwatch.go
@@ -31,13 +31,9 @@
 // watchAcks ends the connection if its other end answers nothing for Pool.AckTimeout while the body that is being sent is on its way. It
 // returns at once.
 func (c *Conn) watchAcks() {
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
-		return // no connection of the operating system's
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.net.SyscallConn()
 	if err != nil {
-		return // the connection is closed
+		return // the connection is closed, or none of the operating system's
 	}
 	sentAt := c.pool.Now()
 	delay := time.Duration(ackWatchDelay * float64(c.pool.ackTimeout()))
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -17,13 +17,15 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"github.com/heathkeel/heathkeel/internal/sticky"
 )
 
 // Conn is a connection to an endpoint, used for one request at a time.
 type Conn struct {
 	pool        *Pool
 	address     string
-	net         net.Conn
+	net         *sticky.Conn
 	meter       *meter
 	reader      *bufio.Reader // reads from meter
 	idleTimeout time.Duration // longest time for which it may stay idle
@@ -218,14 +220,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	if d, ok := c.net.(drainer); ok {
+	if d, ok := c.net.Conn.(drainer); ok {
 		return d.Drained()
 	}
-	sc, ok := c.net.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.net.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/upstream/meter.go
+++ b/upstream/meter.go
@@ -6,12 +6,13 @@
 
 import (
 	"errors"
-	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/heathkeel/heathkeel/internal/sticky"
 )
 
 // minArrivalWait is the time after which bytes that are read from a connection which was seen without any were sent since. Until then a
@@ -20,7 +21,7 @@
 
 // meter counts the bytes that are read from a connection, and limits them while a head is read.
 type meter struct {
-	net     net.Conn
+	net     *sticky.Conn
 	now     func() time.Duration
 	total   atomic.Int64
 	readErr error // the first error of the connection
@@ -70,14 +71,13 @@
 // isEmpty reports whether no bytes wait on the connection. It may be called while another goroutine reads. Connections that cannot tell
 // count as empty: whatever comes is read at once.
 func (m *meter) isEmpty() bool {
-	if d, ok := m.net.(drainer); ok {
+	if d, ok := m.net.Conn.(drainer); ok {
 		return d.Drained()
 	}
-	sc, ok := m.net.(syscall.Conn)
-	if !ok {
+	if _, ok := m.net.Conn.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := sc.SyscallConn()
+	raw, err := m.net.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -12,6 +12,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/heathkeel/heathkeel/internal/sticky"
 )
 
 // Defaults and limits of a Pool.
@@ -104,8 +106,9 @@
 
 // newConn returns a connection of a pool.
 func newConn(p *Pool, address string, nc net.Conn) *Conn {
-	m := &meter{net: nc, now: p.Now}
-	return &Conn{pool: p, address: address, net: nc, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), idleTimeout: defaultIdleTimeout}
+	kept := sticky.New(nc)
+	m := &meter{net: kept, now: p.Now}
+	return &Conn{pool: p, address: address, net: kept, meter: m, reader: bufio.NewReaderSize(m, readBufferBytes), idleTimeout: defaultIdleTimeout}
 }
 
 // take removes the most recently used idle connection to an address that may carry the request with an ID from the pool, or returns nil.
