--- a/internal/sticky/conn.go
+++ b/internal/sticky/conn.go
@@ -111,6 +111,36 @@
 	return err == nil && over
 }
 
+// drainer is a connection that is none of the operating system's and reports whether it is open and no bytes wait on it.
+type drainer interface{ Drained() bool }
+
+// Drained reports whether the connection is open and no bytes wait on it. It may be called while another goroutine reads. known is false of
+// a connection that cannot tell.
+func (c *Conn) Drained() (drained, known bool) {
+	if d, ok := c.Conn.(drainer); ok {
+		return d.Drained(), true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false, !errors.Is(err, errNoSocket)
+	}
+	var lookErr error
+	err = raw.Control(func(fd uintptr) {
+		var buf [1]byte
+		_, _, lookErr = unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return false, true // closed by this side
+	}
+	if errors.Is(lookErr, unix.EAGAIN) {
+		return true, true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.keep(lookErr)
+	return false, true
+}
+
 // errNoSocket means that a connection is none of the operating system's.
 var errNoSocket = errors.New("connection has no socket of the operating system")
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -220,19 +220,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	if d, ok := c.net.Conn.(drainer); ok {
-		return d.Drained()
-	}
-	raw, err := c.net.SyscallConn()
-	if err != nil {
-		return false
-	}
-	noData := false
-	err = raw.Read(func(fd uintptr) bool {
-		noData = isDrained(fd)
-		return true
-	})
-	return err == nil && noData
+	drained, known := c.net.Drained()
+	return drained && known
 }
 
 // dial opens a connection to an address.
--- a/upstream/meter.go
+++ b/upstream/meter.go
@@ -5,13 +5,9 @@
 package upstream
 
 import (
-	"errors"
 	"sync/atomic"
-	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/heathkeel/heathkeel/internal/sticky"
 )
 
@@ -65,30 +61,9 @@
 	m.wrote.Store(false)
 }
 
-// drainer is a connection that is none of the operating system's and reports whether it is open and no bytes wait on it.
-type drainer interface{ Drained() bool }
-
 // isEmpty reports whether no bytes wait on the connection. It may be called while another goroutine reads. Connections that cannot tell
 // count as empty: whatever comes is read at once.
 func (m *meter) isEmpty() bool {
-	if d, ok := m.net.Conn.(drainer); ok {
-		return d.Drained()
-	}
-	if _, ok := m.net.Conn.(syscall.Conn); !ok {
-		return true
-	}
-	raw, err := m.net.SyscallConn()
-	if err != nil {
-		return false
-	}
-	empty := false
-	err = raw.Control(func(fd uintptr) { empty = isDrained(fd) })
-	return err == nil && empty
-}
-
-// isDrained reports whether a socket is open and no bytes wait on it.
-func isDrained(fd uintptr) bool {
-	var buf [1]byte
-	_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	return errors.Is(err, unix.EAGAIN)
+	drained, known := m.net.Drained()
+	return drained || !known
 }
--- a/upstream/reset_test.go
+++ b/upstream/reset_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,3 +151,28 @@
 	rest, err := io.ReadAll(resp.Body)
 	return string(first) + string(rest), err
 }
+
+// TestResetSeenByLook guards against the same for a look at whether bytes wait on a connection in use, which the refusal of another
+// connection to its endpoint causes: of an endpoint that was killed, its port refuses connections.
+func TestResetSeenByLook(t *testing.T) {
+	l := listenEthernet(t)
+	e := earlyAnswer{text: "HTTP/1.1 200 OK\r\nId: a\r\n\r\nhello", resets: true, release: make(chan struct{})}
+	served := make(chan error, 1)
+	go func() { served <- e.serve(l) }()
+	start := time.Now()
+	p := &Pool{Now: func() time.Duration { return time.Since(start) }, DialTimeout: time.Second}
+	c, _, err := p.Get(t.Context(), l.Addr().String(), "a")
+	must.NoError(t, err)
+	defer c.Close()
+	must.NoError(t, c.Send(&Request{ID: "a", Method: http.MethodGet, URI: "/", Host: "h"}))
+	resp, err := c.ReadResponse(http.MethodGet, "Id", "a")
+	must.NoError(t, err)
+	_, err = io.ReadFull(resp.Body, make([]byte, len("hello")))
+	must.NoError(t, err)
+	close(e.release)
+	must.NoError(t, <-served)
+	must.NoError(t, l.Close())
+	must.ErrorIs(t, p.Probe(t.Context(), l.Addr().String()), syscall.ECONNREFUSED)
+	_, err = io.ReadAll(resp.Body)
+	must.Error(t, err)
+}
