--- a/ingress/counters.go
+++ b/ingress/counters.go
@@ -40,6 +40,9 @@
 	CutUnframed atomic.Int64
 	// EndedAfterClose counts such responses of endpoints that had closed their port and gone on to write.
 	EndedAfterClose atomic.Int64
+	// BrokenUnframed counts responses without a length or chunks whose connection failed before their end, and InvalidHeads those whose head
+	// is not one of HTTP. Both count those of other hosts, too.
+	BrokenUnframed, InvalidHeads atomic.Int64
 	// OverLimit counts responses of endpoints and other hosts that exceeded a limit, and those with bytes behind their end.
 	OverLimit atomic.Int64
 	// IdleClosed counts callers' connections without a request that were closed because there were too many.
--- a/ingress/exceed.go
+++ b/ingress/exceed.go
@@ -21,6 +21,22 @@
 	}
 }
 
+// noteBroken counts why the response to the newest send is not complete, and keeps it for the log. It must be called before the connection
+// is released.
+func (c *call) noteBroken(x *exchange) {
+	if x.conn.Exceeded() != "" {
+		return // told by noteExceeded
+	}
+	c.lost.cause = x.conn.Err()
+	var invalid *upstream.HeadError
+	switch {
+	case errors.As(c.lost.cause, &invalid):
+		c.s.Count.InvalidHeads.Add(1)
+	case c.lost.cause != nil && x.resp != nil && isUnframed(x.resp):
+		c.s.Count.BrokenUnframed.Add(1)
+	}
+}
+
 // limitRepeated is the limit on events of a stream that were forwarded before.
 const limitRepeated upstream.Limit = "events sent before"
 
--- a/ingress/lostsend.go
+++ b/ingress/lostsend.go
@@ -5,6 +5,7 @@
 package ingress
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/heathkeel/heathkeel/sched"
@@ -14,14 +15,27 @@
 type lostSend struct {
 	// silence is the silence of the endpoint after which another one took over, or 0 if the send ended by itself.
 	silence time.Duration
+	// cause says why the response could not be read, or is nil.
+	cause error
 }
 
+// maxCauseBytes limits the text of a cause in a log line; it may quote what the endpoint sent.
+const maxCauseBytes = 200
+
 // why returns the explanation for the log.
 func (l lostSend) why() string {
 	if l.silence > 0 {
 		return "the endpoint was silent, and another one took over"
 	}
-	return "the endpoint did not send a complete response"
+	return l.withCause("the endpoint did not send a complete response")
+}
+
+// withCause appends the cause to an explanation.
+func (l lostSend) withCause(why string) string {
+	if l.cause == nil {
+		return why
+	}
+	return fmt.Sprintf("%s: %.*s", why, maxCauseBytes, l.cause.Error())
 }
 
 // Reasons why a request is not sent again.
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -227,6 +227,7 @@
 	result = settle(conn, result, !x.stopCancel())
 	switch result {
 	case sendLost:
+		c.noteBroken(x)
 		c.noteRelayLost()
 	case sendNotExecuted:
 		c.logNotRun(f.status)
@@ -238,7 +239,7 @@
 func (c *call) noteRelayLost() {
 	c.tracker.MarkLost()
 	c.s.Count.RelaysLost.Add(1)
-	why := "the host to which it was relayed did not send a complete response"
+	why := c.lost.withCause("the host to which it was relayed did not send a complete response")
 	if c.relayed.granted {
 		why = "the host to which it was relayed was silent and not heard of, and another one takes over"
 	}
--- a/ingress/send.go
+++ b/ingress/send.go
@@ -109,6 +109,7 @@
 	}
 	if result == sendLost {
 		c.lost = lostSend{}
+		c.noteBroken(x)
 		c.noteLost()
 		c.probeCrash(ctx, gapSeen)
 	}
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -215,6 +215,11 @@
 	case TruncatedStatus, TruncatedField, TruncatedHead:
 		fmt.Fprint(c, e.truncatedHead(id, f))
 		return false
+	case ZeroStatus, BlankName, BlankLength, BlankEncoding:
+		fmt.Fprint(c, e.invalidAnswer(id, f))
+		return false
+	case ZeroStatusFirst:
+		fmt.Fprint(c, e.responseHead(id, f, "000 Trouble")+"\r\n")
 	case WrongAnswer:
 		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nHeathkeel-Attempt-Id: somebody-else\r\nHeathkeel-Response-Stamp: x\r\nContent-Length: 5\r\n\r\nother")
 	case Interim:
--- a/internal/site/fault.go
+++ b/internal/site/fault.go
@@ -37,6 +37,14 @@
 	TruncatedHead   Fault = "torn head"
 	// InvalidAnswer sends bytes that are not HTTP.
 	InvalidAnswer Fault = "no answer"
+	// ZeroStatus answers with the status 000, and ZeroStatusFirst sends a head with that status, and no body, in front of its answer.
+	ZeroStatus      Fault = "status 000"
+	ZeroStatusFirst Fault = "status 000 first"
+	// BlankName, BlankLength and BlankEncoding answer with a blank in the name of a field, and behind the name of the one that frames the
+	// body, and close the connection.
+	BlankName     Fault = "blank in a name"
+	BlankLength   Fault = "blank behind a length"
+	BlankEncoding Fault = "blank behind an encoding"
 	// NoStamp answers without the response stamp.
 	NoStamp Fault = "no stamp"
 	// ExtraAnswer sends the answer twice.
--- a/internal/site/relay_test.go
+++ b/internal/site/relay_test.go
@@ -38,7 +38,7 @@
 // run no more often, whatever fault they meet at the endpoints of the host to which they are relayed.
 func TestRelayedEndpointFaults(t *testing.T) {
 	s := startCutOff(t, 2)
-	s.testEndpointFaults(t)
+	s.testEndpointFaults(t, endpointFaults())
 }
 
 // TestRelayedRequests checks what becomes of requests that the other host refuses, and that requests without a valid key are refused as
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -98,19 +98,24 @@
 // fault, and checks the answer against what callers may be told.
 func TestEndpointFaults(t *testing.T) {
 	s := startTestSite(t, 1)
-	s.testEndpointFaults(t)
+	s.testEndpointFaults(t, endpointFaults())
 }
 
-// testEndpointFaults sends the requests of TestEndpointFaults to the first host.
-func (s *testSite) testEndpointFaults(t *testing.T) {
-	const cut = -1 // the connection closes before the answer is complete
-	cases := []struct {
-		fault Fault
-		times int // number of requests that meet the fault
-		path  string
-		// status is the expected status, and maxRuns the limit of runs.
-		status, maxRuns int
-	}{
+// endpointFaultCase is a fault and what the caller gets.
+type endpointFaultCase struct {
+	fault Fault
+	times int // number of requests that meet the fault
+	path  string
+	// status is the expected status, and maxRuns the limit of runs.
+	status, maxRuns int
+}
+
+// cut is the status of a case in which the connection closes before the answer is complete.
+const cut = -1
+
+// endpointFaults returns the cases of TestEndpointFaults.
+func endpointFaults() []endpointFaultCase {
+	return []endpointFaultCase{
 		{None, 1, "/push/a", 200, 1}, {None, 1, "/ask/a", 200, 1}, {None, 1, "/draft/a", 200, 1}, {None, 1, "/review/a", 200, 1},
 		{Full, 9, "/push/a", 503, 0}, {Full, 9, "/draft/a", 503, 0},
 		{Full, 1, "/push/a", 200, 1}, {Full, 1, "/draft/a", 200, 1}, {Error, 1, "/ask/a", 200, 2}, {Reset, 1, "/ask/a", 200, 2},
@@ -132,6 +137,10 @@
 		{Closing, 1, "/push/a", 200, 1}, {Closing, 1, "/draft/a", 200, 1}, {Interim, 1, "/push/a", 200, 1},
 		{Hang, 9, "/brief/a", 504, 1}, {Hang, 1, "/ask/a", 200, 2}, {Hang, 1, "/review/a", 200, 2},
 	}
+}
+
+// testEndpointFaults sends the requests of cases to the first host.
+func (s *testSite) testEndpointFaults(t *testing.T, cases []endpointFaultCase) {
 	for i, tc := range cases {
 		t.Run(fmt.Sprintf("%s %s", tc.fault, tc.path), func(t *testing.T) {
 			id := fmt.Sprintf("case-%d", i)
--- a/upstream/body.go
+++ b/upstream/body.go
@@ -36,7 +36,9 @@
 		// The connection did not fail, so the chunks or trailers are not what the parser accepts.
 		err = b.conn.exceed(LimitFraming, err)
 	}
-	b.err = err
+	if b.err = err; err != nil && !errors.Is(err, io.EOF) {
+		b.conn.err = err
+	}
 	return n, err
 }
 
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -39,6 +39,7 @@
 	used        bool  // since it was taken from the pool
 	bodyEnded   bool  // the latest response was read to the end
 	exceeded    Limit // or empty
+	err         error // why the newest response could not be read, or nil
 	bodyWrite   chan error
 	watched     atomic.Bool // see watchAcks
 }
@@ -69,7 +70,7 @@
 	}
 	c.sent.add(r.ID)
 	c.noReuse = c.noReuse || r.ID == "" || c.sent.full()
-	c.used, c.bodyEnded = true, false
+	c.used, c.bodyEnded, c.err = true, false, nil
 	head := r.appendHead(c.pool.getHeadBuffer())
 	if len(r.Body) <= asyncBodyBytes {
 		head = append(head, r.Body...)
@@ -120,14 +121,15 @@
 
 // ReadResponse reads the head of the response to a request. The response must carry id in the named
 // header. As the connection has carried no other request with that ID, such a response answers this one.
-// Complete responses to earlier requests are skipped; the connection is not reused after that. A response that exceeds a limit closes the connection, and the error is a *LimitError.
+// Complete responses to earlier requests are skipped; the connection is not reused after that. A response that exceeds a limit closes the
+// connection, and the error is a *LimitError; one whose head is invalid does, too, and the error is a *HeadError.
 func (c *Conn) ReadResponse(method, header, id string) (*http.Response, error) {
 	c.used = true
 	interim, surplus := 0, 0
 	for {
 		resp, err := c.readHead(method)
 		if err != nil {
-			c.noReuse = true
+			c.noReuse, c.err = true, err
 			return nil, err
 		}
 		if resp.StatusCode < http.StatusOK {
@@ -179,6 +181,9 @@
 // Number returns the number of the connection among all that its pool has opened, from 1.
 func (c *Conn) Number() int64 { return c.number }
 
+// Err returns why the newest response could not be read, or nil if it was read, or is being read.
+func (c *Conn) Err() error { return c.err }
+
 // Requests returns the number of requests that were sent on the connection.
 func (c *Conn) Requests() int { return len(c.sent) }
 
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -8,6 +8,8 @@
 	"errors"
 	"io"
 	"net/http"
+
+	"github.com/heathkeel/heathkeel/internal/respcheck"
 )
 
 // Limits of what is read of a response besides the body that is forwarded. A head takes about three times its bytes in memory while it
@@ -63,7 +65,18 @@
 	if m.head.exceeded != "" {
 		return nil, c.exceed(m.head.exceeded, nil)
 	}
-	return resp, err
+	invalid := err
+	switch {
+	case err == nil:
+		invalid = respcheck.Head(resp)
+	case m.readErr != nil:
+		return nil, err // the connection failed
+	}
+	if invalid != nil {
+		c.Close()
+		return nil, &HeadError{invalid}
+	}
+	return resp, nil
 }
 
 // exceed closes the connection, because a response exceeds a limit.
