--- a/internal/site/heads_test.go
+++ b/internal/site/heads_test.go
@@ -8,7 +8,7 @@
 
 // invalidHeads returns the cases of answers whose head is not one of HTTP: none reaches a caller, nor does what follows it.
 func invalidHeads() (cases []endpointFaultCase) {
-	for _, f := range []Fault{ZeroStatus, ZeroStatusFirst} {
+	for _, f := range []Fault{ZeroStatus, ZeroStatusFirst, BlankName, BlankLength, BlankEncoding} {
 		cases = append(cases, []endpointFaultCase{
 			{f, 9, "/push/a", 502, 1}, {f, 9, "/ask/a", 502, 2}, {f, 9, "/draft/a", 502, 1}, {f, 9, "/review/a", 502, 2},
 			{f, 1, "/push/a", 502, 1}, {f, 1, "/ask/a", 200, 2},
--- a/upstream/head_test.go
+++ b/upstream/head_test.go
@@ -26,6 +26,20 @@
 		{"negative status", "HTTP/1.1 -20 OK\r\n" + fields + body},
 		{"another protocol, which was not asked for", "HTTP/1.1 101 Switching Protocols\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + body},
 		{"another version", "HTTP/2.0 200 OK\r\n" + fields + body},
+		{"blank in a name", "HTTP/1.1 200 OK\r\nX Bad: a\r\n" + fields + body},
+		{"blank behind a name", "HTTP/1.1 200 OK\r\nX-Bad : a\r\n" + fields + body},
+		{"blank behind the name of the length", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nContent-Length : 2\r\n\r\nok and more"},
+		{"blank behind the name of the encoding", "HTTP/1.1 200 OK\r\nX-Id: 7\r\nTransfer-Encoding : chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"},
+		{"blank before the first name", "HTTP/1.1 200 OK\r\n X-Bad: a\r\n" + fields + body},
+		{"tab in a name", "HTTP/1.1 200 OK\r\nX\tBad: a\r\n" + fields + body},
+		{"NUL in a name", "HTTP/1.1 200 OK\r\nX\x00Bad: a\r\n" + fields + body},
+		{"escape in a name", "HTTP/1.1 200 OK\r\nX\x1bBad: a\r\n" + fields + body},
+		{"carriage return in a name", "HTTP/1.1 200 OK\r\nX\rBad: a\r\n" + fields + body},
+		{"delete in a name", "HTTP/1.1 200 OK\r\nX\x7fBad: a\r\n" + fields + body},
+		{"no name", "HTTP/1.1 200 OK\r\n: a\r\n" + fields + body},
+		{"NUL in a value", "HTTP/1.1 200 OK\r\nX-Bad: a\x00b\r\n" + fields + body},
+		{"carriage return in a value", "HTTP/1.1 200 OK\r\nX-Bad: a\rb\r\n" + fields + body},
+		{"blank in a name of an interim response", "HTTP/1.1 103 Early Hints\r\nX Bad: a\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + body},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -69,6 +83,7 @@
 		{"no reason", "HTTP/1.1 200\r\n" + fields + body, 200},
 		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + body, 200},
 		{"a status beyond the known classes", "HTTP/1.1 799 Other\r\n" + fields + body, 799},
+		{"all signs of a name", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09Az: a\r\n" + fields + body, 200},
 		{"value with a tab and bytes beyond ASCII", "HTTP/1.1 200 OK\r\nX-A: a\tb \xe9\r\n" + fields + body, 200},
 		{"empty value", "HTTP/1.1 200 OK\r\nX-A:\r\n" + fields + body, 200},
 		{"an interim response", "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + body, 200},
