--- a/edge/stop.go
+++ b/edge/stop.go
@@ -89,6 +89,12 @@
 	// runs in the last sixth of the period may be cut, and nothing before.
 	maxGraceReserve   = 700 * time.Millisecond
 	graceReserveShare = 1.0 / 8
+	// notifyShare is the share of that part in which callers are told that their requests were ended.
+	notifyShare = 0.4
+	// stopCheckInterval and notifyCheckInterval are the times between two looks at whether requests are active, before and after these are
+	// ended.
+	stopCheckInterval   = 50 * time.Millisecond
+	notifyCheckInterval = 10 * time.Millisecond
 )
 
 // graceReserve returns the part of a grace period that is left unused.
@@ -96,19 +102,33 @@
 	return min(maxGraceReserve, time.Duration(graceReserveShare*float64(grace)))
 }
 
+// notifyTime returns the longest time for telling callers that their requests were ended.
+func notifyTime(grace time.Duration) time.Duration {
+	return time.Duration(notifyShare * float64(graceReserve(grace)))
+}
+
 // stop announces the stop to callers and peers and returns when no request is active or the grace
-// period is over.
+// period is over. Requests that are still active then are ended, and their callers told.
 func (h *Host) stop() {
 	start := h.now()
+	left := h.Boot.GracePeriod - graceReserve(h.Boot.GracePeriod)
 	close(h.stopping)
-	h.ingress.Stop()
+	h.ingress.Stop(left)
 	h.agent.TriggerHeartbeat()
 	h.Log.Info("stopping", "active", h.ingress.Active())
-	for h.now()-start < h.Boot.GracePeriod-graceReserve(h.Boot.GracePeriod) {
+	for h.now()-start < left {
 		if h.now()-start > min(minLinger, h.Boot.GracePeriod/2) && h.ingress.Active() == 0 {
 			break
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(stopCheckInterval)
 	}
 	h.Log.Info("stopped", "active", h.ingress.Active())
+	h.ingress.EndAll()
+	// net/http writes the last bytes of a response after its request has become inactive.
+	for end := h.now() + notifyTime(h.Boot.GracePeriod); h.now() < end; time.Sleep(notifyCheckInterval) {
+		if h.ingress.Active() == 0 {
+			time.Sleep(notifyCheckInterval)
+			return
+		}
+	}
 }
--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -22,8 +22,6 @@
 const (
 	// defaultDeadline applies if neither the caller nor the route sets a deadline.
 	defaultDeadline = 60 * time.Second
-	// stopGrace is the time after the start of a stop from which new requests are refused.
-	stopGrace = 3000 * time.Millisecond
 	// maxDeadline limits the deadline that a caller may set.
 	maxDeadline = time.Hour
 )
@@ -31,9 +29,8 @@
 // admit determines the route, service and workspace of a request and whether it may run. It returns the refusal, or nil.
 // The order of the checks matters: the cheapest come first, and those whose refusal masks the fewest other reasons.
 func (c *call) admit() *refusal {
-	if t, ok := c.s.stopping(); ok && t > stopGrace {
-		c.s.Count.Stopping.Add(1)
-		return &refusal{status: http.StatusServiceUnavailable, why: "this host is stopping; use another"}
+	if f := c.checkStop(); f != nil {
+		return f
 	}
 	src, age := c.s.Settings.InForce()
 	if src == nil {
--- a/ingress/deadline.go
+++ b/ingress/deadline.go
@@ -35,6 +35,15 @@
 	}
 }
 
+// endAll cancels all calls.
+func (d *deadlines) endAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, t := range d.calls {
+		t.Reset(0)
+	}
+}
+
 // resetTimers resets all timers after a gap that they did not count.
 func (d *deadlines) resetTimers() {
 	now := d.now()
--- a/ingress/giveup.go
+++ b/ingress/giveup.go
@@ -22,6 +22,9 @@
 	c.refuse(*c.sendRefusal)
 }
 
+// reasonStopped is the reason of the end of a request that was not over when its host's planned stop was.
+const reasonStopped sched.Reason = "this host has stopped"
+
 // giveUp writes the final response to a request that got none from an endpoint.
 func (c *call) giveUp(ctx context.Context, d sched.Decision) {
 	if c.unread {
@@ -44,6 +47,9 @@
 		}
 		return
 	}
+	if c.s.ended.Load() {
+		d.Reason = reasonStopped
+	}
 	status := c.tracker.FailureStatus(c.s.Now() >= c.deadline || ctx.Err() != nil)
 	if status == http.StatusServiceUnavailable {
 		c.s.Count.Overload.Add(1)
@@ -61,6 +67,8 @@
 		return errResponseMemory.Error()
 	case c.s.Now() >= c.deadline:
 		return "the stream was not over by its deadline"
+	case c.s.ended.Load():
+		return string(reasonStopped)
 	case denied == "":
 		return c.lost.why()
 	}
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -160,7 +160,7 @@
 func (c *call) fork() *call {
 	h := *c
 	h.req, h.header = c.newRequest(c.s.Now()), c.header.Clone()
-	h.tracker, h.firstOutputSeen, h.savedResponse = attempt.Tracker{}, false, nil
+	h.tracker, h.firstOutputSeen, h.savedResponse, h.hedging = attempt.Tracker{}, false, nil, true
 	return &h
 }
 
--- a/ingress/relay.go
+++ b/ingress/relay.go
@@ -128,6 +128,10 @@
 	tried := make(map[string]bool)
 	retryAfter := backoffUnreachable
 	for range maxRelays {
+		if f := c.checkStop(); f != nil {
+			c.refuse(*f)
+			return
+		}
 		to, ok := pickTarget(c.s.relayTargets(), tried, rand.Float64())
 		if !ok || ctx.Err() != nil {
 			break
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -69,6 +69,7 @@
 	stream        stream
 	relayed       relayState
 	replacement   *replacement // took over, and is not in use yet
+	hedging       bool         // this is a further send, while another one is in flight
 	hedges        hedges
 	retryCharged  bool // the next retry was taken from the budget already
 	// connNumber is the number of the connection of the newest send, and connRequests that of the requests sent on it.
@@ -88,7 +89,7 @@
 	// net/http must not add headers of its own to an endpoint's response.
 	w.Header()["Date"] = nil
 	w.Header()["Content-Type"] = nil
-	if _, ok := s.stopping(); ok {
+	if s.stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	if f := c.admit(); f != nil {
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -98,7 +98,8 @@
 	bodyBytes     atomic.Int64
 	memory        *MemoryAccount
 	ageLimits     atomic.Pointer[AgeLimits]
-	stopStarted   atomic.Int64 // when the stop began, in nanoseconds of Now, or 0
+	stop          atomic.Pointer[plannedStop] // nil if none has begun
+	ended         atomic.Bool                 // EndAll was called
 
 	portWatch portWatch
 	// recordsMu orders changes of the list of endpoints and of the records of versions, so that the balancer gets both in order.
@@ -284,18 +285,6 @@
 	return !limits.Strict || (age >= 0 && age < limits.MaxKeyAge)
 }
 
-// Stop begins a planned stop: responses close their connections, and after stopGrace new requests are refused.
-func (s *Server) Stop() { s.stopStarted.CompareAndSwap(0, int64(s.Now())) }
-
-// stopping returns how long ago the stop began, and false if none has.
-func (s *Server) stopping() (time.Duration, bool) {
-	at := s.stopStarted.Load()
-	if at == 0 {
-		return 0, false
-	}
-	return s.Now() - time.Duration(at), true
-}
-
 // retryBudget returns the retry budget of a service; mu must be held.
 func (s *Server) retryBudget(service string) *quota.RetryBudget {
 	r := s.retryBudgets[service]
--- a/ingress/trial.go
+++ b/ingress/trial.go
@@ -39,8 +39,10 @@
 // needs a grant for each send.
 func (c *call) checkSend(ctx context.Context) *refusal {
 	c.granted = nil
-	if f := c.checkHeld(); f != nil {
-		return f
+	for _, check := range []func() *refusal{c.checkStop, c.checkHeld} {
+		if f := check(); f != nil {
+			return f
+		}
 	}
 	for _, sub := range c.s.crashes.onTrial(c) {
 		if f := c.takeTrial(ctx, &sub); f != nil {
--- a/internal/simsite/site.go
+++ b/internal/simsite/site.go
@@ -14,6 +14,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -61,9 +62,10 @@
 	Edge *edge.Host
 
 	net       *simnet.Host
+	signals   chan os.Signal
 	kill      context.CancelFunc
-	done      chan struct{}
-	suspended atomic.Int64 // total time of suspension, in nanoseconds
+	done      chan struct{} // closed when the run has ended
+	suspended atomic.Int64  // total time of suspension, in nanoseconds
 }
 
 // Suspend advances the host's clock by a time in which its process does not run, as a suspension
@@ -133,15 +135,23 @@
 func (s *Site) StartHost(h *Host) {
 	ctx, cancel := context.WithCancel(context.Background())
 	h.kill, h.done, h.net = cancel, make(chan struct{}), s.Net.Host(h.Boot.IP)
+	h.signals = make(chan os.Signal, 1)
 	h.net.Start()
 	h.Edge = &edge.Host{Boot: h.Boot, ZoneSpill: s.ZoneSpill, Clock: clock.NewSteady().WithOffset(h.suspendedTime), Network: h.net, Log: s.Log.WithValues("host", h.Boot.Host)}
 	h.Boot.Bootstrap = false
-	go func(e *edge.Host, done chan struct{}) {
+	go func(e *edge.Host, signals chan os.Signal, done chan struct{}) {
 		defer close(done)
-		if err := e.Run(ctx, make(chan os.Signal)); err != nil {
+		if err := e.Run(ctx, signals); err != nil {
 			panic(err)
 		}
-	}(h.Edge, h.done)
+		h.net.Kill() // as the end of a process does
+	}(h.Edge, h.signals, h.done)
+}
+
+// Terminate begins a planned stop of the host and returns a channel that is closed once its process has ended.
+func (h *Host) Terminate() <-chan struct{} {
+	h.signals <- syscall.SIGTERM
+	return h.done
 }
 
 // Kill ends the host at once and waits until it has ended.
@@ -272,10 +282,14 @@
 	Stamped bool
 }
 
+// CallerTransport returns a transport that sends requests as a caller does, each on a connection of its own.
+func (s *Site) CallerTransport() *http.Transport {
+	return &http.Transport{DialContext: s.Net.Host(callerIP).DialContext, DisableKeepAlives: true, DisableCompression: true}
+}
+
 // Send sends one request to a host; an empty key is left out.
 func (s *Site) Send(h *Host, path, key string) Answer {
 	a := Answer{ID: fmt.Sprint("id-", s.sent.Add(1))}
-	t := &http.Transport{DialContext: s.Net.Host(callerIP).DialContext, DisableKeepAlives: true, DisableCompression: true}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Boot.Front+path, nil)
@@ -288,7 +302,7 @@
 	if key != "" {
 		req.Header.Set("Authorization", "Token "+key)
 	}
-	resp, err := t.RoundTrip(req)
+	resp, err := s.CallerTransport().RoundTrip(req)
 	if err != nil {
 		return a
 	}
--- a/internal/simsite/stream.go
+++ b/internal/simsite/stream.go
@@ -169,7 +169,6 @@
 
 // SendStream sends one request for a stream to a host.
 func (s *Site) SendStream(h *Host, c StreamCall) StreamAnswer {
-	t := &http.Transport{DialContext: s.Net.Host(callerIP).DialContext, DisableKeepAlives: true, DisableCompression: true}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
 	a := StreamAnswer{LastEvent: c.LastEvent}
@@ -192,7 +191,7 @@
 	if c.LastEvent > 0 {
 		req.Header.Set("Last-Event-Id", strconv.Itoa(c.LastEvent))
 	}
-	resp, err := t.RoundTrip(req)
+	resp, err := s.CallerTransport().RoundTrip(req)
 	if err != nil {
 		a.NoHost = errors.Is(err, syscall.ECONNREFUSED)
 		return a
