--- a/router/admit.go
+++ b/router/admit.go
@@ -61,6 +61,9 @@
 		return nil, r.forwardToOwner(w, req, id)
 	}
 	j := &job{callerID: fromCaller, arrived: arrived, decisions: make(chan sched.Decision, 1)}
+	if r.closed.Load() {
+		return nil, r.refuseID(id, fromCaller, problem.New(problem.NotReady, "ask for addresses again and use another host", "this host drains"))
+	}
 	if p := r.resolveSettings(j, req, service); p != nil {
 		return nil, r.refuseID(id, fromCaller, p)
 	}
--- a/router/drain.go
+++ b/router/drain.go
@@ -26,7 +26,7 @@
 )
 
 // Drain makes the host leave without interrupting requests. The host is no
-// longer named in address answers, serves requests while callers may still use
+// longer named in address answers, takes requests while callers may still use
 // older answers, waits until no request is waiting or running, hands its witness
 // records over to other hosts and announces that it is gone. Drain returns early
 // if ctx ends.
@@ -40,6 +40,7 @@
 	if err := sleep(ctx, r.MaxAge+drainMargin); err != nil {
 		return err
 	}
+	r.closed.Store(true)
 	for r.hasRequests() {
 		if err := sleep(ctx, drainCheckInterval); err != nil {
 			return err
--- a/router/router.go
+++ b/router/router.go
@@ -110,6 +110,7 @@
 	recorders     map[once.Incarnation]*recorder
 	active        map[string]*engineRequest
 	draining      atomic.Bool
+	closed        atomic.Bool // no further request is taken, since the host drains
 }
 
 // target is an endpoint with the clients that reach it.
