--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -10,6 +10,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"github.com/heathkeel/heathkeel/internal/respcheck"
 )
 
 // Service is a plain service at an address.
@@ -55,7 +57,7 @@
 }
 
 // Send sends the call. ErrNotSent means that no byte was sent, ErrLost that the call may
-// have run. The caller must close the body of the response.
+// have run and has no valid response. The caller must close the body of the response.
 func (s *Service) Send(ctx context.Context, call PlainCall) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, s.Base+call.Path, call.Body)
 	if err != nil {
@@ -65,6 +67,10 @@
 	DropHopHeaders(req.Header)
 	req.ContentLength = call.Length
 	resp, err := s.Transport.RoundTrip(req)
+	if err == nil && respcheck.Head(resp) != nil {
+		_ = resp.Body.Close() // nothing of it is used
+		return nil, ErrLost
+	}
 	if err == nil {
 		DropHopHeaders(resp.Header)
 		return resp, nil
