--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -12,6 +12,7 @@
 	"net/http"
 
 	"github.com/heathkeel/heathkeel/internal/respcheck"
+	"github.com/heathkeel/heathkeel/internal/sticky"
 )
 
 // Service is a plain service at an address.
@@ -25,7 +26,16 @@
 
 // NewServiceTransport returns a transport that opens a new connection for each request.
 func NewServiceTransport() *http.Transport {
-	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, Proxy: nil}
+	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, Proxy: nil, DialContext: dialSticky}
+}
+
+// dialSticky opens a connection that reports a reset to its reads, too.
+func dialSticky(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := new(net.Dialer).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return sticky.New(c), nil
 }
 
 // hopByHopHeaders are the headers that apply to one connection only (RFC 9110, section
--- a/endpoint/service_test.go
+++ b/endpoint/service_test.go
@@ -97,3 +97,32 @@
 		})
 	}
 }
+
+// TestServiceResetsDuringUpload guards against parts of responses that are taken for whole ones, because the write of a long body was told
+// of the reset in place of the read.
+func TestServiceResetsDuringUpload(t *testing.T) {
+	const uploadBytes = 16 << 20
+	cases := []struct {
+		name    string
+		service rawService
+		whole   bool
+	}{
+		{"part without a length, then reset", rawService{answer: "HTTP/1.1 200 OK\r\n\r\nhello", resets: true}, false},
+		{"part with a length, then reset", rawService{answer: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhello", resets: true}, false},
+		{"whole with a length, then reset", rawService{answer: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello", resets: true}, true},
+		{"without a length, ended in order", rawService{answer: "HTTP/1.1 200 OK\r\n\r\nhello"}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			for range 10 {
+				b, err := tc.service.callRaw(t, uploadBytes)
+				if !tc.whole {
+					must.Error(t, err, must.Sprintf("got %q as whole", b))
+					continue
+				}
+				must.NoError(t, err)
+				must.EqOp(t, "hello", b)
+			}
+		})
+	}
+}
