--- a/cmd/hkplacer/main.go
+++ b/cmd/hkplacer/main.go
@@ -72,12 +72,15 @@
 // routerTimeout bounds a query to the router, and is the pause between the queries of follow.
 const routerTimeout = time.Second
 
+// maxIdleConns is the number of idle connections kept to each engine.
+const maxIdleConns = 2
+
 // run follows the router's settings and controls the placement of zones until ctx ends.
 func run(ctx context.Context, a args, log logr.Logger) {
 	kv := &keyval.Client{BaseURL: a.Platform}
 	localRouter := router.NewLocalClient(a.Router)
 	f := &revision.Follower{KV: kv, Peers: localRouter.Peer(), Log: log}
-	engines := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	engines := &http.Client{Transport: endpoint.NewEngineTransport(maxIdleConns)}
 	m := &placer.Manager{
 		Name: a.Name + "/" + once.NewIncarnation().String(), KV: kv, Weights: kv, Settings: f.Snapshot,
 		TTL: a.TTL, SweepInterval: a.Sweep, Limits: placer.Limits{MaxLoads: a.Loads}, Log: log,
--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -330,5 +330,5 @@
 	if out == nil {
 		return nil
 	}
-	return json.NewDecoder(resp.Body).Decode(out)
+	return jsoncall.Decode(resp.Body, out)
 }
--- a/endpoint/service.go
+++ b/endpoint/service.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 
+	"github.com/heathkeel/heathkeel/internal/jsoncall"
 	"github.com/heathkeel/heathkeel/internal/respcheck"
 	"github.com/heathkeel/heathkeel/internal/sticky"
 )
@@ -24,9 +25,16 @@
 	Transport http.RoundTripper
 }
 
+// NewEngineTransport returns a transport for engines that keeps up to maxIdle idle connections to each.
+func NewEngineTransport(maxIdle int) *http.Transport {
+	return &http.Transport{MaxIdleConnsPerHost: maxIdle, DisableCompression: true, MaxResponseHeaderBytes: jsoncall.MaxHeadBytes}
+}
+
 // NewServiceTransport returns a transport that opens a new connection for each request.
 func NewServiceTransport() *http.Transport {
-	return &http.Transport{DisableKeepAlives: true, DisableCompression: true, Proxy: nil, DialContext: dialSticky}
+	return &http.Transport{
+		DisableKeepAlives: true, DisableCompression: true, Proxy: nil, MaxResponseHeaderBytes: jsoncall.MaxHeadBytes, DialContext: dialSticky,
+	}
 }
 
 // dialSticky opens a connection that reports a reset to its reads, too.
--- a/endpoint/service_test.go
+++ b/endpoint/service_test.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,6 +20,8 @@
 // rawService is a service that answers each request with bytes of its own before it reads the request's body.
 type rawService struct {
 	answer string
+	// next, unless it is empty, is sent behind answer again and again.
+	next string
 	// resets says that it then resets the connection, some time later.
 	resets bool
 }
@@ -50,6 +53,10 @@
 	if _, err := io.WriteString(c, s.answer); err != nil {
 		return
 	}
+	if s.next != "" {
+		s.sendEndless(c)
+		return
+	}
 	if s.resets {
 		time.Sleep(20 * time.Millisecond) // the other end has read the answer by then, and writes the body still
 		_ = c.SetLinger(0)
@@ -58,6 +65,16 @@
 	_, _ = io.Copy(io.Discard, r.Body) // an error ends the connection, too
 }
 
+// sendEndless sends next until the connection is closed or endlessBytes were sent.
+func (s *rawService) sendEndless(w io.Writer) {
+	block := []byte(strings.Repeat(s.next, 1+32<<10/len(s.next)))
+	for sent := 0; sent < endlessBytes; sent += len(block) {
+		if _, err := w.Write(block); err != nil {
+			return
+		}
+	}
+}
+
 // callRaw sends a request with a body to the service and returns the body of its response, or the error of either.
 func (s *rawService) callRaw(t *testing.T, bodyBytes int) (string, error) {
 	service := Service{Base: s.start(t), Transport: NewServiceTransport()}
--- a/internal/jsoncall/doc.go
+++ b/internal/jsoncall/doc.go
@@ -3,5 +3,6 @@
 // license that can be found in the LICENSE file.
 
 // Package jsoncall builds HTTP requests with JSON bodies, the form of all calls between
-// heathkeel's programs and to the platform. Its callers interpret the answers.
+// heathkeel's programs and to the platform, and decodes the answers within limits. Its
+// callers interpret them.
 package jsoncall
--- a/keyval/http.go
+++ b/keyval/http.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -117,7 +116,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+	if err := jsoncall.Decode(resp.Body, out); err != nil {
 		return ErrUnavailable
 	}
 	return nil
@@ -191,7 +190,7 @@
 		return c.cachedList, nil
 	}
 	var out []ListEntry
-	if resp.StatusCode != http.StatusOK || json.NewDecoder(resp.Body).Decode(&out) != nil {
+	if resp.StatusCode != http.StatusOK || jsoncall.Decode(resp.Body, &out) != nil {
 		return nil, ErrUnavailable
 	}
 	c.cachedList, c.cachedETag = out, resp.Header.Get("ETag")
--- a/router/peers.go
+++ b/router/peers.go
@@ -28,7 +28,7 @@
 
 // newPeerClient returns a client that keeps idle connections.
 func newPeerClient() *peerClient {
-	t := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	t := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: jsoncall.MaxHeadBytes}
 	return &peerClient{http: &http.Client{Transport: t}}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -121,6 +121,9 @@
 	stop    context.CancelFunc
 }
 
+// maxIdleEngineConns is the number of idle connections kept to each engine, and to each host to which requests are forwarded.
+const maxIdleEngineConns = 256
+
 // init sets the defaults and creates the state that the handlers and loops share.
 func (r *Router) init() {
 	r.once.Do(func() {
@@ -147,7 +150,7 @@
 		r.leavingEndpoints = make(map[string]bool)
 		r.Self.Generation = r.owner.Generation()
 		r.peers = newPeerClient()
-		r.engineClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256, DisableCompression: true}}
+		r.engineClient = &http.Client{Transport: endpoint.NewEngineTransport(maxIdleEngineConns)}
 		r.serviceTransport = endpoint.NewServiceTransport()
 		r.follower = &revision.Follower{
 			KV: r.KV, Peers: r.peers, Relay: r.isRelay, HostCount: r.liveHostCount, OnSnapshot: r.applySettings, Log: r.Log,
