--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -31,6 +31,8 @@
 	// WrongIDAt sends the piece of that number with another request's ID, DuplicateAt
 	// sends it twice and SkipAt omits it; 0 never does.
 	WrongIDAt, DuplicateAt, SkipAt int
+	// PieceBytes is the number of bytes added to the text of each piece.
+	PieceBytes int
 	// ServerErrors makes new requests fail with status 500.
 	ServerErrors bool
 }
--- a/internal/fake/enginehttp.go
+++ b/internal/fake/enginehttp.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -131,6 +132,7 @@
 // encodePiece encodes one piece with the faults that apply to its number.
 func encodePiece(p endpoint.Piece, f EngineFaults) []byte {
 	var b []byte
+	p.Text += strings.Repeat("~", f.PieceBytes)
 	switch {
 	case p.Seq > 0 && p.Seq == f.SkipAt:
 		return nil
--- a/router/completions.go
+++ b/router/completions.go
@@ -118,11 +118,28 @@
 	w.Header().Set(HeaderEndpoint, engineReq.endpoint)
 }
 
-// sink receives the pieces of an answer. An error means that the caller went away.
+// sink receives the pieces of an answer. An error other than errAnswerTooLarge means that the
+// caller went away.
 type sink func(endpoint.Piece) error
 
-// errCallerGone means that the caller went away.
-var errCallerGone = errors.New("router: the caller went away")
+var (
+	// errCallerGone means that the caller went away.
+	errCallerGone = errors.New("router: the caller went away")
+	// errAnswerTooLarge means that an answer to be collected is larger than wholeAnswerLimit.
+	errAnswerTooLarge = errors.New("router: the answer is too large for its number of tokens; check the engine, or ask for a stream")
+)
+
+// Limits of the text of an answer that the host collects for its caller, in bytes. An engine may send pieces of any length, without an end.
+const (
+	maxTokenText   = 256 // of a token, on average
+	minWholeAnswer = 64 << 10
+	maxWholeAnswer = 16 << 20
+)
+
+// wholeAnswerLimit returns the limit in bytes for an answer of at most maxTokens tokens.
+func wholeAnswerLimit(maxTokens int) int {
+	return min(max(minWholeAnswer, maxTokenText*maxTokens), maxWholeAnswer)
+}
 
 // copyStream passes the pieces of an answer to a sink and records the token
 // metrics. It resumes a broken stream at the same engine. It returns the number
@@ -146,7 +163,11 @@
 		now := r.now()
 		r.recordToken(engineReq, p.Seq, now-lastToken)
 		lastToken = now
-		if write(p) != nil || ctx.Err() != nil {
+		err = write(p)
+		switch {
+		case errors.Is(err, errAnswerTooLarge):
+			return s.NextSeq, err
+		case err != nil || ctx.Err() != nil:
 			return s.NextSeq, errCallerGone
 		}
 	}
@@ -240,8 +261,13 @@
 func (r *Router) writeWholeAnswer(w http.ResponseWriter, req *http.Request, engineReq *engineRequest, s *endpoint.CheckedStream) {
 	var text strings.Builder
 	var finish string
+	limit := wholeAnswerLimit(engineReq.job.req.MaxTokens)
 	n, err := r.copyStream(req.Context(), engineReq, s, func(p endpoint.Piece) error {
-		text.WriteString(p.Content())
+		content := p.Content()
+		if text.Len()+len(content) > limit {
+			return errAnswerTooLarge
+		}
+		text.WriteString(content)
 		finish = p.Finish
 		return nil
 	})
