--- a/internal/site/early.go
+++ b/internal/site/early.go
@@ -44,6 +44,10 @@
 	}
 	defer end()
 	tc := c.(*net.TCPConn)
+	if f == EarlyScript {
+		e.answerByScript(tc, r, id)
+		return
+	}
 	head, body := e.responseHead(id, f, "200 OK"), e.earlyBody(id)
 	switch f {
 	case EarlyFramed:
--- a/internal/site/early_test.go
+++ b/internal/site/early_test.go
@@ -79,3 +79,23 @@
 		}
 	}
 }
+
+// TestHedgedAnswersDuringUpload does the same for requests that go to a second endpoint because the first one is silent.
+func TestHedgedAnswersDuringUpload(t *testing.T) {
+	s := startTestSite(t, 1)
+	s.allowUploads(t)
+	upload := strings.Repeat("u", uploadBytes)
+	for _, fault := range []Fault{EarlyReset, EarlyClose, EarlyEnd, EarlyFramed} {
+		for _, path := range []string{"/ask/a", "/review/a"} {
+			t.Run(fmt.Sprintf("%s %s", fault, path), func(t *testing.T) {
+				id := fmt.Sprintf("hedged %s %s", fault, path)
+				ShareFaults([]Fault{Hang, fault}, s.plain[0], s.plain[1], s.engines[0], s.engines[1])
+				a := Do(s.Hosts[0].Boot.Front, Call{Path: path, Key: Key, ID: id, Body: upload, Tokens: "20,30"})
+				s.setFaults(None, 0)
+				must.EqOp(t, 2, s.countRuns(id))
+				whole := fault == EarlyEnd || fault == EarlyFramed
+				must.EqOp(t, whole, a.Status == 200 && a.Complete, must.Sprintf("status %d, %d bytes", a.Status, len(a.Body)))
+			})
+		}
+	}
+}
--- a/internal/site/endpoint.go
+++ b/internal/site/endpoint.go
@@ -65,6 +65,7 @@
 
 	mu       sync.Mutex
 	faults   []Fault
+	script   Script
 	shared   *FaultQueue
 	runs     []Run
 	inFlight int
--- a/internal/site/fault.go
+++ b/internal/site/fault.go
@@ -69,6 +69,8 @@
 	EarlyEnd     Fault = "early end"
 	EarlyFinish  Fault = "early finish"
 	EarlyInterim Fault = "early interim"
+	// EarlyScript answers as early, by the endpoint's Script.
+	EarlyScript Fault = "early script"
 	// HangEvent sends two events of a stream and then nothing more.
 	HangEvent Fault = "hang event"
 	// SkipEvent omits the third event of a stream.
