--- a/endpoint/http.go
+++ b/endpoint/http.go
@@ -16,6 +16,7 @@
 	"strconv"
 
 	"github.com/heathkeel/heathkeel/internal/jsoncall"
+	"github.com/heathkeel/heathkeel/internal/respcheck"
 )
 
 // The paths and fields below are the whole wire format of engines. The fake engine in
@@ -88,13 +89,17 @@
 }
 
 // send sends a request. It returns ErrNotSent if it cannot connect, and ErrLost for any
-// other failure.
+// other failure, such as a response that is none of HTTP.
 func (c *Client) send(req *http.Request) (*http.Response, error) {
 	httpClient := c.HTTP
 	if httpClient == nil {
 		httpClient = http.DefaultClient
 	}
 	resp, err := httpClient.Do(req)
+	if err == nil && respcheck.Head(resp) != nil {
+		_ = resp.Body.Close() // nothing of it is used
+		return nil, ErrLost
+	}
 	if err == nil {
 		return resp, nil
 	}
--- a/endpoint/service_test.go
+++ b/endpoint/service_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// TestHeadsOfEngines does the same for requests to engines: such a head does not say that the request was refused, and so may run elsewhere.
+func TestHeadsOfEngines(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		err          error
+	}{
+		{"status 000", "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n", ErrLost},
+		{"status 042", "HTTP/1.1 042 Trouble\r\nContent-Length: 0\r\n\r\n", ErrLost},
+		{"blank in a name", "HTTP/1.1 400 Bad Request\r\nX Note: a\r\nContent-Length: 0\r\n\r\n", ErrLost},
+		{"refused", "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", ErrRejected},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := rawService{answer: tc.answer}
+			c := Client{Base: s.start(t), HTTP: &http.Client{Transport: NewEngineTransport(1)}}
+			_, err := c.Generate(t.Context(), Call{ID: "a", Model: "m", Prompt: "p"})
+			must.ErrorIs(t, err, tc.err)
+			must.ErrorIs(t, c.Order(t.Context(), Order{}), tc.err)
+		})
+	}
+}
+
 // TestServiceResetsDuringUpload guards against parts of responses that are taken for whole ones, because the write of a long body was told
 // of the reset in place of the read.
 func TestServiceResetsDuringUpload(t *testing.T) {
