--- a/ingress/admit.go
+++ b/ingress/admit.go
@@ -38,7 +38,7 @@
 		return &refusal{status: http.StatusServiceUnavailable, why: "no settings yet; come back", retryAfter: minRetryAfter}
 	}
 	c.table, c.timings.settingsAge = src.Table, age
-	for _, check := range []func() *refusal{c.checkConfirmed, c.reserveHead, c.checkSettings, c.findRoute, c.findWorkspace, c.parseHeaders, c.readBody, c.checkHeld, c.takeQuota} {
+	for _, check := range []func() *refusal{c.checkConfirmed, c.reserveHead, c.checkSettings, c.findRoute, c.findWorkspace, c.parseHeaders, c.checkStop, c.readBody, c.checkHeld, c.takeQuota} {
 		if f := check(); f != nil {
 			return f
 		}
--- a/ingress/serve.go
+++ b/ingress/serve.go
@@ -312,6 +312,7 @@
 			c.s.crashes.noteAnswer(c)
 		}
 		c.recordDuration(metrics.TotalTime, c.s.Now()-c.arrived)
+		c.noteDuration()
 		if c.s.Trace && !c.serverError {
 			c.logOutcome(outcome.Served, http.StatusOK, "", 0)
 		}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -16,6 +16,7 @@
 
 	"github.com/heathkeel/heathkeel/clock"
 	"github.com/heathkeel/heathkeel/feed"
+	"github.com/heathkeel/heathkeel/forecast"
 	"github.com/heathkeel/heathkeel/metrics"
 	"github.com/heathkeel/heathkeel/origin"
 	"github.com/heathkeel/heathkeel/outcome"
@@ -100,6 +101,8 @@
 	ageLimits     atomic.Pointer[AgeLimits]
 	stop          atomic.Pointer[plannedStop] // nil if none has begun
 	ended         atomic.Bool                 // EndAll was called
+	durationsMu   sync.Mutex
+	durations     forecast.Durations // of the requests that were served, until the end of the response
 
 	portWatch portWatch
 	// recordsMu orders changes of the list of endpoints and of the records of versions, so that the balancer gets both in order.
