--- a/internal/site/relay_test.go
+++ b/internal/site/relay_test.go
@@ -41,6 +41,12 @@
 	s.testEndpointFaults(t, endpointFaults())
 }
 
+// TestRelayedOneSilentEndpoint does the same for an endpoint that is silent.
+func TestRelayedOneSilentEndpoint(t *testing.T) {
+	s := startCutOff(t, 2)
+	s.testEndpointFaults(t, oneSilentEndpoint())
+}
+
 // TestRelayedRequests checks what becomes of requests that the other host refuses, and that requests without a valid key are refused as
 // anywhere else.
 func TestRelayedRequests(t *testing.T) {
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -135,10 +135,22 @@
 		{SkipEvent, 1, "/draft/a", cut, 1}, {SkipEvent, 1, "/review/a", 200, 2},
 		{DoubleEvent, 1, "/draft/a", 200, 1}, {DoubleEvent, 1, "/review/a", 200, 1},
 		{Closing, 1, "/push/a", 200, 1}, {Closing, 1, "/draft/a", 200, 1}, {Interim, 1, "/push/a", 200, 1},
-		{Hang, 9, "/brief/a", 504, 1}, {Hang, 1, "/ask/a", 200, 2}, {Hang, 1, "/review/a", 200, 2},
+		{Hang, 9, "/brief/a", 504, 1},
 	}
 }
 
+// TestOneSilentEndpoint lets one endpoint be silent, so that the other one takes the request over. Neither may have failed before: endpoints that
+// are ejected take nothing over.
+func TestOneSilentEndpoint(t *testing.T) {
+	s := startTestSite(t, 1)
+	s.testEndpointFaults(t, oneSilentEndpoint())
+}
+
+// oneSilentEndpoint returns the cases of TestOneSilentEndpoint.
+func oneSilentEndpoint() []endpointFaultCase {
+	return []endpointFaultCase{{Hang, 1, "/ask/a", 200, 2}, {Hang, 1, "/review/a", 200, 2}}
+}
+
 // testEndpointFaults sends the requests of cases to the first host.
 func (s *testSite) testEndpointFaults(t *testing.T, cases []endpointFaultCase) {
 	for i, tc := range cases {
